Replay segment schedules that show their faults with the present code

The first two seeds of the list no longer showed the fault that they stand for, since the fix added a store call to each opening and shifted the later choices. Seed 1510 fails with the head check removed, seed 31772 with the fence before erasing removed (both tried).

--- a/Source/UnitTests/Store/SegmentsTests.cpp
+++ b/Source/UnitTests/Store/SegmentsTests.cpp
@@ -220,7 +220,7 @@
   // parts of an unfinished snapshot are erased while its head record may still take effect.
   SECTION("schedules that once failed")
   {
-    for (const std::uint64_t seed : { 4190746UL, 39386UL, 31772UL }) {
+    for (const std::uint64_t seed : { 1510UL, 31772UL }) {
       run(seed);
     }
   }
