--- /dev/null
+++ b/Source/Core/Observability/Log.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+/// Logs, counters and spans of one process.
+namespace Observability {
+
+enum class Level
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+struct LogSettings
+{
+  /// One JSON object a line instead of plain text.
+  bool mJson = false;
+  Level mLevel = Level::Info;
+  /// Written with each line.
+  std::string mInstance;
+};
+
+/// A named value of a log line.
+struct Field
+{
+  std::string_view mName;
+  std::string mValue;
+};
+
+/// "debug", "info", "warning" or "error"; any other text gives Info.
+Level
+LevelOf(std::string_view aText);
+
+/// Routes all later lines to the standard error stream. Call it once, before other threads log.
+void
+StartLog(const LogSettings& aSettings);
+
+/// Writes one line. aCategory is the subsystem, for instance "entry", "owner" or "store".
+void
+Log(Level aLevel,
+    std::string_view aCategory,
+    std::string_view aMessage,
+    std::initializer_list<Field> aFields = {});
+
+/// aText with the escapes of a JSON string, without quotes.
+std::string
+JsonEscaped(std::string_view aText);
+
+} // namespace Observability
