--- a/Source/Core/Rpc/Generated/Control.cpp
+++ b/Source/Core/Rpc/Generated/Control.cpp
@@ -2765,6 +2765,412 @@
   return xfer;
 }
 
+
+Control_declareLost_args::~Control_declareLost_args() noexcept {
+}
+
+
+uint32_t Control_declareLost_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_declareLost_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_declareLost_args");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_declareLost_pargs::~Control_declareLost_pargs() noexcept {
+}
+
+
+uint32_t Control_declareLost_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_declareLost_pargs");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->cell)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_declareLost_result::~Control_declareLost_result() noexcept {
+}
+
+
+uint32_t Control_declareLost_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_declareLost_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Control_declareLost_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+    xfer += oprot->writeBool(this->success);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_declareLost_presult::~Control_declareLost_presult() noexcept {
+}
+
+
+uint32_t Control_declareLost_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+Control_trace_args::~Control_trace_args() noexcept {
+}
+
+
+uint32_t Control_trace_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->traceId);
+          this->__isset.traceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_trace_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_trace_args");
+
+  xfer += oprot->writeFieldBegin("traceId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->traceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_trace_pargs::~Control_trace_pargs() noexcept {
+}
+
+
+uint32_t Control_trace_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_trace_pargs");
+
+  xfer += oprot->writeFieldBegin("traceId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->traceId)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_trace_result::~Control_trace_result() noexcept {
+}
+
+
+uint32_t Control_trace_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->success.clear();
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->success.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
+              xfer += iprot->readString(this->success[_i154]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_trace_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Control_trace_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->success.size()));
+      std::vector<std::string> ::const_iterator _iter155;
+      for (_iter155 = this->success.begin(); _iter155 != this->success.end(); ++_iter155)
+      {
+        xfer += oprot->writeString((*_iter155));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_trace_presult::~Control_trace_presult() noexcept {
+}
+
+
+uint32_t Control_trace_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            (*(this->success)).clear();
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            (*(this->success)).resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
+            {
+              xfer += iprot->readString((*(this->success))[_i160]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void ControlClient::execute(ExecuteReply& _return, const ExecuteRequest& request)
 {
   send_execute(request);
@@ -3472,12 +3878,129 @@
   recv_usage(_return);
 }
 
-void ControlClient::send_usage()
+void ControlClient::send_usage()
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("usage", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_usage_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_usage(std::vector<UsageRecord> & _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("usage") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_usage_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "usage failed: unknown result");
+}
+
+bool ControlClient::drain(const std::string& instance, const bool on)
+{
+  send_drain(instance, on);
+  return recv_drain();
+}
+
+void ControlClient::send_drain(const std::string& instance, const bool on)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("drain", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_drain_pargs args;
+  args.instance = &instance;
+  args.on = &on;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+bool ControlClient::recv_drain()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("drain") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  bool _return;
+  Control_drain_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    return _return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "drain failed: unknown result");
+}
+
+bool ControlClient::declareLost(const std::string& cell)
+{
+  send_declareLost(cell);
+  return recv_declareLost();
+}
+
+void ControlClient::send_declareLost(const std::string& cell)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("usage", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_usage_pargs args;
+  Control_declareLost_pargs args;
+  args.cell = &cell;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3485,7 +4008,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlClient::recv_usage(std::vector<UsageRecord> & _return)
+bool ControlClient::recv_declareLost()
 {
 
   int32_t rseqid = 0;
@@ -3505,38 +4028,37 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("usage") != 0) {
+  if (fname.compare("declareLost") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  Control_usage_presult result;
+  bool _return;
+  Control_declareLost_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
   if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
+    return _return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "usage failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "declareLost failed: unknown result");
 }
 
-bool ControlClient::drain(const std::string& instance, const bool on)
+void ControlClient::trace(std::vector<std::string> & _return, const std::string& traceId)
 {
-  send_drain(instance, on);
-  return recv_drain();
+  send_trace(traceId);
+  recv_trace(_return);
 }
 
-void ControlClient::send_drain(const std::string& instance, const bool on)
+void ControlClient::send_trace(const std::string& traceId)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("drain", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("trace", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_drain_pargs args;
-  args.instance = &instance;
-  args.on = &on;
+  Control_trace_pargs args;
+  args.traceId = &traceId;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3544,7 +4066,7 @@
   oprot_->getTransport()->flush();
 }
 
-bool ControlClient::recv_drain()
+void ControlClient::recv_trace(std::vector<std::string> & _return)
 {
 
   int32_t rseqid = 0;
@@ -3564,22 +4086,22 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("drain") != 0) {
+  if (fname.compare("trace") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  bool _return;
-  Control_drain_presult result;
+  Control_trace_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
   if (result.__isset.success) {
-    return _return;
+    // _return pointer has now been filled
+    return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "drain failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "trace failed: unknown result");
 }
 
 bool ControlProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
@@ -4357,6 +4879,114 @@
   }
 }
 
+void ControlProcessor::process_declareLost(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.declareLost", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.declareLost");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Control.declareLost");
+  }
+
+  Control_declareLost_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Control.declareLost", bytes);
+  }
+
+  Control_declareLost_result result;
+  try {
+    result.success = iface_->declareLost(args.cell);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.declareLost");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.declareLost");
+  }
+
+  oprot->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.declareLost", bytes);
+  }
+}
+
+void ControlProcessor::process_trace(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.trace", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.trace");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Control.trace");
+  }
+
+  Control_trace_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Control.trace", bytes);
+  }
+
+  Control_trace_result result;
+  try {
+    iface_->trace(result.success, args.traceId);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.trace");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("trace", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.trace");
+  }
+
+  oprot->writeMessageBegin("trace", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.trace", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > ControlProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< ControlIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< ControlIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -5545,5 +6175,173 @@
   } // end while(true)
 }
 
+bool ControlConcurrentClient::declareLost(const std::string& cell)
+{
+  int32_t seqid = send_declareLost(cell);
+  return recv_declareLost(seqid);
+}
+
+int32_t ControlConcurrentClient::send_declareLost(const std::string& cell)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_declareLost_pargs args;
+  args.cell = &cell;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+bool ControlConcurrentClient::recv_declareLost(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("declareLost") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      bool _return;
+      Control_declareLost_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "declareLost failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void ControlConcurrentClient::trace(std::vector<std::string> & _return, const std::string& traceId)
+{
+  int32_t seqid = send_trace(traceId);
+  recv_trace(_return, seqid);
+}
+
+int32_t ControlConcurrentClient::send_trace(const std::string& traceId)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("trace", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_trace_pargs args;
+  args.traceId = &traceId;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlConcurrentClient::recv_trace(std::vector<std::string> & _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("trace") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Control_trace_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "trace failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/Source/Core/Rpc/Generated/Control.h
+++ b/Source/Core/Rpc/Generated/Control.h
@@ -36,6 +36,8 @@
   virtual void members(MembersReply& _return, const int64_t knownVersion, const std::string& pool, const int32_t maxMembers) = 0;
   virtual void usage(std::vector<UsageRecord> & _return) = 0;
   virtual bool drain(const std::string& instance, const bool on) = 0;
+  virtual bool declareLost(const std::string& cell) = 0;
+  virtual void trace(std::vector<std::string> & _return, const std::string& traceId) = 0;
 };
 
 class ControlIfFactory {
@@ -109,6 +111,13 @@
     bool _return = false;
     return _return;
   }
+  bool declareLost(const std::string& /* cell */) override {
+    bool _return = false;
+    return _return;
+  }
+  void trace(std::vector<std::string> & /* _return */, const std::string& /* traceId */) override {
+    return;
+  }
 };
 
 typedef struct _Control_execute_args__isset {
@@ -1610,6 +1619,217 @@
 
 };
 
+typedef struct _Control_declareLost_args__isset {
+  _Control_declareLost_args__isset() : cell(false) {}
+  bool cell :1;
+} _Control_declareLost_args__isset;
+
+class Control_declareLost_args {
+ public:
+
+  Control_declareLost_args(const Control_declareLost_args&);
+  Control_declareLost_args& operator=(const Control_declareLost_args&);
+  Control_declareLost_args() noexcept
+                           : cell() {
+  }
+
+  virtual ~Control_declareLost_args() noexcept;
+  std::string cell;
+
+  _Control_declareLost_args__isset __isset;
+
+  void __set_cell(const std::string& val);
+
+  bool operator == (const Control_declareLost_args & rhs) const
+  {
+    if (!(cell == rhs.cell))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_declareLost_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_declareLost_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Control_declareLost_pargs {
+ public:
+
+
+  virtual ~Control_declareLost_pargs() noexcept;
+  const std::string* cell;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_declareLost_result__isset {
+  _Control_declareLost_result__isset() : success(false) {}
+  bool success :1;
+} _Control_declareLost_result__isset;
+
+class Control_declareLost_result {
+ public:
+
+  Control_declareLost_result(const Control_declareLost_result&) noexcept;
+  Control_declareLost_result& operator=(const Control_declareLost_result&) noexcept;
+  Control_declareLost_result() noexcept
+                             : success(0) {
+  }
+
+  virtual ~Control_declareLost_result() noexcept;
+  bool success;
+
+  _Control_declareLost_result__isset __isset;
+
+  void __set_success(const bool val);
+
+  bool operator == (const Control_declareLost_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_declareLost_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_declareLost_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_declareLost_presult__isset {
+  _Control_declareLost_presult__isset() : success(false) {}
+  bool success :1;
+} _Control_declareLost_presult__isset;
+
+class Control_declareLost_presult {
+ public:
+
+
+  virtual ~Control_declareLost_presult() noexcept;
+  bool* success;
+
+  _Control_declareLost_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+typedef struct _Control_trace_args__isset {
+  _Control_trace_args__isset() : traceId(false) {}
+  bool traceId :1;
+} _Control_trace_args__isset;
+
+class Control_trace_args {
+ public:
+
+  Control_trace_args(const Control_trace_args&);
+  Control_trace_args& operator=(const Control_trace_args&);
+  Control_trace_args() noexcept
+                     : traceId() {
+  }
+
+  virtual ~Control_trace_args() noexcept;
+  std::string traceId;
+
+  _Control_trace_args__isset __isset;
+
+  void __set_traceId(const std::string& val);
+
+  bool operator == (const Control_trace_args & rhs) const
+  {
+    if (!(traceId == rhs.traceId))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_trace_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_trace_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Control_trace_pargs {
+ public:
+
+
+  virtual ~Control_trace_pargs() noexcept;
+  const std::string* traceId;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_trace_result__isset {
+  _Control_trace_result__isset() : success(false) {}
+  bool success :1;
+} _Control_trace_result__isset;
+
+class Control_trace_result {
+ public:
+
+  Control_trace_result(const Control_trace_result&);
+  Control_trace_result& operator=(const Control_trace_result&);
+  Control_trace_result() noexcept {
+  }
+
+  virtual ~Control_trace_result() noexcept;
+  std::vector<std::string>  success;
+
+  _Control_trace_result__isset __isset;
+
+  void __set_success(const std::vector<std::string> & val);
+
+  bool operator == (const Control_trace_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_trace_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_trace_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_trace_presult__isset {
+  _Control_trace_presult__isset() : success(false) {}
+  bool success :1;
+} _Control_trace_presult__isset;
+
+class Control_trace_presult {
+ public:
+
+
+  virtual ~Control_trace_presult() noexcept;
+  std::vector<std::string> * success;
+
+  _Control_trace_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class ControlClient : virtual public ControlIf {
  public:
   ControlClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -1677,6 +1897,12 @@
   bool drain(const std::string& instance, const bool on) override;
   void send_drain(const std::string& instance, const bool on);
   bool recv_drain();
+  bool declareLost(const std::string& cell) override;
+  void send_declareLost(const std::string& cell);
+  bool recv_declareLost();
+  void trace(std::vector<std::string> & _return, const std::string& traceId) override;
+  void send_trace(const std::string& traceId);
+  void recv_trace(std::vector<std::string> & _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -1706,6 +1932,8 @@
   void process_members(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_declareLost(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_trace(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   ControlProcessor(::std::shared_ptr<ControlIf> iface) :
     iface_(iface) {
@@ -1723,6 +1951,8 @@
     processMap_["members"] = &ControlProcessor::process_members;
     processMap_["usage"] = &ControlProcessor::process_usage;
     processMap_["drain"] = &ControlProcessor::process_drain;
+    processMap_["declareLost"] = &ControlProcessor::process_declareLost;
+    processMap_["trace"] = &ControlProcessor::process_trace;
   }
 
   virtual ~ControlProcessor() {}
@@ -1889,6 +2119,25 @@
     return ifaces_[i]->drain(instance, on);
   }
 
+  bool declareLost(const std::string& cell) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->declareLost(cell);
+    }
+    return ifaces_[i]->declareLost(cell);
+  }
+
+  void trace(std::vector<std::string> & _return, const std::string& traceId) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->trace(_return, traceId);
+    }
+    ifaces_[i]->trace(_return, traceId);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -1963,6 +2212,12 @@
   bool drain(const std::string& instance, const bool on) override;
   int32_t send_drain(const std::string& instance, const bool on);
   bool recv_drain(const int32_t seqid);
+  bool declareLost(const std::string& cell) override;
+  int32_t send_declareLost(const std::string& cell);
+  bool recv_declareLost(const int32_t seqid);
+  void trace(std::vector<std::string> & _return, const std::string& traceId) override;
+  int32_t send_trace(const std::string& traceId);
+  void recv_trace(std::vector<std::string> & _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/Source/Core/Rpc/Generated/Ibisshed_types.cpp
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.cpp
@@ -5790,6 +5790,18 @@
 void GossipMessage::__set_cells(const std::vector<CellView> & val) {
   this->cells = val;
 }
+
+void GossipMessage::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void GossipMessage::__set_role(const std::string& val) {
+  this->role = val;
+}
+
+void GossipMessage::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const GossipMessage& obj)
 {
   obj.printTo(out);
@@ -5870,6 +5882,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->role);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5915,6 +5951,18 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5927,6 +5975,9 @@
   swap(a.revision, b.revision);
   swap(a.revisionHash, b.revisionHash);
   swap(a.cells, b.cells);
+  swap(a.address, b.address);
+  swap(a.role, b.role);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -5936,6 +5987,9 @@
   revision = other124.revision;
   revisionHash = other124.revisionHash;
   cells = other124.cells;
+  address = other124.address;
+  role = other124.role;
+  incarnation = other124.incarnation;
   __isset = other124.__isset;
 }
 GossipMessage& GossipMessage::operator=(const GossipMessage& other125) {
@@ -5944,6 +5998,9 @@
   revision = other125.revision;
   revisionHash = other125.revisionHash;
   cells = other125.cells;
+  address = other125.address;
+  role = other125.role;
+  incarnation = other125.incarnation;
   __isset = other125.__isset;
   return *this;
 }
@@ -5955,6 +6012,9 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "revisionHash=" << to_string(revisionHash);
   out << ", " << "cells=" << to_string(cells);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "incarnation=" << to_string(incarnation);
   out << ")";
 }
 
--- a/Source/Core/Rpc/Generated/Ibisshed_types.h
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.h
@@ -2310,12 +2310,15 @@
 std::ostream& operator<<(std::ostream& out, const MembersReply& obj);
 
 typedef struct _GossipMessage__isset {
-  _GossipMessage__isset() : instance(false), dataCentre(false), revision(false), revisionHash(false), cells(false) {}
+  _GossipMessage__isset() : instance(false), dataCentre(false), revision(false), revisionHash(false), cells(false), address(false), role(false), incarnation(false) {}
   bool instance :1;
   bool dataCentre :1;
   bool revision :1;
   bool revisionHash :1;
   bool cells :1;
+  bool address :1;
+  bool role :1;
+  bool incarnation :1;
 } _GossipMessage__isset;
 
 class GossipMessage : public virtual ::apache::thrift::TBase {
@@ -2327,7 +2330,10 @@
                 : instance(),
                   dataCentre(),
                   revision(0),
-                  revisionHash() {
+                  revisionHash(),
+                  address(),
+                  role(),
+                  incarnation(0) {
   }
 
   virtual ~GossipMessage() noexcept;
@@ -2336,6 +2342,9 @@
   int64_t revision;
   std::string revisionHash;
   std::vector<CellView>  cells;
+  std::string address;
+  std::string role;
+  int64_t incarnation;
 
   _GossipMessage__isset __isset;
 
@@ -2349,6 +2358,12 @@
 
   void __set_cells(const std::vector<CellView> & val);
 
+  void __set_address(const std::string& val);
+
+  void __set_role(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
   bool operator == (const GossipMessage & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2361,6 +2376,12 @@
       return false;
     if (!(cells == rhs.cells))
       return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
     return true;
   }
   bool operator != (const GossipMessage &rhs) const {
--- a/Source/Core/Rpc/Ibisshed.thrift
+++ b/Source/Core/Rpc/Ibisshed.thrift
@@ -311,6 +311,10 @@
   3: i64 revision,
   4: string revisionHash,
   5: list<CellView> cells,
+  // Where the sender takes calls, and its role ("entry" or "agent").
+  6: string address,
+  7: string role,
+  8: i64 incarnation,
 }
 
 struct RevisionReply {
@@ -339,4 +343,8 @@
   MembersReply members(1: i64 knownVersion, 2: string pool, 3: i32 maxMembers),
   list<UsageRecord> usage(),
   bool drain(1: string instance, 2: bool on),
+  bool declareLost(1: string cell),
+
+  // Ended spans of one trace, each as a JSON object.
+  list<string> trace(1: string traceId),
 }
