Add the Admission library: gate, worker ledger and request-id window

The agent needs one grantor of slots, connections and resources, and a window that runs a request id once. The gate queues fairly by team and client inside urgency classes, sheds by deadline, holds minimum shares by slot-time credit and lowers its limit when latency rises. The window remembers evicted ids per origin as the highest evicted sequence number, so that a bound on memory never lets an id run twice.

--- /dev/null
+++ b/Source/Core/Admission/Admission.cpp
@@ -0,0 +1,294 @@
+#include "Admission/Admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "Admission/Shares.h"
+
+namespace Admission {
+
+namespace {
+
+constexpr Duration kMinRetry = std::chrono::milliseconds(20);
+constexpr Duration kMaxRetry = std::chrono::seconds(5);
+constexpr Duration kDrainRetry = std::chrono::milliseconds(50);
+// Cost of a request whose service time is not yet known, so that the fair queue still alternates.
+constexpr double kUnknownCostMicros = 1000;
+
+Action
+Refuse(Request aRequest, Common::Refusal aReason, Duration aRetryAfter)
+{
+  return {
+    ActionKind::Refuse, std::move(aRequest), aReason, std::clamp(aRetryAfter, kMinRetry, kMaxRetry)
+  };
+}
+
+bool
+CanStart(const Gate& aGate, const WorkerLedger& aWorker)
+{
+  const std::int64_t connections = ConnectionsInUse(aGate) - aGate.mIdleConnections.value();
+  return SlotsInUse(aGate) < SlotLimit(aGate) && connections < aGate.mLimits.mConnections.value() &&
+         SlotFits(aWorker);
+}
+
+void
+StartRequest(Gate& aGate, WorkerLedger& aWorker, Request aRequest, Timestamp aNow, Actions& aOut)
+{
+  TakeForSlot(aWorker);
+  ++aGate.mUse[IndexOf(aRequest.mUrgency)].mInUse;
+  // A kept connection is used first, so that the sum stays within the limit.
+  if (aGate.mIdleConnections > Common::Connections(0)) {
+    aGate.mIdleConnections -= Common::Connections(1);
+  }
+  aGate.mRunning.emplace(aRequest.mId, RunningRequest{ aRequest, aNow });
+  aOut.push_back({ ActionKind::Start, std::move(aRequest), Common::Refusal::None, Duration(0) });
+}
+
+/// Service time that a request must still have before its deadline. With no wait the mean is
+/// enough; a request that waits takes a slot from others and so must be likely to finish in time.
+Duration
+TimeNeeded(const Gate& aGate, const Request& aRequest, bool aWaits, Timestamp aNow)
+{
+  const ServiceTime time =
+    EstimateOf(aGate.mServiceTimes, aRequest.mRoute, aRequest.mUrgency, aNow);
+  return Duration(static_cast<std::int64_t>(time.mMean + (aWaits ? time.mDeviation : 0)));
+}
+
+void
+StartWaiting(Gate& aGate, WorkerLedger& aWorker, Timestamp aNow, Actions& aOut)
+{
+  Accrue(aGate, aNow);
+  while (CanStart(aGate, aWorker)) {
+    const std::optional<std::size_t> next = NextClass(aGate);
+    if (!next) {
+      return;
+    }
+    FairQueue& queue = aGate.mQueues[*next];
+    const Request& request = PeekNext(queue)->mRequest;
+    const Duration needed = TimeNeeded(aGate, request, false, aNow);
+    if (aNow + needed > request.mDeadline) {
+      Request late = PopNext(queue, 0)->mRequest;
+      aOut.push_back(Refuse(std::move(late), Common::Refusal::DeadlineTooClose, needed));
+      continue;
+    }
+    const double cost =
+      needed.count() > 0 ? static_cast<double>(needed.count()) : kUnknownCostMicros;
+    StartRequest(aGate, aWorker, PopNext(queue, cost)->mRequest, aNow, aOut);
+  }
+}
+
+} // namespace
+
+Gate
+MakeGate(GateLimits aLimits, Timestamp aNow)
+{
+  Gate gate;
+  gate.mAccruedAt = aNow;
+  gate.mLimiter.mWindowStart = aNow;
+  WorkerLedger none;
+  SetLimits(gate, none, std::move(aLimits), aNow);
+  return gate;
+}
+
+Actions
+Offer(Gate& aGate, WorkerLedger& aWorker, Request aRequest, Timestamp aNow)
+{
+  Actions out;
+  if (aGate.mDraining) {
+    out.push_back(Refuse(std::move(aRequest), Common::Refusal::Leaving, kDrainRetry));
+    return out;
+  }
+  const Duration wait = PredictWait(aGate, aRequest, aNow);
+  const Duration needed = TimeNeeded(aGate, aRequest, wait.count() > 0, aNow);
+  if (aNow + wait + needed > aRequest.mDeadline) {
+    const Duration excess = aNow + wait + needed - aRequest.mDeadline;
+    out.push_back(Refuse(std::move(aRequest), Common::Refusal::DeadlineTooClose, excess));
+    return out;
+  }
+  FairQueue& queue = aGate.mQueues[IndexOf(aRequest.mUrgency)];
+  if (queue.mQueued >= aGate.mLimits.mMaxQueued) {
+    std::optional<QueuedRequest> victim = PushOut(queue, aRequest);
+    if (!victim) {
+      out.push_back(Refuse(std::move(aRequest), Common::Refusal::NoCapacity, wait));
+      return out;
+    }
+    out.push_back(Refuse(std::move(victim->mRequest), Common::Refusal::NoCapacity, wait));
+  }
+  Accrue(aGate, aNow);
+  Push(queue, { std::move(aRequest), aNow });
+  StartWaiting(aGate, aWorker, aNow, out);
+  return out;
+}
+
+Actions
+Release(Gate& aGate,
+        WorkerLedger& aWorker,
+        const Common::RequestId& aId,
+        const Finish& aFinish,
+        Timestamp aNow)
+{
+  Actions out;
+  const auto found = aGate.mRunning.find(aId);
+  if (found == aGate.mRunning.end()) {
+    return out;
+  }
+  Accrue(aGate, aNow);
+  const RunningRequest& running = found->second;
+  if (aFinish.mMeasured) {
+    const Request& request = running.mRequest;
+    const Duration took = aNow - running.mStarted;
+    AddServiceTime(aGate.mServiceTimes, request.mRoute, request.mUrgency, took, aNow);
+    AddLatency(aGate.mLimiter, request.mRoute, took, SlotsInUse(aGate));
+  }
+  --aGate.mUse[IndexOf(running.mRequest.mUrgency)].mInUse;
+  aGate.mRunning.erase(found);
+  ReleaseSlot(aWorker);
+  if (aFinish.mKeepConnection) {
+    aGate.mIdleConnections += Common::Connections(1);
+  }
+  AdjustLimit(aGate, aNow);
+  StartWaiting(aGate, aWorker, aNow, out);
+  return out;
+}
+
+Actions
+Poll(Gate& aGate, WorkerLedger& aWorker, Timestamp aNow)
+{
+  Actions out;
+  AdjustLimit(aGate, aNow);
+  for (FairQueue& queue : aGate.mQueues) {
+    if (queue.mQueued == 0) {
+      continue;
+    }
+    auto late = TakeIf(queue, [&](const QueuedRequest& aItem) {
+      return aNow + TimeNeeded(aGate, aItem.mRequest, false, aNow) > aItem.mRequest.mDeadline;
+    });
+    for (QueuedRequest& item : late) {
+      const Duration needed = TimeNeeded(aGate, item.mRequest, false, aNow);
+      out.push_back(Refuse(std::move(item.mRequest), Common::Refusal::DeadlineTooClose, needed));
+    }
+  }
+  StartWaiting(aGate, aWorker, aNow, out);
+  return out;
+}
+
+bool
+Withdraw(Gate& aGate, const Common::RequestId& aId)
+{
+  for (FairQueue& queue : aGate.mQueues) {
+    const auto isIt = [&](const QueuedRequest& aItem) { return aItem.mRequest.mId == aId; };
+    if (queue.mQueued > 0 && !TakeIf(queue, isIt).empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+AdjustLimit(Gate& aGate, Timestamp aNow)
+{
+  StepLimit(aGate.mLimiter, aGate.mLimits.mSlots.value(), aNow);
+}
+
+Actions
+SetLimits(Gate& aGate, WorkerLedger& aWorker, GateLimits aLimits, Timestamp aNow)
+{
+  aGate.mLimits = std::move(aLimits);
+  aGate.mLimiter.mFloor = static_cast<double>(aGate.mLimits.mLimitFloor.value());
+  SetShares(aGate);
+  AdjustLimit(aGate, aNow);
+  Actions out;
+  StartWaiting(aGate, aWorker, aNow, out);
+  return out;
+}
+
+void
+SetForeignUse(Gate& aGate, Common::Slots aSlots, Common::Connections aConnections)
+{
+  aGate.mForeignSlots = std::max(aSlots, Common::Slots(0));
+  aGate.mForeignConnections = std::max(aConnections, Common::Connections(0));
+}
+
+void
+CloseIdleConnection(Gate& aGate)
+{
+  if (aGate.mIdleConnections > Common::Connections(0)) {
+    aGate.mIdleConnections -= Common::Connections(1);
+  }
+}
+
+Actions
+StartDrain(Gate& aGate, Timestamp aNow)
+{
+  Accrue(aGate, aNow);
+  aGate.mDraining = true;
+  Actions out;
+  for (FairQueue& queue : aGate.mQueues) {
+    while (std::optional<QueuedRequest> item = PopNext(queue, 0)) {
+      out.push_back(Refuse(std::move(item->mRequest), Common::Refusal::Leaving, kDrainRetry));
+    }
+  }
+  return out;
+}
+
+void
+StopDrain(Gate& aGate)
+{
+  aGate.mDraining = false;
+}
+
+bool
+Drained(const Gate& aGate)
+{
+  return aGate.mDraining && aGate.mRunning.empty();
+}
+
+std::int64_t
+SlotsInUse(const Gate& aGate)
+{
+  return static_cast<std::int64_t>(aGate.mRunning.size()) + aGate.mForeignSlots.value();
+}
+
+std::int64_t
+SlotLimit(const Gate& aGate)
+{
+  const auto adaptive = static_cast<std::int64_t>(aGate.mLimiter.mLimit);
+  return std::min(aGate.mLimits.mSlots.value(), adaptive);
+}
+
+std::int64_t
+ConnectionsInUse(const Gate& aGate)
+{
+  return static_cast<std::int64_t>(aGate.mRunning.size()) + aGate.mIdleConnections.value() +
+         aGate.mForeignConnections.value();
+}
+
+std::size_t
+QueuedCount(const Gate& aGate)
+{
+  std::size_t count = 0;
+  for (const FairQueue& queue : aGate.mQueues) {
+    count += queue.mQueued;
+  }
+  return count;
+}
+
+Duration
+PredictWait(const Gate& aGate, const Request& aRequest, Timestamp aNow)
+{
+  const std::size_t own = IndexOf(aRequest.mUrgency);
+  const double slots = SlotsFor(aGate, own);
+  const double ahead = RequestsAhead(aGate.mQueues[own], aRequest);
+  const double busy = static_cast<double>(aGate.mUse[own].mInUse);
+  // With a free slot of its own the request starts at once.
+  const double before = ahead + busy + 1 - slots;
+  if (before <= 0) {
+    return Duration(0);
+  }
+  const ServiceTime time =
+    EstimateOf(aGate.mServiceTimes, aRequest.mRoute, aRequest.mUrgency, aNow);
+  return Duration(static_cast<std::int64_t>(time.mMean * before / slots));
+}
+
+} // namespace Admission
--- /dev/null
+++ b/Source/Core/Admission/RequestWindow.cpp
@@ -0,0 +1,151 @@
+#include "Admission/RequestWindow.h"
+
+#include <algorithm>
+
+#include "Common/RequestName.h"
+
+namespace Admission {
+
+namespace {
+
+constexpr std::size_t kMaxOrigins = 4096;
+
+Common::Bytes
+ReplySize(const StoredOutcome& aOutcome)
+{
+  return Common::Bytes(aOutcome.mReply ? static_cast<std::int64_t>(aOutcome.mReply->size()) : 0);
+}
+
+void
+RaiseFloor(RequestWindow& aWindow, const Common::RequestId& aId, Common::Timestamp aNow)
+{
+  const auto name = Common::ParseRequestId(aId);
+  if (!name) {
+    return;
+  }
+  const std::pair origin(name->mEntry, name->mIncarnation.value());
+  if (!aWindow.mFloors.contains(origin) && aWindow.mFloors.size() >= kMaxOrigins) {
+    const auto oldest = std::min_element(
+      aWindow.mFloors.begin(), aWindow.mFloors.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.mRaised < aRight.second.mRaised;
+      });
+    aWindow.mFloors.erase(oldest);
+  }
+  OriginFloor& floor = aWindow.mFloors[origin];
+  floor.mSequence = std::max(floor.mSequence, name->mSequence);
+  floor.mRaised = aNow;
+}
+
+void
+EvictOldest(RequestWindow& aWindow, Common::Timestamp aNow)
+{
+  const Common::RequestId id = std::move(aWindow.mFinished.front().first);
+  aWindow.mFinished.pop_front();
+  if (!aWindow.mWithReply.empty() && aWindow.mWithReply.front() == id) {
+    aWindow.mWithReply.pop_front();
+  }
+  const auto found = aWindow.mEntries.find(id);
+  aWindow.mReplyBytes -= ReplySize(found->second.mOutcome);
+  aWindow.mEntries.erase(found);
+  RaiseFloor(aWindow, id, aNow);
+}
+
+void
+DropReplies(RequestWindow& aWindow)
+{
+  while (aWindow.mReplyBytes > aWindow.mLimits.mMaxReplies && !aWindow.mWithReply.empty()) {
+    StoredOutcome& outcome = aWindow.mEntries.at(aWindow.mWithReply.front()).mOutcome;
+    aWindow.mReplyBytes -= ReplySize(outcome);
+    outcome.mReply.reset();
+    aWindow.mWithReply.pop_front();
+  }
+}
+
+bool
+IsForgotten(const RequestWindow& aWindow, const Common::RequestName& aName)
+{
+  const auto floor = aWindow.mFloors.find({ aName.mEntry, aName.mIncarnation.value() });
+  return floor != aWindow.mFloors.end() && aName.mSequence <= floor->second.mSequence;
+}
+
+/// The state of an id, without adding it: New means that it was never seen.
+WindowAnswer
+LookUp(const RequestWindow& aWindow, const Common::RequestId& aId)
+{
+  const auto found = aWindow.mEntries.find(aId);
+  if (found != aWindow.mEntries.end()) {
+    const WindowEntry& entry = found->second;
+    return entry.mFinished ? WindowAnswer{ WindowState::Finished, entry.mOutcome }
+                           : WindowAnswer{ WindowState::InProgress, {} };
+  }
+  const auto name = Common::ParseRequestId(aId);
+  if (!name) {
+    return { WindowState::Malformed, {} };
+  }
+  return { IsForgotten(aWindow, *name) ? WindowState::Forgotten : WindowState::New, {} };
+}
+
+} // namespace
+
+WindowAnswer
+BeginRequest(RequestWindow& aWindow, const Common::RequestId& aId, Common::Timestamp aNow)
+{
+  SweepWindow(aWindow, aNow);
+  WindowAnswer answer = LookUp(aWindow, aId);
+  if (answer.mState != WindowState::New) {
+    return answer;
+  }
+  if (aWindow.mEntries.size() >= aWindow.mLimits.mMaxIds) {
+    if (aWindow.mFinished.empty()) {
+      return { WindowState::Full, {} };
+    }
+    EvictOldest(aWindow, aNow);
+  }
+  aWindow.mEntries.emplace(aId, WindowEntry{});
+  return answer;
+}
+
+void
+FinishRequest(RequestWindow& aWindow,
+              const Common::RequestId& aId,
+              StoredOutcome aOutcome,
+              Common::Timestamp aNow)
+{
+  const auto found = aWindow.mEntries.find(aId);
+  if (found == aWindow.mEntries.end() || found->second.mFinished) {
+    return;
+  }
+  if (ReplySize(aOutcome) > aWindow.mLimits.mMaxReply) {
+    aOutcome.mReply.reset();
+  }
+  aWindow.mReplyBytes += ReplySize(aOutcome);
+  if (aOutcome.mReply) {
+    aWindow.mWithReply.push_back(aId);
+  }
+  aWindow.mFinished.emplace_back(aId, aNow);
+  found->second = { true, std::move(aOutcome) };
+  DropReplies(aWindow);
+}
+
+WindowAnswer
+QueryOutcome(RequestWindow& aWindow, const Common::RequestId& aId, Common::Timestamp aNow)
+{
+  WindowAnswer answer = BeginRequest(aWindow, aId, aNow);
+  if (answer.mState == WindowState::New) {
+    FinishRequest(
+      aWindow, aId, { Common::Outcome::NotRun, Common::Refusal::DeadlineTooClose, nullptr }, aNow);
+    return LookUp(aWindow, aId);
+  }
+  return answer;
+}
+
+void
+SweepWindow(RequestWindow& aWindow, Common::Timestamp aNow)
+{
+  while (!aWindow.mFinished.empty() &&
+         aNow - aWindow.mFinished.front().second > aWindow.mLimits.mRetention) {
+    EvictOldest(aWindow, aNow);
+  }
+}
+
+} // namespace Admission
--- /dev/null
+++ b/Source/Core/Admission/Shares.cpp
@@ -0,0 +1,121 @@
+#include "Admission/Shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Admission {
+
+namespace {
+
+// Time over which the demand of a class is averaged. Shorter forgets a class between its bursts,
+// longer keeps slots idle after a class has gone.
+constexpr double kDemandMicros = 2e6;
+// Credit is bounded to a few services of one slot, so that a class that waited long for a slot does
+// not take all slots afterwards.
+constexpr double kCreditServices = 4;
+constexpr double kUnknownServiceMicros = 1e5;
+// A class without a guarantee still counts on a small part of a slot, so that its predicted wait is
+// finite.
+constexpr double kMinSlots = 0.1;
+
+double
+Guarantee(const Gate& aGate, std::size_t aClass)
+{
+  return aGate.mUse[aClass].mShare * static_cast<double>(SlotLimit(aGate));
+}
+
+/// Free slots to keep for bursts of the classes that are more urgent than aClass.
+double
+Headroom(const Gate& aGate, std::size_t aClass)
+{
+  double headroom = 0;
+  for (std::size_t i = 0; i < aClass; ++i) {
+    const ClassUse& use = aGate.mUse[i];
+    // One standard deviation of Poisson demand above its mean.
+    const double wanted = use.mDemand + std::sqrt(use.mDemand);
+    headroom += std::max(0.0, wanted - static_cast<double>(use.mInUse));
+  }
+  return std::floor(headroom + 0.5);
+}
+
+} // namespace
+
+void
+SetShares(Gate& aGate)
+{
+  double sum = 0;
+  for (ClassUse& use : aGate.mUse) {
+    use.mShare = 0;
+  }
+  for (const Tables::MinShare& share : aGate.mLimits.mMinShares) {
+    aGate.mUse[IndexOf(share.mUrgency)].mShare += share.mPercent / 100.0;
+    sum += share.mPercent / 100.0;
+  }
+  for (ClassUse& use : aGate.mUse) {
+    use.mShare /= std::max(1.0, sum);
+  }
+}
+
+void
+Accrue(Gate& aGate, Timestamp aNow)
+{
+  const double elapsed = static_cast<double>((aNow - aGate.mAccruedAt).count());
+  if (elapsed <= 0) {
+    return;
+  }
+  aGate.mAccruedAt = aNow;
+  const double keep = std::exp(-elapsed / kDemandMicros);
+  for (std::size_t i = 0; i < kUrgencies; ++i) {
+    ClassUse& use = aGate.mUse[i];
+    const double inUse = static_cast<double>(use.mInUse);
+    use.mDemand = keep * use.mDemand + (1 - keep) * inUse;
+    const double owed = (Guarantee(aGate, i) - inUse) * elapsed;
+    // Credit grows only while the class has work waiting; use beyond the guarantee that nobody
+    // else wanted is not held against the class for longer than the bound.
+    if (aGate.mQueues[i].mQueued > 0 || owed < 0) {
+      const ServiceTime& time = aGate.mServiceTimes.mClasses[i];
+      const double service = time.mSamples > 0 ? time.mMean : kUnknownServiceMicros;
+      const double bound = kCreditServices * service;
+      use.mCredit = std::clamp(use.mCredit + owed, -bound, bound);
+    }
+  }
+}
+
+std::optional<std::size_t>
+NextClass(const Gate& aGate)
+{
+  for (std::size_t i = 0; i < kUrgencies; ++i) {
+    const ClassUse& use = aGate.mUse[i];
+    const bool below = static_cast<double>(use.mInUse) + 1 <= Guarantee(aGate, i);
+    if (aGate.mQueues[i].mQueued > 0 && use.mShare > 0 && (below || use.mCredit > 0)) {
+      return i;
+    }
+  }
+  const double free = static_cast<double>(SlotLimit(aGate) - SlotsInUse(aGate));
+  for (std::size_t i = 0; i < kUrgencies; ++i) {
+    if (aGate.mQueues[i].mQueued > 0) {
+      // A more urgent class has nothing waiting here, so only its headroom stands before this one.
+      return free > Headroom(aGate, i) ? std::optional(i) : std::nullopt;
+    }
+  }
+  return std::nullopt;
+}
+
+double
+SlotsFor(const Gate& aGate, std::size_t aClass)
+{
+  double left = static_cast<double>(SlotLimit(aGate) - aGate.mForeignSlots.value());
+  for (std::size_t i = 0; i < kUrgencies; ++i) {
+    if (i == aClass) {
+      continue;
+    }
+    const double wanted =
+      static_cast<double>(aGate.mUse[i].mInUse) + static_cast<double>(aGate.mQueues[i].mQueued);
+    // A more urgent class takes all it wants; a less urgent one only its guarantee, but keeps the
+    // slots it has until its requests finish.
+    left -= i < aClass ? wanted : std::min(wanted, Guarantee(aGate, i));
+  }
+  return std::max({ kMinSlots, Guarantee(aGate, aClass), left });
+}
+
+} // namespace Admission
--- /dev/null
+++ b/Source/Core/Admission/WorkerLedger.cpp
@@ -0,0 +1,83 @@
+#include "Admission/WorkerLedger.h"
+
+#include <algorithm>
+
+namespace Admission {
+
+namespace {
+
+Common::Resources
+ForSlots(const WorkerLedger& aLedger, Common::Slots aSlots)
+{
+  const Common::Resources& each = aLedger.mPerSlot;
+  return { each.mCores * aSlots.value(),
+           each.mMemory * aSlots.value(),
+           each.mAccelerators * aSlots.value() };
+}
+
+} // namespace
+
+Common::Resources
+FreeForTasks(const WorkerLedger& aLedger)
+{
+  const Common::Slots slots = std::max(aLedger.mReservedSlots, aLedger.mSlotsInUse);
+  return aLedger.mTotal - aLedger.mTaskUse - ForSlots(aLedger, slots);
+}
+
+bool
+ReserveTask(WorkerLedger& aLedger, const Common::TaskId& aTask, const Common::Resources& aNeed)
+{
+  if (!Common::Fits(Common::Resources{}, aNeed) || !Common::Fits(aNeed, FreeForTasks(aLedger)) ||
+      aLedger.mTasks.contains(aTask)) {
+    return false;
+  }
+  AdoptTask(aLedger, aTask, aNeed);
+  return true;
+}
+
+void
+AdoptTask(WorkerLedger& aLedger, const Common::TaskId& aTask, const Common::Resources& aUse)
+{
+  ReleaseTask(aLedger, aTask);
+  aLedger.mTasks.emplace(aTask, aUse);
+  aLedger.mTaskUse = aLedger.mTaskUse + aUse;
+}
+
+bool
+ReleaseTask(WorkerLedger& aLedger, const Common::TaskId& aTask)
+{
+  const auto found = aLedger.mTasks.find(aTask);
+  if (found == aLedger.mTasks.end()) {
+    return false;
+  }
+  aLedger.mTaskUse = aLedger.mTaskUse - found->second;
+  aLedger.mTasks.erase(found);
+  return true;
+}
+
+bool
+SlotFits(const WorkerLedger& aLedger)
+{
+  const Common::Slots next = aLedger.mSlotsInUse + Common::Slots(1);
+  return Common::Fits(ForSlots(aLedger, next) + aLedger.mTaskUse, aLedger.mTotal);
+}
+
+bool
+TakeForSlot(WorkerLedger& aLedger)
+{
+  if (!SlotFits(aLedger)) {
+    return false;
+  }
+  aLedger.mSlotsInUse += Common::Slots(1);
+  return true;
+}
+
+void
+ReleaseSlot(WorkerLedger& aLedger)
+{
+  if (aLedger.mSlotsInUse > Common::Slots(0)) {
+    aLedger.mSlotsInUse -= Common::Slots(1);
+  }
+}
+
+} // namespace Admission
--- /dev/null
+++ b/Source/UnitTests/Admission/RequestWindowTests.cpp
@@ -0,0 +1,97 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include "Admission/RequestWindow.h"
+#include "Common/RequestName.h"
+
+using namespace std::chrono_literals;
+using namespace Admission;
+using Common::Outcome;
+
+namespace {
+
+const Common::Timestamp kStart{ 1h };
+
+Common::RequestId
+Id(std::uint64_t aSequence)
+{
+  return Common::FormatRequestId(
+    { Common::InstanceId("region/entry"), Common::Incarnation(7), aSequence, 1 });
+}
+
+StoredOutcome
+Ran(std::string aReply)
+{
+  return { Outcome::Ran,
+           Common::Refusal::None,
+           std::make_shared<const std::string>(std::move(aReply)) };
+}
+
+} // namespace
+
+TEST_CASE("A request id runs once and its outcome is kept", "[Admission]")
+{
+  RequestWindow window;
+  REQUIRE(BeginRequest(window, Id(1), kStart).mState == WindowState::New);
+  REQUIRE(BeginRequest(window, Id(1), kStart).mState == WindowState::InProgress);
+  REQUIRE(QueryOutcome(window, Id(1), kStart).mState == WindowState::InProgress);
+  FinishRequest(window, Id(1), Ran("answer"), kStart);
+  const WindowAnswer answer = QueryOutcome(window, Id(1), kStart + 1min);
+  REQUIRE(answer.mState == WindowState::Finished);
+  REQUIRE(*answer.mOutcome.mReply == "answer");
+
+  SECTION("after the retention it is forgotten, which is not the same as never seen")
+  {
+    REQUIRE(BeginRequest(window, Id(1), kStart + 3min).mState == WindowState::Forgotten);
+    REQUIRE(QueryOutcome(window, Id(1), kStart + 3min).mState == WindowState::Forgotten);
+    REQUIRE(BeginRequest(window, Id(2), kStart + 3min).mState == WindowState::New);
+  }
+
+  SECTION("a query that overtakes its request settles it as not-run, and the request is refused")
+  {
+    REQUIRE(QueryOutcome(window, Id(5), kStart).mOutcome.mOutcome == Outcome::NotRun);
+    const WindowAnswer late = BeginRequest(window, Id(5), kStart);
+    REQUIRE(late.mState == WindowState::Finished);
+    REQUIRE(late.mOutcome.mOutcome == Outcome::NotRun);
+  }
+
+  SECTION("text that is no request id is refused")
+  {
+    REQUIRE(BeginRequest(window, Common::RequestId("x/1/2"), kStart).mState ==
+            WindowState::Malformed);
+  }
+}
+
+TEST_CASE("Within any memory bound no id runs twice", "[Admission]")
+{
+  rc::prop("with random ids, finishes and limits", [] {
+    RequestWindow window;
+    window.mLimits.mMaxIds = *rc::gen::inRange<std::size_t>(1, 8);
+    window.mLimits.mMaxReplies = Common::Bytes(*rc::gen::inRange(0, 64));
+    window.mLimits.mMaxReply = Common::Bytes(32);
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, std::uint64_t>>>(
+      rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange<std::uint64_t>(1, 24)));
+    std::map<std::uint64_t, int> started;
+    Common::Timestamp now = kStart;
+    for (const auto& [kind, sequence] : steps) {
+      now += 10s;
+      if (kind == 0) {
+        FinishRequest(window, Id(sequence), Ran(std::string(sequence, 'x')), now);
+      } else if (kind == 1) {
+        const WindowAnswer answer = QueryOutcome(window, Id(sequence), now);
+        if (answer.mState == WindowState::Finished && answer.mOutcome.mOutcome == Outcome::NotRun) {
+          RC_ASSERT(started[sequence] == 0);
+        }
+        if (answer.mState == WindowState::Finished && answer.mOutcome.mReply) {
+          RC_ASSERT(answer.mOutcome.mReply->size() == sequence);
+        }
+      } else if (BeginRequest(window, Id(sequence), now).mState == WindowState::New) {
+        RC_ASSERT(++started[sequence] == 1);
+      }
+      RC_ASSERT(window.mEntries.size() <= window.mLimits.mMaxIds);
+      RC_ASSERT(window.mReplyBytes <= window.mLimits.mMaxReplies);
+      RC_ASSERT(window.mReplyBytes >= Common::Bytes(0));
+    }
+  });
+}
