Add the Dispatch library: choice of agent, request steps and key registry

An entry needs one place that decides where a request goes and what its caller is told. StepRequest takes events (replies, claims, ticks) and returns calls, queries, the answer and the settlement of the key. It tries elsewhere only after a definite refusal, asks the same incarnation after a lost reply, and retries or hedges only idempotent requests, within a budget.

--- /dev/null
+++ b/Source/Core/Dispatch/Agents.cpp
@@ -0,0 +1,269 @@
+#include "Dispatch/Agents.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Dispatch {
+
+namespace {
+
+// Older reports say little about the load; the entry's own count is used instead.
+constexpr Duration kFresh = std::chrono::seconds(3);
+constexpr Duration kUnknownLatency = std::chrono::milliseconds(5);
+constexpr std::size_t kTiers = 3;
+
+std::size_t
+TierOf(const Place& aHere, const Place& aThere)
+{
+  if (aHere.mDataCentre == aThere.mDataCentre) {
+    return 0;
+  }
+  return aHere.mRegion == aThere.mRegion ? 1 : 2;
+}
+
+Duration
+DelayOf(const ChoiceRules& aRules, std::size_t aTier)
+{
+  const std::array delays{ aRules.mSameDataCentre, aRules.mSameRegion, aRules.mOtherRegion };
+  return delays[aTier];
+}
+
+double
+LoadOf(const AgentView& aAgent, Timestamp aNow)
+{
+  const AgentReport& report = aAgent.mReport;
+  const auto own = static_cast<double>(aAgent.mInFlight);
+  if (aNow - aAgent.mReportedAt > kFresh) {
+    return own;
+  }
+  return std::max(
+    own, static_cast<double>(report.mSlotsInUse + report.mQueued + aAgent.mSentSinceReport));
+}
+
+Duration
+ExpectedTime(const AgentView& aAgent, Duration aDelay, Timestamp aNow)
+{
+  const double slots = std::max(1, aAgent.mReport.mSlotsLimit);
+  const double load = LoadOf(aAgent, aNow) + 1;
+  const double latency = static_cast<double>(
+    (aAgent.mReport.mLatency.count() > 0 ? aAgent.mReport.mLatency : kUnknownLatency).count());
+  // Up to its slots an agent answers in one service time, beyond that requests queue. The small
+  // term spreads requests over agents that all have free slots.
+  const double rounds = std::max(1.0, load / slots) + 0.1 * load / slots;
+  return Duration(static_cast<std::int64_t>(latency * rounds)) + 2 * aDelay;
+}
+
+struct Candidate
+{
+  const AgentView* mAgent = nullptr;
+  Duration mExpected{ 0 };
+};
+
+Candidate
+BetterOfTwo(const std::vector<const AgentView*>& aAgents,
+            Duration aDelay,
+            Timestamp aNow,
+            Common::Random& aRandom)
+{
+  if (aAgents.empty()) {
+    return {};
+  }
+  const std::size_t first = aRandom.below(aAgents.size());
+  std::size_t second = first;
+  if (aAgents.size() > 1) {
+    second = aRandom.below(aAgents.size() - 1);
+    second += second >= first ? 1 : 0;
+  }
+  const Candidate one{ aAgents[first], ExpectedTime(*aAgents[first], aDelay, aNow) };
+  const Candidate two{ aAgents[second], ExpectedTime(*aAgents[second], aDelay, aNow) };
+  return two.mExpected < one.mExpected ? two : one;
+}
+
+using Tiers = std::array<std::vector<const AgentView*>, kTiers>;
+
+Tiers
+Eligible(const PoolView& aPool,
+         const Place& aHere,
+         const std::vector<Common::InstanceId>& aExcluded,
+         bool aWithDoubtful,
+         Timestamp aNow)
+{
+  Tiers tiers;
+  for (const AgentView& agent : aPool.mAgents) {
+    const AgentReport& report = agent.mReport;
+    const bool excluded =
+      std::find(aExcluded.begin(), aExcluded.end(), report.mInstance) != aExcluded.end();
+    const bool doubtful = report.mSuspect || aNow < agent.mAvoidUntil;
+    if (!excluded && !report.mLeaving && doubtful == aWithDoubtful) {
+      tiers[TierOf(aHere, report.mPlace)].push_back(&agent);
+    }
+  }
+  return tiers;
+}
+
+std::optional<AgentChoice>
+ChooseAmong(const Tiers& aTiers,
+            Duration aRemaining,
+            const ChoiceRules& aRules,
+            Timestamp aNow,
+            Common::Random& aRandom)
+{
+  Candidate best;
+  std::size_t bestTier = 0;
+  for (std::size_t tier = 0; tier < kTiers; ++tier) {
+    const bool link = tier == kTiers - 1;
+    const Candidate next = BetterOfTwo(aTiers[tier], DelayOf(aRules, tier), aNow, aRandom);
+    if (!next.mAgent || (link && (!aRules.mLinkOpen || next.mExpected > aRemaining))) {
+      continue;
+    }
+    const bool inTime = best.mAgent && best.mExpected <= aRemaining;
+    const double gain = link && inTime ? aRules.mLinkGain : 1;
+    const bool better = !best.mAgent || static_cast<double>(next.mExpected.count()) * gain <
+                                          static_cast<double>(best.mExpected.count());
+    if (better) {
+      best = next;
+      bestTier = tier;
+    }
+  }
+  if (!best.mAgent) {
+    return std::nullopt;
+  }
+  const AgentReport& report = best.mAgent->mReport;
+  return AgentChoice{ report.mInstance,       report.mIncarnation,       report.mAddress,
+                      bestTier == kTiers - 1, DelayOf(aRules, bestTier), best.mExpected };
+}
+
+} // namespace
+
+AgentView*
+FindAgent(PoolView& aPool, const Common::InstanceId& aInstance)
+{
+  const auto found =
+    std::find_if(aPool.mAgents.begin(), aPool.mAgents.end(), [&](const AgentView& aAgent) {
+      return aAgent.mReport.mInstance == aInstance;
+    });
+  return found == aPool.mAgents.end() ? nullptr : &*found;
+}
+
+void
+ApplyReport(PoolView& aPool,
+            AgentReport aReport,
+            std::size_t aAgentsInPool,
+            Timestamp aNow,
+            Common::Random& aRandom)
+{
+  const Timestamp reportedAt = aNow - aReport.mAge;
+  if (AgentView* known = FindAgent(aPool, aReport.mInstance)) {
+    if (aReport.mIncarnation < known->mReport.mIncarnation) {
+      return;
+    }
+    if (aReport.mIncarnation > known->mReport.mIncarnation) {
+      *known = AgentView{ std::move(aReport), reportedAt, 0, 0, Timestamp{} };
+      return;
+    }
+    if (reportedAt >= known->mReportedAt) {
+      known->mReport = std::move(aReport);
+      known->mReportedAt = reportedAt;
+      known->mSentSinceReport = 0;
+    }
+    return;
+  }
+  if (aReport.mLeaving) {
+    return;
+  }
+  AgentView fresh{ std::move(aReport), reportedAt, 0, 0, Timestamp{} };
+  if (aPool.mAgents.size() < aPool.mMaxAgents) {
+    aPool.mAgents.push_back(std::move(fresh));
+    return;
+  }
+  const auto useless =
+    std::find_if(aPool.mAgents.begin(), aPool.mAgents.end(), [](const AgentView& aAgent) {
+      return aAgent.mReport.mLeaving || aAgent.mReport.mSuspect;
+    });
+  if (useless != aPool.mAgents.end()) {
+    *useless = std::move(fresh);
+  } else if (aRandom.below(std::max(aAgentsInPool, std::size_t{ 1 })) < aPool.mMaxAgents) {
+    aPool.mAgents[aRandom.below(aPool.mAgents.size())] = std::move(fresh);
+  }
+}
+
+void
+ApplyLoad(PoolView& aPool,
+          const Common::InstanceId& aInstance,
+          Common::Incarnation aIncarnation,
+          std::int32_t aSlotsLimit,
+          std::int32_t aSlotsInUse,
+          std::int32_t aQueued,
+          Duration aLatency,
+          bool aLeaving,
+          Timestamp aNow)
+{
+  AgentView* agent = FindAgent(aPool, aInstance);
+  if (!agent || agent->mReport.mIncarnation != aIncarnation || aNow < agent->mReportedAt) {
+    return;
+  }
+  AgentReport& report = agent->mReport;
+  report.mSlotsLimit = aSlotsLimit;
+  report.mSlotsInUse = aSlotsInUse;
+  report.mQueued = aQueued;
+  report.mLatency = aLatency;
+  // Within one incarnation only the membership report takes `leaving` back.
+  report.mLeaving = report.mLeaving || aLeaving;
+  agent->mReportedAt = aNow;
+  agent->mSentSinceReport = 0;
+}
+
+void
+RemoveAgent(PoolView& aPool, const Common::InstanceId& aInstance)
+{
+  std::erase_if(aPool.mAgents,
+                [&](const AgentView& aAgent) { return aAgent.mReport.mInstance == aInstance; });
+}
+
+void
+NoteSent(PoolView& aPool, const Common::InstanceId& aInstance, Common::Incarnation aIncarnation)
+{
+  AgentView* agent = FindAgent(aPool, aInstance);
+  if (agent && agent->mReport.mIncarnation == aIncarnation) {
+    ++agent->mInFlight;
+    ++agent->mSentSinceReport;
+  }
+}
+
+void
+NoteEnded(PoolView& aPool, const Common::InstanceId& aInstance, Common::Incarnation aIncarnation)
+{
+  AgentView* agent = FindAgent(aPool, aInstance);
+  if (agent && agent->mReport.mIncarnation == aIncarnation && agent->mInFlight > 0) {
+    --agent->mInFlight;
+  }
+}
+
+void
+AvoidAgent(PoolView& aPool, const Common::InstanceId& aInstance, Timestamp aUntil)
+{
+  if (AgentView* agent = FindAgent(aPool, aInstance)) {
+    agent->mAvoidUntil = std::max(agent->mAvoidUntil, aUntil);
+  }
+}
+
+std::optional<AgentChoice>
+ChooseAgent(const PoolView& aPool,
+            const Place& aHere,
+            const std::vector<Common::InstanceId>& aExcluded,
+            Duration aRemaining,
+            const ChoiceRules& aRules,
+            Timestamp aNow,
+            Common::Random& aRandom)
+{
+  for (const bool doubtful : { false, true }) {
+    const Tiers tiers = Eligible(aPool, aHere, aExcluded, doubtful, aNow);
+    if (auto choice = ChooseAmong(tiers, aRemaining, aRules, aNow, aRandom)) {
+      return choice;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Attempts.cpp
@@ -0,0 +1,245 @@
+#include <algorithm>
+
+#include "Dispatch/Steps.h"
+
+namespace Dispatch {
+
+namespace {
+
+constexpr Duration kMinRemaining = std::chrono::milliseconds(1);
+
+bool
+Open(const Step& aStep)
+{
+  return !aStep.mState.mAnswered && aStep.mNow < aStep.mState.mSpec.mDeadline &&
+         aStep.mState.mKey != KeyPhase::Denied;
+}
+
+void
+Settle(Attempt& aAttempt,
+       Common::Outcome aOutcome,
+       const CallResult& aResult,
+       bool aMayTryElsewhere)
+{
+  aAttempt.mPhase = AttemptPhase::Settled;
+  aAttempt.mOutcome = aOutcome;
+  aAttempt.mReason = aResult.mReason;
+  aAttempt.mRetryAfter = aResult.mRetryAfter;
+  aAttempt.mMayTryElsewhere = aMayTryElsewhere;
+  aAttempt.mFreeReroute = IsFreeReroute(aResult);
+}
+
+void
+AskLater(Step& aStep, Attempt& aAttempt)
+{
+  aAttempt.mPhase = AttemptPhase::WaitsToQuery;
+  aAttempt.mAskAt = aStep.mNow + NextBackoff(aStep, aAttempt.mBackoff);
+}
+
+void
+SendQuery(Step& aStep, Attempt& aAttempt)
+{
+  aAttempt.mPhase = AttemptPhase::Querying;
+  RequestAction action;
+  action.mKind = RequestActionKind::Query;
+  action.mId = aAttempt.mId;
+  action.mAgent = aAttempt.mAgent;
+  aStep.mActions.push_back(std::move(action));
+}
+
+void
+Avoid(Step& aStep, const Attempt& aAttempt, const CallResult& aResult)
+{
+  const DispatchRules& rules = aStep.mContext.mRules;
+  const Duration wait =
+    aResult.mRetryAfter.count() > 0 ? std::min(aResult.mRetryAfter, rules.mAvoid) : rules.mAvoid;
+  AvoidAgent(aStep.mContext.mPool, aAttempt.mAgent.mInstance, aStep.mNow + wait);
+}
+
+/// True if the attempt's end calls for another one: a definite refusal, or for an idempotent
+/// request any end without an answer.
+bool
+WantsRetry(const RequestState& aState, const Attempt& aAttempt)
+{
+  if (aAttempt.mPhase == AttemptPhase::Settled && aAttempt.mOutcome == Common::Outcome::NotRun) {
+    return aAttempt.mMayTryElsewhere;
+  }
+  const bool lost =
+    aAttempt.mPhase == AttemptPhase::WaitsToQuery || aAttempt.mPhase == AttemptPhase::Querying ||
+    (aAttempt.mPhase == AttemptPhase::Settled && aAttempt.mOutcome == Common::Outcome::Unknown);
+  return aState.mSpec.mIdempotent && lost;
+}
+
+bool
+AnotherMayRun(const RequestState& aState, const Attempt& aExcept)
+{
+  return std::any_of(
+    aState.mAttempts.begin(), aState.mAttempts.end(), [&](const Attempt& aAttempt) {
+      return &aAttempt != &aExcept && !(aAttempt.mPhase == AttemptPhase::Settled &&
+                                        aAttempt.mOutcome == Common::Outcome::NotRun);
+    });
+}
+
+} // namespace
+
+Attempt*
+FindAttempt(RequestState& aState, const Common::RequestId& aId)
+{
+  const auto found = std::find_if(aState.mAttempts.begin(),
+                                  aState.mAttempts.end(),
+                                  [&](const Attempt& aAttempt) { return aAttempt.mId == aId; });
+  return found == aState.mAttempts.end() ? nullptr : &*found;
+}
+
+Duration
+NextBackoff(Step& aStep, Duration& aBackoff)
+{
+  const DispatchRules& rules = aStep.mContext.mRules;
+  aBackoff = aBackoff.count() == 0 ? rules.mAskAgain : std::min(2 * aBackoff, rules.mAskAgainMax);
+  // Half to all of the wait, so that many waiting entries do not ask at the same moment.
+  const auto half = aBackoff.count() / 2;
+  const auto jitter = aStep.mRandom.below(static_cast<std::uint64_t>(half) + 1);
+  return Duration(half + static_cast<std::int64_t>(jitter));
+}
+
+void
+SendFirst(Step& aStep)
+{
+  const bool sent = SendAnother(aStep);
+  const RequestSpec& spec = aStep.mState.mSpec;
+  const Duration hedgeAfter = aStep.mContext.mRules.mHedgeAfter;
+  if (sent && spec.mIdempotent && spec.mHedge && hedgeAfter.count() > 0) {
+    aStep.mState.mHedgeAt = aStep.mNow + hedgeAfter;
+  }
+}
+
+bool
+SendAnother(Step& aStep)
+{
+  RequestState& state = aStep.mState;
+  const DispatchContext& context = aStep.mContext;
+  const Duration remaining = state.mSpec.mDeadline - aStep.mNow;
+  std::vector<Common::InstanceId> asked;
+  for (const Attempt& attempt : state.mAttempts) {
+    asked.push_back(attempt.mAgent.mInstance);
+  }
+  auto choice = ChooseAgent(context.mPool,
+                            context.mHere,
+                            asked,
+                            remaining,
+                            context.mRules.mChoice,
+                            aStep.mNow,
+                            aStep.mRandom);
+  if (!choice) {
+    return false;
+  }
+  // The agent's answer needs the way back, so that a refusal at its deadline still arrives in time.
+  const Duration forAgent = remaining - 2 * choice->mDelay;
+  if (forAgent < kMinRemaining) {
+    return false;
+  }
+  NoteSent(context.mPool, choice->mInstance, choice->mIncarnation);
+  Common::RequestName name = state.mSpec.mName;
+  name.mAttempt = static_cast<std::uint32_t>(state.mAttempts.size() + 1);
+  Attempt attempt;
+  attempt.mId = Common::FormatRequestId(name);
+  attempt.mAgent = std::move(*choice);
+  RequestAction action;
+  action.mKind = RequestActionKind::Send;
+  action.mId = attempt.mId;
+  action.mAgent = attempt.mAgent;
+  action.mRemaining = forAgent;
+  aStep.mActions.push_back(std::move(action));
+  state.mAttempts.push_back(std::move(attempt));
+  return true;
+}
+
+void
+EndCall(Step& aStep, Attempt& aAttempt)
+{
+  if (!aAttempt.mCallEnded) {
+    aAttempt.mCallEnded = true;
+    NoteEnded(aStep.mContext.mPool, aAttempt.mAgent.mInstance, aAttempt.mAgent.mIncarnation);
+  }
+}
+
+void
+ApplyResult(Step& aStep, Attempt& aAttempt, CallKind aKind, const CallResult& aResult)
+{
+  switch (ClassifyReply(aKind, aResult, aAttempt.mAgent.mIncarnation)) {
+    case ReplyClass::Ran:
+      Settle(aAttempt, Common::Outcome::Ran, aResult, false);
+      NoteSuccess(aStep.mContext.mBudget);
+      return;
+    case ReplyClass::NotRunTryElsewhere:
+      Settle(aAttempt, Common::Outcome::NotRun, aResult, true);
+      Avoid(aStep, aAttempt, aResult);
+      return;
+    case ReplyClass::NotRunFinal:
+      Settle(aAttempt, Common::Outcome::NotRun, aResult, false);
+      return;
+    case ReplyClass::MayHaveRun:
+      if (aKind == CallKind::Execute) {
+        Avoid(aStep, aAttempt, aResult);
+        SendQuery(aStep, aAttempt);
+        return;
+      }
+      AskLater(aStep, aAttempt);
+      return;
+    case ReplyClass::InProgress:
+      AskLater(aStep, aAttempt);
+      return;
+    case ReplyClass::Unknown:
+      Settle(aAttempt, Common::Outcome::Unknown, aResult, false);
+      return;
+  }
+}
+
+void
+RunDueWork(Step& aStep)
+{
+  RequestState& state = aStep.mState;
+  if (state.mKey == KeyPhase::WaitsToClaim && aStep.mNow >= state.mClaimAt && Open(aStep)) {
+    SendClaim(aStep);
+  }
+  for (Attempt& attempt : state.mAttempts) {
+    if (attempt.mPhase == AttemptPhase::WaitsToQuery && aStep.mNow >= attempt.mAskAt) {
+      SendQuery(aStep, attempt);
+    }
+  }
+  if (aStep.mNow >= state.mHedgeAt) {
+    state.mHedgeAt = Timestamp::max();
+    const bool waiting =
+      state.mAttempts.size() == 1 && state.mAttempts.front().mPhase == AttemptPhase::Sent;
+    if (Open(aStep) && waiting && TakeRetry(aStep.mContext.mBudget, aStep.mNow)) {
+      SendAnother(aStep);
+    }
+  }
+}
+
+void
+RetryIfAllowed(Step& aStep)
+{
+  RequestState& state = aStep.mState;
+  if (!Open(aStep)) {
+    return;
+  }
+  // SendAnother adds to the attempts, so they are not iterated over.
+  const std::size_t count = state.mAttempts.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    Attempt& attempt = state.mAttempts[i];
+    if (attempt.mRetryDecided || !WantsRetry(state, attempt)) {
+      continue;
+    }
+    attempt.mRetryDecided = true;
+    const bool safe = state.mSpec.mIdempotent || !AnotherMayRun(state, attempt);
+    const bool room = state.mAttempts.size() < aStep.mContext.mRules.mMaxAttempts;
+    const bool free = attempt.mPhase == AttemptPhase::Settled &&
+                      attempt.mOutcome == Common::Outcome::NotRun && attempt.mFreeReroute;
+    if (safe && room && (free || TakeRetry(aStep.mContext.mBudget, aStep.mNow))) {
+      SendAnother(aStep);
+    }
+  }
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Keys.cpp
@@ -0,0 +1,253 @@
+#include "Dispatch/Keys.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Dispatch {
+
+namespace {
+
+using std::chrono::duration_cast;
+
+constexpr UnixMillis kCallerSkew = std::chrono::seconds(5);
+constexpr UnixMillis kClockError = std::chrono::seconds(1);
+// A settle may arrive this long after the deadline of its submission; the entry repeats it as long.
+constexpr Duration kSettleGrace = std::chrono::seconds(30);
+constexpr Duration kBusyRetry = std::chrono::milliseconds(50);
+constexpr Duration kFullRetry = std::chrono::seconds(5);
+
+Duration
+ForgetAfter(const KeyRegistry& aRegistry)
+{
+  // A key time lies up to the caller's skew after its claim; the range check of the claim must
+  // refuse the key by time before the registry has forgotten it.
+  return aRegistry.mLimits.mRetention + kCallerSkew + kClockError;
+}
+
+void
+SetDue(KeyRegistry& aRegistry, const KeyRegistry::Name& aName, KeyEntry& aEntry, Timestamp aUntil)
+{
+  aRegistry.mDue.erase({ aEntry.mUntil, aName });
+  aEntry.mUntil = aUntil;
+  aRegistry.mDue.emplace(aUntil, aName);
+}
+
+void
+DropReply(KeyRegistry& aRegistry, KeyEntry& aEntry)
+{
+  if (aEntry.mReply) {
+    aRegistry.mReplyBytes -= Common::Bytes(static_cast<std::int64_t>(aEntry.mReply->size()));
+    aEntry.mReply.reset();
+  }
+}
+
+void
+KeepReply(KeyRegistry& aRegistry,
+          const KeyRegistry::Name& aName,
+          KeyEntry& aEntry,
+          std::shared_ptr<const std::string> aReply)
+{
+  const Common::Bytes size(aReply ? static_cast<std::int64_t>(aReply->size()) : 0);
+  if (!aReply || size > aRegistry.mLimits.mMaxReply || size > aRegistry.mLimits.mMaxReplies) {
+    return;
+  }
+  aEntry.mReply = std::move(aReply);
+  aRegistry.mReplyBytes += size;
+  aRegistry.mWithReply.push_back(aName);
+  while (aRegistry.mReplyBytes > aRegistry.mLimits.mMaxReplies) {
+    const auto oldest = aRegistry.mEntries.find(aRegistry.mWithReply.front());
+    aRegistry.mWithReply.pop_front();
+    if (oldest != aRegistry.mEntries.end()) {
+      DropReply(aRegistry, oldest->second);
+    }
+  }
+}
+
+/// What a claim of an unknown key gets: granted, unless a predecessor may have granted it.
+KeyState
+StateOfNewKey(const KeyRegistry& aRegistry, const KeyClaim& aClaim, UnixMillis aUnixNow)
+{
+  if (!aRegistry.mTakeover) {
+    return KeyState::Granted;
+  }
+  if (aClaim.mKeyTime) {
+    const bool later = *aClaim.mKeyTime > *aRegistry.mTakeover + kCallerSkew + kClockError;
+    return later ? KeyState::Granted : KeyState::Unknown;
+  }
+  const bool waited =
+    aUnixNow >= *aRegistry.mTakeover + duration_cast<UnixMillis>(aRegistry.mLimits.mRetention);
+  return waited ? KeyState::Granted : KeyState::Unknown;
+}
+
+KeyAnswer
+Grant(KeyRegistry& aRegistry,
+      const KeyRegistry::Name& aName,
+      KeyEntry& aEntry,
+      const KeyClaim& aClaim,
+      Timestamp aNow)
+{
+  aEntry.mState = KeyState::InProgress;
+  aEntry.mHolder = aClaim.mRequest;
+  aEntry.mFingerprint = aClaim.mFingerprint;
+  aEntry.mReleased = false;
+  SetDue(aRegistry, aName, aEntry, aNow + aClaim.mRemaining + kSettleGrace);
+  return { KeyState::Granted, Common::Refusal::None, nullptr, Duration(0) };
+}
+
+KeyAnswer
+AnswerKnown(KeyRegistry& aRegistry,
+            const KeyRegistry::Name& aName,
+            KeyEntry& aEntry,
+            const KeyClaim& aClaim,
+            Timestamp aNow)
+{
+  if (aEntry.mFingerprint != aClaim.mFingerprint) {
+    return { KeyState::Refused, Common::Refusal::Invalid, nullptr, Duration(0) };
+  }
+  if (aEntry.mReleased) {
+    // A delayed claim of the submission that settled must not take the key again.
+    return aEntry.mHolder == aClaim.mRequest
+             ? KeyAnswer{ KeyState::Refused, Common::Refusal::NoCapacity, nullptr, kBusyRetry }
+             : Grant(aRegistry, aName, aEntry, aClaim, aNow);
+  }
+  if (aEntry.mState == KeyState::InProgress) {
+    return aEntry.mHolder == aClaim.mRequest
+             ? KeyAnswer{ KeyState::Granted, Common::Refusal::None, nullptr, Duration(0) }
+             : KeyAnswer{ KeyState::InProgress, Common::Refusal::None, nullptr, kBusyRetry };
+  }
+  return { aEntry.mState, Common::Refusal::None, aEntry.mReply, Duration(0) };
+}
+
+} // namespace
+
+KeyAnswer
+ClaimKey(KeyRegistry& aRegistry,
+         const KeyClaim& aClaim,
+         const OwnerStanding& aStanding,
+         Timestamp aNow,
+         UnixMillis aUnixNow)
+{
+  if (!aStanding.mMayAnswer) {
+    return { KeyState::Refused, Common::Refusal::NotOwner, nullptr, aStanding.mRetryAfter };
+  }
+  if (aClaim.mKeyTime &&
+      !KeyTimeInRange(*aClaim.mKeyTime, aUnixNow, aRegistry.mLimits.mRetention)) {
+    return { KeyState::Refused, Common::Refusal::Invalid, nullptr, Duration(0) };
+  }
+  SweepKeys(aRegistry, aNow);
+  const KeyRegistry::Name name(aClaim.mClient, aClaim.mKey);
+  const auto known = aRegistry.mEntries.find(name);
+  if (known != aRegistry.mEntries.end()) {
+    return AnswerKnown(aRegistry, name, known->second, aClaim, aNow);
+  }
+  if (StateOfNewKey(aRegistry, aClaim, aUnixNow) == KeyState::Unknown) {
+    return { KeyState::Unknown, Common::Refusal::None, nullptr, Duration(0) };
+  }
+  // A key in its retention is never dropped for a new one: that could run it twice.
+  if (aRegistry.mEntries.size() >= aRegistry.mLimits.mMaxKeys) {
+    return { KeyState::Refused, Common::Refusal::Throttled, nullptr, kFullRetry };
+  }
+  return Grant(aRegistry, name, aRegistry.mEntries[name], aClaim, aNow);
+}
+
+bool
+SettleKey(KeyRegistry& aRegistry,
+          const KeyRegistry::Name& aName,
+          const Common::RequestId& aRequest,
+          Common::Outcome aOutcome,
+          std::shared_ptr<const std::string> aReply,
+          Timestamp aNow)
+{
+  const auto found = aRegistry.mEntries.find(aName);
+  if (found == aRegistry.mEntries.end() || found->second.mHolder != aRequest) {
+    return false;
+  }
+  KeyEntry& entry = found->second;
+  const bool open = entry.mState == KeyState::InProgress || entry.mState == KeyState::Unknown;
+  if (!open || entry.mReleased) {
+    return true;
+  }
+  switch (aOutcome) {
+    case Common::Outcome::Ran:
+      entry.mState = KeyState::Finished;
+      KeepReply(aRegistry, aName, entry, std::move(aReply));
+      break;
+    case Common::Outcome::NotRun:
+      entry.mState = KeyState::InProgress;
+      entry.mReleased = true;
+      break;
+    case Common::Outcome::Unknown:
+      entry.mState = KeyState::Unknown;
+      break;
+  }
+  SetDue(aRegistry, aName, entry, aNow + ForgetAfter(aRegistry));
+  return true;
+}
+
+void
+SweepKeys(KeyRegistry& aRegistry, Timestamp aNow)
+{
+  while (!aRegistry.mDue.empty() && aRegistry.mDue.begin()->first < aNow) {
+    const KeyRegistry::Name name = aRegistry.mDue.begin()->second;
+    KeyEntry& entry = aRegistry.mEntries.at(name);
+    if (entry.mState == KeyState::InProgress && !entry.mReleased) {
+      entry.mState = KeyState::Unknown;
+      SetDue(aRegistry, name, entry, aNow + ForgetAfter(aRegistry));
+      continue;
+    }
+    aRegistry.mDue.erase(aRegistry.mDue.begin());
+    DropReply(aRegistry, entry);
+    aRegistry.mEntries.erase(name);
+  }
+  const auto holdsReply = [&](const KeyRegistry::Name& aName) {
+    const auto found = aRegistry.mEntries.find(aName);
+    return found != aRegistry.mEntries.end() && found->second.mReply;
+  };
+  while (!aRegistry.mWithReply.empty() && !holdsReply(aRegistry.mWithReply.front())) {
+    aRegistry.mWithReply.pop_front();
+  }
+}
+
+std::optional<UnixMillis>
+ParseUuidV7Time(std::string_view aKey)
+{
+  constexpr std::size_t kLength = 36;
+  constexpr std::size_t kVersionAt = 14;
+  constexpr std::size_t kVariantAt = 19;
+  if (aKey.size() != kLength || aKey[kVersionAt] != '7' ||
+      std::string_view("89abAB").find(aKey[kVariantAt]) == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string digits;
+  for (std::size_t i = 0; i < kLength; ++i) {
+    const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+    const bool digit =
+      std::string_view("0123456789abcdefABCDEF").find(aKey[i]) != std::string_view::npos;
+    if (dash ? aKey[i] != '-' : !digit) {
+      return std::nullopt;
+    }
+    if (!dash) {
+      digits += aKey[i];
+    }
+  }
+  constexpr std::size_t kTimeDigits = 12;
+  constexpr int kHexadecimal = 16;
+  std::int64_t millis = 0;
+  std::from_chars(digits.data(), digits.data() + kTimeDigits, millis, kHexadecimal);
+  return UnixMillis(millis);
+}
+
+std::optional<UnixMillis>
+KeyTime(std::optional<UnixMillis> aHeader, const Common::IdempotencyKey& aKey)
+{
+  return aHeader ? aHeader : ParseUuidV7Time(aKey.str());
+}
+
+bool
+KeyTimeInRange(UnixMillis aKeyTime, UnixMillis aUnixNow, Duration aRetention)
+{
+  return aKeyTime <= aUnixNow + kCallerSkew &&
+         aKeyTime >= aUnixNow - duration_cast<UnixMillis>(aRetention);
+}
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/Core/Dispatch/Request.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+#include "Common/Clock.h"
+#include "Common/Outcome.h"
+#include "Common/Random.h"
+#include "Common/RequestName.h"
+#include "Dispatch/Agents.h"
+#include "Dispatch/Keys.h"
+#include "Dispatch/Replies.h"
+#include "Dispatch/RetryBudget.h"
+
+namespace Dispatch {
+
+struct DispatchRules
+{
+  ChoiceRules mChoice;
+  std::uint32_t mMaxAttempts = 4;
+  /// Time after which an idempotent request of a hedging route is sent a second time; 0 never.
+  Duration mHedgeAfter{ 0 };
+  /// Wait before an outcome, a claim or a settlement is asked for again; it doubles up to the
+  /// bound.
+  Duration mAskAgain{ std::chrono::milliseconds(10) };
+  Duration mAskAgainMax{ std::chrono::milliseconds(500) };
+  /// How long other agents are preferred after a failed call or a refusal without a time.
+  Duration mAvoid{ std::chrono::seconds(1) };
+  /// How long after the deadline a request with a key is followed, to settle the key truthfully.
+  Duration mFollow{ std::chrono::seconds(30) };
+};
+
+struct RequestSpec
+{
+  /// The attempt number is not used.
+  Common::RequestName mName;
+  bool mIdempotent = false;
+  bool mHedge = false;
+  /// Claim the idempotency key before anything is sent. Only for routes that are not idempotent.
+  bool mHasKey = false;
+  Timestamp mDeadline;
+};
+
+/// What the decisions about one request read and change besides its own state.
+struct DispatchContext
+{
+  PoolView& mPool;
+  RetryBudget& mBudget;
+  const Place& mHere;
+  const DispatchRules& mRules;
+};
+
+enum class AttemptPhase
+{
+  /// `Execute` is under way.
+  Sent,
+  /// `QueryOutcome` is under way.
+  Querying,
+  /// Waits until mAskAt to query.
+  WaitsToQuery,
+  Settled,
+};
+
+struct Attempt
+{
+  Common::RequestId mId;
+  AgentChoice mAgent;
+  AttemptPhase mPhase = AttemptPhase::Sent;
+  Common::Outcome mOutcome = Common::Outcome::Unknown;
+  Common::Refusal mReason = Common::Refusal::None;
+  Duration mRetryAfter{ 0 };
+  bool mMayTryElsewhere = false;
+  bool mFreeReroute = false;
+  /// The request has been tried again because of this attempt, or must not be.
+  bool mRetryDecided = false;
+  bool mCallEnded = false;
+  Timestamp mAskAt;
+  Duration mBackoff{ 0 };
+};
+
+enum class KeyPhase
+{
+  NotNeeded,
+  Claiming,
+  WaitsToClaim,
+  Granted,
+  /// An earlier submission holds or settled the key: nothing may be sent.
+  Denied,
+};
+
+enum class SettlePhase
+{
+  Nothing,
+  Sent,
+  WaitsToSend,
+  Acknowledged,
+};
+
+struct RequestState
+{
+  RequestSpec mSpec;
+  std::vector<Attempt> mAttempts;
+  KeyPhase mKey = KeyPhase::NotNeeded;
+  KeyAnswer mLastClaim;
+  Timestamp mClaimAt;
+  Duration mClaimBackoff{ 0 };
+  SettlePhase mSettle = SettlePhase::Nothing;
+  Common::Outcome mSettled = Common::Outcome::Unknown;
+  Timestamp mSettleAt;
+  Duration mSettleBackoff{ 0 };
+  Timestamp mHedgeAt = Timestamp::max();
+  bool mBegun = false;
+  bool mAnswered = false;
+  Common::Outcome mAnswer = Common::Outcome::Unknown;
+  bool mClosed = false;
+};
+
+/// The request has arrived; must be the first event.
+struct Begin
+{};
+
+/// Result of a key claim. mDelivery as for other calls.
+struct ClaimReply
+{
+  Delivery mDelivery = Delivery::Lost;
+  KeyAnswer mAnswer;
+};
+
+struct SettleReply
+{
+  /// The outcome that was sent, so that the reply to an earlier settlement is told apart.
+  Common::Outcome mOutcome = Common::Outcome::Unknown;
+  /// The owner answered, whether or not it still knew the key.
+  bool mAcknowledged = false;
+};
+
+/// Result of an `Execute`. Replies whose id is not that of an attempt are ignored.
+struct ExecuteReply
+{
+  Common::RequestId mId;
+  CallResult mResult;
+};
+
+struct QueryReply
+{
+  Common::RequestId mId;
+  CallResult mResult;
+};
+
+/// The time of the last WakeAt has come; harmless at any other time.
+struct Tick
+{};
+
+using RequestEvent = std::variant<Begin, ClaimReply, SettleReply, ExecuteReply, QueryReply, Tick>;
+
+enum class RequestActionKind
+{
+  /// Claim the key, feed ClaimReply back.
+  Claim,
+  /// Call `Execute` on mAgent with mId and mRemaining, at most once; feed ExecuteReply back, in
+  /// every case and at the latest shortly after the deadline.
+  Send,
+  /// Call `QueryOutcome` on mAgent for mId, feed QueryReply back.
+  Query,
+  /// Tell the caller mOutcome. For Ran the body is that of mId's reply, or the claim's if mId is
+  /// empty. At most once per request.
+  Answer,
+  /// Settle the key with mOutcome and, for Ran, the reply of mId; feed SettleReply back.
+  Settle,
+  /// Feed Tick in at mAt. Replaces an earlier WakeAt.
+  WakeAt,
+  /// Nothing more will come of this request; the state may be dropped.
+  Close,
+};
+
+struct RequestAction
+{
+  RequestActionKind mKind = RequestActionKind::WakeAt;
+  Common::RequestId mId;
+  AgentChoice mAgent;
+  Common::Outcome mOutcome = Common::Outcome::Unknown;
+  Common::Refusal mReason = Common::Refusal::None;
+  /// For Send and Claim the time the request has left; for Answer when the caller may try again.
+  Duration mRemaining{ 0 };
+  Timestamp mAt;
+};
+
+using RequestActions = std::vector<RequestAction>;
+
+/// Id of the submission, under which a key is claimed and settled.
+Common::RequestId
+SubmissionId(const RequestSpec& aSpec);
+
+/// Applies one event and returns what the adapter has to do, in order.
+RequestActions
+StepRequest(RequestState& aState,
+            const RequestEvent& aEvent,
+            DispatchContext& aContext,
+            Timestamp aNow,
+            Common::Random& aRandom);
+
+} // namespace Dispatch
--- /dev/null
+++ b/Source/UnitTests/Dispatch/KeysTests.cpp
@@ -0,0 +1,143 @@
+#include <catch2/catch.hpp>
+
+#include "Dispatch/Keys.h"
+
+using namespace std::chrono_literals;
+using namespace Dispatch;
+using Common::Outcome;
+using Common::Refusal;
+
+namespace {
+
+const Timestamp kStart{ 1h };
+constexpr UnixMillis kUnix{ 1'800'000'000'000 };
+
+KeyClaim
+Claim(const std::string& aRequest, std::optional<UnixMillis> aTime = kUnix)
+{
+  return { Common::ClientId("client"),
+           Common::IdempotencyKey("key"),
+           aTime,
+           Common::RequestId(aRequest),
+           "fingerprint",
+           10s };
+}
+
+const KeyRegistry::Name kName(Common::ClientId("client"), Common::IdempotencyKey("key"));
+const OwnerStanding kOwner{ true, 1s };
+
+} // namespace
+
+TEST_CASE("A key is granted to one submission at a time", "[Dispatch]")
+{
+  KeyRegistry registry;
+  REQUIRE(ClaimKey(registry, Claim("a"), kOwner, kStart, kUnix).mState == KeyState::Granted);
+  REQUIRE(ClaimKey(registry, Claim("b"), kOwner, kStart, kUnix).mState == KeyState::InProgress);
+
+  SECTION("a repeated claim of the holder is granted again, as its first answer may be lost")
+  {
+    REQUIRE(ClaimKey(registry, Claim("a"), kOwner, kStart, kUnix).mState == KeyState::Granted);
+  }
+
+  SECTION("after it ran, others get the stored reply until the retention is over")
+  {
+    const auto reply = std::make_shared<const std::string>("reply");
+    REQUIRE(SettleKey(registry, kName, Common::RequestId("a"), Outcome::Ran, reply, kStart));
+    const KeyAnswer answer = ClaimKey(registry, Claim("b"), kOwner, kStart + 9min, kUnix + 9min);
+    REQUIRE(answer.mState == KeyState::Finished);
+    REQUIRE(*answer.mReply == "reply");
+
+    SECTION("nothing replaces the outcome `ran`")
+    {
+      SettleKey(registry, kName, Common::RequestId("a"), Outcome::NotRun, nullptr, kStart);
+      REQUIRE(ClaimKey(registry, Claim("b"), kOwner, kStart, kUnix).mState == KeyState::Finished);
+    }
+
+    SECTION("when it is forgotten, the key time is refused as too old")
+    {
+      const KeyAnswer late = ClaimKey(registry, Claim("b"), kOwner, kStart + 11min, kUnix + 11min);
+      REQUIRE(late.mState == KeyState::Refused);
+      REQUIRE(late.mReason == Refusal::Invalid);
+      SweepKeys(registry, kStart + 11min);
+      REQUIRE(registry.mEntries.empty());
+      REQUIRE(registry.mWithReply.empty());
+      REQUIRE(registry.mReplyBytes == Common::Bytes(0));
+    }
+  }
+
+  SECTION("after it did not run, another submission gets the key and the first one never again")
+  {
+    SettleKey(registry, kName, Common::RequestId("a"), Outcome::NotRun, nullptr, kStart);
+    REQUIRE(ClaimKey(registry, Claim("a"), kOwner, kStart, kUnix).mState == KeyState::Refused);
+    REQUIRE(ClaimKey(registry, Claim("b"), kOwner, kStart, kUnix).mState == KeyState::Granted);
+    REQUIRE_FALSE(SettleKey(registry, kName, Common::RequestId("a"), Outcome::Ran, {}, kStart));
+  }
+
+  SECTION("a holder that never settles leaves the key unknown, and may still settle it late")
+  {
+    const Timestamp late = kStart + 41s;
+    REQUIRE(ClaimKey(registry, Claim("b"), kOwner, late, kUnix).mState == KeyState::Unknown);
+    SettleKey(registry, kName, Common::RequestId("a"), Outcome::Ran, nullptr, late);
+    REQUIRE(ClaimKey(registry, Claim("b"), kOwner, late, kUnix).mState == KeyState::Finished);
+  }
+
+  SECTION("the same key on another request is refused")
+  {
+    KeyClaim other = Claim("b");
+    other.mFingerprint = "other";
+    const KeyAnswer answer = ClaimKey(registry, other, kOwner, kStart, kUnix);
+    REQUIRE(answer.mState == KeyState::Refused);
+    REQUIRE(answer.mReason == Refusal::Invalid);
+  }
+
+  SECTION("a full registry refuses new keys and keeps the old ones")
+  {
+    registry.mLimits.mMaxKeys = 1;
+    KeyClaim other = Claim("b");
+    other.mKey = Common::IdempotencyKey("other");
+    REQUIRE(ClaimKey(registry, other, kOwner, kStart, kUnix).mReason == Refusal::Throttled);
+    REQUIRE(ClaimKey(registry, Claim("b"), kOwner, kStart, kUnix).mState == KeyState::InProgress);
+  }
+
+  SECTION("an owner without its majority refuses")
+  {
+    const KeyAnswer answer = ClaimKey(registry, Claim("b"), { false, 1s }, kStart, kUnix);
+    REQUIRE(answer.mReason == Refusal::NotOwner);
+  }
+}
+
+TEST_CASE("A new owner grants only what no predecessor can have granted", "[Dispatch]")
+{
+  KeyRegistry registry;
+  registry.mTakeover = kUnix;
+  const auto stateAt = [&](std::optional<UnixMillis> aTime, UnixMillis aNow) {
+    return ClaimKey(registry, Claim("a", aTime), kOwner, kStart, aNow).mState;
+  };
+  REQUIRE(stateAt(kUnix - 1s, kUnix + 10s) == KeyState::Unknown);
+  REQUIRE(stateAt(kUnix + 6s, kUnix + 10s) == KeyState::Unknown);
+  REQUIRE(stateAt(std::nullopt, kUnix + 9min) == KeyState::Unknown);
+  SECTION("by time")
+  {
+    REQUIRE(stateAt(kUnix + 6001ms, kUnix + 10s) == KeyState::Granted);
+  }
+  SECTION("without a time, after the retention")
+  {
+    REQUIRE(stateAt(std::nullopt, kUnix + 10min) == KeyState::Granted);
+  }
+  SECTION("times outside the range are refused")
+  {
+    REQUIRE(stateAt(kUnix + 16s, kUnix + 10s) == KeyState::Refused);
+    REQUIRE(stateAt(kUnix, kUnix + 10min + 1ms) == KeyState::Refused);
+  }
+}
+
+TEST_CASE("The time of a key comes from the header or a UUIDv7", "[Dispatch]")
+{
+  // The example of RFC 9562, appendix A.6.
+  REQUIRE(ParseUuidV7Time("017F22E2-79B0-7CC3-98C4-DC0C0C07398F") == UnixMillis(1645557742000));
+  REQUIRE_FALSE(ParseUuidV7Time("017F22E2-79B0-4CC3-98C4-DC0C0C07398F"));
+  REQUIRE_FALSE(ParseUuidV7Time("017F22E2-79B0-7CC3-18C4-DC0C0C07398F"));
+  REQUIRE_FALSE(ParseUuidV7Time("017F22E2x79B0-7CC3-98C4-DC0C0C07398F"));
+  REQUIRE_FALSE(ParseUuidV7Time("key"));
+  REQUIRE(KeyTime(UnixMillis(5), Common::IdempotencyKey("key")) == UnixMillis(5));
+}
