Jobs: add the job and task model of a cell

Cause: the cell owner needs its decisions on batch work as pure functions. Tests cover the accept, eviction and takeover paths.

--- /dev/null
+++ b/Source/Core/Jobs/Submit.cpp
@@ -0,0 +1,229 @@
+#include "Jobs/Jobs.h"
+#include "Jobs/Transitions.h"
+
+#include <algorithm>
+
+namespace Jobs {
+
+namespace {
+
+using Common::Resources;
+
+bool
+HasLabels(const WorkerShape& aShape, const std::vector<std::string>& aLabels)
+{
+  return std::all_of(aLabels.begin(), aLabels.end(), [&](const std::string& aLabel) {
+    return std::find(aShape.mLabels.begin(), aShape.mLabels.end(), aLabel) != aShape.mLabels.end();
+  });
+}
+
+std::string
+MissingLabel(const JobsState& aState, const std::vector<std::string>& aLabels)
+{
+  for (const std::string& label : aLabels) {
+    const bool known =
+      std::any_of(aState.mShapes.begin(), aState.mShapes.end(), [&](const WorkerShape& aShape) {
+        return HasLabels(aShape, { label });
+      });
+    if (!known) {
+      return "no worker of the cell has the label \"" + label + "\"";
+    }
+  }
+  return "no worker of the cell has all labels of the pool";
+}
+
+std::string
+TooBig(const Resources& aNeed, const Resources& aLargest)
+{
+  const auto text = [](const char* aWhat, std::int64_t aAsked, std::int64_t aMost) {
+    return std::string("a task asks for ") + std::to_string(aAsked) + " " + aWhat +
+           ", and the largest worker offers " + std::to_string(aMost);
+  };
+  if (aNeed.mCores > aLargest.mCores) {
+    return text("millicores", aNeed.mCores.value(), aLargest.mCores.value());
+  }
+  if (aNeed.mMemory > aLargest.mMemory) {
+    return text("bytes of memory", aNeed.mMemory.value(), aLargest.mMemory.value());
+  }
+  if (aNeed.mAccelerators > aLargest.mAccelerators) {
+    return text("accelerators", aNeed.mAccelerators.value(), aLargest.mAccelerators.value());
+  }
+  return "no single worker offers the cores, memory and accelerators of a task together";
+}
+
+Resources
+Largest(const Resources& aLeft, const Resources& aRight)
+{
+  return { std::max(aLeft.mCores, aRight.mCores),
+           std::max(aLeft.mMemory, aRight.mMemory),
+           std::max(aLeft.mAccelerators, aRight.mAccelerators) };
+}
+
+void
+Examine(JobsState& aState, Job& aJob)
+{
+  aJob.mDetail = NeverRunnableReason(aState, aJob.mSpec);
+  aJob.mAside = !aJob.mDetail.empty();
+  if (aJob.mAside) {
+    aState.mAside.insert(aJob.mNumber.value());
+  } else {
+    aState.mAside.erase(aJob.mNumber.value());
+  }
+  RefreshQueue(aState, aJob);
+}
+
+bool
+IsOpen(const Job& aJob)
+{
+  return !aJob.mCancelled && !aJob.mFailed && aJob.ended() < aJob.mSpec.mTasks;
+}
+
+void
+ExamineAll(JobsState& aState)
+{
+  for (auto& [number, job] : aState.mJobs) {
+    if (IsOpen(job)) {
+      Examine(aState, job);
+    }
+  }
+}
+
+std::string
+InvalidReason(const JobSpec& aSpec)
+{
+  const Resources& need = aSpec.mPerTask;
+  if (aSpec.mTasks == 0 || aSpec.mTasks > 1'000'000) {
+    return "a job has 1 to 1000000 tasks";
+  }
+  if (need.mCores.value() < 0 || need.mMemory.value() < 0 || need.mAccelerators.value() < 0) {
+    return "cores, memory and accelerators are at least 0";
+  }
+  if (need == Resources{}) {
+    return "a task asks for cores, memory or accelerators";
+  }
+  if (aSpec.mRunTime.count() < 0) {
+    return "the run time is at least 0";
+  }
+  return "";
+}
+
+} // namespace
+
+JobsState
+MakeState(const Common::CellId& aCell, Common::Epoch aEpoch, JobsPolicy aPolicy)
+{
+  JobsState state;
+  state.mCell = aCell;
+  state.mEpoch = aEpoch;
+  state.mPolicy = aPolicy;
+  return state;
+}
+
+void
+SetTeams(JobsState& aState, const std::vector<TeamQuota>& aTeams)
+{
+  for (Team& team : aState.mTeams) {
+    team.mQuota = {};
+    team.mMayBorrow = false;
+  }
+  for (const TeamQuota& quota : aTeams) {
+    Team& team = aState.mTeams[TeamNumber(aState, quota.mName)];
+    team.mWeight = std::max<std::uint32_t>(quota.mWeight, 1);
+    team.mQuota = quota.mQuota;
+    team.mMayBorrow = quota.mMayBorrow;
+  }
+  ExamineAll(aState);
+}
+
+void
+SetShapes(JobsState& aState, std::vector<WorkerShape> aShapes)
+{
+  aState.mShapes = std::move(aShapes);
+  aState.mCapacity = {};
+  for (const WorkerShape& shape : aState.mShapes) {
+    const std::int64_t count = shape.mCount;
+    aState.mCapacity = aState.mCapacity + Resources{ shape.mTotal.mCores * count,
+                                                     shape.mTotal.mMemory * count,
+                                                     shape.mTotal.mAccelerators * count };
+  }
+  ExamineAll(aState);
+}
+
+std::string
+NeverRunnableReason(const JobsState& aState, const JobSpec& aSpec)
+{
+  const auto team = aState.mTeamIndex.find(aSpec.mTeam);
+  if (team == aState.mTeamIndex.end()) {
+    return "there is no team \"" + aSpec.mTeam.str() + "\"";
+  }
+  const Team& quota = aState.mTeams[team->second];
+  if (!quota.mMayBorrow && !Fits(aSpec.mPerTask, quota.mQuota)) {
+    return "a task asks for more than the whole quota of team \"" + aSpec.mTeam.str() +
+           "\", which may not borrow";
+  }
+  if (aState.mShapes.empty()) {
+    // No worker has been heard yet; that says nothing about the job.
+    return "";
+  }
+  Resources largest;
+  bool labelled = false;
+  for (const WorkerShape& shape : aState.mShapes) {
+    if (HasLabels(shape, aSpec.mLabels)) {
+      if (Fits(aSpec.mPerTask, shape.mTotal)) {
+        return "";
+      }
+      labelled = true;
+      largest = Largest(largest, shape.mTotal);
+    }
+  }
+  return labelled ? TooBig(aSpec.mPerTask, largest) : MissingLabel(aState, aSpec.mLabels);
+}
+
+tl::expected<Submitted, Refusal>
+SubmitJob(JobsState& aState, const JobSpec& aSpec, const Now& aNow)
+{
+  if (!aSpec.mKey.empty()) {
+    const auto known = aState.mKeys.find(aSpec.mClient.str() + '\0' + aSpec.mKey.str());
+    if (known != aState.mKeys.end()) {
+      const Job* job = FindJob(aState, known->second);
+      return Submitted{ JobIdText(aState.mCell, job->mNumber), false, job->mDurable };
+    }
+  }
+  if (std::string reason = InvalidReason(aSpec); !reason.empty()) {
+    return tl::unexpected(Refusal{ RefusalReason::Invalid, std::move(reason) });
+  }
+  if (!aState.mTeamIndex.contains(aSpec.mTeam)) {
+    return tl::unexpected(
+      Refusal{ RefusalReason::UnknownTeam, "there is no team \"" + aSpec.mTeam.str() + "\"" });
+  }
+  if (aState.mJobs.size() >= aState.mPolicy.mMaxJobs) {
+    return tl::unexpected(Refusal{ RefusalReason::Full, "the cell holds as many jobs as it may" });
+  }
+  const JobNumber number(static_cast<std::int64_t>(
+    (static_cast<std::uint64_t>(aState.mEpoch.value()) << 32) | aState.mNextCount++));
+  Job& job = aState.mJobs[number.value()];
+  job.mNumber = number;
+  job.mSpec = aSpec;
+  job.mSubmitted = aNow.mUnix;
+  IndexJob(aState, job);
+  Examine(aState, job);
+  aState.mUnwrittenJobs.push_back(number);
+  return Submitted{ JobIdText(aState.mCell, number), true, false };
+}
+
+bool
+CancelJob(JobsState& aState,
+          const Common::JobId& aJob,
+          const Now& aNow,
+          std::vector<TaskAction>& aActions)
+{
+  const auto number = ParseJobId(aState.mCell, aJob.str());
+  Job* job = number ? FindJob(aState, *number) : nullptr;
+  if (job == nullptr) {
+    return false;
+  }
+  AbortJob(aState, *job, ProgressKind::JobCancelled, "cancelled", aNow, aActions);
+  return true;
+}
+
+} // namespace Jobs
--- /dev/null
+++ b/Source/UnitTests/Jobs/JobsTests.cpp
@@ -0,0 +1,207 @@
+#include <catch2/catch.hpp>
+
+#include "Core/Jobs/Jobs.h"
+
+using namespace std::chrono_literals;
+using namespace Jobs;
+
+namespace {
+
+Now
+At(Common::Duration aTime)
+{
+  return { Common::Timestamp(1h + aTime),
+           1'000'000s + std::chrono::duration_cast<Common::UnixMillis>(aTime) };
+}
+
+JobSpec
+Spec(std::uint32_t aTasks, const std::string& aKey = "")
+{
+  JobSpec spec;
+  spec.mClient = Common::ClientId("atelier");
+  spec.mTeam = Common::TeamId("renders");
+  spec.mRoute = Common::RouteId("pattern-render");
+  spec.mKey = Common::IdempotencyKey(aKey);
+  spec.mTasks = aTasks;
+  spec.mPerTask = { Common::MilliCores(1000), Common::Bytes(1 << 20), {} };
+  return spec;
+}
+
+JobsState
+Cell(std::int64_t aEpoch = 1)
+{
+  JobsState state = MakeState(Common::CellId("dc-1"), Common::Epoch(aEpoch));
+  SetTeams(state,
+           { { Common::TeamId("renders"),
+               1,
+               { Common::MilliCores(8000), Common::Bytes(1 << 30), {} },
+               true } });
+  SetShapes(state, { { {}, { Common::MilliCores(4000), Common::Bytes(1 << 30), {} }, 4 } });
+  return state;
+}
+
+Common::JobId
+Accept(JobsState& aState, const JobSpec& aSpec, std::vector<std::string>* aStore = nullptr)
+{
+  const auto submitted = SubmitJob(aState, aSpec, At(0s));
+  REQUIRE(submitted);
+  const auto batch = TakeJobBatch(aState, 1 << 19);
+  REQUIRE(batch);
+  if (aStore != nullptr) {
+    aStore->push_back(EncodeSegment(batch->mSegment));
+  }
+  REQUIRE(BatchWritten(aState, batch->mId, At(0s)).size() == 1);
+  return submitted->mJob;
+}
+
+Placer
+OnWorker(const std::string& aName)
+{
+  return [aName](const TaskNeed&) { return Common::WorkerId(aName); };
+}
+
+TaskReport
+Report(const TaskStart& aStart, TaskState aState, const std::string& aCheckpoint = "")
+{
+  TaskReport report;
+  report.mTask = aStart.mTask;
+  report.mAttempt = aStart.mAttempt;
+  report.mState = aState;
+  report.mCheckpoint = aCheckpoint;
+  report.mAmounts = aStart.mNeed;
+  return report;
+}
+
+std::vector<TaskAction>
+Tell(JobsState& aState,
+     const TaskStart& aStart,
+     TaskState aHow,
+     const std::string& aCheckpoint = "")
+{
+  std::vector<TaskAction> actions;
+  ApplyReport(aState, aStart.mWorker, Report(aStart, aHow, aCheckpoint), At(1s), actions);
+  return actions;
+}
+
+} // namespace
+
+TEST_CASE("A job is accepted once and its tasks run once", "[Jobs]")
+{
+  JobsState state = Cell();
+
+  SECTION("the same client and key give the same job, and another client another job")
+  {
+    const auto first = SubmitJob(state, Spec(2, "k"), At(0s));
+    const auto again = SubmitJob(state, Spec(2, "k"), At(1s));
+    REQUIRE(again->mJob == first->mJob);
+    REQUIRE_FALSE(again->mNew);
+    JobSpec other = Spec(2, "k");
+    other.mClient = Common::ClientId("foundry");
+    REQUIRE(SubmitJob(state, other, At(1s))->mJob != first->mJob);
+  }
+
+  SECTION("nothing starts before the record is durable, and a failed write drops the job")
+  {
+    const auto submitted = SubmitJob(state, Spec(1, "k"), At(0s));
+    REQUIRE(NextTasks(state, At(0s), 10, OnWorker("w1")).empty());
+    const auto batch = TakeJobBatch(state, 1 << 19);
+    REQUIRE(BatchFailed(state, batch->mId) == std::vector<Common::JobId>{ submitted->mJob });
+    REQUIRE_FALSE(ShowJob(state, submitted->mJob));
+    REQUIRE(SubmitJob(state, Spec(1, "k"), At(1s))->mNew);
+  }
+
+  SECTION("a completion is repeated until it is durable, and then forgotten")
+  {
+    const Common::JobId job = Accept(state, Spec(1));
+    const auto starts = NextTasks(state, At(0s), 10, OnWorker("w1"));
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].mAttempt == Common::Attempt(1));
+    Tell(state, starts[0], TaskState::Running);
+    REQUIRE(Tell(state, starts[0], TaskState::Finished).empty());
+    REQUIRE(Tell(state, starts[0], TaskState::Finished).empty());
+    const auto batch = TakeProgressBatch(state, 100);
+    REQUIRE(batch->mSegment.mProgress.size() == 1);
+    REQUIRE(Tell(state, starts[0], TaskState::Finished).empty());
+    BatchWritten(state, batch->mId, At(2s));
+    REQUIRE(Tell(state, starts[0], TaskState::Finished).at(0).mKind == ActionKind::Forget);
+    REQUIRE(ShowJob(state, job)->mStatus == JobStatus::Finished);
+    REQUIRE(ChargedOn(state, Common::WorkerId("w1")) == Common::Resources{});
+  }
+}
+
+TEST_CASE("An evicted task resumes exactly once from its checkpoint", "[Jobs]")
+{
+  JobsState state = Cell();
+  Accept(state, Spec(1));
+  const TaskStart first = NextTasks(state, At(0s), 10, OnWorker("w1")).at(0);
+  Tell(state, first, TaskState::Running);
+  std::vector<TaskAction> actions;
+  REQUIRE(EvictTask(state, first.mTask, At(1s), actions));
+  REQUIRE(actions.at(0).mKind == ActionKind::Evict);
+  REQUIRE(NextTasks(state, At(1s), 10, OnWorker("w2")).empty());
+
+  SECTION("repeated and late reports of the eviction start nothing more")
+  {
+    Tell(state, first, TaskState::Evicted, "c1");
+    Tell(state, first, TaskState::Evicted, "c1");
+    const auto next = NextTasks(state, At(1s), 10, OnWorker("w2"));
+    REQUIRE(next.size() == 1);
+    REQUIRE(next[0].mAttempt == Common::Attempt(2));
+    REQUIRE(next[0].mCheckpoint == "c1");
+    REQUIRE(next[0].mCheckpointAttempt == Common::Attempt(1));
+    Tell(state, first, TaskState::Evicted, "c1");
+    REQUIRE(Tell(state, first, TaskState::Running).at(0).mKind == ActionKind::Stop);
+    REQUIRE(NextTasks(state, At(2s), 10, OnWorker("w3")).empty());
+  }
+
+  SECTION("a lost worker gives the task back only when it is released")
+  {
+    MarkSilent(state, Common::WorkerId("w1"), At(2s));
+    REQUIRE(NextTasks(state, At(60s), 10, OnWorker("w2")).empty());
+    ReleaseWorker(state, Common::WorkerId("w1"), At(60s));
+    REQUIRE(NextTasks(state, At(60s), 10, OnWorker("w2")).size() == 1);
+  }
+}
+
+TEST_CASE("A new owner rebuilds the cell from the store and the reports", "[Jobs]")
+{
+  JobsState state = Cell();
+  std::vector<std::string> store;
+  const Common::JobId job = Accept(state, Spec(3), &store);
+  const auto starts = NextTasks(state, At(0s), 10, OnWorker("w1"));
+  REQUIRE(starts.size() == 3);
+  Tell(state, starts[0], TaskState::Finished);
+  store.push_back(EncodeSegment(TakeProgressBatch(state, 100)->mSegment));
+
+  std::vector<TaskAction> actions;
+  auto rebuilt = Rebuild(Cell(2), store, {}, At(10s), actions);
+  REQUIRE(rebuilt);
+
+  SECTION("tasks that nobody has reported stay uncertain")
+  {
+    REQUIRE(NextTasks(*rebuilt, At(10s), 10, OnWorker("w2")).empty());
+    REQUIRE(ShowJob(*rebuilt, job)->mUncertain == 2);
+    REQUIRE(ShowJob(*rebuilt, job)->mFinished == 1);
+  }
+
+  SECTION(
+    "a reported task goes on, and the rest starts after the release with a new attempt number")
+  {
+    ApplyInventory(*rebuilt,
+                   { Common::WorkerId("w1"), 1, true, { Report(starts[1], TaskState::Running) } },
+                   At(10s));
+    ReleaseHeld(*rebuilt, false, At(60s));
+    const auto again = NextTasks(*rebuilt, At(60s), 10, OnWorker("w2"));
+    REQUIRE(again.size() == 1);
+    REQUIRE(again[0].mTask == starts[2].mTask);
+    REQUIRE(again[0].mAttempt == Common::Attempt(2));
+  }
+
+  SECTION("a damaged value is an error that names it")
+  {
+    store[1][7] ^= 1;
+    const auto failed = Rebuild(Cell(2), store, {}, At(10s), actions);
+    REQUIRE_FALSE(failed);
+    REQUIRE(failed.error().mSegment == 1);
+  }
+}
