Placement: add sampled placement with a bucket index

Cause: the cell owner needs a placement whose cost hardly grows with the number of workers. Change: index open workers by label set and by buckets of free cores, memory and accelerators; sample half of the candidates from the tightest buckets that surely fit and half at random; search the edge buckets within a budget if none fits; keep each placement reserved until a report contains it.

--- /dev/null
+++ b/Source/Core/Placement/Place.cpp
@@ -0,0 +1,253 @@
+#include "Placement/Place.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace Placement {
+
+namespace {
+
+/// The need in the units of HotWorker, rounded up.
+struct Need
+{
+  std::uint32_t mCores = 0;
+  std::uint32_t mMemory = 0;
+  std::uint32_t mAccelerators = 0;
+};
+
+std::uint32_t
+ClampNeed(std::int64_t aValue)
+{
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(aValue, 0, UINT32_MAX));
+}
+
+Need
+NeedOf(const Resources& aNeed)
+{
+  return { ClampNeed(aNeed.mCores.value()),
+           ClampNeed((aNeed.mMemory.value() + 1023) / 1024),
+           ClampNeed(aNeed.mAccelerators.value()) };
+}
+
+bool
+HasRoom(const HotWorker& aWorker, const Need& aNeed)
+{
+  return aWorker.mListed && aWorker.mCores >= aNeed.mCores && aWorker.mMemory >= aNeed.mMemory &&
+         aWorker.mAccelerators >= aNeed.mAccelerators;
+}
+
+float
+RackTerm(const HotWorker& aWorker, std::span<const RackCount> aRacks)
+{
+  for (const RackCount& rack : aRacks) {
+    if (rack.mRack == aWorker.mRack) {
+      return static_cast<float>(rack.mTasks) / static_cast<float>(rack.mTasks + 1);
+    }
+  }
+  return 0;
+}
+
+float
+Cost(const Index& aIndex,
+     WorkerNumber aWorker,
+     const Need& aNeed,
+     const Request& aRequest,
+     const Weights& aWeights)
+{
+  const HotWorker& hot = aIndex.mHot[aWorker];
+  const float cores =
+    static_cast<float>(hot.mCores - aNeed.mCores) / static_cast<float>(hot.mTotalCores);
+  const float memory =
+    static_cast<float>(hot.mMemory - aNeed.mMemory) / static_cast<float>(hot.mTotalMemory);
+  float cost =
+    aWeights.mPacking * 0.5F * (cores + memory) + aWeights.mBalance * std::fabs(cores - memory);
+  cost += aWeights.mRack * RackTerm(hot, aRequest.mRacks);
+  if (aRequest.mDataCentre != 0 && aRequest.mDataCentre != hot.mDataCentre) {
+    cost += aWeights.mLocality;
+  }
+  if (aRequest.mInterference != nullptr) {
+    cost += aWeights.mInterference * static_cast<float>((*aRequest.mInterference)(aWorker));
+  }
+  return cost;
+}
+
+/// The best of the candidates seen so far.
+class Best
+{
+public:
+  Best(const Index& aIndex, const Request& aRequest, const Weights& aWeights)
+    : mIndex(aIndex)
+    , mRequest(aRequest)
+    , mNeed(NeedOf(aRequest.mNeed))
+    , mWeights(aWeights)
+  {
+  }
+
+  const Need& need() const { return mNeed; }
+  WorkerNumber worker() const { return mWorker; }
+  /// Candidates that had room.
+  std::uint32_t seen() const { return mSeen; }
+
+  /// False if the worker has no room.
+  bool consider(WorkerNumber aWorker)
+  {
+    if (!HasRoom(mIndex.mHot[aWorker], mNeed)) {
+      return false;
+    }
+    ++mSeen;
+    const float cost = Cost(mIndex, aWorker, mNeed, mRequest, mWeights);
+    if (mWorker == kNoWorker || cost < mCost) {
+      mWorker = aWorker;
+      mCost = cost;
+    }
+    return true;
+  }
+
+private:
+  const Index& mIndex;
+  const Request& mRequest;
+  Need mNeed;
+  const Weights& mWeights;
+  WorkerNumber mWorker = kNoWorker;
+  std::uint32_t mSeen = 0;
+  float mCost = 0;
+};
+
+/// Lowest levels at which every member of a bucket has room for the need, and the levels of the
+/// need itself, at which some may have.
+struct Levels
+{
+  std::uint32_t mCores = 0;
+  std::uint32_t mMemory = 0;
+  std::uint32_t mAccelerators = 0;
+};
+
+Levels
+EdgeLevels(const Need& aNeed)
+{
+  return { CoreLevel(aNeed.mCores),
+           MemoryLevel(aNeed.mMemory),
+           AcceleratorLevel(aNeed.mAccelerators) };
+}
+
+std::uint32_t
+MemoryMask(std::uint32_t aLevel)
+{
+  return aLevel >= kMemoryLevels ? 0U : (0xffffU << aLevel) & 0xffffU;
+}
+
+/// Takes aWanted candidates from the buckets with the least cores that surely fit. Workers without
+/// accelerators come first, so that tasks which need none leave accelerators free.
+void
+SampleTight(const LabelClass& aClass, std::uint32_t aWanted, Common::Random& aRandom, Best& aBest)
+{
+  const Levels edge = EdgeLevels(aBest.need());
+  const std::uint32_t mask = MemoryMask(aBest.need().mMemory == 0 ? 0 : edge.mMemory + 1);
+  const std::uint32_t firstCores = aBest.need().mCores == 0 ? 0 : edge.mCores + 1;
+  for (std::uint32_t a = edge.mAccelerators; a < kAcceleratorLevels; ++a) {
+    for (std::uint32_t c = firstCores; c < kCoreLevels; ++c) {
+      std::uint32_t filled = aClass.mFilled[a][c] & mask;
+      while (filled != 0) {
+        const auto memory = static_cast<std::uint32_t>(std::countr_zero(filled));
+        filled &= filled - 1;
+        const auto& bucket = aClass.mBuckets[BucketOf(a, c, memory)];
+        const std::size_t draws = std::min<std::size_t>(aWanted, bucket.size());
+        for (std::size_t i = 0; i < draws; ++i) {
+          aWanted -= aBest.consider(bucket[aRandom.below(bucket.size())]) ? 1 : 0;
+        }
+        if (aWanted == 0) {
+          return;
+        }
+      }
+    }
+  }
+}
+
+void
+SampleAnywhere(const LabelClass& aClass,
+               std::uint32_t aWanted,
+               Common::Random& aRandom,
+               Best& aBest)
+{
+  if (aClass.mMembers.empty()) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < aWanted; ++i) {
+    aBest.consider(aClass.mMembers[aRandom.below(aClass.mMembers.size())]);
+  }
+}
+
+/// Looks through buckets in which only some members have room, until one is found or the budget is
+/// used up. Starts at a random member, so that later tries see others.
+void
+SearchEdge(const LabelClass& aClass, std::uint32_t& aBudget, Common::Random& aRandom, Best& aBest)
+{
+  const Levels edge = EdgeLevels(aBest.need());
+  for (std::uint32_t a = edge.mAccelerators; a < kAcceleratorLevels; ++a) {
+    for (std::uint32_t c = edge.mCores; c < kCoreLevels; ++c) {
+      std::uint32_t filled = aClass.mFilled[a][c] & MemoryMask(edge.mMemory);
+      while (filled != 0) {
+        const auto memory = static_cast<std::uint32_t>(std::countr_zero(filled));
+        filled &= filled - 1;
+        const auto& bucket = aClass.mBuckets[BucketOf(a, c, memory)];
+        const std::size_t start = aRandom.below(bucket.size());
+        for (std::size_t i = 0; i < bucket.size(); ++i) {
+          if (aBudget == 0 || aBest.consider(bucket[(start + i) % bucket.size()])) {
+            return;
+          }
+          --aBudget;
+        }
+      }
+    }
+  }
+}
+
+} // namespace
+
+std::optional<WorkerNumber>
+PlaceTask(Index& aIndex, const Request& aRequest, const Policy& aPolicy, Common::Random& aRandom)
+{
+  const std::vector<std::string> labels(aRequest.mLabels.begin(), aRequest.mLabels.end());
+  const std::vector<std::uint16_t>& classes = ClassesFor(aIndex, labels);
+  if (classes.empty()) {
+    return std::nullopt;
+  }
+  Best best(aIndex, aRequest, aPolicy.mWeights);
+  const auto count = static_cast<std::uint32_t>(classes.size());
+  const std::uint32_t share = std::max(aPolicy.mCandidates / 2 / count, 1U);
+  const std::size_t first = aRandom.below(count);
+  for (std::size_t i = 0; i < count && best.seen() < aPolicy.mCandidates; ++i) {
+    const LabelClass& group = aIndex.mClasses[classes[(first + i) % count]];
+    SampleTight(group, share, aRandom, best);
+    SampleAnywhere(group, share, aRandom, best);
+  }
+  std::uint32_t budget = aPolicy.mSearchBudget;
+  for (std::size_t i = 0; i < count && best.worker() == kNoWorker; ++i) {
+    SearchEdge(aIndex.mClasses[classes[(first + i) % count]], budget, aRandom, best);
+  }
+  if (best.worker() == kNoWorker) {
+    return std::nullopt;
+  }
+  Reserve(aIndex, best.worker(), aRequest.mTicket, aRequest.mNeed);
+  return best.worker();
+}
+
+std::optional<WorkerNumber>
+PlaceByScan(Index& aIndex, const Request& aRequest, const Policy& aPolicy)
+{
+  const std::vector<std::string> labels(aRequest.mLabels.begin(), aRequest.mLabels.end());
+  Best best(aIndex, aRequest, aPolicy.mWeights);
+  for (const std::uint16_t number : ClassesFor(aIndex, labels)) {
+    for (const WorkerNumber worker : aIndex.mClasses[number].mMembers) {
+      best.consider(worker);
+    }
+  }
+  if (best.worker() == kNoWorker) {
+    return std::nullopt;
+  }
+  Reserve(aIndex, best.worker(), aRequest.mTicket, aRequest.mNeed);
+  return best.worker();
+}
+
+} // namespace Placement
