Read, check, match and compare the operator tables

Cause: the daemon and ibisctl need the routes and pools as plain data, and an operator needs every fault of an edit at once, with its place.

Routes, pools, teams and clients carry the places that later findings name.

--- a/Source/Core/Tables/Tables.cpp
+++ b/Source/Core/Tables/Tables.cpp
@@ -17,6 +17,45 @@
 
 } // namespace
 
+const std::vector<std::string>&
+UrgencyNames()
+{
+  static const std::vector<std::string> kNames = { "interactive", "standard", "patient" };
+  return kNames;
+}
+
+const std::vector<std::string>&
+RouteKindNames()
+{
+  static const std::vector<std::string> kNames = { "request", "batch", "watch" };
+  return kNames;
+}
+
+const std::vector<std::string>&
+RestartPolicyNames()
+{
+  static const std::vector<std::string> kNames = { "resume", "never" };
+  return kNames;
+}
+
+const std::string&
+NameOf(Urgency aUrgency)
+{
+  return UrgencyNames()[static_cast<std::size_t>(aUrgency)];
+}
+
+const std::string&
+NameOf(RouteKind aKind)
+{
+  return RouteKindNames()[static_cast<std::size_t>(aKind)];
+}
+
+const std::string&
+NameOf(RestartPolicy aPolicy)
+{
+  return RestartPolicyNames()[static_cast<std::size_t>(aPolicy)];
+}
+
 const Route*
 FindRoute(const TableSet& aTables, const Common::RouteId& aName)
 {
--- a/Source/Core/Tables/Tables.h
+++ b/Source/Core/Tables/Tables.h
@@ -8,6 +8,7 @@
 #include "Common/Clock.h"
 #include "Common/Ids.h"
 #include "Common/Units.h"
+#include "Toml/Document.h"
 
 /// The two operator tables, routes and pools, as plain data.
 namespace Tables {
@@ -41,18 +42,25 @@
   Never,
 };
 
+/// The name of the header in lower case and its exact value.
 struct HeaderMatch
 {
   std::string mName;
   std::string mValue;
+
+  auto operator<=>(const HeaderMatch&) const = default;
 };
 
 /// Which requests belong to a route. Empty parts match everything.
 struct RouteMatch
 {
+  /// In lower case without port; "*.example" matches every host that ends in ".example".
   std::string mHost;
+  /// Without a slash at the end; it matches whole path segments.
   std::string mPathPrefix;
+  /// Sorted, without duplicates.
   std::vector<std::string> mMethods;
+  /// Sorted by name and value; all of them must be present.
   std::vector<HeaderMatch> mHeaders;
 };
 
@@ -66,7 +74,7 @@
   bool mIdempotent = false;
   bool mHedge = false;
   /// Time from arrival to answer when the caller names no deadline; for batch, from submission to
-  /// end.
+  /// end. Zero for watches, which have no declared end.
   Duration mDeadline{ std::chrono::seconds(10) };
   /// Price of one slot for one second (requests) or one core for one second (batch).
   Common::MicroPrice mPrice;
@@ -74,6 +82,9 @@
   RestartPolicy mRestart = RestartPolicy::Resume;
   /// Attempts of a task after which it counts as failed.
   std::uint32_t mMaxAttempts = 5;
+  /// Places in the routes table; line 0 if the route was not read from a text.
+  Toml::Position mPosition;
+  Toml::Position mPoolPosition;
 };
 
 /// The part of a worker that a pool may use.
@@ -98,7 +109,11 @@
   /// Labels that a worker must all have.
   std::vector<std::string> mLabels;
   PoolLimits mPerWorker;
+  /// At most one for each urgency, in the order of urgencies.
   std::vector<MinShare> mMinShares;
+  /// Places in the pools table; line 0 if the pool was not read from a text.
+  Toml::Position mPosition;
+  Toml::Position mDataCentresPosition;
 };
 
 struct Team
@@ -109,6 +124,7 @@
   Common::Slots mSlotQuota;
   /// Idle quota of other teams may be used until they want it back.
   bool mMayBorrow = true;
+  Toml::Position mPosition;
 };
 
 struct Client
@@ -118,6 +134,9 @@
   std::uint32_t mWeight = 1;
   /// Data centre whose cell owner keeps the client's idempotency keys; chosen by hash if empty.
   Common::DataCentreId mHome;
+  Toml::Position mPosition;
+  Toml::Position mTeamPosition;
+  Toml::Position mHomePosition;
 };
 
 /// One joint revision of both tables. Teams and clients stand in the pools table.
@@ -130,6 +149,22 @@
   std::vector<Client> mClients;
 };
 
+/// The words of the tables for the values of the enumerations, in their order.
+const std::vector<std::string>&
+UrgencyNames();
+const std::vector<std::string>&
+RouteKindNames();
+const std::vector<std::string>&
+RestartPolicyNames();
+
+const std::string&
+NameOf(Urgency aUrgency);
+const std::string&
+NameOf(RouteKind aKind);
+const std::string&
+NameOf(RestartPolicy aPolicy);
+
+/// The item with the name, or null. These search from the front; RouteIndex finds routes by hash.
 const Route*
 FindRoute(const TableSet& aTables, const Common::RouteId& aName);
 const Pool*
