--- a/Source/Core/Toml/TableReader.cpp
+++ b/Source/Core/Toml/TableReader.cpp
@@ -25,6 +25,19 @@
   return text;
 }
 
+/// The known key that was most likely meant. A key that only lacks its unit ("deadline" for
+/// "deadline_ms") may be far away by edit distance, so it is looked for first.
+std::string
+NearestKey(const std::string& aName, const std::vector<std::string>& aKnown)
+{
+  for (const std::string& known : aKnown) {
+    if (!aName.empty() && known.starts_with(aName + '_')) {
+      return known;
+    }
+  }
+  return Common::NearestName(aName, aKnown);
+}
+
 /// A suffix that offers aNearest, or nothing.
 std::string
 Suggestion(const std::string& aNearest)
@@ -268,8 +281,7 @@
     }
     const std::string name = Shortened(member.mName);
     mFindings.error({ mFile, member.mPosition.mLine, member.mPosition.mColumn },
-                    mWhat + ": unknown key " + Quote(name) +
-                      Suggestion(Common::NearestName(name, mKnown)));
+                    mWhat + ": unknown key " + Quote(name) + Suggestion(NearestKey(name, mKnown)));
   }
 }
 
