Jobs: learn sizes, attribute failures, settle restarts of agents

Cause: declared sizes are far off, some workers fail every task, and a restarted agent leaves unconfirmed starts open. Change: correct cores, memory and run time by quantiles of use per route and client with a safe start; quarantine and probe workers on which jobs fail that succeed elsewhere; fail jobs that fail on several good workers; an inventory states the agent's incarnation, and IsProgressSettled says when the roster may change.

--- a/Source/Core/Jobs/Batches.cpp
+++ b/Source/Core/Jobs/Batches.cpp
@@ -213,6 +213,12 @@
   return aState.mUnwritten.size();
 }
 
+bool
+IsProgressSettled(const JobsState& aState)
+{
+  return aState.mNotDurable.empty();
+}
+
 std::vector<Segment>
 TakeSnapshot(const JobsState& aState, std::size_t aMaxBytes)
 {
--- a/Source/Core/Jobs/Jobs.h
+++ b/Source/Core/Jobs/Jobs.h
@@ -34,9 +34,9 @@
 void
 SetShapes(JobsState& aState, std::vector<WorkerShape> aShapes);
 
-/// Why no worker of the cell can ever run a task of the job; "" if one can.
+/// Why no worker of the cell can ever run a task of the job with the given need; "" if one can.
 std::string
-NeverRunnableReason(const JobsState& aState, const JobSpec& aSpec);
+NeverRunnableReason(const JobsState& aState, const JobSpec& aSpec, const Common::Resources& aNeed);
 
 /// Accepts a job. It may be acknowledged once its batch is written. The same (client, key) gives
 /// the same job.
@@ -133,6 +133,12 @@
 std::size_t
 UnwrittenProgress(const JobsState& aState);
 
+/// True if every progress record is durable. The roster in the store may only be changed for a
+/// restarted or lost agent when this holds after ReleaseWorker or ApplyInventory: a later owner
+/// takes tasks that no agent of the roster reports as never started.
+bool
+IsProgressSettled(const JobsState& aState);
+
 /// Everything that is durable or ended, in segments of at most about aMaxBytes, to replace all
 /// segments written so far.
 std::vector<Segment>
--- a/Source/Core/Jobs/Model.h
+++ b/Source/Core/Jobs/Model.h
@@ -112,6 +112,9 @@
   /// then ended without a trace.
   bool mFull = false;
   std::vector<TaskReport> mReports;
+  /// Incarnation of the agent, 0 if not stated. Commands to an earlier incarnation are void, so
+  /// that after a change a full reply settles also the starts that no report has confirmed.
+  Common::Incarnation mIncarnation;
 };
 
 /// Start of one attempt on one worker.
@@ -160,6 +163,8 @@
   Common::Attempt mAttempt;
   Common::Resources mNeed;
   const JobSpec* mSpec = nullptr;
+  /// Worker on which the task failed last; another one is preferred. Empty if there is none.
+  Common::WorkerId mAvoid;
 };
 
 /// Chooses a worker and reserves the room there; nothing if there is no room now.
--- a/Source/Core/Jobs/Quota.cpp
+++ b/Source/Core/Jobs/Quota.cpp
@@ -27,8 +27,8 @@
       continue;
     }
     const Team& team = aState.mTeams[job->mTeam];
-    if (Fits(team.mUsed + job->mSpec.mPerTask, team.mQuota)) {
-      owed = owed + job->mSpec.mPerTask;
+    if (Fits(team.mUsed + job->mSize.mAmounts, team.mQuota)) {
+      owed = owed + job->mSize.mAmounts;
     }
   }
   return owed;
--- a/Source/Core/Jobs/Report.cpp
+++ b/Source/Core/Jobs/Report.cpp
@@ -125,21 +125,34 @@
       aActions.push_back(ActionFor(aState, ActionKind::Stop, task));
     }
   }
-  EndTask(aState, *aCase.mJob, aCase.mKey.mIndex, ProgressKind::Finished, aCase.mAttempt, aNow);
+  Job& job = *aCase.mJob;
+  EndTask(aState, job, aCase.mKey.mIndex, ProgressKind::Finished, aCase.mAttempt, aNow);
+  RecordUse(aState.mSizes,
+            job.mSpec.mRoute,
+            job.mSpec.mClient,
+            { job.mSpec.mPerTask, job.mSpec.mRunTime },
+            { aCase.mReport.mCoreMicros, aCase.mReport.mPeakMemory, aCase.mReport.mRan });
+  NoteOutcome(aState, job, aCase.mWorker, true, aNow);
 }
 
 void
-ApplyFailed(JobsState& aState, Case& aCase, const Now& aNow)
+ApplyFailed(JobsState& aState, Case& aCase, const Now& aNow, std::vector<TaskAction>& aActions)
 {
   LiveTask& task = aState.mTasks[aCase.mSlot];
   Job& job = *aCase.mJob;
+  const bool aborted = job.mCancelled || job.mFailed;
   ++task.mFailures;
-  const bool last = task.mFailures >= job.mSpec.mMaxAttempts;
-  if (last && !job.mCancelled && !job.mFailed) {
+  task.mFailedOn = aCase.mWorker;
+  // Noting the outcome may forgive the failure, if it shows that the worker is bad.
+  const std::string blame = NoteOutcome(aState, job, aCase.mWorker, false, aNow);
+  if (!aborted && task.mFailures >= job.mSpec.mMaxAttempts) {
     EndTask(aState, job, aCase.mKey.mIndex, ProgressKind::Failed, aCase.mAttempt, aNow);
-    return;
+  } else {
+    AttemptOver(aState, aCase.mSlot, TaskState::Failed, aNow);
+  }
+  if (!blame.empty()) {
+    AbortJob(aState, job, ProgressKind::JobFailed, blame, aNow, aActions);
   }
-  AttemptOver(aState, aCase.mSlot, TaskState::Failed, aNow);
 }
 
 /// A repeated report of the attempt that the task now waits to follow may still bring its
@@ -172,7 +185,7 @@
   }
   StoreCheckpoint(aState, aCase.mSlot, aCase);
   if (aCase.mReport.mState == TaskState::Failed) {
-    ApplyFailed(aState, aCase, aNow);
+    ApplyFailed(aState, aCase, aNow, aActions);
     return;
   }
   if (aCase.mReport.mState == TaskState::Evicted) {
@@ -181,17 +194,20 @@
   AttemptOver(aState, aCase.mSlot, aCase.mReport.mState, aNow);
 }
 
-/// Tasks that the agent reported before and no longer knows have ended without a trace.
+/// Tasks that the agent reported before and no longer knows have ended without a trace. After a
+/// change of incarnation this holds for unconfirmed starts too.
 void
 ApplyAbsence(JobsState& aState,
              std::uint32_t aWorker,
+             bool aRestarted,
              const std::vector<TaskKey>& aNamed,
              const Now& aNow)
 {
   std::vector<std::uint32_t> gone;
   for (const std::uint32_t slot : aState.mWorkers[aWorker].mTasks) {
     const LiveTask& task = aState.mTasks[slot];
-    if (task.mSeen && !std::binary_search(aNamed.begin(), aNamed.end(), task.mKey)) {
+    const bool settled = task.mSeen || aRestarted;
+    if (settled && !std::binary_search(aNamed.begin(), aNamed.end(), task.mKey)) {
       gone.push_back(slot);
     }
   }
@@ -248,6 +264,11 @@
   }
   aState.mWorkers[number].mSequence = aInventory.mSequence;
   aState.mWorkers[number].mSilent = false;
+  const bool restarted = aInventory.mIncarnation != aState.mWorkers[number].mIncarnation &&
+                         aState.mWorkers[number].mIncarnation.value() != 0;
+  if (!restarted || aInventory.mFull) {
+    aState.mWorkers[number].mIncarnation = aInventory.mIncarnation;
+  }
   std::vector<TaskKey> named;
   for (const TaskReport& report : aInventory.mReports) {
     ApplyReport(aState, aInventory.mWorker, report, aNow, actions);
@@ -259,7 +280,7 @@
   }
   if (aInventory.mFull) {
     std::sort(named.begin(), named.end());
-    ApplyAbsence(aState, number, named, aNow);
+    ApplyAbsence(aState, number, restarted, named, aNow);
   }
   return actions;
 }
--- a/Source/Core/Jobs/Start.cpp
+++ b/Source/Core/Jobs/Start.cpp
@@ -70,7 +70,7 @@
     start.mCheckpointAttempt = Common::Attempt(aTask.mCheckpointAttempt);
   }
   start.mNeed = aTask.mNeed;
-  start.mRunTime = aJob.mSpec.mRunTime;
+  start.mRunTime = aJob.mSize.mRunTime;
   start.mPayload = aJob.mSpec.mPayload;
   start.mRoute = aJob.mSpec.mRoute;
   start.mClient = aJob.mSpec.mClient;
@@ -95,7 +95,7 @@
         (best != nullptr && best->mQueue.begin()->first <= team.mQueue.begin()->first)) {
       continue;
     }
-    if (Fits(team.mUsed + HeadJob(aState, team).mSpec.mPerTask, team.mQuota)) {
+    if (Fits(team.mUsed + SizeOf(aState, HeadJob(aState, team)).mAmounts, team.mQuota)) {
       best = &team;
     }
   }
@@ -142,7 +142,7 @@
       continue;
     }
     Job& head = HeadJob(aState, team);
-    const Resources& need = head.mSpec.mPerTask;
+    const Resources need = SizeOf(aState, head).mAmounts;
     const Resources own = Positive(team.mQuota - team.mUsed);
     if (!Fits(Positive(need - own), Positive(aIdle))) {
       if (!Fits(need, team.mQuota)) {
@@ -174,8 +174,11 @@
   const std::uint32_t before =
     known == kNoTask ? job.mFirstAttempt - 1 : aState.mTasks[known].mAttempt;
   need.mAttempt = Common::Attempt(before + 1);
-  need.mNeed = job.mSpec.mPerTask;
+  need.mNeed = SizeOf(aState, job).mAmounts;
   need.mSpec = &job.mSpec;
+  if (known != kNoTask && aState.mTasks[known].mFailedOn != kNoWorker) {
+    need.mAvoid = aState.mWorkers[aState.mTasks[known].mFailedOn].mName;
+  }
   const std::optional<Common::WorkerId> worker = aPlace(need);
   if (!worker) {
     ParkJob(aState, job, aNow.mTime);
--- a/Source/Core/Jobs/State.h
+++ b/Source/Core/Jobs/State.h
@@ -8,8 +8,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Jobs/Health.h"
 #include "Jobs/Model.h"
 #include "Jobs/Records.h"
+#include "Jobs/Sizes.h"
 
 /// State of the batch jobs of one cell. It is changed through the functions of Jobs.h only.
 namespace Jobs {
@@ -41,6 +43,8 @@
   std::uint32_t mWorker = kNoWorker;
   std::uint32_t mPlaceInJob = 0;
   std::uint32_t mPlaceOnWorker = 0;
+  /// Worker of the last failure, which placement avoids.
+  std::uint32_t mFailedOn = kNoWorker;
   std::uint16_t mFailures = 0;
   LiveState mState = LiveState::Waiting;
   /// An agent has reported this attempt; its absence from a later full inventory means that it
@@ -57,6 +61,11 @@
   JobNumber mNumber;
   JobSpec mSpec;
   Common::UnixMillis mSubmitted{ 0 };
+  /// Corrected size of a task, as of the given version of the size model.
+  DeclaredSize mSize;
+  std::uint32_t mSizeVersion = 0;
+  /// Workers on which tasks failed that are not known to be bad.
+  std::vector<std::uint32_t> mFailedOn;
   /// Place in the order of service, see OrderKey; lower goes first.
   std::int64_t mOrder = 0;
   std::uint32_t mTeam = 0;
@@ -121,7 +130,9 @@
 {
   Common::WorkerId mName;
   std::uint64_t mSequence = 0;
+  Common::Incarnation mIncarnation;
   bool mSilent = false;
+  WorkerRecord mRecord;
   Common::Resources mCharged;
   std::vector<std::uint32_t> mTasks;
 };
@@ -143,8 +154,7 @@
   Common::Duration mParkMax{ std::chrono::seconds(2) };
   /// Ended jobs are kept this long for repeated submissions and for display.
   Common::Duration mRetention{ std::chrono::hours(1) };
-  /// Different workers on which a job fails, none of them bad, before the job is failed.
-  std::uint32_t mBadJobWorkers = 3;
+  HealthPolicy mHealth;
 };
 
 /// Batches that were taken for writing and are not settled yet.
@@ -186,6 +196,9 @@
   std::unordered_map<Common::WorkerId, std::uint32_t> mWorkerIndex;
   std::vector<WorkerShape> mShapes;
   Common::Resources mCapacity;
+  SizeModel mSizes;
+  /// Workers whose health changed since the caller last asked.
+  std::vector<std::uint32_t> mHealthChanged;
 
   /// Parked jobs by the time of their next try.
   std::multimap<Common::Timestamp, JobNumber> mParked;
--- a/Source/Core/Jobs/Submit.cpp
+++ b/Source/Core/Jobs/Submit.cpp
@@ -62,7 +62,8 @@
 void
 Examine(JobsState& aState, Job& aJob)
 {
-  aJob.mDetail = NeverRunnableReason(aState, aJob.mSpec);
+  aJob.mSizeVersion = 0;
+  aJob.mDetail = NeverRunnableReason(aState, aJob.mSpec, SizeOf(aState, aJob).mAmounts);
   aJob.mAside = !aJob.mDetail.empty();
   if (aJob.mAside) {
     aState.mAside.insert(aJob.mNumber.value());
@@ -149,34 +150,66 @@
   ExamineAll(aState);
 }
 
+bool
+CanEverFit(const JobsState& aState, const JobSpec& aSpec, const Resources& aNeed)
+{
+  const auto team = aState.mTeamIndex.find(aSpec.mTeam);
+  if (team == aState.mTeamIndex.end()) {
+    return false;
+  }
+  const Team& quota = aState.mTeams[team->second];
+  if (!quota.mMayBorrow && !Fits(aNeed, quota.mQuota)) {
+    return false;
+  }
+  // Before the first worker is heard nothing is known that speaks against the job.
+  return aState.mShapes.empty() ||
+         std::any_of(aState.mShapes.begin(), aState.mShapes.end(), [&](const WorkerShape& aShape) {
+           return Fits(aNeed, aShape.mTotal) && HasLabels(aShape, aSpec.mLabels);
+         });
+}
+
+const DeclaredSize&
+SizeOf(const JobsState& aState, Job& aJob)
+{
+  if (aJob.mSizeVersion == aState.mSizes.mVersion + 1) {
+    return aJob.mSize;
+  }
+  const DeclaredSize declared{ aJob.mSpec.mPerTask, aJob.mSpec.mRunTime };
+  aJob.mSize = CorrectSize(aState.mSizes, aJob.mSpec.mRoute, aJob.mSpec.mClient, declared);
+  if (!CanEverFit(aState, aJob.mSpec, aJob.mSize.mAmounts)) {
+    aJob.mSize.mAmounts = declared.mAmounts;
+  }
+  aJob.mSizeVersion = aState.mSizes.mVersion + 1;
+  return aJob.mSize;
+}
+
 std::string
-NeverRunnableReason(const JobsState& aState, const JobSpec& aSpec)
+NeverRunnableReason(const JobsState& aState, const JobSpec& aSpec, const Resources& aNeed)
 {
+  if (CanEverFit(aState, aSpec, aNeed)) {
+    return "";
+  }
   const auto team = aState.mTeamIndex.find(aSpec.mTeam);
   if (team == aState.mTeamIndex.end()) {
     return "there is no team \"" + aSpec.mTeam.str() + "\"";
   }
   const Team& quota = aState.mTeams[team->second];
-  if (!quota.mMayBorrow && !Fits(aSpec.mPerTask, quota.mQuota)) {
+  if (!quota.mMayBorrow && quota.mQuota == Resources{}) {
+    return "team \"" + aSpec.mTeam.str() + "\" has no quota and may not borrow";
+  }
+  if (!quota.mMayBorrow && !Fits(aNeed, quota.mQuota)) {
     return "a task asks for more than the whole quota of team \"" + aSpec.mTeam.str() +
            "\", which may not borrow";
   }
-  if (aState.mShapes.empty()) {
-    // No worker has been heard yet; that says nothing about the job.
-    return "";
-  }
   Resources largest;
   bool labelled = false;
   for (const WorkerShape& shape : aState.mShapes) {
     if (HasLabels(shape, aSpec.mLabels)) {
-      if (Fits(aSpec.mPerTask, shape.mTotal)) {
-        return "";
-      }
       labelled = true;
       largest = Largest(largest, shape.mTotal);
     }
   }
-  return labelled ? TooBig(aSpec.mPerTask, largest) : MissingLabel(aState, aSpec.mLabels);
+  return labelled ? TooBig(aNeed, largest) : MissingLabel(aState, aSpec.mLabels);
 }
 
 tl::expected<Submitted, Refusal>
--- a/Source/Core/Jobs/Transitions.h
+++ b/Source/Core/Jobs/Transitions.h
@@ -37,6 +37,15 @@
 void
 IndexJob(JobsState& aState, Job& aJob);
 
+/// Size of one task of the job, corrected by what was learned. Never more than any worker or the
+/// team's quota can give, if the declared size is not.
+const DeclaredSize&
+SizeOf(const JobsState& aState, Job& aJob);
+
+/// True if some worker with the labels, and the team's quota or borrowing, can hold the need.
+bool
+CanEverFit(const JobsState& aState, const JobSpec& aSpec, const Common::Resources& aNeed);
+
 /// Puts the job into its team's queue, or takes it out, as its state demands.
 void
 RefreshQueue(JobsState& aState, Job& aJob);
--- a/Source/UnitTests/Jobs/JobsTests.cpp
+++ b/Source/UnitTests/Jobs/JobsTests.cpp
@@ -187,9 +187,10 @@
   SECTION(
     "a reported task goes on, and the rest starts after the release with a new attempt number")
   {
-    ApplyInventory(*rebuilt,
-                   { Common::WorkerId("w1"), 1, true, { Report(starts[1], TaskState::Running) } },
-                   At(10s));
+    ApplyInventory(
+      *rebuilt,
+      { Common::WorkerId("w1"), 1, true, { Report(starts[1], TaskState::Running) }, {} },
+      At(10s));
     ReleaseHeld(*rebuilt, false, At(60s));
     const auto again = NextTasks(*rebuilt, At(60s), 10, OnWorker("w2"));
     REQUIRE(again.size() == 1);
