--- /dev/null
+++ b/Source/Core/Daemon/AgentRequests.cpp
@@ -0,0 +1,408 @@
+#include "Daemon/AgentRequests.h"
+
+#include <algorithm>
+
+#include "Daemon/Convert.h"
+
+namespace Daemon {
+
+namespace Wire = Rpc::Generated;
+
+namespace {
+
+/// Counts a call in progress for as long as it exists.
+class InProgress
+{
+public:
+  explicit InProgress(std::atomic<std::int64_t>& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ~InProgress() { --mCount; }
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+private:
+  std::atomic<std::int64_t>& mCount;
+};
+
+Http::Request
+ForwardedRequest(const Wire::ExecuteRequest& aRequest, const Observability::TraceContext& aTrace)
+{
+  Http::Request request;
+  request.mMethod = aRequest.method;
+  request.mTarget = aRequest.path;
+  request.mBody = aRequest.body;
+  request.mHeaders.reserve(aRequest.headers.size() + 1);
+  for (const Wire::Header& header : aRequest.headers) {
+    request.mHeaders.push_back({ header.name, header.value });
+  }
+  request.mHeaders.push_back({ "traceparent", Observability::FormatTraceParent(aTrace) });
+  return request;
+}
+
+Wire::ExecuteReply
+RanReply(Http::Response aResponse)
+{
+  Wire::ExecuteReply reply;
+  reply.outcome = Wire::Outcome::Ran;
+  reply.status = aResponse.mStatus;
+  reply.body = std::move(aResponse.mBody);
+  for (Http::Header& header : aResponse.mHeaders) {
+    if (!Http::IsHopHeader(header.mName)) {
+      Wire::Header each;
+      each.name = std::move(header.mName);
+      each.value = std::move(header.mValue);
+      reply.headers.push_back(std::move(each));
+    }
+  }
+  return reply;
+}
+
+Admission::WindowLimits
+WindowLimitsOf(const Config::Settings& aSettings)
+{
+  Admission::WindowLimits limits;
+  limits.mRetention = aSettings.mTimes.mOutcomeRetention;
+  return limits;
+}
+
+} // namespace
+
+AgentRequests::AgentRequests(Runtime& aRuntime)
+  : mRuntime(aRuntime)
+  , mGates(aRuntime.mClock)
+  , mServiceTime(aRuntime.mCounters.distribution("endpoint_us"))
+{
+  mWindow.mLimits = WindowLimitsOf(aRuntime.mSettings);
+}
+
+void
+AgentRequests::announce(const Http::Announcement& aAnnouncement)
+{
+  const auto tables = mRuntime.mTables.current();
+  const std::lock_guard<std::mutex> lock(mEndpointsMutex);
+  Endpoint& endpoint = mEndpoints[aAnnouncement.mEndpoint];
+  // Leaving is final for an endpoint until it has been silent and announces itself anew.
+  const bool leaving = aAnnouncement.mLeaving || endpoint.mAnnounced.mLeaving;
+  const bool changed = endpoint.mAnnounced.mSlots != aAnnouncement.mSlots ||
+                       endpoint.mAnnounced.mConnections != aAnnouncement.mConnections ||
+                       endpoint.mAnnounced.mPool != aAnnouncement.mPool;
+  endpoint.mAnnounced = aAnnouncement;
+  endpoint.mAnnounced.mLeaving = leaving;
+  endpoint.mHeard = mRuntime.mClock.now();
+  if (tables && (changed || endpoint.mRevision != tables->mDigest.mRevision)) {
+    configureGate(endpoint, *tables);
+  }
+  if (leaving) {
+    mGates.drain(aAnnouncement.mEndpoint, true);
+  }
+}
+
+void
+AgentRequests::configureGate(Endpoint& aEndpoint, const TablesInForce& aTables)
+{
+  const Http::Announcement& announced = aEndpoint.mAnnounced;
+  const Tables::Pool* pool = Tables::FindPool(aTables.mTables, Common::PoolId(announced.mPool));
+  Admission::GateLimits limits;
+  if (pool != nullptr) {
+    limits.mSlots = std::min(Common::Slots(announced.mSlots), pool->mPerWorker.mSlots);
+    limits.mConnections =
+      std::min(Common::Connections(announced.mConnections), pool->mPerWorker.mConnections);
+    limits.mMinShares = pool->mMinShares;
+  }
+  aEndpoint.mRevision = aTables.mDigest.mRevision;
+  mGates.configure(announced.mEndpoint, limits);
+}
+
+void
+AgentRequests::sweep()
+{
+  const Common::Timestamp now = mRuntime.mClock.now();
+  {
+    const auto tables = mRuntime.mTables.current();
+    const std::lock_guard<std::mutex> lock(mEndpointsMutex);
+    for (auto it = mEndpoints.begin(); it != mEndpoints.end();) {
+      if (now - it->second.mHeard > mRuntime.mSettings.mTimes.mGoneAfter) {
+        mGates.remove(it->first);
+        it = mEndpoints.erase(it);
+        continue;
+      }
+      if (tables && it->second.mRevision != tables->mDigest.mRevision) {
+        configureGate(it->second, *tables);
+      }
+      ++it;
+    }
+  }
+  const std::lock_guard<std::mutex> lock(mWindowMutex);
+  Admission::SweepWindow(mWindow, now);
+}
+
+void
+AgentRequests::drain(bool aOn)
+{
+  mDraining = aOn;
+  const std::lock_guard<std::mutex> lock(mEndpointsMutex);
+  for (const auto& [name, endpoint] : mEndpoints) {
+    mGates.drain(name, aOn || endpoint.mAnnounced.mLeaving);
+  }
+}
+
+bool
+AgentRequests::idle() const
+{
+  return mInProgress.load() == 0;
+}
+
+bool
+AgentRequests::chooseEndpoint(const Common::PoolId& aPool, Call& aCall) const
+{
+  double least = 0;
+  const std::lock_guard<std::mutex> lock(mEndpointsMutex);
+  for (const auto& [name, endpoint] : mEndpoints) {
+    const Http::Announcement& announced = endpoint.mAnnounced;
+    if (announced.mPool != aPool.str() || announced.mLeaving) {
+      continue;
+    }
+    double load = 0;
+    mGates.withGate(name, [&](const Admission::Gate& aGate) {
+      const auto busy =
+        Admission::SlotsInUse(aGate) + static_cast<std::int64_t>(QueuedCount(aGate));
+      load = static_cast<double>(busy) /
+             static_cast<double>(std::max<std::int64_t>(Admission::SlotLimit(aGate), 1));
+    });
+    if (aCall.mEndpoint.empty() || load < least) {
+      least = load;
+      aCall.mEndpoint = name;
+      aCall.mAddress = announced.mAddress;
+    }
+  }
+  return !aCall.mEndpoint.empty();
+}
+
+void
+AgentRequests::stamp(Wire::ExecuteReply& aReply) const
+{
+  aReply.incarnation = mRuntime.mIncarnation.value();
+  aReply.load = load();
+}
+
+Wire::ExecuteReply
+AgentRequests::fromWindow(const Admission::WindowAnswer& aAnswer) const
+{
+  using State = Admission::WindowState;
+  Wire::ExecuteReply reply;
+  reply.outcome = Wire::Outcome::Unknown;
+  switch (aAnswer.mState) {
+    case State::InProgress:
+      reply.inProgress = true;
+      break;
+    case State::Finished:
+      if (aAnswer.mOutcome.mReply) {
+        reply = DecodeReply(*aAnswer.mOutcome.mReply);
+      } else if (aAnswer.mOutcome.mOutcome == Common::Outcome::NotRun) {
+        reply = RefusedReply(aAnswer.mOutcome.mReason, "refused before");
+      } else {
+        // It ran, but its answer is no longer kept, so the caller cannot be given one.
+        reply.detail = "the answer is no longer kept";
+      }
+      break;
+    case State::Full:
+      reply = RefusedReply(Common::Refusal::NoCapacity, "too many requests in progress");
+      break;
+    case State::Malformed:
+      reply = RefusedReply(Common::Refusal::Invalid, "not a request id");
+      break;
+    case State::New:
+    case State::Forgotten:
+      break;
+  }
+  return reply;
+}
+
+void
+AgentRequests::finish(const Common::RequestId& aId, const Wire::ExecuteReply& aReply)
+{
+  Admission::StoredOutcome outcome;
+  outcome.mOutcome = FromWire(aReply.outcome);
+  outcome.mReason = FromWire(aReply.reason);
+  if (outcome.mOutcome == Common::Outcome::Ran) {
+    outcome.mReply = std::make_shared<const std::string>(EncodeReply(aReply));
+  }
+  const std::lock_guard<std::mutex> lock(mWindowMutex);
+  Admission::FinishRequest(mWindow, aId, std::move(outcome), mRuntime.mClock.now());
+}
+
+Wire::ExecuteReply
+AgentRequests::execute(const Wire::ExecuteRequest& aRequest)
+{
+  const InProgress counted(mInProgress);
+  Wire::ExecuteReply reply;
+  if (aRequest.targetIncarnation != mRuntime.mIncarnation.value()) {
+    reply = RefusedReply(Common::Refusal::WrongIncarnation, "meant for another incarnation");
+    stamp(reply);
+    return reply;
+  }
+  const Common::RequestId id(aRequest.requestId);
+  Admission::WindowAnswer seen;
+  {
+    const std::lock_guard<std::mutex> lock(mWindowMutex);
+    seen = Admission::BeginRequest(mWindow, id, mRuntime.mClock.now());
+  }
+  if (seen.mState != Admission::WindowState::New) {
+    reply = fromWindow(seen);
+  } else {
+    reply = admitAndRun(aRequest);
+    finish(id, reply);
+  }
+  stamp(reply);
+  return reply;
+}
+
+Wire::ExecuteReply
+AgentRequests::admitAndRun(const Wire::ExecuteRequest& aRequest)
+{
+  const auto tables = mRuntime.mTables.current();
+  if (mDraining) {
+    return RefusedReply(Common::Refusal::Leaving, "the agent is leaving");
+  }
+  if (!tables) {
+    return RefusedReply(Common::Refusal::NoTables, "the agent has no tables yet");
+  }
+  Call call{ aRequest, nullptr, {}, {}, {} };
+  call.mRoute = Tables::FindRoute(tables->mTables, tables->mIndex, Common::RouteId(aRequest.route));
+  if (call.mRoute == nullptr) {
+    return RefusedReply(Common::Refusal::UnknownRoute, "no route \"" + aRequest.route + '"');
+  }
+  if (!chooseEndpoint(call.mRoute->mPool, call)) {
+    return RefusedReply(Common::Refusal::NoCapacity, "no endpoint of the pool is here");
+  }
+  Admission::Request& asked = call.mAsked;
+  asked.mId = Common::RequestId(aRequest.requestId);
+  asked.mRoute = call.mRoute->mName;
+  asked.mUrgency = call.mRoute->mUrgency;
+  asked.mClient = Common::ClientId(aRequest.client);
+  asked.mDeadline = mRuntime.mClock.now() + Common::Duration(aRequest.remainingMicros);
+  if (const auto* client = Tables::FindClient(tables->mTables, asked.mClient)) {
+    asked.mClientWeight = client->mWeight;
+    asked.mTeam = client->mTeam;
+    const auto* team = Tables::FindTeam(tables->mTables, client->mTeam);
+    asked.mTeamWeight = team == nullptr ? 1 : team->mWeight;
+  }
+  const Admitted admitted = mGates.enter(call.mEndpoint, asked);
+  if (!admitted.mStarted) {
+    return RefusedReply(admitted.mReason, TextOf(admitted.mReason), admitted.mRetryAfter);
+  }
+  return runAtEndpoint(call);
+}
+
+Wire::ExecuteReply
+AgentRequests::runAtEndpoint(const Call& aCall)
+{
+  auto span = mRuntime.mTracer.start("agent.execute", FromWire(aCall.mRequest.trace));
+  span->SetTag("route", aCall.mRequest.route);
+  span->SetTag("endpoint", aCall.mEndpoint);
+  const Common::Timestamp started = mRuntime.mClock.now();
+  auto result =
+    mRuntime.mHttp.send(aCall.mAddress,
+                        ForwardedRequest(aCall.mRequest, Observability::ContextOf(*span)),
+                        aCall.mAsked.mDeadline - started);
+  const Common::Duration taken = mRuntime.mClock.now() - started;
+  const bool delivered = result || result.error().mMayHaveBeenDelivered;
+  mGates.leave(aCall.mEndpoint, aCall.mAsked.mId, { false, result.has_value() });
+  if (delivered) {
+    mServiceTime.record(taken.count());
+    recordUse(
+      { aCall.mAsked.mTeam, aCall.mAsked.mClient, aCall.mRoute->mName, aCall.mRoute->mPrice },
+      { 1, taken.count(), 0 });
+  }
+  if (result) {
+    span->SetTag("status", result->mStatus);
+    return RanReply(std::move(*result));
+  }
+  span->SetTag("error", result.error().mText);
+  if (!delivered) {
+    return RefusedReply(Common::Refusal::NoCapacity, result.error().mText);
+  }
+  Wire::ExecuteReply reply;
+  reply.outcome = Wire::Outcome::Unknown;
+  reply.detail = result.error().mText;
+  return reply;
+}
+
+Wire::ExecuteReply
+AgentRequests::queryOutcome(const std::string& aRequestId, std::int64_t aIncarnation)
+{
+  Wire::ExecuteReply reply;
+  if (aIncarnation != mRuntime.mIncarnation.value()) {
+    reply.outcome = Wire::Outcome::Unknown;
+    reply.reason = Wire::RefusalReason::WrongIncarnation;
+  } else {
+    const std::lock_guard<std::mutex> lock(mWindowMutex);
+    reply = fromWindow(
+      Admission::QueryOutcome(mWindow, Common::RequestId(aRequestId), mRuntime.mClock.now()));
+  }
+  stamp(reply);
+  return reply;
+}
+
+std::vector<Wire::EndpointReport>
+AgentRequests::endpoints() const
+{
+  std::vector<Wire::EndpointReport> reports;
+  const std::lock_guard<std::mutex> lock(mEndpointsMutex);
+  for (const auto& [name, endpoint] : mEndpoints) {
+    Wire::EndpointReport report;
+    report.endpointId = name;
+    report.address = endpoint.mAnnounced.mAddress;
+    report.pool = endpoint.mAnnounced.mPool;
+    report.leaving = endpoint.mAnnounced.mLeaving || mDraining;
+    report.connections = endpoint.mAnnounced.mConnections;
+    mGates.withGate(name, [&](const Admission::Gate& aGate) {
+      report.slots = static_cast<std::int32_t>(Admission::SlotLimit(aGate));
+    });
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+Wire::LoadReport
+AgentRequests::load() const
+{
+  Wire::LoadReport report;
+  std::int64_t limit = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mEndpointsMutex);
+    for (const auto& [name, endpoint] : mEndpoints) {
+      mGates.withGate(name,
+                      [&](const Admission::Gate& aGate) { limit += Admission::SlotLimit(aGate); });
+    }
+  }
+  report.slotsInUse = static_cast<std::int32_t>(mGates.inUse());
+  report.slotsLimit = static_cast<std::int32_t>(limit);
+  report.queued = static_cast<std::int32_t>(mGates.queued());
+  const auto times = mServiceTime.snapshot();
+  report.latencyP50Micros = times.quantile(0.5);
+  report.latencyP99Micros = times.quantile(0.99);
+  report.leaving = mDraining;
+  const auto tables = mRuntime.mTables.current();
+  report.revision = tables ? tables->mDigest.mRevision.value() : 0;
+  return report;
+}
+
+Metering::UseReport
+AgentRequests::usage() const
+{
+  const std::lock_guard<std::mutex> lock(mMeterMutex);
+  return Metering::TakeReport(mMeter, mRuntime.self(), mRuntime.mIncarnation);
+}
+
+void
+AgentRequests::recordUse(const Metering::UseKey& aKey, const Metering::Use& aUse)
+{
+  const std::lock_guard<std::mutex> lock(mMeterMutex);
+  Metering::RecordUse(mMeter, aKey, aUse);
+}
+
+} // namespace Daemon
--- a/Source/Core/Observability/Log.cpp
+++ b/Source/Core/Observability/Log.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdio>
+#include <fstream>
 #include <iostream>
 
 #include <boost/date_time/posix_time/posix_time.hpp>
@@ -122,7 +123,11 @@
 {
   JsonLines() = aSettings.mJson;
   const auto backend = boost::make_shared<Backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  if (aSettings.mFile.empty()) {
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  } else {
+    backend->add_stream(boost::make_shared<std::ofstream>(aSettings.mFile, std::ios::app));
+  }
   backend->auto_flush(true);
   const auto sink = boost::make_shared<Sink>(backend);
   sink->set_formatter(aSettings.mJson ? &FormatJson : &FormatText);
--- a/Source/Core/Observability/Log.h
+++ b/Source/Core/Observability/Log.h
@@ -20,6 +20,8 @@
   /// One JSON object a line instead of plain text.
   bool mJson = false;
   Level mLevel = Level::Info;
+  /// Lines are appended to this file; standard error if empty.
+  std::string mFile;
   /// Written with each line.
   std::string mInstance;
 };
@@ -35,7 +37,7 @@
 Level
 LevelOf(std::string_view aText);
 
-/// Routes all later lines to the standard error stream. Call it once, before other threads log.
+/// Sets up where all later lines go. Call it once, before other threads log.
 void
 StartLog(const LogSettings& aSettings);
 
--- a/Source/Core/Rpc/ClientPool.cpp
+++ b/Source/Core/Rpc/ClientPool.cpp
@@ -173,11 +173,12 @@
 
 CallResult<Generated::RevisionReply>
 ClientPool::fetchRevision(const std::string& aPeer,
-                          std::int64_t aRevision,
+                          std::int64_t aHeldRevision,
+                          const std::string& aHeldHash,
                           Common::Duration aTimeout)
 {
   return run<Generated::RevisionReply>(aPeer, aTimeout, [&](auto& aClient, auto& aReply) {
-    aClient.fetchRevision(aReply, aRevision);
+    aClient.fetchRevision(aReply, aHeldRevision, aHeldHash);
   });
 }
 
@@ -276,6 +277,13 @@
     aPeer, aTimeout, [&](auto& aClient, bool& aReply) { aReply = aClient.declareLost(aCell); });
 }
 
+CallResult<bool>
+ClientPool::offerCell(const std::string& aPeer, const std::string& aCell, Common::Duration aTimeout)
+{
+  return run<bool>(
+    aPeer, aTimeout, [&](auto& aClient, bool& aReply) { aReply = aClient.offerCell(aCell); });
+}
+
 CallResult<std::vector<std::string>>
 ClientPool::trace(const std::string& aPeer, const std::string& aTraceId, Common::Duration aTimeout)
 {
--- a/Source/Core/Rpc/ClientPool.h
+++ b/Source/Core/Rpc/ClientPool.h
@@ -61,7 +61,8 @@
                                               const Generated::GossipMessage& aMessage,
                                               Common::Duration aTimeout);
   CallResult<Generated::RevisionReply> fetchRevision(const std::string& aPeer,
-                                                     std::int64_t aRevision,
+                                                     std::int64_t aHeldRevision,
+                                                     const std::string& aHeldHash,
                                                      Common::Duration aTimeout);
   CallResult<Generated::JoinReply> join(const std::string& aPeer,
                                         const Generated::JoinRequest& aRequest,
@@ -97,6 +98,9 @@
   CallResult<bool> declareLost(const std::string& aPeer,
                                const std::string& aCell,
                                Common::Duration aTimeout);
+  CallResult<bool> offerCell(const std::string& aPeer,
+                             const std::string& aCell,
+                             Common::Duration aTimeout);
   CallResult<std::vector<std::string>> trace(const std::string& aPeer,
                                              const std::string& aTraceId,
                                              Common::Duration aTimeout);
--- a/Source/Core/Rpc/Generated/Control.cpp
+++ b/Source/Core/Rpc/Generated/Control.cpp
@@ -800,8 +800,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+          xfer += iprot->readI64(this->heldRevision);
+          this->__isset.heldRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->heldHash);
+          this->__isset.heldHash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -823,8 +831,12 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Control_fetchRevision_args");
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("heldRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->heldRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldHash", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->heldHash);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -842,8 +854,12 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Control_fetchRevision_pargs");
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64((*(this->revision)));
+  xfer += oprot->writeFieldBegin("heldRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64((*(this->heldRevision)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldHash", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString((*(this->heldHash)));
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2035,14 +2051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->success.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->success.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->success[_i132].read(iprot);
+              xfer += this->success[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2073,10 +2089,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<JobView> ::const_iterator _iter133;
-      for (_iter133 = this->success.begin(); _iter133 != this->success.end(); ++_iter133)
+      std::vector<JobView> ::const_iterator _iter163;
+      for (_iter163 = this->success.begin(); _iter163 != this->success.end(); ++_iter163)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter163).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2117,14 +2133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            (*(this->success)).resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            (*(this->success)).resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += (*(this->success))[_i138].read(iprot);
+              xfer += (*(this->success))[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2452,14 +2468,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->success.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->success.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += this->success[_i143].read(iprot);
+              xfer += this->success[_i173].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2490,10 +2506,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<UsageRecord> ::const_iterator _iter144;
-      for (_iter144 = this->success.begin(); _iter144 != this->success.end(); ++_iter144)
+      std::vector<UsageRecord> ::const_iterator _iter174;
+      for (_iter174 = this->success.begin(); _iter174 != this->success.end(); ++_iter174)
       {
-        xfer += (*_iter144).write(oprot);
+        xfer += (*_iter174).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2534,14 +2550,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            (*(this->success)).resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            (*(this->success)).resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += (*(this->success))[_i149].read(iprot);
+              xfer += (*(this->success))[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2953,6 +2969,193 @@
 }
 
 
+Control_offerCell_args::~Control_offerCell_args() noexcept {
+}
+
+
+uint32_t Control_offerCell_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_offerCell_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_offerCell_args");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_offerCell_pargs::~Control_offerCell_pargs() noexcept {
+}
+
+
+uint32_t Control_offerCell_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_offerCell_pargs");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->cell)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_offerCell_result::~Control_offerCell_result() noexcept {
+}
+
+
+uint32_t Control_offerCell_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_offerCell_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Control_offerCell_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+    xfer += oprot->writeBool(this->success);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_offerCell_presult::~Control_offerCell_presult() noexcept {
+}
+
+
+uint32_t Control_offerCell_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 Control_trace_args::~Control_trace_args() noexcept {
 }
 
@@ -3061,14 +3264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->success.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->success.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += iprot->readString(this->success[_i154]);
+              xfer += iprot->readString(this->success[_i184]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3099,10 +3302,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->success.size()));
-      std::vector<std::string> ::const_iterator _iter155;
-      for (_iter155 = this->success.begin(); _iter155 != this->success.end(); ++_iter155)
+      std::vector<std::string> ::const_iterator _iter185;
+      for (_iter185 = this->success.begin(); _iter185 != this->success.end(); ++_iter185)
       {
-        xfer += oprot->writeString((*_iter155));
+        xfer += oprot->writeString((*_iter185));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3143,14 +3346,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            (*(this->success)).resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            (*(this->success)).resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += iprot->readString((*(this->success))[_i160]);
+              xfer += iprot->readString((*(this->success))[_i190]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3404,19 +3607,20 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "gossip failed: unknown result");
 }
 
-void ControlClient::fetchRevision(RevisionReply& _return, const int64_t revision)
+void ControlClient::fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash)
 {
-  send_fetchRevision(revision);
+  send_fetchRevision(heldRevision, heldHash);
   recv_fetchRevision(_return);
 }
 
-void ControlClient::send_fetchRevision(const int64_t revision)
+void ControlClient::send_fetchRevision(const int64_t heldRevision, const std::string& heldHash)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("fetchRevision", ::apache::thrift::protocol::T_CALL, cseqid);
 
   Control_fetchRevision_pargs args;
-  args.revision = &revision;
+  args.heldRevision = &heldRevision;
+  args.heldHash = &heldHash;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -4046,6 +4250,64 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "declareLost failed: unknown result");
 }
 
+bool ControlClient::offerCell(const std::string& cell)
+{
+  send_offerCell(cell);
+  return recv_offerCell();
+}
+
+void ControlClient::send_offerCell(const std::string& cell)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_offerCell_pargs args;
+  args.cell = &cell;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+bool ControlClient::recv_offerCell()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("offerCell") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  bool _return;
+  Control_offerCell_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    return _return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "offerCell failed: unknown result");
+}
+
 void ControlClient::trace(std::vector<std::string> & _return, const std::string& traceId)
 {
   send_trace(traceId);
@@ -4362,7 +4624,7 @@
 
   Control_fetchRevision_result result;
   try {
-    iface_->fetchRevision(result.success, args.revision);
+    iface_->fetchRevision(result.success, args.heldRevision, args.heldHash);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
@@ -4933,6 +5195,60 @@
   }
 }
 
+void ControlProcessor::process_offerCell(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.offerCell", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.offerCell");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Control.offerCell");
+  }
+
+  Control_offerCell_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Control.offerCell", bytes);
+  }
+
+  Control_offerCell_result result;
+  try {
+    result.success = iface_->offerCell(args.cell);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.offerCell");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.offerCell");
+  }
+
+  oprot->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.offerCell", bytes);
+  }
+}
+
 void ControlProcessor::process_trace(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -5331,20 +5647,21 @@
   } // end while(true)
 }
 
-void ControlConcurrentClient::fetchRevision(RevisionReply& _return, const int64_t revision)
+void ControlConcurrentClient::fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash)
 {
-  int32_t seqid = send_fetchRevision(revision);
+  int32_t seqid = send_fetchRevision(heldRevision, heldHash);
   recv_fetchRevision(_return, seqid);
 }
 
-int32_t ControlConcurrentClient::send_fetchRevision(const int64_t revision)
+int32_t ControlConcurrentClient::send_fetchRevision(const int64_t heldRevision, const std::string& heldHash)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
   oprot_->writeMessageBegin("fetchRevision", ::apache::thrift::protocol::T_CALL, cseqid);
 
   Control_fetchRevision_pargs args;
-  args.revision = &revision;
+  args.heldRevision = &heldRevision;
+  args.heldHash = &heldHash;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -6259,6 +6576,90 @@
   } // end while(true)
 }
 
+bool ControlConcurrentClient::offerCell(const std::string& cell)
+{
+  int32_t seqid = send_offerCell(cell);
+  return recv_offerCell(seqid);
+}
+
+int32_t ControlConcurrentClient::send_offerCell(const std::string& cell)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_offerCell_pargs args;
+  args.cell = &cell;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+bool ControlConcurrentClient::recv_offerCell(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("offerCell") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      bool _return;
+      Control_offerCell_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "offerCell failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void ControlConcurrentClient::trace(std::vector<std::string> & _return, const std::string& traceId)
 {
   int32_t seqid = send_trace(traceId);
--- a/Source/Core/Rpc/Generated/Control.h
+++ b/Source/Core/Rpc/Generated/Control.h
@@ -26,7 +26,7 @@
   virtual void queryOutcome(ExecuteReply& _return, const std::string& requestId, const int64_t targetIncarnation) = 0;
   virtual void heartbeat(HeartbeatReply& _return, const HeartbeatRequest& request) = 0;
   virtual void gossip(GossipMessage& _return, const GossipMessage& message) = 0;
-  virtual void fetchRevision(RevisionReply& _return, const int64_t revision) = 0;
+  virtual void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) = 0;
   virtual void join(JoinReply& _return, const JoinRequest& request) = 0;
   virtual void claimKey(ClaimKeyReply& _return, const ClaimKeyRequest& request) = 0;
   virtual bool settleKey(const SettleKeyRequest& request) = 0;
@@ -37,6 +37,7 @@
   virtual void usage(std::vector<UsageRecord> & _return) = 0;
   virtual bool drain(const std::string& instance, const bool on) = 0;
   virtual bool declareLost(const std::string& cell) = 0;
+  virtual bool offerCell(const std::string& cell) = 0;
   virtual void trace(std::vector<std::string> & _return, const std::string& traceId) = 0;
 };
 
@@ -79,7 +80,7 @@
   void gossip(GossipMessage& /* _return */, const GossipMessage& /* message */) override {
     return;
   }
-  void fetchRevision(RevisionReply& /* _return */, const int64_t /* revision */) override {
+  void fetchRevision(RevisionReply& /* _return */, const int64_t /* heldRevision */, const std::string& /* heldHash */) override {
     return;
   }
   void join(JoinReply& /* _return */, const JoinRequest& /* request */) override {
@@ -115,6 +116,10 @@
     bool _return = false;
     return _return;
   }
+  bool offerCell(const std::string& /* cell */) override {
+    bool _return = false;
+    return _return;
+  }
   void trace(std::vector<std::string> & /* _return */, const std::string& /* traceId */) override {
     return;
   }
@@ -546,29 +551,36 @@
 };
 
 typedef struct _Control_fetchRevision_args__isset {
-  _Control_fetchRevision_args__isset() : revision(false) {}
-  bool revision :1;
+  _Control_fetchRevision_args__isset() : heldRevision(false), heldHash(false) {}
+  bool heldRevision :1;
+  bool heldHash :1;
 } _Control_fetchRevision_args__isset;
 
 class Control_fetchRevision_args {
  public:
 
-  Control_fetchRevision_args(const Control_fetchRevision_args&) noexcept;
-  Control_fetchRevision_args& operator=(const Control_fetchRevision_args&) noexcept;
+  Control_fetchRevision_args(const Control_fetchRevision_args&);
+  Control_fetchRevision_args& operator=(const Control_fetchRevision_args&);
   Control_fetchRevision_args() noexcept
-                             : revision(0) {
+                             : heldRevision(0),
+                               heldHash() {
   }
 
   virtual ~Control_fetchRevision_args() noexcept;
-  int64_t revision;
+  int64_t heldRevision;
+  std::string heldHash;
 
   _Control_fetchRevision_args__isset __isset;
 
-  void __set_revision(const int64_t val);
+  void __set_heldRevision(const int64_t val);
+
+  void __set_heldHash(const std::string& val);
 
   bool operator == (const Control_fetchRevision_args & rhs) const
   {
-    if (!(revision == rhs.revision))
+    if (!(heldRevision == rhs.heldRevision))
+      return false;
+    if (!(heldHash == rhs.heldHash))
       return false;
     return true;
   }
@@ -589,7 +601,8 @@
 
 
   virtual ~Control_fetchRevision_pargs() noexcept;
-  const int64_t* revision;
+  const int64_t* heldRevision;
+  const std::string* heldHash;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -1725,6 +1738,112 @@
 
 };
 
+typedef struct _Control_offerCell_args__isset {
+  _Control_offerCell_args__isset() : cell(false) {}
+  bool cell :1;
+} _Control_offerCell_args__isset;
+
+class Control_offerCell_args {
+ public:
+
+  Control_offerCell_args(const Control_offerCell_args&);
+  Control_offerCell_args& operator=(const Control_offerCell_args&);
+  Control_offerCell_args() noexcept
+                         : cell() {
+  }
+
+  virtual ~Control_offerCell_args() noexcept;
+  std::string cell;
+
+  _Control_offerCell_args__isset __isset;
+
+  void __set_cell(const std::string& val);
+
+  bool operator == (const Control_offerCell_args & rhs) const
+  {
+    if (!(cell == rhs.cell))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_offerCell_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_offerCell_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Control_offerCell_pargs {
+ public:
+
+
+  virtual ~Control_offerCell_pargs() noexcept;
+  const std::string* cell;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_offerCell_result__isset {
+  _Control_offerCell_result__isset() : success(false) {}
+  bool success :1;
+} _Control_offerCell_result__isset;
+
+class Control_offerCell_result {
+ public:
+
+  Control_offerCell_result(const Control_offerCell_result&) noexcept;
+  Control_offerCell_result& operator=(const Control_offerCell_result&) noexcept;
+  Control_offerCell_result() noexcept
+                           : success(0) {
+  }
+
+  virtual ~Control_offerCell_result() noexcept;
+  bool success;
+
+  _Control_offerCell_result__isset __isset;
+
+  void __set_success(const bool val);
+
+  bool operator == (const Control_offerCell_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_offerCell_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_offerCell_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_offerCell_presult__isset {
+  _Control_offerCell_presult__isset() : success(false) {}
+  bool success :1;
+} _Control_offerCell_presult__isset;
+
+class Control_offerCell_presult {
+ public:
+
+
+  virtual ~Control_offerCell_presult() noexcept;
+  bool* success;
+
+  _Control_offerCell_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _Control_trace_args__isset {
   _Control_trace_args__isset() : traceId(false) {}
   bool traceId :1;
@@ -1867,8 +1986,8 @@
   void gossip(GossipMessage& _return, const GossipMessage& message) override;
   void send_gossip(const GossipMessage& message);
   void recv_gossip(GossipMessage& _return);
-  void fetchRevision(RevisionReply& _return, const int64_t revision) override;
-  void send_fetchRevision(const int64_t revision);
+  void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) override;
+  void send_fetchRevision(const int64_t heldRevision, const std::string& heldHash);
   void recv_fetchRevision(RevisionReply& _return);
   void join(JoinReply& _return, const JoinRequest& request) override;
   void send_join(const JoinRequest& request);
@@ -1900,6 +2019,9 @@
   bool declareLost(const std::string& cell) override;
   void send_declareLost(const std::string& cell);
   bool recv_declareLost();
+  bool offerCell(const std::string& cell) override;
+  void send_offerCell(const std::string& cell);
+  bool recv_offerCell();
   void trace(std::vector<std::string> & _return, const std::string& traceId) override;
   void send_trace(const std::string& traceId);
   void recv_trace(std::vector<std::string> & _return);
@@ -1933,6 +2055,7 @@
   void process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_declareLost(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_offerCell(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_trace(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   ControlProcessor(::std::shared_ptr<ControlIf> iface) :
@@ -1952,6 +2075,7 @@
     processMap_["usage"] = &ControlProcessor::process_usage;
     processMap_["drain"] = &ControlProcessor::process_drain;
     processMap_["declareLost"] = &ControlProcessor::process_declareLost;
+    processMap_["offerCell"] = &ControlProcessor::process_offerCell;
     processMap_["trace"] = &ControlProcessor::process_trace;
   }
 
@@ -2021,13 +2145,13 @@
     return;
   }
 
-  void fetchRevision(RevisionReply& _return, const int64_t revision) override {
+  void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->fetchRevision(_return, revision);
+      ifaces_[i]->fetchRevision(_return, heldRevision, heldHash);
     }
-    ifaces_[i]->fetchRevision(_return, revision);
+    ifaces_[i]->fetchRevision(_return, heldRevision, heldHash);
     return;
   }
 
@@ -2128,6 +2252,15 @@
     return ifaces_[i]->declareLost(cell);
   }
 
+  bool offerCell(const std::string& cell) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->offerCell(cell);
+    }
+    return ifaces_[i]->offerCell(cell);
+  }
+
   void trace(std::vector<std::string> & _return, const std::string& traceId) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -2182,8 +2315,8 @@
   void gossip(GossipMessage& _return, const GossipMessage& message) override;
   int32_t send_gossip(const GossipMessage& message);
   void recv_gossip(GossipMessage& _return, const int32_t seqid);
-  void fetchRevision(RevisionReply& _return, const int64_t revision) override;
-  int32_t send_fetchRevision(const int64_t revision);
+  void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) override;
+  int32_t send_fetchRevision(const int64_t heldRevision, const std::string& heldHash);
   void recv_fetchRevision(RevisionReply& _return, const int32_t seqid);
   void join(JoinReply& _return, const JoinRequest& request) override;
   int32_t send_join(const JoinRequest& request);
@@ -2215,6 +2348,9 @@
   bool declareLost(const std::string& cell) override;
   int32_t send_declareLost(const std::string& cell);
   bool recv_declareLost(const int32_t seqid);
+  bool offerCell(const std::string& cell) override;
+  int32_t send_offerCell(const std::string& cell);
+  bool recv_offerCell(const int32_t seqid);
   void trace(std::vector<std::string> & _return, const std::string& traceId) override;
   int32_t send_trace(const std::string& traceId);
   void recv_trace(std::vector<std::string> & _return, const int32_t seqid);
--- a/Source/Core/Rpc/Generated/Ibisshed_types.cpp
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.cpp
@@ -1014,6 +1014,10 @@
 void ExecuteReply::__set_detail(const std::string& val) {
   this->detail = val;
 }
+
+void ExecuteReply::__set_inProgress(const bool val) {
+  this->inProgress = val;
+}
 std::ostream& operator<<(std::ostream& out, const ExecuteReply& obj)
 {
   obj.printTo(out);
@@ -1130,6 +1134,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->inProgress);
+          this->__isset.inProgress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1191,6 +1203,10 @@
   xfer += oprot->writeString(this->detail);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("inProgress", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->inProgress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1207,6 +1223,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.retryAfterMicros, b.retryAfterMicros);
   swap(a.detail, b.detail);
+  swap(a.inProgress, b.inProgress);
   swap(a.__isset, b.__isset);
 }
 
@@ -1220,6 +1237,7 @@
   incarnation = other22.incarnation;
   retryAfterMicros = other22.retryAfterMicros;
   detail = other22.detail;
+  inProgress = other22.inProgress;
   __isset = other22.__isset;
 }
 ExecuteReply& ExecuteReply::operator=(const ExecuteReply& other23) {
@@ -1232,6 +1250,7 @@
   incarnation = other23.incarnation;
   retryAfterMicros = other23.retryAfterMicros;
   detail = other23.detail;
+  inProgress = other23.inProgress;
   __isset = other23.__isset;
   return *this;
 }
@@ -1247,6 +1266,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "retryAfterMicros=" << to_string(retryAfterMicros);
   out << ", " << "detail=" << to_string(detail);
+  out << ", " << "inProgress=" << to_string(inProgress);
   out << ")";
 }
 
@@ -1278,6 +1298,10 @@
 void ClaimKeyRequest::__set_trace(const TraceContext& val) {
   this->trace = val;
 }
+
+void ClaimKeyRequest::__set_remainingMicros(const int64_t val) {
+  this->remainingMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const ClaimKeyRequest& obj)
 {
   obj.printTo(out);
@@ -1354,6 +1378,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingMicros);
+          this->__isset.remainingMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1395,6 +1427,10 @@
   xfer += this->trace.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("remainingMicros", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->remainingMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1408,6 +1444,7 @@
   swap(a.requestId, b.requestId);
   swap(a.fingerprint, b.fingerprint);
   swap(a.trace, b.trace);
+  swap(a.remainingMicros, b.remainingMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -1418,6 +1455,7 @@
   requestId = other24.requestId;
   fingerprint = other24.fingerprint;
   trace = other24.trace;
+  remainingMicros = other24.remainingMicros;
   __isset = other24.__isset;
 }
 ClaimKeyRequest& ClaimKeyRequest::operator=(const ClaimKeyRequest& other25) {
@@ -1427,6 +1465,7 @@
   requestId = other25.requestId;
   fingerprint = other25.fingerprint;
   trace = other25.trace;
+  remainingMicros = other25.remainingMicros;
   __isset = other25.__isset;
   return *this;
 }
@@ -1439,6 +1478,7 @@
   out << ", " << "requestId=" << to_string(requestId);
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "trace=" << to_string(trace);
+  out << ", " << "remainingMicros=" << to_string(remainingMicros);
   out << ")";
 }
 
@@ -4220,6 +4260,30 @@
 void HeartbeatRequest::__set_wantInventory(const bool val) {
   this->wantInventory = val;
 }
+
+void HeartbeatRequest::__set_peers(const std::vector<PeerView> & val) {
+  this->peers = val;
+}
+
+void HeartbeatRequest::__set_relay(const bool val) {
+  this->relay = val;
+}
+
+void HeartbeatRequest::__set_cells(const std::vector<CellView> & val) {
+  this->cells = val;
+}
+
+void HeartbeatRequest::__set_drain(const bool val) {
+  this->drain = val;
+}
+
+void HeartbeatRequest::__set_echoMicros(const int64_t val) {
+  this->echoMicros = val;
+}
+
+void HeartbeatRequest::__set_knownUsageVersion(const int64_t val) {
+  this->knownUsageVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj)
 {
   obj.printTo(out);
@@ -4344,6 +4408,78 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->peers.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->peers.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += this->peers[_i75].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relay);
+          this->__isset.relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->cells.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->cells[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->drain);
+          this->__isset.drain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echoMicros);
+          this->__isset.echoMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->knownUsageVersion);
+          this->__isset.knownUsageVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4384,10 +4520,10 @@
   xfer += oprot->writeFieldBegin("actions", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->actions.size()));
-    std::vector<TaskAction> ::const_iterator _iter71;
-    for (_iter71 = this->actions.begin(); _iter71 != this->actions.end(); ++_iter71)
+    std::vector<TaskAction> ::const_iterator _iter81;
+    for (_iter81 = this->actions.begin(); _iter81 != this->actions.end(); ++_iter81)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4396,10 +4532,10 @@
   xfer += oprot->writeFieldBegin("durableTasks", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->durableTasks.size()));
-    std::vector<std::string> ::const_iterator _iter72;
-    for (_iter72 = this->durableTasks.begin(); _iter72 != this->durableTasks.end(); ++_iter72)
+    std::vector<std::string> ::const_iterator _iter82;
+    for (_iter82 = this->durableTasks.begin(); _iter82 != this->durableTasks.end(); ++_iter82)
     {
-      xfer += oprot->writeString((*_iter72));
+      xfer += oprot->writeString((*_iter82));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4413,6 +4549,46 @@
   xfer += oprot->writeBool(this->wantInventory);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
+    std::vector<PeerView> ::const_iterator _iter83;
+    for (_iter83 = this->peers.begin(); _iter83 != this->peers.end(); ++_iter83)
+    {
+      xfer += (*_iter83).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->relay);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
+    std::vector<CellView> ::const_iterator _iter84;
+    for (_iter84 = this->cells.begin(); _iter84 != this->cells.end(); ++_iter84)
+    {
+      xfer += (*_iter84).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drain", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->drain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echoMicros", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->echoMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("knownUsageVersion", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->knownUsageVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4429,32 +4605,50 @@
   swap(a.durableTasks, b.durableTasks);
   swap(a.ownerAddress, b.ownerAddress);
   swap(a.wantInventory, b.wantInventory);
+  swap(a.peers, b.peers);
+  swap(a.relay, b.relay);
+  swap(a.cells, b.cells);
+  swap(a.drain, b.drain);
+  swap(a.echoMicros, b.echoMicros);
+  swap(a.knownUsageVersion, b.knownUsageVersion);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatRequest::HeartbeatRequest(const HeartbeatRequest& other73) {
-  cell = other73.cell;
-  epoch = other73.epoch;
-  tenureMicros = other73.tenureMicros;
-  revision = other73.revision;
-  revisionHash = other73.revisionHash;
-  actions = other73.actions;
-  durableTasks = other73.durableTasks;
-  ownerAddress = other73.ownerAddress;
-  wantInventory = other73.wantInventory;
-  __isset = other73.__isset;
-}
-HeartbeatRequest& HeartbeatRequest::operator=(const HeartbeatRequest& other74) {
-  cell = other74.cell;
-  epoch = other74.epoch;
-  tenureMicros = other74.tenureMicros;
-  revision = other74.revision;
-  revisionHash = other74.revisionHash;
-  actions = other74.actions;
-  durableTasks = other74.durableTasks;
-  ownerAddress = other74.ownerAddress;
-  wantInventory = other74.wantInventory;
-  __isset = other74.__isset;
+HeartbeatRequest::HeartbeatRequest(const HeartbeatRequest& other85) {
+  cell = other85.cell;
+  epoch = other85.epoch;
+  tenureMicros = other85.tenureMicros;
+  revision = other85.revision;
+  revisionHash = other85.revisionHash;
+  actions = other85.actions;
+  durableTasks = other85.durableTasks;
+  ownerAddress = other85.ownerAddress;
+  wantInventory = other85.wantInventory;
+  peers = other85.peers;
+  relay = other85.relay;
+  cells = other85.cells;
+  drain = other85.drain;
+  echoMicros = other85.echoMicros;
+  knownUsageVersion = other85.knownUsageVersion;
+  __isset = other85.__isset;
+}
+HeartbeatRequest& HeartbeatRequest::operator=(const HeartbeatRequest& other86) {
+  cell = other86.cell;
+  epoch = other86.epoch;
+  tenureMicros = other86.tenureMicros;
+  revision = other86.revision;
+  revisionHash = other86.revisionHash;
+  actions = other86.actions;
+  durableTasks = other86.durableTasks;
+  ownerAddress = other86.ownerAddress;
+  wantInventory = other86.wantInventory;
+  peers = other86.peers;
+  relay = other86.relay;
+  cells = other86.cells;
+  drain = other86.drain;
+  echoMicros = other86.echoMicros;
+  knownUsageVersion = other86.knownUsageVersion;
+  __isset = other86.__isset;
   return *this;
 }
 void HeartbeatRequest::printTo(std::ostream& out) const {
@@ -4469,6 +4663,12 @@
   out << ", " << "durableTasks=" << to_string(durableTasks);
   out << ", " << "ownerAddress=" << to_string(ownerAddress);
   out << ", " << "wantInventory=" << to_string(wantInventory);
+  out << ", " << "peers=" << to_string(peers);
+  out << ", " << "relay=" << to_string(relay);
+  out << ", " << "cells=" << to_string(cells);
+  out << ", " << "drain=" << to_string(drain);
+  out << ", " << "echoMicros=" << to_string(echoMicros);
+  out << ", " << "knownUsageVersion=" << to_string(knownUsageVersion);
   out << ")";
 }
 
@@ -4524,6 +4724,14 @@
 void HeartbeatReply::__set_fullInventory(const bool val) {
   this->fullInventory = val;
 }
+
+void HeartbeatReply::__set_usageVersion(const int64_t val) {
+  this->usageVersion = val;
+}
+
+void HeartbeatReply::__set_agentClockMicros(const int64_t val) {
+  this->agentClockMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -4596,14 +4804,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->tasks.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->tasks.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->tasks[_i79].read(iprot);
+              xfer += this->tasks[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4616,14 +4824,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->endpoints.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->endpoints.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->endpoints[_i84].read(iprot);
+              xfer += this->endpoints[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4652,14 +4860,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->usage.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->usage.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->usage[_i89].read(iprot);
+              xfer += this->usage[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4684,6 +4892,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usageVersion);
+          this->__isset.usageVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agentClockMicros);
+          this->__isset.agentClockMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4724,10 +4948,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskReport> ::const_iterator _iter90;
-    for (_iter90 = this->tasks.begin(); _iter90 != this->tasks.end(); ++_iter90)
+    std::vector<TaskReport> ::const_iterator _iter102;
+    for (_iter102 = this->tasks.begin(); _iter102 != this->tasks.end(); ++_iter102)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4736,10 +4960,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointReport> ::const_iterator _iter91;
-    for (_iter91 = this->endpoints.begin(); _iter91 != this->endpoints.end(); ++_iter91)
+    std::vector<EndpointReport> ::const_iterator _iter103;
+    for (_iter103 = this->endpoints.begin(); _iter103 != this->endpoints.end(); ++_iter103)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4756,10 +4980,10 @@
   xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
-    std::vector<UsageRecord> ::const_iterator _iter92;
-    for (_iter92 = this->usage.begin(); _iter92 != this->usage.end(); ++_iter92)
+    std::vector<UsageRecord> ::const_iterator _iter104;
+    for (_iter104 = this->usage.begin(); _iter104 != this->usage.end(); ++_iter104)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4773,6 +4997,14 @@
   xfer += oprot->writeBool(this->fullInventory);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("usageVersion", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->usageVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("agentClockMicros", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->agentClockMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4792,38 +5024,44 @@
   swap(a.usage, b.usage);
   swap(a.leaving, b.leaving);
   swap(a.fullInventory, b.fullInventory);
+  swap(a.usageVersion, b.usageVersion);
+  swap(a.agentClockMicros, b.agentClockMicros);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other93) {
-  accepted = other93.accepted;
-  highestEpoch = other93.highestEpoch;
-  info = other93.info;
-  free = other93.free;
-  total = other93.total;
-  tasks = other93.tasks;
-  endpoints = other93.endpoints;
-  load = other93.load;
-  revision = other93.revision;
-  usage = other93.usage;
-  leaving = other93.leaving;
-  fullInventory = other93.fullInventory;
-  __isset = other93.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other94) {
-  accepted = other94.accepted;
-  highestEpoch = other94.highestEpoch;
-  info = other94.info;
-  free = other94.free;
-  total = other94.total;
-  tasks = other94.tasks;
-  endpoints = other94.endpoints;
-  load = other94.load;
-  revision = other94.revision;
-  usage = other94.usage;
-  leaving = other94.leaving;
-  fullInventory = other94.fullInventory;
-  __isset = other94.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other105) {
+  accepted = other105.accepted;
+  highestEpoch = other105.highestEpoch;
+  info = other105.info;
+  free = other105.free;
+  total = other105.total;
+  tasks = other105.tasks;
+  endpoints = other105.endpoints;
+  load = other105.load;
+  revision = other105.revision;
+  usage = other105.usage;
+  leaving = other105.leaving;
+  fullInventory = other105.fullInventory;
+  usageVersion = other105.usageVersion;
+  agentClockMicros = other105.agentClockMicros;
+  __isset = other105.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other106) {
+  accepted = other106.accepted;
+  highestEpoch = other106.highestEpoch;
+  info = other106.info;
+  free = other106.free;
+  total = other106.total;
+  tasks = other106.tasks;
+  endpoints = other106.endpoints;
+  load = other106.load;
+  revision = other106.revision;
+  usage = other106.usage;
+  leaving = other106.leaving;
+  fullInventory = other106.fullInventory;
+  usageVersion = other106.usageVersion;
+  agentClockMicros = other106.agentClockMicros;
+  __isset = other106.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -4841,6 +5079,8 @@
   out << ", " << "usage=" << to_string(usage);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "fullInventory=" << to_string(fullInventory);
+  out << ", " << "usageVersion=" << to_string(usageVersion);
+  out << ", " << "agentClockMicros=" << to_string(agentClockMicros);
   out << ")";
 }
 
@@ -4937,15 +5177,15 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other95) {
-  info = other95.info;
-  revision = other95.revision;
-  __isset = other95.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other107) {
+  info = other107.info;
+  revision = other107.revision;
+  __isset = other107.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other96) {
-  info = other96.info;
-  revision = other96.revision;
-  __isset = other96.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other108) {
+  info = other108.info;
+  revision = other108.revision;
+  __isset = other108.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -5014,9 +5254,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast97;
-          xfer += iprot->readI32(ecast97);
-          this->reason = static_cast<RefusalReason::type>(ecast97);
+          int32_t ecast109;
+          xfer += iprot->readI32(ecast109);
+          this->reason = static_cast<RefusalReason::type>(ecast109);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5085,19 +5325,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinReply::JoinReply(const JoinReply& other98) {
-  accepted = other98.accepted;
-  reason = other98.reason;
-  ownerAddress = other98.ownerAddress;
-  retryAfterMicros = other98.retryAfterMicros;
-  __isset = other98.__isset;
+JoinReply::JoinReply(const JoinReply& other110) {
+  accepted = other110.accepted;
+  reason = other110.reason;
+  ownerAddress = other110.ownerAddress;
+  retryAfterMicros = other110.retryAfterMicros;
+  __isset = other110.__isset;
 }
-JoinReply& JoinReply::operator=(const JoinReply& other99) {
-  accepted = other99.accepted;
-  reason = other99.reason;
-  ownerAddress = other99.ownerAddress;
-  retryAfterMicros = other99.retryAfterMicros;
-  __isset = other99.__isset;
+JoinReply& JoinReply::operator=(const JoinReply& other111) {
+  accepted = other111.accepted;
+  reason = other111.reason;
+  ownerAddress = other111.ownerAddress;
+  retryAfterMicros = other111.retryAfterMicros;
+  __isset = other111.__isset;
   return *this;
 }
 void JoinReply::printTo(std::ostream& out) const {
@@ -5237,19 +5477,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other100) {
-  cell = other100.cell;
-  epoch = other100.epoch;
-  ownerAddress = other100.ownerAddress;
-  ownerInstance = other100.ownerInstance;
-  __isset = other100.__isset;
+CellView::CellView(const CellView& other112) {
+  cell = other112.cell;
+  epoch = other112.epoch;
+  ownerAddress = other112.ownerAddress;
+  ownerInstance = other112.ownerInstance;
+  __isset = other112.__isset;
 }
-CellView& CellView::operator=(const CellView& other101) {
-  cell = other101.cell;
-  epoch = other101.epoch;
-  ownerAddress = other101.ownerAddress;
-  ownerInstance = other101.ownerInstance;
-  __isset = other101.__isset;
+CellView& CellView::operator=(const CellView& other113) {
+  cell = other113.cell;
+  epoch = other113.epoch;
+  ownerAddress = other113.ownerAddress;
+  ownerInstance = other113.ownerInstance;
+  __isset = other113.__isset;
   return *this;
 }
 void CellView::printTo(std::ostream& out) const {
@@ -5354,14 +5594,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->endpoints.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->endpoints.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->endpoints[_i106].read(iprot);
+              xfer += this->endpoints[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5474,10 +5714,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointReport> ::const_iterator _iter107;
-    for (_iter107 = this->endpoints.begin(); _iter107 != this->endpoints.end(); ++_iter107)
+    std::vector<EndpointReport> ::const_iterator _iter119;
+    for (_iter119 = this->endpoints.begin(); _iter119 != this->endpoints.end(); ++_iter119)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5545,35 +5785,35 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberView::MemberView(const MemberView& other108) {
-  info = other108.info;
-  endpoints = other108.endpoints;
-  load = other108.load;
-  suspect = other108.suspect;
-  leaving = other108.leaving;
-  revision = other108.revision;
-  free = other108.free;
-  total = other108.total;
-  runningTasks = other108.runningTasks;
-  quarantined = other108.quarantined;
-  ageMicros = other108.ageMicros;
-  role = other108.role;
-  __isset = other108.__isset;
-}
-MemberView& MemberView::operator=(const MemberView& other109) {
-  info = other109.info;
-  endpoints = other109.endpoints;
-  load = other109.load;
-  suspect = other109.suspect;
-  leaving = other109.leaving;
-  revision = other109.revision;
-  free = other109.free;
-  total = other109.total;
-  runningTasks = other109.runningTasks;
-  quarantined = other109.quarantined;
-  ageMicros = other109.ageMicros;
-  role = other109.role;
-  __isset = other109.__isset;
+MemberView::MemberView(const MemberView& other120) {
+  info = other120.info;
+  endpoints = other120.endpoints;
+  load = other120.load;
+  suspect = other120.suspect;
+  leaving = other120.leaving;
+  revision = other120.revision;
+  free = other120.free;
+  total = other120.total;
+  runningTasks = other120.runningTasks;
+  quarantined = other120.quarantined;
+  ageMicros = other120.ageMicros;
+  role = other120.role;
+  __isset = other120.__isset;
+}
+MemberView& MemberView::operator=(const MemberView& other121) {
+  info = other121.info;
+  endpoints = other121.endpoints;
+  load = other121.load;
+  suspect = other121.suspect;
+  leaving = other121.leaving;
+  revision = other121.revision;
+  free = other121.free;
+  total = other121.total;
+  runningTasks = other121.runningTasks;
+  quarantined = other121.quarantined;
+  ageMicros = other121.ageMicros;
+  role = other121.role;
+  __isset = other121.__isset;
   return *this;
 }
 void MemberView::printTo(std::ostream& out) const {
@@ -5614,6 +5854,18 @@
 void MembersReply::__set_changed(const bool val) {
   this->changed = val;
 }
+
+void MembersReply::__set_fromStart(const bool val) {
+  this->fromStart = val;
+}
+
+void MembersReply::__set_more(const bool val) {
+  this->more = val;
+}
+
+void MembersReply::__set_gone(const std::vector<std::string> & val) {
+  this->gone = val;
+}
 std::ostream& operator<<(std::ostream& out, const MembersReply& obj)
 {
   obj.printTo(out);
@@ -5654,14 +5906,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->members.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->members.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->members[_i114].read(iprot);
+              xfer += this->members[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5686,6 +5938,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->fromStart);
+          this->__isset.fromStart = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->more);
+          this->__isset.more = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gone.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->gone.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              xfer += iprot->readString(this->gone[_i131]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5710,10 +5998,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberView> ::const_iterator _iter115;
-    for (_iter115 = this->members.begin(); _iter115 != this->members.end(); ++_iter115)
+    std::vector<MemberView> ::const_iterator _iter132;
+    for (_iter132 = this->members.begin(); _iter132 != this->members.end(); ++_iter132)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter132).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5727,6 +6015,26 @@
   xfer += oprot->writeBool(this->changed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("fromStart", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->fromStart);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("more", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->more);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->gone.size()));
+    std::vector<std::string> ::const_iterator _iter133;
+    for (_iter133 = this->gone.begin(); _iter133 != this->gone.end(); ++_iter133)
+    {
+      xfer += oprot->writeString((*_iter133));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5738,22 +6046,31 @@
   swap(a.members, b.members);
   swap(a.version, b.version);
   swap(a.changed, b.changed);
+  swap(a.fromStart, b.fromStart);
+  swap(a.more, b.more);
+  swap(a.gone, b.gone);
   swap(a.__isset, b.__isset);
 }
 
-MembersReply::MembersReply(const MembersReply& other116) {
-  cell = other116.cell;
-  members = other116.members;
-  version = other116.version;
-  changed = other116.changed;
-  __isset = other116.__isset;
-}
-MembersReply& MembersReply::operator=(const MembersReply& other117) {
-  cell = other117.cell;
-  members = other117.members;
-  version = other117.version;
-  changed = other117.changed;
-  __isset = other117.__isset;
+MembersReply::MembersReply(const MembersReply& other134) {
+  cell = other134.cell;
+  members = other134.members;
+  version = other134.version;
+  changed = other134.changed;
+  fromStart = other134.fromStart;
+  more = other134.more;
+  gone = other134.gone;
+  __isset = other134.__isset;
+}
+MembersReply& MembersReply::operator=(const MembersReply& other135) {
+  cell = other135.cell;
+  members = other135.members;
+  version = other135.version;
+  changed = other135.changed;
+  fromStart = other135.fromStart;
+  more = other135.more;
+  gone = other135.gone;
+  __isset = other135.__isset;
   return *this;
 }
 void MembersReply::printTo(std::ostream& out) const {
@@ -5763,6 +6080,9 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "version=" << to_string(version);
   out << ", " << "changed=" << to_string(changed);
+  out << ", " << "fromStart=" << to_string(fromStart);
+  out << ", " << "more=" << to_string(more);
+  out << ", " << "gone=" << to_string(gone);
   out << ")";
 }
 
@@ -5866,14 +6186,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->cells.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->cells.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->cells[_i122].read(iprot);
+              xfer += this->cells[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5942,10 +6262,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter123;
-    for (_iter123 = this->cells.begin(); _iter123 != this->cells.end(); ++_iter123)
+    std::vector<CellView> ::const_iterator _iter141;
+    for (_iter141 = this->cells.begin(); _iter141 != this->cells.end(); ++_iter141)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5981,27 +6301,27 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipMessage::GossipMessage(const GossipMessage& other124) {
-  instance = other124.instance;
-  dataCentre = other124.dataCentre;
-  revision = other124.revision;
-  revisionHash = other124.revisionHash;
-  cells = other124.cells;
-  address = other124.address;
-  role = other124.role;
-  incarnation = other124.incarnation;
-  __isset = other124.__isset;
-}
-GossipMessage& GossipMessage::operator=(const GossipMessage& other125) {
-  instance = other125.instance;
-  dataCentre = other125.dataCentre;
-  revision = other125.revision;
-  revisionHash = other125.revisionHash;
-  cells = other125.cells;
-  address = other125.address;
-  role = other125.role;
-  incarnation = other125.incarnation;
-  __isset = other125.__isset;
+GossipMessage::GossipMessage(const GossipMessage& other142) {
+  instance = other142.instance;
+  dataCentre = other142.dataCentre;
+  revision = other142.revision;
+  revisionHash = other142.revisionHash;
+  cells = other142.cells;
+  address = other142.address;
+  role = other142.role;
+  incarnation = other142.incarnation;
+  __isset = other142.__isset;
+}
+GossipMessage& GossipMessage::operator=(const GossipMessage& other143) {
+  instance = other143.instance;
+  dataCentre = other143.dataCentre;
+  revision = other143.revision;
+  revisionHash = other143.revisionHash;
+  cells = other143.cells;
+  address = other143.address;
+  role = other143.role;
+  incarnation = other143.incarnation;
+  __isset = other143.__isset;
   return *this;
 }
 void GossipMessage::printTo(std::ostream& out) const {
@@ -6019,33 +6339,29 @@
 }
 
 
-RevisionReply::~RevisionReply() noexcept {
+TextDelta::~TextDelta() noexcept {
 }
 
 
-void RevisionReply::__set_found(const bool val) {
-  this->found = val;
-}
-
-void RevisionReply::__set_revision(const int64_t val) {
-  this->revision = val;
+void TextDelta::__set_keptPrefix(const int64_t val) {
+  this->keptPrefix = val;
 }
 
-void RevisionReply::__set_hash(const std::string& val) {
-  this->hash = val;
+void TextDelta::__set_keptSuffix(const int64_t val) {
+  this->keptSuffix = val;
 }
 
-void RevisionReply::__set_tables(const std::string& val) {
-  this->tables = val;
+void TextDelta::__set_middle(const std::string& val) {
+  this->middle = val;
 }
-std::ostream& operator<<(std::ostream& out, const RevisionReply& obj)
+std::ostream& operator<<(std::ostream& out, const TextDelta& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RevisionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TextDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6067,33 +6383,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->found);
-          this->__isset.found = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->keptPrefix);
+          this->__isset.keptPrefix = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+          xfer += iprot->readI64(this->keptSuffix);
+          this->__isset.keptSuffix = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->hash);
-          this->__isset.hash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->tables);
-          this->__isset.tables = true;
+          xfer += iprot->readBinary(this->middle);
+          this->__isset.middle = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6110,25 +6418,21 @@
   return xfer;
 }
 
-uint32_t RevisionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TextDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RevisionReply");
-
-  xfer += oprot->writeFieldBegin("found", ::apache::thrift::protocol::T_BOOL, 1);
-  xfer += oprot->writeBool(this->found);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("TextDelta");
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("keptPrefix", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->keptPrefix);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->hash);
+  xfer += oprot->writeFieldBegin("keptSuffix", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->keptSuffix);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeBinary(this->tables);
+  xfer += oprot->writeFieldBegin("middle", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->middle);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6136,37 +6440,609 @@
   return xfer;
 }
 
-void swap(RevisionReply &a, RevisionReply &b) {
+void swap(TextDelta &a, TextDelta &b) {
   using ::std::swap;
-  swap(a.found, b.found);
-  swap(a.revision, b.revision);
-  swap(a.hash, b.hash);
-  swap(a.tables, b.tables);
+  swap(a.keptPrefix, b.keptPrefix);
+  swap(a.keptSuffix, b.keptSuffix);
+  swap(a.middle, b.middle);
   swap(a.__isset, b.__isset);
 }
 
-RevisionReply::RevisionReply(const RevisionReply& other126) {
-  found = other126.found;
-  revision = other126.revision;
-  hash = other126.hash;
-  tables = other126.tables;
-  __isset = other126.__isset;
+TextDelta::TextDelta(const TextDelta& other144) {
+  keptPrefix = other144.keptPrefix;
+  keptSuffix = other144.keptSuffix;
+  middle = other144.middle;
+  __isset = other144.__isset;
 }
-RevisionReply& RevisionReply::operator=(const RevisionReply& other127) {
-  found = other127.found;
-  revision = other127.revision;
-  hash = other127.hash;
-  tables = other127.tables;
-  __isset = other127.__isset;
+TextDelta& TextDelta::operator=(const TextDelta& other145) {
+  keptPrefix = other145.keptPrefix;
+  keptSuffix = other145.keptSuffix;
+  middle = other145.middle;
+  __isset = other145.__isset;
   return *this;
 }
-void RevisionReply::printTo(std::ostream& out) const {
+void TextDelta::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RevisionReply(";
-  out << "found=" << to_string(found);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "hash=" << to_string(hash);
-  out << ", " << "tables=" << to_string(tables);
+  out << "TextDelta(";
+  out << "keptPrefix=" << to_string(keptPrefix);
+  out << ", " << "keptSuffix=" << to_string(keptSuffix);
+  out << ", " << "middle=" << to_string(middle);
+  out << ")";
+}
+
+
+RevisionDelta::~RevisionDelta() noexcept {
+}
+
+
+void RevisionDelta::__set_fromRevision(const int64_t val) {
+  this->fromRevision = val;
+}
+
+void RevisionDelta::__set_fromHash(const std::string& val) {
+  this->fromHash = val;
+}
+
+void RevisionDelta::__set_toRevision(const int64_t val) {
+  this->toRevision = val;
+}
+
+void RevisionDelta::__set_toHash(const std::string& val) {
+  this->toHash = val;
+}
+
+void RevisionDelta::__set_routes(const TextDelta& val) {
+  this->routes = val;
+}
+
+void RevisionDelta::__set_pools(const TextDelta& val) {
+  this->pools = val;
+}
+std::ostream& operator<<(std::ostream& out, const RevisionDelta& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RevisionDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromRevision);
+          this->__isset.fromRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->fromHash);
+          this->__isset.fromHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toRevision);
+          this->__isset.toRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->toHash);
+          this->__isset.toHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->routes.read(iprot);
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->pools.read(iprot);
+          this->__isset.pools = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RevisionDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RevisionDelta");
+
+  xfer += oprot->writeFieldBegin("fromRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fromRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fromHash", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->fromHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toRevision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->toRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toHash", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->toHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->routes.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pools", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->pools.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RevisionDelta &a, RevisionDelta &b) {
+  using ::std::swap;
+  swap(a.fromRevision, b.fromRevision);
+  swap(a.fromHash, b.fromHash);
+  swap(a.toRevision, b.toRevision);
+  swap(a.toHash, b.toHash);
+  swap(a.routes, b.routes);
+  swap(a.pools, b.pools);
+  swap(a.__isset, b.__isset);
+}
+
+RevisionDelta::RevisionDelta(const RevisionDelta& other146) {
+  fromRevision = other146.fromRevision;
+  fromHash = other146.fromHash;
+  toRevision = other146.toRevision;
+  toHash = other146.toHash;
+  routes = other146.routes;
+  pools = other146.pools;
+  __isset = other146.__isset;
+}
+RevisionDelta& RevisionDelta::operator=(const RevisionDelta& other147) {
+  fromRevision = other147.fromRevision;
+  fromHash = other147.fromHash;
+  toRevision = other147.toRevision;
+  toHash = other147.toHash;
+  routes = other147.routes;
+  pools = other147.pools;
+  __isset = other147.__isset;
+  return *this;
+}
+void RevisionDelta::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RevisionDelta(";
+  out << "fromRevision=" << to_string(fromRevision);
+  out << ", " << "fromHash=" << to_string(fromHash);
+  out << ", " << "toRevision=" << to_string(toRevision);
+  out << ", " << "toHash=" << to_string(toHash);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "pools=" << to_string(pools);
+  out << ")";
+}
+
+
+RevisionReply::~RevisionReply() noexcept {
+}
+
+
+void RevisionReply::__set_found(const bool val) {
+  this->found = val;
+}
+
+void RevisionReply::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void RevisionReply::__set_hash(const std::string& val) {
+  this->hash = val;
+}
+
+void RevisionReply::__set_chain(const std::vector<RevisionDelta> & val) {
+  this->chain = val;
+}
+
+void RevisionReply::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void RevisionReply::__set_routes(const std::string& val) {
+  this->routes = val;
+}
+
+void RevisionReply::__set_pools(const std::string& val) {
+  this->pools = val;
+}
+std::ostream& operator<<(std::ostream& out, const RevisionReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RevisionReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->found);
+          this->__isset.found = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->hash);
+          this->__isset.hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->chain.clear();
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->chain.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
+            {
+              xfer += this->chain[_i152].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.chain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->routes);
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->pools);
+          this->__isset.pools = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RevisionReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RevisionReply");
+
+  xfer += oprot->writeFieldBegin("found", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->found);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->hash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("chain", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->chain.size()));
+    std::vector<RevisionDelta> ::const_iterator _iter153;
+    for (_iter153 = this->chain.begin(); _iter153 != this->chain.end(); ++_iter153)
+    {
+      xfer += (*_iter153).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->routes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pools", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->pools);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RevisionReply &a, RevisionReply &b) {
+  using ::std::swap;
+  swap(a.found, b.found);
+  swap(a.revision, b.revision);
+  swap(a.hash, b.hash);
+  swap(a.chain, b.chain);
+  swap(a.whole, b.whole);
+  swap(a.routes, b.routes);
+  swap(a.pools, b.pools);
+  swap(a.__isset, b.__isset);
+}
+
+RevisionReply::RevisionReply(const RevisionReply& other154) {
+  found = other154.found;
+  revision = other154.revision;
+  hash = other154.hash;
+  chain = other154.chain;
+  whole = other154.whole;
+  routes = other154.routes;
+  pools = other154.pools;
+  __isset = other154.__isset;
+}
+RevisionReply& RevisionReply::operator=(const RevisionReply& other155) {
+  found = other155.found;
+  revision = other155.revision;
+  hash = other155.hash;
+  chain = other155.chain;
+  whole = other155.whole;
+  routes = other155.routes;
+  pools = other155.pools;
+  __isset = other155.__isset;
+  return *this;
+}
+void RevisionReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RevisionReply(";
+  out << "found=" << to_string(found);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "hash=" << to_string(hash);
+  out << ", " << "chain=" << to_string(chain);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "pools=" << to_string(pools);
+  out << ")";
+}
+
+
+PeerView::~PeerView() noexcept {
+}
+
+
+void PeerView::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void PeerView::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void PeerView::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void PeerView::__set_role(const std::string& val) {
+  this->role = val;
+}
+std::ostream& operator<<(std::ostream& out, const PeerView& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PeerView::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->role);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerView::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerView");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PeerView &a, PeerView &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.address, b.address);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.role, b.role);
+  swap(a.__isset, b.__isset);
+}
+
+PeerView::PeerView(const PeerView& other156) {
+  instance = other156.instance;
+  address = other156.address;
+  dataCentre = other156.dataCentre;
+  role = other156.role;
+  __isset = other156.__isset;
+}
+PeerView& PeerView::operator=(const PeerView& other157) {
+  instance = other157.instance;
+  address = other157.address;
+  dataCentre = other157.dataCentre;
+  role = other157.role;
+  __isset = other157.__isset;
+  return *this;
+}
+void PeerView::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PeerView(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "role=" << to_string(role);
   out << ")";
 }
 
--- a/Source/Core/Rpc/Generated/Ibisshed_types.h
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.h
@@ -162,8 +162,14 @@
 
 class GossipMessage;
 
+class TextDelta;
+
+class RevisionDelta;
+
 class RevisionReply;
 
+class PeerView;
+
 typedef struct _Header__isset {
   _Header__isset() : name(false), value(false) {}
   bool name :1;
@@ -468,7 +474,7 @@
 std::ostream& operator<<(std::ostream& out, const ExecuteRequest& obj);
 
 typedef struct _ExecuteReply__isset {
-  _ExecuteReply__isset() : outcome(false), reason(false), status(false), headers(false), body(false), load(false), incarnation(false), retryAfterMicros(false), detail(false) {}
+  _ExecuteReply__isset() : outcome(false), reason(false), status(false), headers(false), body(false), load(false), incarnation(false), retryAfterMicros(false), detail(false), inProgress(false) {}
   bool outcome :1;
   bool reason :1;
   bool status :1;
@@ -478,6 +484,7 @@
   bool incarnation :1;
   bool retryAfterMicros :1;
   bool detail :1;
+  bool inProgress :1;
 } _ExecuteReply__isset;
 
 class ExecuteReply : public virtual ::apache::thrift::TBase {
@@ -492,7 +499,8 @@
                  body(),
                  incarnation(0),
                  retryAfterMicros(0),
-                 detail() {
+                 detail(),
+                 inProgress(0) {
   }
 
   virtual ~ExecuteReply() noexcept;
@@ -513,6 +521,7 @@
   int64_t incarnation;
   int64_t retryAfterMicros;
   std::string detail;
+  bool inProgress;
 
   _ExecuteReply__isset __isset;
 
@@ -534,6 +543,8 @@
 
   void __set_detail(const std::string& val);
 
+  void __set_inProgress(const bool val);
+
   bool operator == (const ExecuteReply & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -554,6 +565,8 @@
       return false;
     if (!(detail == rhs.detail))
       return false;
+    if (!(inProgress == rhs.inProgress))
+      return false;
     return true;
   }
   bool operator != (const ExecuteReply &rhs) const {
@@ -573,13 +586,14 @@
 std::ostream& operator<<(std::ostream& out, const ExecuteReply& obj);
 
 typedef struct _ClaimKeyRequest__isset {
-  _ClaimKeyRequest__isset() : client(false), key(false), keyTimeUnixMillis(false), requestId(false), fingerprint(false), trace(false) {}
+  _ClaimKeyRequest__isset() : client(false), key(false), keyTimeUnixMillis(false), requestId(false), fingerprint(false), trace(false), remainingMicros(false) {}
   bool client :1;
   bool key :1;
   bool keyTimeUnixMillis :1;
   bool requestId :1;
   bool fingerprint :1;
   bool trace :1;
+  bool remainingMicros :1;
 } _ClaimKeyRequest__isset;
 
 class ClaimKeyRequest : public virtual ::apache::thrift::TBase {
@@ -592,7 +606,8 @@
                     key(),
                     keyTimeUnixMillis(0),
                     requestId(),
-                    fingerprint() {
+                    fingerprint(),
+                    remainingMicros(0) {
   }
 
   virtual ~ClaimKeyRequest() noexcept;
@@ -602,6 +617,7 @@
   std::string requestId;
   std::string fingerprint;
   TraceContext trace;
+  int64_t remainingMicros;
 
   _ClaimKeyRequest__isset __isset;
 
@@ -617,6 +633,8 @@
 
   void __set_trace(const TraceContext& val);
 
+  void __set_remainingMicros(const int64_t val);
+
   bool operator == (const ClaimKeyRequest & rhs) const
   {
     if (!(client == rhs.client))
@@ -631,6 +649,8 @@
       return false;
     if (!(trace == rhs.trace))
       return false;
+    if (!(remainingMicros == rhs.remainingMicros))
+      return false;
     return true;
   }
   bool operator != (const ClaimKeyRequest &rhs) const {
@@ -1742,7 +1762,7 @@
 std::ostream& operator<<(std::ostream& out, const UsageRecord& obj);
 
 typedef struct _HeartbeatRequest__isset {
-  _HeartbeatRequest__isset() : cell(false), epoch(false), tenureMicros(false), revision(false), revisionHash(false), actions(false), durableTasks(false), ownerAddress(false), wantInventory(false) {}
+  _HeartbeatRequest__isset() : cell(false), epoch(false), tenureMicros(false), revision(false), revisionHash(false), actions(false), durableTasks(false), ownerAddress(false), wantInventory(false), peers(false), relay(false), cells(false), drain(false), echoMicros(false), knownUsageVersion(false) {}
   bool cell :1;
   bool epoch :1;
   bool tenureMicros :1;
@@ -1752,6 +1772,12 @@
   bool durableTasks :1;
   bool ownerAddress :1;
   bool wantInventory :1;
+  bool peers :1;
+  bool relay :1;
+  bool cells :1;
+  bool drain :1;
+  bool echoMicros :1;
+  bool knownUsageVersion :1;
 } _HeartbeatRequest__isset;
 
 class HeartbeatRequest : public virtual ::apache::thrift::TBase {
@@ -1766,7 +1792,11 @@
                      revision(0),
                      revisionHash(),
                      ownerAddress(),
-                     wantInventory(0) {
+                     wantInventory(0),
+                     relay(0),
+                     drain(0),
+                     echoMicros(0),
+                     knownUsageVersion(0) {
   }
 
   virtual ~HeartbeatRequest() noexcept;
@@ -1779,6 +1809,12 @@
   std::vector<std::string>  durableTasks;
   std::string ownerAddress;
   bool wantInventory;
+  std::vector<PeerView>  peers;
+  bool relay;
+  std::vector<CellView>  cells;
+  bool drain;
+  int64_t echoMicros;
+  int64_t knownUsageVersion;
 
   _HeartbeatRequest__isset __isset;
 
@@ -1800,6 +1836,18 @@
 
   void __set_wantInventory(const bool val);
 
+  void __set_peers(const std::vector<PeerView> & val);
+
+  void __set_relay(const bool val);
+
+  void __set_cells(const std::vector<CellView> & val);
+
+  void __set_drain(const bool val);
+
+  void __set_echoMicros(const int64_t val);
+
+  void __set_knownUsageVersion(const int64_t val);
+
   bool operator == (const HeartbeatRequest & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -1820,6 +1868,18 @@
       return false;
     if (!(wantInventory == rhs.wantInventory))
       return false;
+    if (!(peers == rhs.peers))
+      return false;
+    if (!(relay == rhs.relay))
+      return false;
+    if (!(cells == rhs.cells))
+      return false;
+    if (!(drain == rhs.drain))
+      return false;
+    if (!(echoMicros == rhs.echoMicros))
+      return false;
+    if (!(knownUsageVersion == rhs.knownUsageVersion))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatRequest &rhs) const {
@@ -1839,7 +1899,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : accepted(false), highestEpoch(false), info(false), free(false), total(false), tasks(false), endpoints(false), load(false), revision(false), usage(false), leaving(false), fullInventory(false) {}
+  _HeartbeatReply__isset() : accepted(false), highestEpoch(false), info(false), free(false), total(false), tasks(false), endpoints(false), load(false), revision(false), usage(false), leaving(false), fullInventory(false), usageVersion(false), agentClockMicros(false) {}
   bool accepted :1;
   bool highestEpoch :1;
   bool info :1;
@@ -1852,6 +1912,8 @@
   bool usage :1;
   bool leaving :1;
   bool fullInventory :1;
+  bool usageVersion :1;
+  bool agentClockMicros :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -1864,7 +1926,9 @@
                    highestEpoch(0),
                    revision(0),
                    leaving(0),
-                   fullInventory(0) {
+                   fullInventory(0),
+                   usageVersion(0),
+                   agentClockMicros(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -1880,6 +1944,8 @@
   std::vector<UsageRecord>  usage;
   bool leaving;
   bool fullInventory;
+  int64_t usageVersion;
+  int64_t agentClockMicros;
 
   _HeartbeatReply__isset __isset;
 
@@ -1907,6 +1973,10 @@
 
   void __set_fullInventory(const bool val);
 
+  void __set_usageVersion(const int64_t val);
+
+  void __set_agentClockMicros(const int64_t val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(accepted == rhs.accepted))
@@ -1933,6 +2003,10 @@
       return false;
     if (!(fullInventory == rhs.fullInventory))
       return false;
+    if (!(usageVersion == rhs.usageVersion))
+      return false;
+    if (!(agentClockMicros == rhs.agentClockMicros))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -2248,11 +2322,14 @@
 std::ostream& operator<<(std::ostream& out, const MemberView& obj);
 
 typedef struct _MembersReply__isset {
-  _MembersReply__isset() : cell(false), members(false), version(false), changed(false) {}
+  _MembersReply__isset() : cell(false), members(false), version(false), changed(false), fromStart(false), more(false), gone(false) {}
   bool cell :1;
   bool members :1;
   bool version :1;
   bool changed :1;
+  bool fromStart :1;
+  bool more :1;
+  bool gone :1;
 } _MembersReply__isset;
 
 class MembersReply : public virtual ::apache::thrift::TBase {
@@ -2262,7 +2339,9 @@
   MembersReply& operator=(const MembersReply&);
   MembersReply() noexcept
                : version(0),
-                 changed(0) {
+                 changed(0),
+                 fromStart(0),
+                 more(0) {
   }
 
   virtual ~MembersReply() noexcept;
@@ -2270,6 +2349,9 @@
   std::vector<MemberView>  members;
   int64_t version;
   bool changed;
+  bool fromStart;
+  bool more;
+  std::vector<std::string>  gone;
 
   _MembersReply__isset __isset;
 
@@ -2281,6 +2363,12 @@
 
   void __set_changed(const bool val);
 
+  void __set_fromStart(const bool val);
+
+  void __set_more(const bool val);
+
+  void __set_gone(const std::vector<std::string> & val);
+
   bool operator == (const MembersReply & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -2291,6 +2379,12 @@
       return false;
     if (!(changed == rhs.changed))
       return false;
+    if (!(fromStart == rhs.fromStart))
+      return false;
+    if (!(more == rhs.more))
+      return false;
+    if (!(gone == rhs.gone))
+      return false;
     return true;
   }
   bool operator != (const MembersReply &rhs) const {
@@ -2400,12 +2494,148 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipMessage& obj);
 
+typedef struct _TextDelta__isset {
+  _TextDelta__isset() : keptPrefix(false), keptSuffix(false), middle(false) {}
+  bool keptPrefix :1;
+  bool keptSuffix :1;
+  bool middle :1;
+} _TextDelta__isset;
+
+class TextDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  TextDelta(const TextDelta&);
+  TextDelta& operator=(const TextDelta&);
+  TextDelta() noexcept
+            : keptPrefix(0),
+              keptSuffix(0),
+              middle() {
+  }
+
+  virtual ~TextDelta() noexcept;
+  int64_t keptPrefix;
+  int64_t keptSuffix;
+  std::string middle;
+
+  _TextDelta__isset __isset;
+
+  void __set_keptPrefix(const int64_t val);
+
+  void __set_keptSuffix(const int64_t val);
+
+  void __set_middle(const std::string& val);
+
+  bool operator == (const TextDelta & rhs) const
+  {
+    if (!(keptPrefix == rhs.keptPrefix))
+      return false;
+    if (!(keptSuffix == rhs.keptSuffix))
+      return false;
+    if (!(middle == rhs.middle))
+      return false;
+    return true;
+  }
+  bool operator != (const TextDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TextDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TextDelta &a, TextDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const TextDelta& obj);
+
+typedef struct _RevisionDelta__isset {
+  _RevisionDelta__isset() : fromRevision(false), fromHash(false), toRevision(false), toHash(false), routes(false), pools(false) {}
+  bool fromRevision :1;
+  bool fromHash :1;
+  bool toRevision :1;
+  bool toHash :1;
+  bool routes :1;
+  bool pools :1;
+} _RevisionDelta__isset;
+
+class RevisionDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  RevisionDelta(const RevisionDelta&);
+  RevisionDelta& operator=(const RevisionDelta&);
+  RevisionDelta() noexcept
+                : fromRevision(0),
+                  fromHash(),
+                  toRevision(0),
+                  toHash() {
+  }
+
+  virtual ~RevisionDelta() noexcept;
+  int64_t fromRevision;
+  std::string fromHash;
+  int64_t toRevision;
+  std::string toHash;
+  TextDelta routes;
+  TextDelta pools;
+
+  _RevisionDelta__isset __isset;
+
+  void __set_fromRevision(const int64_t val);
+
+  void __set_fromHash(const std::string& val);
+
+  void __set_toRevision(const int64_t val);
+
+  void __set_toHash(const std::string& val);
+
+  void __set_routes(const TextDelta& val);
+
+  void __set_pools(const TextDelta& val);
+
+  bool operator == (const RevisionDelta & rhs) const
+  {
+    if (!(fromRevision == rhs.fromRevision))
+      return false;
+    if (!(fromHash == rhs.fromHash))
+      return false;
+    if (!(toRevision == rhs.toRevision))
+      return false;
+    if (!(toHash == rhs.toHash))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(pools == rhs.pools))
+      return false;
+    return true;
+  }
+  bool operator != (const RevisionDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RevisionDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RevisionDelta &a, RevisionDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const RevisionDelta& obj);
+
 typedef struct _RevisionReply__isset {
-  _RevisionReply__isset() : found(false), revision(false), hash(false), tables(false) {}
+  _RevisionReply__isset() : found(false), revision(false), hash(false), chain(false), whole(false), routes(false), pools(false) {}
   bool found :1;
   bool revision :1;
   bool hash :1;
-  bool tables :1;
+  bool chain :1;
+  bool whole :1;
+  bool routes :1;
+  bool pools :1;
 } _RevisionReply__isset;
 
 class RevisionReply : public virtual ::apache::thrift::TBase {
@@ -2417,14 +2647,19 @@
                 : found(0),
                   revision(0),
                   hash(),
-                  tables() {
+                  whole(0),
+                  routes(),
+                  pools() {
   }
 
   virtual ~RevisionReply() noexcept;
   bool found;
   int64_t revision;
   std::string hash;
-  std::string tables;
+  std::vector<RevisionDelta>  chain;
+  bool whole;
+  std::string routes;
+  std::string pools;
 
   _RevisionReply__isset __isset;
 
@@ -2434,7 +2669,13 @@
 
   void __set_hash(const std::string& val);
 
-  void __set_tables(const std::string& val);
+  void __set_chain(const std::vector<RevisionDelta> & val);
+
+  void __set_whole(const bool val);
+
+  void __set_routes(const std::string& val);
+
+  void __set_pools(const std::string& val);
 
   bool operator == (const RevisionReply & rhs) const
   {
@@ -2444,7 +2685,13 @@
       return false;
     if (!(hash == rhs.hash))
       return false;
-    if (!(tables == rhs.tables))
+    if (!(chain == rhs.chain))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(pools == rhs.pools))
       return false;
     return true;
   }
@@ -2464,6 +2711,70 @@
 
 std::ostream& operator<<(std::ostream& out, const RevisionReply& obj);
 
+typedef struct _PeerView__isset {
+  _PeerView__isset() : instance(false), address(false), dataCentre(false), role(false) {}
+  bool instance :1;
+  bool address :1;
+  bool dataCentre :1;
+  bool role :1;
+} _PeerView__isset;
+
+class PeerView : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerView(const PeerView&);
+  PeerView& operator=(const PeerView&);
+  PeerView() noexcept
+           : instance(),
+             address(),
+             dataCentre(),
+             role() {
+  }
+
+  virtual ~PeerView() noexcept;
+  std::string instance;
+  std::string address;
+  std::string dataCentre;
+  std::string role;
+
+  _PeerView__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_role(const std::string& val);
+
+  bool operator == (const PeerView & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerView &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerView & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerView &a, PeerView &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerView& obj);
+
 }} // namespace
 
 #endif
--- a/Source/Core/Rpc/Ibisshed.thrift
+++ b/Source/Core/Rpc/Ibisshed.thrift
@@ -70,6 +70,8 @@
   7: i64 incarnation,
   8: i64 retryAfterMicros,
   9: string detail,
+  // Only for queryOutcome: the request waits or runs.
+  10: bool inProgress,
 }
 
 enum KeyState {
@@ -87,6 +89,7 @@
   4: string requestId,
   5: string fingerprint,
   6: TraceContext trace,
+  7: i64 remainingMicros,
 }
 
 struct ClaimKeyReply {
@@ -247,6 +250,17 @@
   7: list<string> durableTasks,
   8: string ownerAddress,
   9: bool wantInventory,
+  // A few processes of the data centre to exchange revisions with.
+  10: list<PeerView> peers,
+  // The receiver is the deputy of the owner: it watches the store, too.
+  11: bool relay,
+  12: list<CellView> cells,
+  // The owner asks the agent to finish what it runs and take nothing new.
+  13: bool drain,
+  // agentClockMicros of an earlier reply. The agent counts tenure from then, so that a heartbeat
+  // which is delivered late, as after a pause, grants no more than one in time.
+  14: i64 echoMicros,
+  15: i64 knownUsageVersion,
 }
 
 struct HeartbeatReply {
@@ -262,6 +276,11 @@
   10: list<UsageRecord> usage,
   11: bool leaving,
   12: bool fullInventory,
+  // Rises with each change of usage; usage holds running totals and is left out (version 0) if the
+  // owner has them.
+  13: i64 usageVersion,
+  // The agent's own clock when it replied; only the agent itself can read it.
+  14: i64 agentClockMicros,
 }
 
 struct JoinRequest {
@@ -303,6 +322,10 @@
   2: list<MemberView> members,
   3: i64 version,
   4: bool changed,
+  // The members are all there are; others that the caller knows are gone.
+  5: bool fromStart,
+  6: bool more,
+  7: list<string> gone,
 }
 
 struct GossipMessage {
@@ -317,11 +340,38 @@
   8: i64 incarnation,
 }
 
+// Replaces the bytes between a kept prefix and a kept suffix.
+struct TextDelta {
+  1: i64 keptPrefix,
+  2: i64 keptSuffix,
+  3: binary middle,
+}
+
+struct RevisionDelta {
+  1: i64 fromRevision,
+  2: string fromHash,
+  3: i64 toRevision,
+  4: string toHash,
+  5: TextDelta routes,
+  6: TextDelta pools,
+}
+
+// Either a chain of deltas from the revision that the caller holds, or the whole texts.
 struct RevisionReply {
   1: bool found,
   2: i64 revision,
   3: string hash,
-  4: binary tables,
+  4: list<RevisionDelta> chain,
+  5: bool whole,
+  6: binary routes,
+  7: binary pools,
+}
+
+struct PeerView {
+  1: string instance,
+  2: string address,
+  3: string dataCentre,
+  4: string role,
 }
 
 // Served by every agent and entry; the owner's calls are refused with NotOwner by the others.
@@ -330,7 +380,7 @@
   ExecuteReply queryOutcome(1: string requestId, 2: i64 targetIncarnation),
   HeartbeatReply heartbeat(1: HeartbeatRequest request),
   GossipMessage gossip(1: GossipMessage message),
-  RevisionReply fetchRevision(1: i64 revision),
+  RevisionReply fetchRevision(1: i64 heldRevision, 2: string heldHash),
 
   // Cell owner
   JoinReply join(1: JoinRequest request),
@@ -344,6 +394,8 @@
   list<UsageRecord> usage(),
   bool drain(1: string instance, 2: bool on),
   bool declareLost(1: string cell),
+  // The owner of the cell is leaving and has released its lease; the receiver may take the cell.
+  bool offerCell(1: string cell),
 
   // Ended spans of one trace, each as a JSON object.
   list<string> trace(1: string traceId),
