ibisctl: settle a lost edit over time and name cells that were not heard

An accepted revision comes into force at an entry a moment later, so reading the tables back once reported an applied edit as unknown; it is now read until the timeout, at most 5 s. Lists from which some cells are missing say so.

--- a/Source/Ibisctl/Command.h
+++ b/Source/Ibisctl/Command.h
@@ -25,6 +25,7 @@
 {
   Arguments mArguments;
   ApiClient mApi;
+  std::chrono::milliseconds mTimeout;
   bool mJson = false;
   std::ostream& mOut;
   std::ostream& mError;
--- a/Source/Ibisctl/Run.cpp
+++ b/Source/Ibisctl/Run.cpp
@@ -182,6 +182,7 @@
   }
   Session session{ aArguments,
                    ApiClient(std::move(*servers), std::chrono::milliseconds(*timeout)),
+                   std::chrono::milliseconds(*timeout),
                    output == "json",
                    aOut,
                    aError };
--- a/Source/Ibisctl/Session.cpp
+++ b/Source/Ibisctl/Session.cpp
@@ -120,6 +120,11 @@
     aSession.mOut << aAnswer.dump(2, ' ', false, json::error_handler_t::replace) << '\n';
     return;
   }
+  const auto missing = aAnswer.is_object() ? aAnswer.find("cells_not_heard") : aAnswer.end();
+  if (missing != aAnswer.end() && missing->is_array() && !missing->empty()) {
+    aSession.mError << "ibisctl: the list is not complete; cells not heard: "
+                    << RenderCell("", *missing) << '\n';
+  }
   const bool nested = aAnswer.is_object() && aAnswer.contains(aKey);
   const json& items = nested ? aAnswer.at(aKey) : aAnswer;
   aSession.mOut << RenderTable(items.is_array() ? items : json::array({ items }), aColumns);
--- a/Source/Ibisctl/TablesEditCommands.cpp
+++ b/Source/Ibisctl/TablesEditCommands.cpp
@@ -1,11 +1,12 @@
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include <nlohmann/json.hpp>
 
 #include "Ibisctl/Command.h"
-#include "Ibisctl/Output.h"
 #include "Ibisctl/Revisions.h"
 #include "Ibisctl/TableFiles.h"
 
@@ -86,8 +87,8 @@
   return kNegative;
 }
 
-/// After a lost answer: true if the tables in force are those of the edit, in a revision after its
-/// base. An equal edit of someone else in between has the same effect.
+/// The revision in force if its tables are those of the edit and it is later than the base. An
+/// equal edit of someone else in between has the same effect.
 std::optional<std::int64_t>
 FindApplied(Session& aSession, const Edit& aEdit)
 {
@@ -102,6 +103,23 @@
   return same && revision > aEdit.mBase ? std::optional(revision) : std::nullopt;
 }
 
+/// Looks for an edit whose answer was lost. It takes a moment until an accepted revision is in
+/// force.
+std::optional<std::int64_t>
+SettleEdit(Session& aSession, const Edit& aEdit)
+{
+  constexpr std::chrono::milliseconds kLongest{ 5000 };
+  constexpr std::chrono::milliseconds kPause{ 250 };
+  const auto end = std::chrono::steady_clock::now() + std::min(aSession.mTimeout, kLongest);
+  for (;;) {
+    const auto applied = FindApplied(aSession, aEdit);
+    if (applied || std::chrono::steady_clock::now() >= end) {
+      return applied;
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
 /// The number of the revision that the edit made, or the exit code after the reason was printed.
 tl::expected<std::int64_t, int>
 Send(Session& aSession, const Edit& aEdit)
@@ -120,7 +138,7 @@
   }
   if (!answer) {
     const auto applied =
-      answer.error().mMaybeDelivered ? FindApplied(aSession, aEdit) : std::nullopt;
+      answer.error().mMaybeDelivered ? SettleEdit(aSession, aEdit) : std::nullopt;
     if (applied) {
       return *applied;
     }
--- a/Source/UnitTests/Ibisctl/CommandTests.cpp
+++ b/Source/UnitTests/Ibisctl/CommandTests.cpp
@@ -197,6 +197,10 @@
     REQUIRE(RunIbisctl({ "jobs", "show", "dc1/8", server }).mCode == 1);
     entry.reply("GET jobs", { 200, R"({"jobs":[]})" });
     REQUIRE(RunIbisctl({ "jobs", "list", server }).mOut == "none\n");
+    // A list without the cells that did not answer must not look complete.
+    entry.reply("GET jobs", { 200, R"({"jobs":[],"cells_not_heard":["dc2"]})" });
+    REQUIRE(RunIbisctl({ "jobs", "list", server }).mError.find("not complete") !=
+            std::string::npos);
   }
 }
 
--- a/Source/UnitTests/Ibisctl/TablesTests.cpp
+++ b/Source/UnitTests/Ibisctl/TablesTests.cpp
@@ -187,13 +187,15 @@
     both.push_back("--server=" + other.address());
     entry.reply("POST tables", { 0, "", true });
 
-    entry.replies("GET tables", { { 200, Revision(8, kDearer) } });
+    // The new revision comes into force a moment after it was accepted.
+    entry.replies("GET tables", { { 200, Revision(7) }, { 200, Revision(8, kDearer) } });
     const Outcome applied = RunIbisctl(both);
     REQUIRE(applied.mCode == 0);
     REQUIRE(applied.mOut == "revision 8 is accepted\n");
 
     files.write("edit/revision", "7\n");
-    entry.replies("GET tables", { { 200, Revision(7) } });
+    entry.reply("GET tables", { 200, Revision(7) });
+    both.emplace_back("--timeout-ms=1000");
     const Outcome unknown = RunIbisctl(both);
     REQUIRE(unknown.mCode == 3);
     REQUIRE(unknown.mError.find("may have taken effect") != std::string::npos);
