--- a/Source/Core/Daemon/CellOwner.cpp
+++ b/Source/Core/Daemon/CellOwner.cpp
@@ -229,7 +229,7 @@
 }
 
 bool
-CellOwner::begin(CellRecord aRecord, const CellRecord& aBefore, Store::Version aVersion)
+CellOwner::begin(const CellRecord& aRecord, const CellRecord& aBefore, Store::Version aVersion)
 {
   auto next = std::make_shared<Duty>();
   Duty* raw = next.get();
@@ -335,18 +335,47 @@
 CellOwner::updateRoster(Duty& aDuty)
 {
   CellRecord wanted = aDuty.mRecord;
-  wanted.mRoster = aDuty.mMembers->wantedRoster();
-  if (wanted.mRoster == aDuty.mRecord.mRoster) {
-    return;
+  if (aDuty.mInDoubt) {
+    wanted = *aDuty.mInDoubt;
+  } else {
+    wanted.mRoster = aDuty.mMembers->wantedRoster();
+    if (wanted.mRoster == aDuty.mRecord.mRoster) {
+      return;
+    }
+    aDuty.mMembers->proposeRoster(wanted.mRoster);
+  }
+  const std::string value = EncodeCellRecord(wanted);
+  auto version = Store::SwapSettled(*mRuntime.mStore, RecordKey(mCell), aDuty.mVersion, value);
+  if (aDuty.mInDoubt && !version && version.error() == Store::StoreError::Conflict) {
+    // The write in doubt may be what moved the version.
+    const auto seen = mRuntime.mStore->read(RecordKey(mCell));
+    if (!seen) {
+      return;
+    }
+    if (*seen && (*seen)->mValue == value) {
+      version = (*seen)->mVersion;
+    }
   }
-  const auto version = Store::SwapSettled(
-    *mRuntime.mStore, RecordKey(mCell), aDuty.mVersion, EncodeCellRecord(wanted));
   if (version) {
+    aDuty.mInDoubt.reset();
     aDuty.mRecord = wanted;
     aDuty.mVersion = *version;
-    aDuty.mMembers->setRoster(wanted.mRoster);
-  } else if (version.error() == Store::StoreError::Conflict) {
-    aDuty.mDeposed = true;
+    aDuty.mMembers->settleRoster(true);
+    return;
+  }
+  switch (version.error()) {
+    case Store::StoreError::Conflict:
+      aDuty.mDeposed = true;
+      break;
+    case Store::StoreError::Unknown:
+      aDuty.mInDoubt = wanted;
+      break;
+    default:
+      // A write that is in doubt from an earlier try stays so.
+      if (!aDuty.mInDoubt) {
+        aDuty.mMembers->settleRoster(false);
+      }
+      break;
   }
 }
 
--- a/Source/Core/Daemon/CellOwner.h
+++ b/Source/Core/Daemon/CellOwner.h
@@ -57,6 +57,8 @@
   {
     CellRecord mRecord;
     Store::Version mVersion;
+    /// A write of the record whose result is not known; it is repeated before any other.
+    std::optional<CellRecord> mInDoubt;
     std::unique_ptr<OwnerKeys> mKeys;
     std::unique_ptr<OwnerJobs> mJobs;
     std::unique_ptr<OwnerMembers> mMembers;
@@ -68,7 +70,7 @@
   Common::Duration step();
   Common::Duration lookForCell();
   void tryTake(const std::optional<Store::Entry>& aEntry);
-  bool begin(CellRecord aRecord, const CellRecord& aBefore, Store::Version aVersion);
+  bool begin(const CellRecord& aRecord, const CellRecord& aBefore, Store::Version aVersion);
   Common::Duration keep(const std::shared_ptr<Duty>& aDuty);
   /// Owners of the other cells, from the store.
   void readOwners();
--- a/Source/Core/Daemon/OwnerMembers.cpp
+++ b/Source/Core/Daemon/OwnerMembers.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t kHeartbeatThreads = 16;
 constexpr std::size_t kPeersPerHeartbeat = 3;
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 900 };
-constexpr std::size_t kMaxGone = 1024;
 
 /// True if entries should hear of the change.
 bool
@@ -328,7 +327,6 @@
     }
     agent.mHeard = mRuntime.mClock.now();
     agent.mReleased = false;
-    mGone.erase(agent.mVersion);
     touch(agent);
   }
   mThreads.run([this, name = aInfo.instance] { beat(name); });
@@ -362,10 +360,20 @@
 }
 
 void
-OwnerMembers::setRoster(const std::vector<RosterEntry>& aRoster)
+OwnerMembers::proposeRoster(const std::vector<RosterEntry>& aRoster)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mTerm.mRoster = aRoster;
+  mTerm.mProposed = aRoster;
+}
+
+void
+OwnerMembers::settleRoster(bool aWritten)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (aWritten && mTerm.mProposed) {
+    mTerm.mRoster = *mTerm.mProposed;
+  }
+  mTerm.mProposed.reset();
 }
 
 OwnerMembers::ClaimStanding
--- a/Source/Core/Daemon/OwnerMembers.h
+++ b/Source/Core/Daemon/OwnerMembers.h
@@ -45,7 +45,10 @@
   void join(const Rpc::Generated::AgentInfo& aInfo);
   /// The roster that the store should have: joined agents in, released ones out.
   std::vector<RosterEntry> wantedRoster() const;
-  void setRoster(const std::vector<RosterEntry>& aRoster);
+  /// Called before the roster is written; from then on majorities of both count.
+  void proposeRoster(const std::vector<RosterEntry>& aRoster);
+  /// The proposed roster is in the store, or definitely not.
+  void settleRoster(bool aWritten);
 
   struct ClaimStanding
   {
@@ -111,8 +114,6 @@
   Term mTerm;
   std::map<std::string, Agent> mAgents;
   std::uint64_t mVersion = 0;
-  std::map<std::uint64_t, std::string> mGone;
-  std::uint64_t mForgottenUpTo = 0;
   Metering::Collector mUse;
   std::int64_t mHighestEpoch = 0;
   bool mDeclaredLost = false;
--- a/Source/Core/Daemon/Peers.cpp
+++ b/Source/Core/Daemon/Peers.cpp
@@ -17,9 +17,19 @@
     return;
   }
   const std::lock_guard<std::mutex> lock(mMutex);
-  if (mPeers.size() < kMaxPeers || mPeers.contains(aPeer.mInstance)) {
-    mPeers[aPeer.mInstance] = std::move(aPeer);
+  const auto known = mPeers.find(aPeer.mInstance);
+  if (known == mPeers.end()) {
+    if (mPeers.size() < kMaxPeers) {
+      mPeers.emplace(aPeer.mInstance, std::move(aPeer));
+    }
+    return;
+  }
+  // What others say of a peer has no revision and may guess its role; the peer's own word stays.
+  if (aPeer.mRevision == 0 && known->second.mRevision > 0) {
+    known->second.mAddress = aPeer.mAddress;
+    return;
   }
+  known->second = std::move(aPeer);
 }
 
 std::optional<std::string>
--- a/Source/Core/Daemon/Term.cpp
+++ b/Source/Core/Daemon/Term.cpp
@@ -101,7 +101,10 @@
 bool
 HasMajority(const Term& aTerm, Common::Timestamp aSince)
 {
-  return IsMajority(CountSince(aTerm, aTerm.mRoster, aSince), aTerm.mRoster.size());
+  const auto agrees = [&](const std::vector<RosterEntry>& aRoster) {
+    return IsMajority(CountSince(aTerm, aRoster, aSince), aRoster.size());
+  };
+  return agrees(aTerm.mRoster) && (!aTerm.mProposed || agrees(*aTerm.mProposed));
 }
 
 bool
--- a/Source/Core/Daemon/Term.h
+++ b/Source/Core/Daemon/Term.h
@@ -45,6 +45,9 @@
   std::int64_t mEpoch = 0;
   /// The roster in the store now.
   std::vector<RosterEntry> mRoster;
+  /// The roster that is being written, until it is known whether the store has it. A successor may
+  /// count either of the two, so the owner needs a majority of both.
+  std::optional<std::vector<RosterEntry>> mProposed;
   /// The roster in the record that was taken over.
   std::vector<RosterEntry> mTakenOver;
   /// When the last acknowledged heartbeat to each agent incarnation was sent.
--- a/Source/Core/Rpc/Generated/Control.cpp
+++ b/Source/Core/Rpc/Generated/Control.cpp
@@ -2051,14 +2051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->success.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->success.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->success[_i162].read(iprot);
+              xfer += this->success[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2089,10 +2089,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<JobView> ::const_iterator _iter163;
-      for (_iter163 = this->success.begin(); _iter163 != this->success.end(); ++_iter163)
+      std::vector<JobView> ::const_iterator _iter223;
+      for (_iter223 = this->success.begin(); _iter223 != this->success.end(); ++_iter223)
       {
-        xfer += (*_iter163).write(oprot);
+        xfer += (*_iter223).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2133,14 +2133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            (*(this->success)).resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size224;
+            ::apache::thrift::protocol::TType _etype227;
+            xfer += iprot->readListBegin(_etype227, _size224);
+            (*(this->success)).resize(_size224);
+            uint32_t _i228;
+            for (_i228 = 0; _i228 < _size224; ++_i228)
             {
-              xfer += (*(this->success))[_i168].read(iprot);
+              xfer += (*(this->success))[_i228].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2468,14 +2468,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size169;
-            ::apache::thrift::protocol::TType _etype172;
-            xfer += iprot->readListBegin(_etype172, _size169);
-            this->success.resize(_size169);
-            uint32_t _i173;
-            for (_i173 = 0; _i173 < _size169; ++_i173)
+            uint32_t _size229;
+            ::apache::thrift::protocol::TType _etype232;
+            xfer += iprot->readListBegin(_etype232, _size229);
+            this->success.resize(_size229);
+            uint32_t _i233;
+            for (_i233 = 0; _i233 < _size229; ++_i233)
             {
-              xfer += this->success[_i173].read(iprot);
+              xfer += this->success[_i233].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2506,10 +2506,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<UsageRecord> ::const_iterator _iter174;
-      for (_iter174 = this->success.begin(); _iter174 != this->success.end(); ++_iter174)
+      std::vector<UsageRecord> ::const_iterator _iter234;
+      for (_iter234 = this->success.begin(); _iter234 != this->success.end(); ++_iter234)
       {
-        xfer += (*_iter174).write(oprot);
+        xfer += (*_iter234).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2550,14 +2550,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            (*(this->success)).resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readListBegin(_etype238, _size235);
+            (*(this->success)).resize(_size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
             {
-              xfer += (*(this->success))[_i179].read(iprot);
+              xfer += (*(this->success))[_i239].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3264,14 +3264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->success.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->success.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
             {
-              xfer += iprot->readString(this->success[_i184]);
+              xfer += iprot->readString(this->success[_i244]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3302,10 +3302,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->success.size()));
-      std::vector<std::string> ::const_iterator _iter185;
-      for (_iter185 = this->success.begin(); _iter185 != this->success.end(); ++_iter185)
+      std::vector<std::string> ::const_iterator _iter245;
+      for (_iter245 = this->success.begin(); _iter245 != this->success.end(); ++_iter245)
       {
-        xfer += oprot->writeString((*_iter185));
+        xfer += oprot->writeString((*_iter245));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3346,14 +3346,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            (*(this->success)).resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            (*(this->success)).resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += iprot->readString((*(this->success))[_i190]);
+              xfer += iprot->readString((*(this->success))[_i250]);
             }
             xfer += iprot->readListEnd();
           }
--- a/Source/Core/Rpc/Generated/Control.h
+++ b/Source/Core/Rpc/Generated/Control.h
@@ -134,7 +134,9 @@
  public:
 
   Control_execute_args(const Control_execute_args&);
+  Control_execute_args(Control_execute_args&&) noexcept;
   Control_execute_args& operator=(const Control_execute_args&);
+  Control_execute_args& operator=(Control_execute_args&&) noexcept;
   Control_execute_args() noexcept {
   }
 
@@ -183,7 +185,9 @@
  public:
 
   Control_execute_result(const Control_execute_result&);
+  Control_execute_result(Control_execute_result&&) noexcept;
   Control_execute_result& operator=(const Control_execute_result&);
+  Control_execute_result& operator=(Control_execute_result&&) noexcept;
   Control_execute_result() noexcept {
   }
 
@@ -239,7 +243,9 @@
  public:
 
   Control_queryOutcome_args(const Control_queryOutcome_args&);
+  Control_queryOutcome_args(Control_queryOutcome_args&&) noexcept;
   Control_queryOutcome_args& operator=(const Control_queryOutcome_args&);
+  Control_queryOutcome_args& operator=(Control_queryOutcome_args&&) noexcept;
   Control_queryOutcome_args() noexcept
                             : requestId(),
                               targetIncarnation(0) {
@@ -296,7 +302,9 @@
  public:
 
   Control_queryOutcome_result(const Control_queryOutcome_result&);
+  Control_queryOutcome_result(Control_queryOutcome_result&&) noexcept;
   Control_queryOutcome_result& operator=(const Control_queryOutcome_result&);
+  Control_queryOutcome_result& operator=(Control_queryOutcome_result&&) noexcept;
   Control_queryOutcome_result() noexcept {
   }
 
@@ -351,7 +359,9 @@
  public:
 
   Control_heartbeat_args(const Control_heartbeat_args&);
+  Control_heartbeat_args(Control_heartbeat_args&&) noexcept;
   Control_heartbeat_args& operator=(const Control_heartbeat_args&);
+  Control_heartbeat_args& operator=(Control_heartbeat_args&&) noexcept;
   Control_heartbeat_args() noexcept {
   }
 
@@ -400,7 +410,9 @@
  public:
 
   Control_heartbeat_result(const Control_heartbeat_result&);
+  Control_heartbeat_result(Control_heartbeat_result&&) noexcept;
   Control_heartbeat_result& operator=(const Control_heartbeat_result&);
+  Control_heartbeat_result& operator=(Control_heartbeat_result&&) noexcept;
   Control_heartbeat_result() noexcept {
   }
 
@@ -455,7 +467,9 @@
  public:
 
   Control_gossip_args(const Control_gossip_args&);
+  Control_gossip_args(Control_gossip_args&&) noexcept;
   Control_gossip_args& operator=(const Control_gossip_args&);
+  Control_gossip_args& operator=(Control_gossip_args&&) noexcept;
   Control_gossip_args() noexcept {
   }
 
@@ -504,7 +518,9 @@
  public:
 
   Control_gossip_result(const Control_gossip_result&);
+  Control_gossip_result(Control_gossip_result&&) noexcept;
   Control_gossip_result& operator=(const Control_gossip_result&);
+  Control_gossip_result& operator=(Control_gossip_result&&) noexcept;
   Control_gossip_result() noexcept {
   }
 
@@ -560,7 +576,9 @@
  public:
 
   Control_fetchRevision_args(const Control_fetchRevision_args&);
+  Control_fetchRevision_args(Control_fetchRevision_args&&) noexcept;
   Control_fetchRevision_args& operator=(const Control_fetchRevision_args&);
+  Control_fetchRevision_args& operator=(Control_fetchRevision_args&&) noexcept;
   Control_fetchRevision_args() noexcept
                              : heldRevision(0),
                                heldHash() {
@@ -617,7 +635,9 @@
  public:
 
   Control_fetchRevision_result(const Control_fetchRevision_result&);
+  Control_fetchRevision_result(Control_fetchRevision_result&&) noexcept;
   Control_fetchRevision_result& operator=(const Control_fetchRevision_result&);
+  Control_fetchRevision_result& operator=(Control_fetchRevision_result&&) noexcept;
   Control_fetchRevision_result() noexcept {
   }
 
@@ -672,7 +692,9 @@
  public:
 
   Control_join_args(const Control_join_args&);
+  Control_join_args(Control_join_args&&) noexcept;
   Control_join_args& operator=(const Control_join_args&);
+  Control_join_args& operator=(Control_join_args&&) noexcept;
   Control_join_args() noexcept {
   }
 
@@ -721,7 +743,9 @@
  public:
 
   Control_join_result(const Control_join_result&);
+  Control_join_result(Control_join_result&&) noexcept;
   Control_join_result& operator=(const Control_join_result&);
+  Control_join_result& operator=(Control_join_result&&) noexcept;
   Control_join_result() noexcept {
   }
 
@@ -776,7 +800,9 @@
  public:
 
   Control_claimKey_args(const Control_claimKey_args&);
+  Control_claimKey_args(Control_claimKey_args&&) noexcept;
   Control_claimKey_args& operator=(const Control_claimKey_args&);
+  Control_claimKey_args& operator=(Control_claimKey_args&&) noexcept;
   Control_claimKey_args() noexcept {
   }
 
@@ -825,7 +851,9 @@
  public:
 
   Control_claimKey_result(const Control_claimKey_result&);
+  Control_claimKey_result(Control_claimKey_result&&) noexcept;
   Control_claimKey_result& operator=(const Control_claimKey_result&);
+  Control_claimKey_result& operator=(Control_claimKey_result&&) noexcept;
   Control_claimKey_result() noexcept {
   }
 
@@ -880,7 +908,9 @@
  public:
 
   Control_settleKey_args(const Control_settleKey_args&);
+  Control_settleKey_args(Control_settleKey_args&&) noexcept;
   Control_settleKey_args& operator=(const Control_settleKey_args&);
+  Control_settleKey_args& operator=(Control_settleKey_args&&) noexcept;
   Control_settleKey_args() noexcept {
   }
 
@@ -929,7 +959,9 @@
  public:
 
   Control_settleKey_result(const Control_settleKey_result&) noexcept;
+  Control_settleKey_result(Control_settleKey_result&&) noexcept;
   Control_settleKey_result& operator=(const Control_settleKey_result&) noexcept;
+  Control_settleKey_result& operator=(Control_settleKey_result&&) noexcept;
   Control_settleKey_result() noexcept
                            : success(0) {
   }
@@ -986,7 +1018,9 @@
  public:
 
   Control_submitJob_args(const Control_submitJob_args&);
+  Control_submitJob_args(Control_submitJob_args&&) noexcept;
   Control_submitJob_args& operator=(const Control_submitJob_args&);
+  Control_submitJob_args& operator=(Control_submitJob_args&&) noexcept;
   Control_submitJob_args() noexcept {
   }
 
@@ -1041,7 +1075,9 @@
  public:
 
   Control_submitJob_result(const Control_submitJob_result&);
+  Control_submitJob_result(Control_submitJob_result&&) noexcept;
   Control_submitJob_result& operator=(const Control_submitJob_result&);
+  Control_submitJob_result& operator=(Control_submitJob_result&&) noexcept;
   Control_submitJob_result() noexcept {
   }
 
@@ -1096,7 +1132,9 @@
  public:
 
   Control_cancelJob_args(const Control_cancelJob_args&);
+  Control_cancelJob_args(Control_cancelJob_args&&) noexcept;
   Control_cancelJob_args& operator=(const Control_cancelJob_args&);
+  Control_cancelJob_args& operator=(Control_cancelJob_args&&) noexcept;
   Control_cancelJob_args() noexcept
                          : jobId() {
   }
@@ -1146,7 +1184,9 @@
  public:
 
   Control_cancelJob_result(const Control_cancelJob_result&);
+  Control_cancelJob_result(Control_cancelJob_result&&) noexcept;
   Control_cancelJob_result& operator=(const Control_cancelJob_result&);
+  Control_cancelJob_result& operator=(Control_cancelJob_result&&) noexcept;
   Control_cancelJob_result() noexcept {
   }
 
@@ -1202,7 +1242,9 @@
  public:
 
   Control_showJobs_args(const Control_showJobs_args&);
+  Control_showJobs_args(Control_showJobs_args&&) noexcept;
   Control_showJobs_args& operator=(const Control_showJobs_args&);
+  Control_showJobs_args& operator=(Control_showJobs_args&&) noexcept;
   Control_showJobs_args() noexcept
                         : jobId(),
                           limit(0) {
@@ -1259,7 +1301,9 @@
  public:
 
   Control_showJobs_result(const Control_showJobs_result&);
+  Control_showJobs_result(Control_showJobs_result&&) noexcept;
   Control_showJobs_result& operator=(const Control_showJobs_result&);
+  Control_showJobs_result& operator=(Control_showJobs_result&&) noexcept;
   Control_showJobs_result() noexcept {
   }
 
@@ -1316,7 +1360,9 @@
  public:
 
   Control_members_args(const Control_members_args&);
+  Control_members_args(Control_members_args&&) noexcept;
   Control_members_args& operator=(const Control_members_args&);
+  Control_members_args& operator=(Control_members_args&&) noexcept;
   Control_members_args() noexcept
                        : knownVersion(0),
                          pool(),
@@ -1380,7 +1426,9 @@
  public:
 
   Control_members_result(const Control_members_result&);
+  Control_members_result(Control_members_result&&) noexcept;
   Control_members_result& operator=(const Control_members_result&);
+  Control_members_result& operator=(Control_members_result&&) noexcept;
   Control_members_result() noexcept {
   }
 
@@ -1431,7 +1479,9 @@
  public:
 
   Control_usage_args(const Control_usage_args&) noexcept;
+  Control_usage_args(Control_usage_args&&) noexcept;
   Control_usage_args& operator=(const Control_usage_args&) noexcept;
+  Control_usage_args& operator=(Control_usage_args&&) noexcept;
   Control_usage_args() noexcept {
   }
 
@@ -1472,7 +1522,9 @@
  public:
 
   Control_usage_result(const Control_usage_result&);
+  Control_usage_result(Control_usage_result&&) noexcept;
   Control_usage_result& operator=(const Control_usage_result&);
+  Control_usage_result& operator=(Control_usage_result&&) noexcept;
   Control_usage_result() noexcept {
   }
 
@@ -1528,7 +1580,9 @@
  public:
 
   Control_drain_args(const Control_drain_args&);
+  Control_drain_args(Control_drain_args&&) noexcept;
   Control_drain_args& operator=(const Control_drain_args&);
+  Control_drain_args& operator=(Control_drain_args&&) noexcept;
   Control_drain_args() noexcept
                      : instance(),
                        on(0) {
@@ -1585,7 +1639,9 @@
  public:
 
   Control_drain_result(const Control_drain_result&) noexcept;
+  Control_drain_result(Control_drain_result&&) noexcept;
   Control_drain_result& operator=(const Control_drain_result&) noexcept;
+  Control_drain_result& operator=(Control_drain_result&&) noexcept;
   Control_drain_result() noexcept
                        : success(0) {
   }
@@ -1641,7 +1697,9 @@
  public:
 
   Control_declareLost_args(const Control_declareLost_args&);
+  Control_declareLost_args(Control_declareLost_args&&) noexcept;
   Control_declareLost_args& operator=(const Control_declareLost_args&);
+  Control_declareLost_args& operator=(Control_declareLost_args&&) noexcept;
   Control_declareLost_args() noexcept
                            : cell() {
   }
@@ -1691,7 +1749,9 @@
  public:
 
   Control_declareLost_result(const Control_declareLost_result&) noexcept;
+  Control_declareLost_result(Control_declareLost_result&&) noexcept;
   Control_declareLost_result& operator=(const Control_declareLost_result&) noexcept;
+  Control_declareLost_result& operator=(Control_declareLost_result&&) noexcept;
   Control_declareLost_result() noexcept
                              : success(0) {
   }
@@ -1747,7 +1807,9 @@
  public:
 
   Control_offerCell_args(const Control_offerCell_args&);
+  Control_offerCell_args(Control_offerCell_args&&) noexcept;
   Control_offerCell_args& operator=(const Control_offerCell_args&);
+  Control_offerCell_args& operator=(Control_offerCell_args&&) noexcept;
   Control_offerCell_args() noexcept
                          : cell() {
   }
@@ -1797,7 +1859,9 @@
  public:
 
   Control_offerCell_result(const Control_offerCell_result&) noexcept;
+  Control_offerCell_result(Control_offerCell_result&&) noexcept;
   Control_offerCell_result& operator=(const Control_offerCell_result&) noexcept;
+  Control_offerCell_result& operator=(Control_offerCell_result&&) noexcept;
   Control_offerCell_result() noexcept
                            : success(0) {
   }
@@ -1853,7 +1917,9 @@
  public:
 
   Control_trace_args(const Control_trace_args&);
+  Control_trace_args(Control_trace_args&&) noexcept;
   Control_trace_args& operator=(const Control_trace_args&);
+  Control_trace_args& operator=(Control_trace_args&&) noexcept;
   Control_trace_args() noexcept
                      : traceId() {
   }
@@ -1903,7 +1969,9 @@
  public:
 
   Control_trace_result(const Control_trace_result&);
+  Control_trace_result(Control_trace_result&&) noexcept;
   Control_trace_result& operator=(const Control_trace_result&);
+  Control_trace_result& operator=(Control_trace_result&&) noexcept;
   Control_trace_result() noexcept {
   }
 
--- a/Source/Core/Rpc/Generated/Ibisshed_types.cpp
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.cpp
@@ -304,10 +304,21 @@
   value = other0.value;
   __isset = other0.__isset;
 }
-Header& Header::operator=(const Header& other1) {
-  name = other1.name;
-  value = other1.value;
+Header::Header(Header&& other1) noexcept {
+  name = std::move(other1.name);
+  value = std::move(other1.value);
   __isset = other1.__isset;
+}
+Header& Header::operator=(const Header& other2) {
+  name = other2.name;
+  value = other2.value;
+  __isset = other2.__isset;
+  return *this;
+}
+Header& Header::operator=(Header&& other3) noexcept {
+  name = std::move(other3.name);
+  value = std::move(other3.value);
+  __isset = other3.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -411,15 +422,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TraceContext::TraceContext(const TraceContext& other2) {
-  traceParent = other2.traceParent;
-  traceState = other2.traceState;
-  __isset = other2.__isset;
+TraceContext::TraceContext(const TraceContext& other4) {
+  traceParent = other4.traceParent;
+  traceState = other4.traceState;
+  __isset = other4.__isset;
 }
-TraceContext& TraceContext::operator=(const TraceContext& other3) {
-  traceParent = other3.traceParent;
-  traceState = other3.traceState;
-  __isset = other3.__isset;
+TraceContext::TraceContext(TraceContext&& other5) noexcept {
+  traceParent = std::move(other5.traceParent);
+  traceState = std::move(other5.traceState);
+  __isset = other5.__isset;
+}
+TraceContext& TraceContext::operator=(const TraceContext& other6) {
+  traceParent = other6.traceParent;
+  traceState = other6.traceState;
+  __isset = other6.__isset;
+  return *this;
+}
+TraceContext& TraceContext::operator=(TraceContext&& other7) noexcept {
+  traceParent = std::move(other7.traceParent);
+  traceState = std::move(other7.traceState);
+  __isset = other7.__isset;
   return *this;
 }
 void TraceContext::printTo(std::ostream& out) const {
@@ -608,25 +630,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other4) noexcept {
-  slotsInUse = other4.slotsInUse;
-  slotsLimit = other4.slotsLimit;
-  queued = other4.queued;
-  latencyP50Micros = other4.latencyP50Micros;
-  latencyP99Micros = other4.latencyP99Micros;
-  leaving = other4.leaving;
-  revision = other4.revision;
-  __isset = other4.__isset;
+LoadReport::LoadReport(const LoadReport& other8) noexcept {
+  slotsInUse = other8.slotsInUse;
+  slotsLimit = other8.slotsLimit;
+  queued = other8.queued;
+  latencyP50Micros = other8.latencyP50Micros;
+  latencyP99Micros = other8.latencyP99Micros;
+  leaving = other8.leaving;
+  revision = other8.revision;
+  __isset = other8.__isset;
+}
+LoadReport::LoadReport(LoadReport&& other9) noexcept {
+  slotsInUse = other9.slotsInUse;
+  slotsLimit = other9.slotsLimit;
+  queued = other9.queued;
+  latencyP50Micros = other9.latencyP50Micros;
+  latencyP99Micros = other9.latencyP99Micros;
+  leaving = other9.leaving;
+  revision = other9.revision;
+  __isset = other9.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other10) noexcept {
+  slotsInUse = other10.slotsInUse;
+  slotsLimit = other10.slotsLimit;
+  queued = other10.queued;
+  latencyP50Micros = other10.latencyP50Micros;
+  latencyP99Micros = other10.latencyP99Micros;
+  leaving = other10.leaving;
+  revision = other10.revision;
+  __isset = other10.__isset;
+  return *this;
 }
-LoadReport& LoadReport::operator=(const LoadReport& other5) noexcept {
-  slotsInUse = other5.slotsInUse;
-  slotsLimit = other5.slotsLimit;
-  queued = other5.queued;
-  latencyP50Micros = other5.latencyP50Micros;
-  latencyP99Micros = other5.latencyP99Micros;
-  leaving = other5.leaving;
-  revision = other5.revision;
-  __isset = other5.__isset;
+LoadReport& LoadReport::operator=(LoadReport&& other11) noexcept {
+  slotsInUse = other11.slotsInUse;
+  slotsLimit = other11.slotsLimit;
+  queued = other11.queued;
+  latencyP50Micros = other11.latencyP50Micros;
+  latencyP99Micros = other11.latencyP99Micros;
+  leaving = other11.leaving;
+  revision = other11.revision;
+  __isset = other11.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -790,14 +833,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->headers.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->headers.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->headers[_i10].read(iprot);
+              xfer += this->headers[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -882,10 +925,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter11;
-    for (_iter11 = this->headers.begin(); _iter11 != this->headers.end(); ++_iter11)
+    std::vector<Header> ::const_iterator _iter17;
+    for (_iter17 = this->headers.begin(); _iter17 != this->headers.end(); ++_iter17)
     {
-      xfer += (*_iter11).write(oprot);
+      xfer += (*_iter17).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -925,35 +968,66 @@
   swap(a.__isset, b.__isset);
 }
 
-ExecuteRequest::ExecuteRequest(const ExecuteRequest& other12) {
-  requestId = other12.requestId;
-  targetIncarnation = other12.targetIncarnation;
-  route = other12.route;
-  revision = other12.revision;
-  client = other12.client;
-  remainingMicros = other12.remainingMicros;
-  method = other12.method;
-  path = other12.path;
-  headers = other12.headers;
-  body = other12.body;
-  trace = other12.trace;
-  origin = other12.origin;
-  __isset = other12.__isset;
-}
-ExecuteRequest& ExecuteRequest::operator=(const ExecuteRequest& other13) {
-  requestId = other13.requestId;
-  targetIncarnation = other13.targetIncarnation;
-  route = other13.route;
-  revision = other13.revision;
-  client = other13.client;
-  remainingMicros = other13.remainingMicros;
-  method = other13.method;
-  path = other13.path;
-  headers = other13.headers;
-  body = other13.body;
-  trace = other13.trace;
-  origin = other13.origin;
-  __isset = other13.__isset;
+ExecuteRequest::ExecuteRequest(const ExecuteRequest& other18) {
+  requestId = other18.requestId;
+  targetIncarnation = other18.targetIncarnation;
+  route = other18.route;
+  revision = other18.revision;
+  client = other18.client;
+  remainingMicros = other18.remainingMicros;
+  method = other18.method;
+  path = other18.path;
+  headers = other18.headers;
+  body = other18.body;
+  trace = other18.trace;
+  origin = other18.origin;
+  __isset = other18.__isset;
+}
+ExecuteRequest::ExecuteRequest(ExecuteRequest&& other19) noexcept {
+  requestId = std::move(other19.requestId);
+  targetIncarnation = other19.targetIncarnation;
+  route = std::move(other19.route);
+  revision = other19.revision;
+  client = std::move(other19.client);
+  remainingMicros = other19.remainingMicros;
+  method = std::move(other19.method);
+  path = std::move(other19.path);
+  headers = std::move(other19.headers);
+  body = std::move(other19.body);
+  trace = std::move(other19.trace);
+  origin = std::move(other19.origin);
+  __isset = other19.__isset;
+}
+ExecuteRequest& ExecuteRequest::operator=(const ExecuteRequest& other20) {
+  requestId = other20.requestId;
+  targetIncarnation = other20.targetIncarnation;
+  route = other20.route;
+  revision = other20.revision;
+  client = other20.client;
+  remainingMicros = other20.remainingMicros;
+  method = other20.method;
+  path = other20.path;
+  headers = other20.headers;
+  body = other20.body;
+  trace = other20.trace;
+  origin = other20.origin;
+  __isset = other20.__isset;
+  return *this;
+}
+ExecuteRequest& ExecuteRequest::operator=(ExecuteRequest&& other21) noexcept {
+  requestId = std::move(other21.requestId);
+  targetIncarnation = other21.targetIncarnation;
+  route = std::move(other21.route);
+  revision = other21.revision;
+  client = std::move(other21.client);
+  remainingMicros = other21.remainingMicros;
+  method = std::move(other21.method);
+  path = std::move(other21.path);
+  headers = std::move(other21.headers);
+  body = std::move(other21.body);
+  trace = std::move(other21.trace);
+  origin = std::move(other21.origin);
+  __isset = other21.__isset;
   return *this;
 }
 void ExecuteRequest::printTo(std::ostream& out) const {
@@ -1048,9 +1122,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast14;
-          xfer += iprot->readI32(ecast14);
-          this->outcome = static_cast<Outcome::type>(ecast14);
+          int32_t ecast22;
+          xfer += iprot->readI32(ecast22);
+          this->outcome = static_cast<Outcome::type>(ecast22);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1058,9 +1132,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast15;
-          xfer += iprot->readI32(ecast15);
-          this->reason = static_cast<RefusalReason::type>(ecast15);
+          int32_t ecast23;
+          xfer += iprot->readI32(ecast23);
+          this->reason = static_cast<RefusalReason::type>(ecast23);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1078,14 +1152,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->headers.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->headers.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->headers[_i20].read(iprot);
+              xfer += this->headers[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1174,10 +1248,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter21;
-    for (_iter21 = this->headers.begin(); _iter21 != this->headers.end(); ++_iter21)
+    std::vector<Header> ::const_iterator _iter29;
+    for (_iter29 = this->headers.begin(); _iter29 != this->headers.end(); ++_iter29)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1227,31 +1301,58 @@
   swap(a.__isset, b.__isset);
 }
 
-ExecuteReply::ExecuteReply(const ExecuteReply& other22) {
-  outcome = other22.outcome;
-  reason = other22.reason;
-  status = other22.status;
-  headers = other22.headers;
-  body = other22.body;
-  load = other22.load;
-  incarnation = other22.incarnation;
-  retryAfterMicros = other22.retryAfterMicros;
-  detail = other22.detail;
-  inProgress = other22.inProgress;
-  __isset = other22.__isset;
-}
-ExecuteReply& ExecuteReply::operator=(const ExecuteReply& other23) {
-  outcome = other23.outcome;
-  reason = other23.reason;
-  status = other23.status;
-  headers = other23.headers;
-  body = other23.body;
-  load = other23.load;
-  incarnation = other23.incarnation;
-  retryAfterMicros = other23.retryAfterMicros;
-  detail = other23.detail;
-  inProgress = other23.inProgress;
-  __isset = other23.__isset;
+ExecuteReply::ExecuteReply(const ExecuteReply& other30) {
+  outcome = other30.outcome;
+  reason = other30.reason;
+  status = other30.status;
+  headers = other30.headers;
+  body = other30.body;
+  load = other30.load;
+  incarnation = other30.incarnation;
+  retryAfterMicros = other30.retryAfterMicros;
+  detail = other30.detail;
+  inProgress = other30.inProgress;
+  __isset = other30.__isset;
+}
+ExecuteReply::ExecuteReply(ExecuteReply&& other31) noexcept {
+  outcome = other31.outcome;
+  reason = other31.reason;
+  status = other31.status;
+  headers = std::move(other31.headers);
+  body = std::move(other31.body);
+  load = std::move(other31.load);
+  incarnation = other31.incarnation;
+  retryAfterMicros = other31.retryAfterMicros;
+  detail = std::move(other31.detail);
+  inProgress = other31.inProgress;
+  __isset = other31.__isset;
+}
+ExecuteReply& ExecuteReply::operator=(const ExecuteReply& other32) {
+  outcome = other32.outcome;
+  reason = other32.reason;
+  status = other32.status;
+  headers = other32.headers;
+  body = other32.body;
+  load = other32.load;
+  incarnation = other32.incarnation;
+  retryAfterMicros = other32.retryAfterMicros;
+  detail = other32.detail;
+  inProgress = other32.inProgress;
+  __isset = other32.__isset;
+  return *this;
+}
+ExecuteReply& ExecuteReply::operator=(ExecuteReply&& other33) noexcept {
+  outcome = other33.outcome;
+  reason = other33.reason;
+  status = other33.status;
+  headers = std::move(other33.headers);
+  body = std::move(other33.body);
+  load = std::move(other33.load);
+  incarnation = other33.incarnation;
+  retryAfterMicros = other33.retryAfterMicros;
+  detail = std::move(other33.detail);
+  inProgress = other33.inProgress;
+  __isset = other33.__isset;
   return *this;
 }
 void ExecuteReply::printTo(std::ostream& out) const {
@@ -1448,25 +1549,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKeyRequest::ClaimKeyRequest(const ClaimKeyRequest& other24) {
-  client = other24.client;
-  key = other24.key;
-  keyTimeUnixMillis = other24.keyTimeUnixMillis;
-  requestId = other24.requestId;
-  fingerprint = other24.fingerprint;
-  trace = other24.trace;
-  remainingMicros = other24.remainingMicros;
-  __isset = other24.__isset;
-}
-ClaimKeyRequest& ClaimKeyRequest::operator=(const ClaimKeyRequest& other25) {
-  client = other25.client;
-  key = other25.key;
-  keyTimeUnixMillis = other25.keyTimeUnixMillis;
-  requestId = other25.requestId;
-  fingerprint = other25.fingerprint;
-  trace = other25.trace;
-  remainingMicros = other25.remainingMicros;
-  __isset = other25.__isset;
+ClaimKeyRequest::ClaimKeyRequest(const ClaimKeyRequest& other34) {
+  client = other34.client;
+  key = other34.key;
+  keyTimeUnixMillis = other34.keyTimeUnixMillis;
+  requestId = other34.requestId;
+  fingerprint = other34.fingerprint;
+  trace = other34.trace;
+  remainingMicros = other34.remainingMicros;
+  __isset = other34.__isset;
+}
+ClaimKeyRequest::ClaimKeyRequest(ClaimKeyRequest&& other35) noexcept {
+  client = std::move(other35.client);
+  key = std::move(other35.key);
+  keyTimeUnixMillis = other35.keyTimeUnixMillis;
+  requestId = std::move(other35.requestId);
+  fingerprint = std::move(other35.fingerprint);
+  trace = std::move(other35.trace);
+  remainingMicros = other35.remainingMicros;
+  __isset = other35.__isset;
+}
+ClaimKeyRequest& ClaimKeyRequest::operator=(const ClaimKeyRequest& other36) {
+  client = other36.client;
+  key = other36.key;
+  keyTimeUnixMillis = other36.keyTimeUnixMillis;
+  requestId = other36.requestId;
+  fingerprint = other36.fingerprint;
+  trace = other36.trace;
+  remainingMicros = other36.remainingMicros;
+  __isset = other36.__isset;
+  return *this;
+}
+ClaimKeyRequest& ClaimKeyRequest::operator=(ClaimKeyRequest&& other37) noexcept {
+  client = std::move(other37.client);
+  key = std::move(other37.key);
+  keyTimeUnixMillis = other37.keyTimeUnixMillis;
+  requestId = std::move(other37.requestId);
+  fingerprint = std::move(other37.fingerprint);
+  trace = std::move(other37.trace);
+  remainingMicros = other37.remainingMicros;
+  __isset = other37.__isset;
   return *this;
 }
 void ClaimKeyRequest::printTo(std::ostream& out) const {
@@ -1541,9 +1663,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast26;
-          xfer += iprot->readI32(ecast26);
-          this->state = static_cast<KeyState::type>(ecast26);
+          int32_t ecast38;
+          xfer += iprot->readI32(ecast38);
+          this->state = static_cast<KeyState::type>(ecast38);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1551,9 +1673,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast27;
-          xfer += iprot->readI32(ecast27);
-          this->reason = static_cast<RefusalReason::type>(ecast27);
+          int32_t ecast39;
+          xfer += iprot->readI32(ecast39);
+          this->reason = static_cast<RefusalReason::type>(ecast39);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1649,23 +1771,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimKeyReply::ClaimKeyReply(const ClaimKeyReply& other28) {
-  state = other28.state;
-  reason = other28.reason;
-  stored = other28.stored;
-  epoch = other28.epoch;
-  retryAfterMicros = other28.retryAfterMicros;
-  detail = other28.detail;
-  __isset = other28.__isset;
-}
-ClaimKeyReply& ClaimKeyReply::operator=(const ClaimKeyReply& other29) {
-  state = other29.state;
-  reason = other29.reason;
-  stored = other29.stored;
-  epoch = other29.epoch;
-  retryAfterMicros = other29.retryAfterMicros;
-  detail = other29.detail;
-  __isset = other29.__isset;
+ClaimKeyReply::ClaimKeyReply(const ClaimKeyReply& other40) {
+  state = other40.state;
+  reason = other40.reason;
+  stored = other40.stored;
+  epoch = other40.epoch;
+  retryAfterMicros = other40.retryAfterMicros;
+  detail = other40.detail;
+  __isset = other40.__isset;
+}
+ClaimKeyReply::ClaimKeyReply(ClaimKeyReply&& other41) noexcept {
+  state = other41.state;
+  reason = other41.reason;
+  stored = std::move(other41.stored);
+  epoch = other41.epoch;
+  retryAfterMicros = other41.retryAfterMicros;
+  detail = std::move(other41.detail);
+  __isset = other41.__isset;
+}
+ClaimKeyReply& ClaimKeyReply::operator=(const ClaimKeyReply& other42) {
+  state = other42.state;
+  reason = other42.reason;
+  stored = other42.stored;
+  epoch = other42.epoch;
+  retryAfterMicros = other42.retryAfterMicros;
+  detail = other42.detail;
+  __isset = other42.__isset;
+  return *this;
+}
+ClaimKeyReply& ClaimKeyReply::operator=(ClaimKeyReply&& other43) noexcept {
+  state = other43.state;
+  reason = other43.reason;
+  stored = std::move(other43.stored);
+  epoch = other43.epoch;
+  retryAfterMicros = other43.retryAfterMicros;
+  detail = std::move(other43.detail);
+  __isset = other43.__isset;
   return *this;
 }
 void ClaimKeyReply::printTo(std::ostream& out) const {
@@ -1824,21 +1965,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettleKeyRequest::SettleKeyRequest(const SettleKeyRequest& other30) {
-  client = other30.client;
-  key = other30.key;
-  requestId = other30.requestId;
-  epoch = other30.epoch;
-  result = other30.result;
-  __isset = other30.__isset;
+SettleKeyRequest::SettleKeyRequest(const SettleKeyRequest& other44) {
+  client = other44.client;
+  key = other44.key;
+  requestId = other44.requestId;
+  epoch = other44.epoch;
+  result = other44.result;
+  __isset = other44.__isset;
 }
-SettleKeyRequest& SettleKeyRequest::operator=(const SettleKeyRequest& other31) {
-  client = other31.client;
-  key = other31.key;
-  requestId = other31.requestId;
-  epoch = other31.epoch;
-  result = other31.result;
-  __isset = other31.__isset;
+SettleKeyRequest::SettleKeyRequest(SettleKeyRequest&& other45) noexcept {
+  client = std::move(other45.client);
+  key = std::move(other45.key);
+  requestId = std::move(other45.requestId);
+  epoch = other45.epoch;
+  result = std::move(other45.result);
+  __isset = other45.__isset;
+}
+SettleKeyRequest& SettleKeyRequest::operator=(const SettleKeyRequest& other46) {
+  client = other46.client;
+  key = other46.key;
+  requestId = other46.requestId;
+  epoch = other46.epoch;
+  result = other46.result;
+  __isset = other46.__isset;
+  return *this;
+}
+SettleKeyRequest& SettleKeyRequest::operator=(SettleKeyRequest&& other47) noexcept {
+  client = std::move(other47.client);
+  key = std::move(other47.key);
+  requestId = std::move(other47.requestId);
+  epoch = other47.epoch;
+  result = std::move(other47.result);
+  __isset = other47.__isset;
   return *this;
 }
 void SettleKeyRequest::printTo(std::ostream& out) const {
@@ -1962,17 +2120,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ResourceAmounts::ResourceAmounts(const ResourceAmounts& other32) noexcept {
-  milliCores = other32.milliCores;
-  memoryBytes = other32.memoryBytes;
-  accelerators = other32.accelerators;
-  __isset = other32.__isset;
+ResourceAmounts::ResourceAmounts(const ResourceAmounts& other48) noexcept {
+  milliCores = other48.milliCores;
+  memoryBytes = other48.memoryBytes;
+  accelerators = other48.accelerators;
+  __isset = other48.__isset;
 }
-ResourceAmounts& ResourceAmounts::operator=(const ResourceAmounts& other33) noexcept {
-  milliCores = other33.milliCores;
-  memoryBytes = other33.memoryBytes;
-  accelerators = other33.accelerators;
-  __isset = other33.__isset;
+ResourceAmounts::ResourceAmounts(ResourceAmounts&& other49) noexcept {
+  milliCores = other49.milliCores;
+  memoryBytes = other49.memoryBytes;
+  accelerators = other49.accelerators;
+  __isset = other49.__isset;
+}
+ResourceAmounts& ResourceAmounts::operator=(const ResourceAmounts& other50) noexcept {
+  milliCores = other50.milliCores;
+  memoryBytes = other50.memoryBytes;
+  accelerators = other50.accelerators;
+  __isset = other50.__isset;
+  return *this;
+}
+ResourceAmounts& ResourceAmounts::operator=(ResourceAmounts&& other51) noexcept {
+  milliCores = other51.milliCores;
+  memoryBytes = other51.memoryBytes;
+  accelerators = other51.accelerators;
+  __isset = other51.__isset;
   return *this;
 }
 void ResourceAmounts::printTo(std::ostream& out) const {
@@ -2213,31 +2384,58 @@
   swap(a.__isset, b.__isset);
 }
 
-JobSpec::JobSpec(const JobSpec& other34) {
-  client = other34.client;
-  team = other34.team;
-  route = other34.route;
-  idempotencyKey = other34.idempotencyKey;
-  tasks = other34.tasks;
-  perTask = other34.perTask;
-  runTimeMicros = other34.runTimeMicros;
-  deadlineUnixMillis = other34.deadlineUnixMillis;
-  priority = other34.priority;
-  payload = other34.payload;
-  __isset = other34.__isset;
+JobSpec::JobSpec(const JobSpec& other52) {
+  client = other52.client;
+  team = other52.team;
+  route = other52.route;
+  idempotencyKey = other52.idempotencyKey;
+  tasks = other52.tasks;
+  perTask = other52.perTask;
+  runTimeMicros = other52.runTimeMicros;
+  deadlineUnixMillis = other52.deadlineUnixMillis;
+  priority = other52.priority;
+  payload = other52.payload;
+  __isset = other52.__isset;
+}
+JobSpec::JobSpec(JobSpec&& other53) noexcept {
+  client = std::move(other53.client);
+  team = std::move(other53.team);
+  route = std::move(other53.route);
+  idempotencyKey = std::move(other53.idempotencyKey);
+  tasks = other53.tasks;
+  perTask = std::move(other53.perTask);
+  runTimeMicros = other53.runTimeMicros;
+  deadlineUnixMillis = other53.deadlineUnixMillis;
+  priority = other53.priority;
+  payload = std::move(other53.payload);
+  __isset = other53.__isset;
+}
+JobSpec& JobSpec::operator=(const JobSpec& other54) {
+  client = other54.client;
+  team = other54.team;
+  route = other54.route;
+  idempotencyKey = other54.idempotencyKey;
+  tasks = other54.tasks;
+  perTask = other54.perTask;
+  runTimeMicros = other54.runTimeMicros;
+  deadlineUnixMillis = other54.deadlineUnixMillis;
+  priority = other54.priority;
+  payload = other54.payload;
+  __isset = other54.__isset;
+  return *this;
 }
-JobSpec& JobSpec::operator=(const JobSpec& other35) {
-  client = other35.client;
-  team = other35.team;
-  route = other35.route;
-  idempotencyKey = other35.idempotencyKey;
-  tasks = other35.tasks;
-  perTask = other35.perTask;
-  runTimeMicros = other35.runTimeMicros;
-  deadlineUnixMillis = other35.deadlineUnixMillis;
-  priority = other35.priority;
-  payload = other35.payload;
-  __isset = other35.__isset;
+JobSpec& JobSpec::operator=(JobSpec&& other55) noexcept {
+  client = std::move(other55.client);
+  team = std::move(other55.team);
+  route = std::move(other55.route);
+  idempotencyKey = std::move(other55.idempotencyKey);
+  tasks = other55.tasks;
+  perTask = std::move(other55.perTask);
+  runTimeMicros = other55.runTimeMicros;
+  deadlineUnixMillis = other55.deadlineUnixMillis;
+  priority = other55.priority;
+  payload = std::move(other55.payload);
+  __isset = other55.__isset;
   return *this;
 }
 void JobSpec::printTo(std::ostream& out) const {
@@ -2326,9 +2524,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast36;
-          xfer += iprot->readI32(ecast36);
-          this->reason = static_cast<RefusalReason::type>(ecast36);
+          int32_t ecast56;
+          xfer += iprot->readI32(ecast56);
+          this->reason = static_cast<RefusalReason::type>(ecast56);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2402,21 +2600,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitReply::SubmitReply(const SubmitReply& other37) {
-  accepted = other37.accepted;
-  jobId = other37.jobId;
-  reason = other37.reason;
-  retryAfterMicros = other37.retryAfterMicros;
-  detail = other37.detail;
-  __isset = other37.__isset;
+SubmitReply::SubmitReply(const SubmitReply& other57) {
+  accepted = other57.accepted;
+  jobId = other57.jobId;
+  reason = other57.reason;
+  retryAfterMicros = other57.retryAfterMicros;
+  detail = other57.detail;
+  __isset = other57.__isset;
 }
-SubmitReply& SubmitReply::operator=(const SubmitReply& other38) {
-  accepted = other38.accepted;
-  jobId = other38.jobId;
-  reason = other38.reason;
-  retryAfterMicros = other38.retryAfterMicros;
-  detail = other38.detail;
-  __isset = other38.__isset;
+SubmitReply::SubmitReply(SubmitReply&& other58) noexcept {
+  accepted = other58.accepted;
+  jobId = std::move(other58.jobId);
+  reason = other58.reason;
+  retryAfterMicros = other58.retryAfterMicros;
+  detail = std::move(other58.detail);
+  __isset = other58.__isset;
+}
+SubmitReply& SubmitReply::operator=(const SubmitReply& other59) {
+  accepted = other59.accepted;
+  jobId = other59.jobId;
+  reason = other59.reason;
+  retryAfterMicros = other59.retryAfterMicros;
+  detail = other59.detail;
+  __isset = other59.__isset;
+  return *this;
+}
+SubmitReply& SubmitReply::operator=(SubmitReply&& other60) noexcept {
+  accepted = other60.accepted;
+  jobId = std::move(other60.jobId);
+  reason = other60.reason;
+  retryAfterMicros = other60.retryAfterMicros;
+  detail = std::move(other60.detail);
+  __isset = other60.__isset;
   return *this;
 }
 void SubmitReply::printTo(std::ostream& out) const {
@@ -2693,35 +2908,66 @@
   swap(a.__isset, b.__isset);
 }
 
-JobView::JobView(const JobView& other39) {
-  jobId = other39.jobId;
-  spec = other39.spec;
-  state = other39.state;
-  waiting = other39.waiting;
-  running = other39.running;
-  finished = other39.finished;
-  failed = other39.failed;
-  cancelled = other39.cancelled;
-  detail = other39.detail;
-  submittedUnixMillis = other39.submittedUnixMillis;
-  evictions = other39.evictions;
-  unknownEnd = other39.unknownEnd;
-  __isset = other39.__isset;
-}
-JobView& JobView::operator=(const JobView& other40) {
-  jobId = other40.jobId;
-  spec = other40.spec;
-  state = other40.state;
-  waiting = other40.waiting;
-  running = other40.running;
-  finished = other40.finished;
-  failed = other40.failed;
-  cancelled = other40.cancelled;
-  detail = other40.detail;
-  submittedUnixMillis = other40.submittedUnixMillis;
-  evictions = other40.evictions;
-  unknownEnd = other40.unknownEnd;
-  __isset = other40.__isset;
+JobView::JobView(const JobView& other61) {
+  jobId = other61.jobId;
+  spec = other61.spec;
+  state = other61.state;
+  waiting = other61.waiting;
+  running = other61.running;
+  finished = other61.finished;
+  failed = other61.failed;
+  cancelled = other61.cancelled;
+  detail = other61.detail;
+  submittedUnixMillis = other61.submittedUnixMillis;
+  evictions = other61.evictions;
+  unknownEnd = other61.unknownEnd;
+  __isset = other61.__isset;
+}
+JobView::JobView(JobView&& other62) noexcept {
+  jobId = std::move(other62.jobId);
+  spec = std::move(other62.spec);
+  state = std::move(other62.state);
+  waiting = other62.waiting;
+  running = other62.running;
+  finished = other62.finished;
+  failed = other62.failed;
+  cancelled = other62.cancelled;
+  detail = std::move(other62.detail);
+  submittedUnixMillis = other62.submittedUnixMillis;
+  evictions = other62.evictions;
+  unknownEnd = other62.unknownEnd;
+  __isset = other62.__isset;
+}
+JobView& JobView::operator=(const JobView& other63) {
+  jobId = other63.jobId;
+  spec = other63.spec;
+  state = other63.state;
+  waiting = other63.waiting;
+  running = other63.running;
+  finished = other63.finished;
+  failed = other63.failed;
+  cancelled = other63.cancelled;
+  detail = other63.detail;
+  submittedUnixMillis = other63.submittedUnixMillis;
+  evictions = other63.evictions;
+  unknownEnd = other63.unknownEnd;
+  __isset = other63.__isset;
+  return *this;
+}
+JobView& JobView::operator=(JobView&& other64) noexcept {
+  jobId = std::move(other64.jobId);
+  spec = std::move(other64.spec);
+  state = std::move(other64.state);
+  waiting = other64.waiting;
+  running = other64.running;
+  finished = other64.finished;
+  failed = other64.failed;
+  cancelled = other64.cancelled;
+  detail = std::move(other64.detail);
+  submittedUnixMillis = other64.submittedUnixMillis;
+  evictions = other64.evictions;
+  unknownEnd = other64.unknownEnd;
+  __isset = other64.__isset;
   return *this;
 }
 void JobView::printTo(std::ostream& out) const {
@@ -2988,33 +3234,62 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskStart::TaskStart(const TaskStart& other41) {
-  taskId = other41.taskId;
-  jobId = other41.jobId;
-  attempt = other41.attempt;
-  checkpoint = other41.checkpoint;
-  amounts = other41.amounts;
-  runTimeMicros = other41.runTimeMicros;
-  payload = other41.payload;
-  route = other41.route;
-  client = other41.client;
-  team = other41.team;
-  mayRestart = other41.mayRestart;
-  __isset = other41.__isset;
+TaskStart::TaskStart(const TaskStart& other65) {
+  taskId = other65.taskId;
+  jobId = other65.jobId;
+  attempt = other65.attempt;
+  checkpoint = other65.checkpoint;
+  amounts = other65.amounts;
+  runTimeMicros = other65.runTimeMicros;
+  payload = other65.payload;
+  route = other65.route;
+  client = other65.client;
+  team = other65.team;
+  mayRestart = other65.mayRestart;
+  __isset = other65.__isset;
+}
+TaskStart::TaskStart(TaskStart&& other66) noexcept {
+  taskId = std::move(other66.taskId);
+  jobId = std::move(other66.jobId);
+  attempt = other66.attempt;
+  checkpoint = std::move(other66.checkpoint);
+  amounts = std::move(other66.amounts);
+  runTimeMicros = other66.runTimeMicros;
+  payload = std::move(other66.payload);
+  route = std::move(other66.route);
+  client = std::move(other66.client);
+  team = std::move(other66.team);
+  mayRestart = other66.mayRestart;
+  __isset = other66.__isset;
+}
+TaskStart& TaskStart::operator=(const TaskStart& other67) {
+  taskId = other67.taskId;
+  jobId = other67.jobId;
+  attempt = other67.attempt;
+  checkpoint = other67.checkpoint;
+  amounts = other67.amounts;
+  runTimeMicros = other67.runTimeMicros;
+  payload = other67.payload;
+  route = other67.route;
+  client = other67.client;
+  team = other67.team;
+  mayRestart = other67.mayRestart;
+  __isset = other67.__isset;
+  return *this;
 }
-TaskStart& TaskStart::operator=(const TaskStart& other42) {
-  taskId = other42.taskId;
-  jobId = other42.jobId;
-  attempt = other42.attempt;
-  checkpoint = other42.checkpoint;
-  amounts = other42.amounts;
-  runTimeMicros = other42.runTimeMicros;
-  payload = other42.payload;
-  route = other42.route;
-  client = other42.client;
-  team = other42.team;
-  mayRestart = other42.mayRestart;
-  __isset = other42.__isset;
+TaskStart& TaskStart::operator=(TaskStart&& other68) noexcept {
+  taskId = std::move(other68.taskId);
+  jobId = std::move(other68.jobId);
+  attempt = other68.attempt;
+  checkpoint = std::move(other68.checkpoint);
+  amounts = std::move(other68.amounts);
+  runTimeMicros = other68.runTimeMicros;
+  payload = std::move(other68.payload);
+  route = std::move(other68.route);
+  client = std::move(other68.client);
+  team = std::move(other68.team);
+  mayRestart = other68.mayRestart;
+  __isset = other68.__isset;
   return *this;
 }
 void TaskStart::printTo(std::ostream& out) const {
@@ -3089,9 +3364,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast43;
-          xfer += iprot->readI32(ecast43);
-          this->kind = static_cast<TaskActionKind::type>(ecast43);
+          int32_t ecast69;
+          xfer += iprot->readI32(ecast69);
+          this->kind = static_cast<TaskActionKind::type>(ecast69);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3182,21 +3457,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskAction::TaskAction(const TaskAction& other44) {
-  kind = other44.kind;
-  taskId = other44.taskId;
-  attempt = other44.attempt;
-  start = other44.start;
-  throttlePercent = other44.throttlePercent;
-  __isset = other44.__isset;
+TaskAction::TaskAction(const TaskAction& other70) {
+  kind = other70.kind;
+  taskId = other70.taskId;
+  attempt = other70.attempt;
+  start = other70.start;
+  throttlePercent = other70.throttlePercent;
+  __isset = other70.__isset;
+}
+TaskAction::TaskAction(TaskAction&& other71) noexcept {
+  kind = other71.kind;
+  taskId = std::move(other71.taskId);
+  attempt = other71.attempt;
+  start = std::move(other71.start);
+  throttlePercent = other71.throttlePercent;
+  __isset = other71.__isset;
+}
+TaskAction& TaskAction::operator=(const TaskAction& other72) {
+  kind = other72.kind;
+  taskId = other72.taskId;
+  attempt = other72.attempt;
+  start = other72.start;
+  throttlePercent = other72.throttlePercent;
+  __isset = other72.__isset;
+  return *this;
 }
-TaskAction& TaskAction::operator=(const TaskAction& other45) {
-  kind = other45.kind;
-  taskId = other45.taskId;
-  attempt = other45.attempt;
-  start = other45.start;
-  throttlePercent = other45.throttlePercent;
-  __isset = other45.__isset;
+TaskAction& TaskAction::operator=(TaskAction&& other73) noexcept {
+  kind = other73.kind;
+  taskId = std::move(other73.taskId);
+  attempt = other73.attempt;
+  start = std::move(other73.start);
+  throttlePercent = other73.throttlePercent;
+  __isset = other73.__isset;
   return *this;
 }
 void TaskAction::printTo(std::ostream& out) const {
@@ -3324,9 +3616,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast46;
-          xfer += iprot->readI32(ecast46);
-          this->state = static_cast<TaskState::type>(ecast46);
+          int32_t ecast74;
+          xfer += iprot->readI32(ecast74);
+          this->state = static_cast<TaskState::type>(ecast74);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3509,39 +3801,74 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskReport::TaskReport(const TaskReport& other47) {
-  taskId = other47.taskId;
-  jobId = other47.jobId;
-  attempt = other47.attempt;
-  state = other47.state;
-  checkpoint = other47.checkpoint;
-  coreMicros = other47.coreMicros;
-  peakMemoryBytes = other47.peakMemoryBytes;
-  ranMicros = other47.ranMicros;
-  detail = other47.detail;
-  amounts = other47.amounts;
-  progressRate = other47.progressRate;
-  route = other47.route;
-  client = other47.client;
-  team = other47.team;
-  __isset = other47.__isset;
+TaskReport::TaskReport(const TaskReport& other75) {
+  taskId = other75.taskId;
+  jobId = other75.jobId;
+  attempt = other75.attempt;
+  state = other75.state;
+  checkpoint = other75.checkpoint;
+  coreMicros = other75.coreMicros;
+  peakMemoryBytes = other75.peakMemoryBytes;
+  ranMicros = other75.ranMicros;
+  detail = other75.detail;
+  amounts = other75.amounts;
+  progressRate = other75.progressRate;
+  route = other75.route;
+  client = other75.client;
+  team = other75.team;
+  __isset = other75.__isset;
+}
+TaskReport::TaskReport(TaskReport&& other76) noexcept {
+  taskId = std::move(other76.taskId);
+  jobId = std::move(other76.jobId);
+  attempt = other76.attempt;
+  state = other76.state;
+  checkpoint = std::move(other76.checkpoint);
+  coreMicros = other76.coreMicros;
+  peakMemoryBytes = other76.peakMemoryBytes;
+  ranMicros = other76.ranMicros;
+  detail = std::move(other76.detail);
+  amounts = std::move(other76.amounts);
+  progressRate = other76.progressRate;
+  route = std::move(other76.route);
+  client = std::move(other76.client);
+  team = std::move(other76.team);
+  __isset = other76.__isset;
+}
+TaskReport& TaskReport::operator=(const TaskReport& other77) {
+  taskId = other77.taskId;
+  jobId = other77.jobId;
+  attempt = other77.attempt;
+  state = other77.state;
+  checkpoint = other77.checkpoint;
+  coreMicros = other77.coreMicros;
+  peakMemoryBytes = other77.peakMemoryBytes;
+  ranMicros = other77.ranMicros;
+  detail = other77.detail;
+  amounts = other77.amounts;
+  progressRate = other77.progressRate;
+  route = other77.route;
+  client = other77.client;
+  team = other77.team;
+  __isset = other77.__isset;
+  return *this;
 }
-TaskReport& TaskReport::operator=(const TaskReport& other48) {
-  taskId = other48.taskId;
-  jobId = other48.jobId;
-  attempt = other48.attempt;
-  state = other48.state;
-  checkpoint = other48.checkpoint;
-  coreMicros = other48.coreMicros;
-  peakMemoryBytes = other48.peakMemoryBytes;
-  ranMicros = other48.ranMicros;
-  detail = other48.detail;
-  amounts = other48.amounts;
-  progressRate = other48.progressRate;
-  route = other48.route;
-  client = other48.client;
-  team = other48.team;
-  __isset = other48.__isset;
+TaskReport& TaskReport::operator=(TaskReport&& other78) noexcept {
+  taskId = std::move(other78.taskId);
+  jobId = std::move(other78.jobId);
+  attempt = other78.attempt;
+  state = other78.state;
+  checkpoint = std::move(other78.checkpoint);
+  coreMicros = other78.coreMicros;
+  peakMemoryBytes = other78.peakMemoryBytes;
+  ranMicros = other78.ranMicros;
+  detail = std::move(other78.detail);
+  amounts = std::move(other78.amounts);
+  progressRate = other78.progressRate;
+  route = std::move(other78.route);
+  client = std::move(other78.client);
+  team = std::move(other78.team);
+  __isset = other78.__isset;
   return *this;
 }
 void TaskReport::printTo(std::ostream& out) const {
@@ -3742,25 +4069,46 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointReport::EndpointReport(const EndpointReport& other49) {
-  endpointId = other49.endpointId;
-  route = other49.route;
-  address = other49.address;
-  leaving = other49.leaving;
-  slots = other49.slots;
-  connections = other49.connections;
-  pool = other49.pool;
-  __isset = other49.__isset;
+EndpointReport::EndpointReport(const EndpointReport& other79) {
+  endpointId = other79.endpointId;
+  route = other79.route;
+  address = other79.address;
+  leaving = other79.leaving;
+  slots = other79.slots;
+  connections = other79.connections;
+  pool = other79.pool;
+  __isset = other79.__isset;
+}
+EndpointReport::EndpointReport(EndpointReport&& other80) noexcept {
+  endpointId = std::move(other80.endpointId);
+  route = std::move(other80.route);
+  address = std::move(other80.address);
+  leaving = other80.leaving;
+  slots = other80.slots;
+  connections = other80.connections;
+  pool = std::move(other80.pool);
+  __isset = other80.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other81) {
+  endpointId = other81.endpointId;
+  route = other81.route;
+  address = other81.address;
+  leaving = other81.leaving;
+  slots = other81.slots;
+  connections = other81.connections;
+  pool = other81.pool;
+  __isset = other81.__isset;
+  return *this;
 }
-EndpointReport& EndpointReport::operator=(const EndpointReport& other50) {
-  endpointId = other50.endpointId;
-  route = other50.route;
-  address = other50.address;
-  leaving = other50.leaving;
-  slots = other50.slots;
-  connections = other50.connections;
-  pool = other50.pool;
-  __isset = other50.__isset;
+EndpointReport& EndpointReport::operator=(EndpointReport&& other82) noexcept {
+  endpointId = std::move(other82.endpointId);
+  route = std::move(other82.route);
+  address = std::move(other82.address);
+  leaving = other82.leaving;
+  slots = other82.slots;
+  connections = other82.connections;
+  pool = std::move(other82.pool);
+  __isset = other82.__isset;
   return *this;
 }
 void EndpointReport::printTo(std::ostream& out) const {
@@ -3888,14 +4236,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->labels.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->labels.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += iprot->readString(this->labels[_i55]);
+              xfer += iprot->readString(this->labels[_i87]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3948,10 +4296,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter56;
-    for (_iter56 = this->labels.begin(); _iter56 != this->labels.end(); ++_iter56)
+    std::vector<std::string> ::const_iterator _iter88;
+    for (_iter88 = this->labels.begin(); _iter88 != this->labels.end(); ++_iter88)
     {
-      xfer += oprot->writeString((*_iter56));
+      xfer += oprot->writeString((*_iter88));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3974,25 +4322,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentInfo::AgentInfo(const AgentInfo& other57) {
-  instance = other57.instance;
-  incarnation = other57.incarnation;
-  address = other57.address;
-  worker = other57.worker;
-  rack = other57.rack;
-  dataCentre = other57.dataCentre;
-  labels = other57.labels;
-  __isset = other57.__isset;
+AgentInfo::AgentInfo(const AgentInfo& other89) {
+  instance = other89.instance;
+  incarnation = other89.incarnation;
+  address = other89.address;
+  worker = other89.worker;
+  rack = other89.rack;
+  dataCentre = other89.dataCentre;
+  labels = other89.labels;
+  __isset = other89.__isset;
+}
+AgentInfo::AgentInfo(AgentInfo&& other90) noexcept {
+  instance = std::move(other90.instance);
+  incarnation = other90.incarnation;
+  address = std::move(other90.address);
+  worker = std::move(other90.worker);
+  rack = std::move(other90.rack);
+  dataCentre = std::move(other90.dataCentre);
+  labels = std::move(other90.labels);
+  __isset = other90.__isset;
+}
+AgentInfo& AgentInfo::operator=(const AgentInfo& other91) {
+  instance = other91.instance;
+  incarnation = other91.incarnation;
+  address = other91.address;
+  worker = other91.worker;
+  rack = other91.rack;
+  dataCentre = other91.dataCentre;
+  labels = other91.labels;
+  __isset = other91.__isset;
+  return *this;
 }
-AgentInfo& AgentInfo::operator=(const AgentInfo& other58) {
-  instance = other58.instance;
-  incarnation = other58.incarnation;
-  address = other58.address;
-  worker = other58.worker;
-  rack = other58.rack;
-  dataCentre = other58.dataCentre;
-  labels = other58.labels;
-  __isset = other58.__isset;
+AgentInfo& AgentInfo::operator=(AgentInfo&& other92) noexcept {
+  instance = std::move(other92.instance);
+  incarnation = other92.incarnation;
+  address = std::move(other92.address);
+  worker = std::move(other92.worker);
+  rack = std::move(other92.rack);
+  dataCentre = std::move(other92.dataCentre);
+  labels = std::move(other92.labels);
+  __isset = other92.__isset;
   return *this;
 }
 void AgentInfo::printTo(std::ostream& out) const {
@@ -4186,25 +4555,46 @@
   swap(a.__isset, b.__isset);
 }
 
-UsageRecord::UsageRecord(const UsageRecord& other59) {
-  team = other59.team;
-  client = other59.client;
-  route = other59.route;
-  microPrice = other59.microPrice;
-  count = other59.count;
-  slotMicros = other59.slotMicros;
-  coreMicros = other59.coreMicros;
-  __isset = other59.__isset;
+UsageRecord::UsageRecord(const UsageRecord& other93) {
+  team = other93.team;
+  client = other93.client;
+  route = other93.route;
+  microPrice = other93.microPrice;
+  count = other93.count;
+  slotMicros = other93.slotMicros;
+  coreMicros = other93.coreMicros;
+  __isset = other93.__isset;
+}
+UsageRecord::UsageRecord(UsageRecord&& other94) noexcept {
+  team = std::move(other94.team);
+  client = std::move(other94.client);
+  route = std::move(other94.route);
+  microPrice = other94.microPrice;
+  count = other94.count;
+  slotMicros = other94.slotMicros;
+  coreMicros = other94.coreMicros;
+  __isset = other94.__isset;
+}
+UsageRecord& UsageRecord::operator=(const UsageRecord& other95) {
+  team = other95.team;
+  client = other95.client;
+  route = other95.route;
+  microPrice = other95.microPrice;
+  count = other95.count;
+  slotMicros = other95.slotMicros;
+  coreMicros = other95.coreMicros;
+  __isset = other95.__isset;
+  return *this;
 }
-UsageRecord& UsageRecord::operator=(const UsageRecord& other60) {
-  team = other60.team;
-  client = other60.client;
-  route = other60.route;
-  microPrice = other60.microPrice;
-  count = other60.count;
-  slotMicros = other60.slotMicros;
-  coreMicros = other60.coreMicros;
-  __isset = other60.__isset;
+UsageRecord& UsageRecord::operator=(UsageRecord&& other96) noexcept {
+  team = std::move(other96.team);
+  client = std::move(other96.client);
+  route = std::move(other96.route);
+  microPrice = other96.microPrice;
+  count = other96.count;
+  slotMicros = other96.slotMicros;
+  coreMicros = other96.coreMicros;
+  __isset = other96.__isset;
   return *this;
 }
 void UsageRecord::printTo(std::ostream& out) const {
@@ -4221,77 +4611,33 @@
 }
 
 
-HeartbeatRequest::~HeartbeatRequest() noexcept {
+CellView::~CellView() noexcept {
 }
 
 
-void HeartbeatRequest::__set_cell(const std::string& val) {
+void CellView::__set_cell(const std::string& val) {
   this->cell = val;
 }
 
-void HeartbeatRequest::__set_epoch(const int64_t val) {
+void CellView::__set_epoch(const int64_t val) {
   this->epoch = val;
 }
 
-void HeartbeatRequest::__set_tenureMicros(const int64_t val) {
-  this->tenureMicros = val;
-}
-
-void HeartbeatRequest::__set_revision(const int64_t val) {
-  this->revision = val;
-}
-
-void HeartbeatRequest::__set_revisionHash(const std::string& val) {
-  this->revisionHash = val;
-}
-
-void HeartbeatRequest::__set_actions(const std::vector<TaskAction> & val) {
-  this->actions = val;
-}
-
-void HeartbeatRequest::__set_durableTasks(const std::vector<std::string> & val) {
-  this->durableTasks = val;
-}
-
-void HeartbeatRequest::__set_ownerAddress(const std::string& val) {
+void CellView::__set_ownerAddress(const std::string& val) {
   this->ownerAddress = val;
 }
 
-void HeartbeatRequest::__set_wantInventory(const bool val) {
-  this->wantInventory = val;
-}
-
-void HeartbeatRequest::__set_peers(const std::vector<PeerView> & val) {
-  this->peers = val;
-}
-
-void HeartbeatRequest::__set_relay(const bool val) {
-  this->relay = val;
-}
-
-void HeartbeatRequest::__set_cells(const std::vector<CellView> & val) {
-  this->cells = val;
-}
-
-void HeartbeatRequest::__set_drain(const bool val) {
-  this->drain = val;
-}
-
-void HeartbeatRequest::__set_echoMicros(const int64_t val) {
-  this->echoMicros = val;
-}
-
-void HeartbeatRequest::__set_knownUsageVersion(const int64_t val) {
-  this->knownUsageVersion = val;
+void CellView::__set_ownerInstance(const std::string& val) {
+  this->ownerInstance = val;
 }
-std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj)
+std::ostream& operator<<(std::ostream& out, const CellView& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HeartbeatRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CellView::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4329,70 +4675,6 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tenureMicros);
-          this->__isset.tenureMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->revisionHash);
-          this->__isset.revisionHash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->actions.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->actions.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
-            {
-              xfer += this->actions[_i65].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.actions = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->durableTasks.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->durableTasks.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
-            {
-              xfer += iprot->readString(this->durableTasks[_i70]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.durableTasks = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->ownerAddress);
           this->__isset.ownerAddress = true;
@@ -4400,72 +4682,514 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wantInventory);
-          this->__isset.wantInventory = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->peers.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->peers.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
-            {
-              xfer += this->peers[_i75].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.peers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->relay);
-          this->__isset.relay = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->cells.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->cells.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
-            {
-              xfer += this->cells[_i80].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.cells = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ownerInstance);
+          this->__isset.ownerInstance = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->drain);
-          this->__isset.drain = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+      default:
+        xfer += iprot->skip(ftype);
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CellView::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CellView");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ownerAddress", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->ownerAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ownerInstance", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->ownerInstance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CellView &a, CellView &b) {
+  using ::std::swap;
+  swap(a.cell, b.cell);
+  swap(a.epoch, b.epoch);
+  swap(a.ownerAddress, b.ownerAddress);
+  swap(a.ownerInstance, b.ownerInstance);
+  swap(a.__isset, b.__isset);
+}
+
+CellView::CellView(const CellView& other97) {
+  cell = other97.cell;
+  epoch = other97.epoch;
+  ownerAddress = other97.ownerAddress;
+  ownerInstance = other97.ownerInstance;
+  __isset = other97.__isset;
+}
+CellView::CellView(CellView&& other98) noexcept {
+  cell = std::move(other98.cell);
+  epoch = other98.epoch;
+  ownerAddress = std::move(other98.ownerAddress);
+  ownerInstance = std::move(other98.ownerInstance);
+  __isset = other98.__isset;
+}
+CellView& CellView::operator=(const CellView& other99) {
+  cell = other99.cell;
+  epoch = other99.epoch;
+  ownerAddress = other99.ownerAddress;
+  ownerInstance = other99.ownerInstance;
+  __isset = other99.__isset;
+  return *this;
+}
+CellView& CellView::operator=(CellView&& other100) noexcept {
+  cell = std::move(other100.cell);
+  epoch = other100.epoch;
+  ownerAddress = std::move(other100.ownerAddress);
+  ownerInstance = std::move(other100.ownerInstance);
+  __isset = other100.__isset;
+  return *this;
+}
+void CellView::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CellView(";
+  out << "cell=" << to_string(cell);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "ownerAddress=" << to_string(ownerAddress);
+  out << ", " << "ownerInstance=" << to_string(ownerInstance);
+  out << ")";
+}
+
+
+PeerView::~PeerView() noexcept {
+}
+
+
+void PeerView::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void PeerView::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void PeerView::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void PeerView::__set_role(const std::string& val) {
+  this->role = val;
+}
+std::ostream& operator<<(std::ostream& out, const PeerView& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PeerView::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->role);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerView::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerView");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PeerView &a, PeerView &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.address, b.address);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.role, b.role);
+  swap(a.__isset, b.__isset);
+}
+
+PeerView::PeerView(const PeerView& other101) {
+  instance = other101.instance;
+  address = other101.address;
+  dataCentre = other101.dataCentre;
+  role = other101.role;
+  __isset = other101.__isset;
+}
+PeerView::PeerView(PeerView&& other102) noexcept {
+  instance = std::move(other102.instance);
+  address = std::move(other102.address);
+  dataCentre = std::move(other102.dataCentre);
+  role = std::move(other102.role);
+  __isset = other102.__isset;
+}
+PeerView& PeerView::operator=(const PeerView& other103) {
+  instance = other103.instance;
+  address = other103.address;
+  dataCentre = other103.dataCentre;
+  role = other103.role;
+  __isset = other103.__isset;
+  return *this;
+}
+PeerView& PeerView::operator=(PeerView&& other104) noexcept {
+  instance = std::move(other104.instance);
+  address = std::move(other104.address);
+  dataCentre = std::move(other104.dataCentre);
+  role = std::move(other104.role);
+  __isset = other104.__isset;
+  return *this;
+}
+void PeerView::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PeerView(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "role=" << to_string(role);
+  out << ")";
+}
+
+
+HeartbeatRequest::~HeartbeatRequest() noexcept {
+}
+
+
+void HeartbeatRequest::__set_cell(const std::string& val) {
+  this->cell = val;
+}
+
+void HeartbeatRequest::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void HeartbeatRequest::__set_tenureMicros(const int64_t val) {
+  this->tenureMicros = val;
+}
+
+void HeartbeatRequest::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void HeartbeatRequest::__set_revisionHash(const std::string& val) {
+  this->revisionHash = val;
+}
+
+void HeartbeatRequest::__set_actions(const std::vector<TaskAction> & val) {
+  this->actions = val;
+}
+
+void HeartbeatRequest::__set_durableTasks(const std::vector<std::string> & val) {
+  this->durableTasks = val;
+}
+
+void HeartbeatRequest::__set_ownerAddress(const std::string& val) {
+  this->ownerAddress = val;
+}
+
+void HeartbeatRequest::__set_wantInventory(const bool val) {
+  this->wantInventory = val;
+}
+
+void HeartbeatRequest::__set_peers(const std::vector<PeerView> & val) {
+  this->peers = val;
+}
+
+void HeartbeatRequest::__set_relay(const bool val) {
+  this->relay = val;
+}
+
+void HeartbeatRequest::__set_cells(const std::vector<CellView> & val) {
+  this->cells = val;
+}
+
+void HeartbeatRequest::__set_drain(const bool val) {
+  this->drain = val;
+}
+
+void HeartbeatRequest::__set_echoMicros(const int64_t val) {
+  this->echoMicros = val;
+}
+
+void HeartbeatRequest::__set_knownUsageVersion(const int64_t val) {
+  this->knownUsageVersion = val;
+}
+std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HeartbeatRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tenureMicros);
+          this->__isset.tenureMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->revisionHash);
+          this->__isset.revisionHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->actions.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->actions.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += this->actions[_i109].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.actions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->durableTasks.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->durableTasks.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              xfer += iprot->readString(this->durableTasks[_i114]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.durableTasks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ownerAddress);
+          this->__isset.ownerAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantInventory);
+          this->__isset.wantInventory = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->peers.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->peers.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += this->peers[_i119].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relay);
+          this->__isset.relay = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cells.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->cells.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += this->cells[_i124].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cells = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->drain);
+          this->__isset.drain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->echoMicros);
           this->__isset.echoMicros = true;
         } else {
@@ -4520,10 +5244,10 @@
   xfer += oprot->writeFieldBegin("actions", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->actions.size()));
-    std::vector<TaskAction> ::const_iterator _iter81;
-    for (_iter81 = this->actions.begin(); _iter81 != this->actions.end(); ++_iter81)
+    std::vector<TaskAction> ::const_iterator _iter125;
+    for (_iter125 = this->actions.begin(); _iter125 != this->actions.end(); ++_iter125)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4532,10 +5256,10 @@
   xfer += oprot->writeFieldBegin("durableTasks", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->durableTasks.size()));
-    std::vector<std::string> ::const_iterator _iter82;
-    for (_iter82 = this->durableTasks.begin(); _iter82 != this->durableTasks.end(); ++_iter82)
+    std::vector<std::string> ::const_iterator _iter126;
+    for (_iter126 = this->durableTasks.begin(); _iter126 != this->durableTasks.end(); ++_iter126)
     {
-      xfer += oprot->writeString((*_iter82));
+      xfer += oprot->writeString((*_iter126));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4552,10 +5276,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-    std::vector<PeerView> ::const_iterator _iter83;
-    for (_iter83 = this->peers.begin(); _iter83 != this->peers.end(); ++_iter83)
+    std::vector<PeerView> ::const_iterator _iter127;
+    for (_iter127 = this->peers.begin(); _iter127 != this->peers.end(); ++_iter127)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4568,10 +5292,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter84;
-    for (_iter84 = this->cells.begin(); _iter84 != this->cells.end(); ++_iter84)
+    std::vector<CellView> ::const_iterator _iter128;
+    for (_iter128 = this->cells.begin(); _iter128 != this->cells.end(); ++_iter128)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4614,41 +5338,78 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatRequest::HeartbeatRequest(const HeartbeatRequest& other85) {
-  cell = other85.cell;
-  epoch = other85.epoch;
-  tenureMicros = other85.tenureMicros;
-  revision = other85.revision;
-  revisionHash = other85.revisionHash;
-  actions = other85.actions;
-  durableTasks = other85.durableTasks;
-  ownerAddress = other85.ownerAddress;
-  wantInventory = other85.wantInventory;
-  peers = other85.peers;
-  relay = other85.relay;
-  cells = other85.cells;
-  drain = other85.drain;
-  echoMicros = other85.echoMicros;
-  knownUsageVersion = other85.knownUsageVersion;
-  __isset = other85.__isset;
-}
-HeartbeatRequest& HeartbeatRequest::operator=(const HeartbeatRequest& other86) {
-  cell = other86.cell;
-  epoch = other86.epoch;
-  tenureMicros = other86.tenureMicros;
-  revision = other86.revision;
-  revisionHash = other86.revisionHash;
-  actions = other86.actions;
-  durableTasks = other86.durableTasks;
-  ownerAddress = other86.ownerAddress;
-  wantInventory = other86.wantInventory;
-  peers = other86.peers;
-  relay = other86.relay;
-  cells = other86.cells;
-  drain = other86.drain;
-  echoMicros = other86.echoMicros;
-  knownUsageVersion = other86.knownUsageVersion;
-  __isset = other86.__isset;
+HeartbeatRequest::HeartbeatRequest(const HeartbeatRequest& other129) {
+  cell = other129.cell;
+  epoch = other129.epoch;
+  tenureMicros = other129.tenureMicros;
+  revision = other129.revision;
+  revisionHash = other129.revisionHash;
+  actions = other129.actions;
+  durableTasks = other129.durableTasks;
+  ownerAddress = other129.ownerAddress;
+  wantInventory = other129.wantInventory;
+  peers = other129.peers;
+  relay = other129.relay;
+  cells = other129.cells;
+  drain = other129.drain;
+  echoMicros = other129.echoMicros;
+  knownUsageVersion = other129.knownUsageVersion;
+  __isset = other129.__isset;
+}
+HeartbeatRequest::HeartbeatRequest(HeartbeatRequest&& other130) noexcept {
+  cell = std::move(other130.cell);
+  epoch = other130.epoch;
+  tenureMicros = other130.tenureMicros;
+  revision = other130.revision;
+  revisionHash = std::move(other130.revisionHash);
+  actions = std::move(other130.actions);
+  durableTasks = std::move(other130.durableTasks);
+  ownerAddress = std::move(other130.ownerAddress);
+  wantInventory = other130.wantInventory;
+  peers = std::move(other130.peers);
+  relay = other130.relay;
+  cells = std::move(other130.cells);
+  drain = other130.drain;
+  echoMicros = other130.echoMicros;
+  knownUsageVersion = other130.knownUsageVersion;
+  __isset = other130.__isset;
+}
+HeartbeatRequest& HeartbeatRequest::operator=(const HeartbeatRequest& other131) {
+  cell = other131.cell;
+  epoch = other131.epoch;
+  tenureMicros = other131.tenureMicros;
+  revision = other131.revision;
+  revisionHash = other131.revisionHash;
+  actions = other131.actions;
+  durableTasks = other131.durableTasks;
+  ownerAddress = other131.ownerAddress;
+  wantInventory = other131.wantInventory;
+  peers = other131.peers;
+  relay = other131.relay;
+  cells = other131.cells;
+  drain = other131.drain;
+  echoMicros = other131.echoMicros;
+  knownUsageVersion = other131.knownUsageVersion;
+  __isset = other131.__isset;
+  return *this;
+}
+HeartbeatRequest& HeartbeatRequest::operator=(HeartbeatRequest&& other132) noexcept {
+  cell = std::move(other132.cell);
+  epoch = other132.epoch;
+  tenureMicros = other132.tenureMicros;
+  revision = other132.revision;
+  revisionHash = std::move(other132.revisionHash);
+  actions = std::move(other132.actions);
+  durableTasks = std::move(other132.durableTasks);
+  ownerAddress = std::move(other132.ownerAddress);
+  wantInventory = other132.wantInventory;
+  peers = std::move(other132.peers);
+  relay = other132.relay;
+  cells = std::move(other132.cells);
+  drain = other132.drain;
+  echoMicros = other132.echoMicros;
+  knownUsageVersion = other132.knownUsageVersion;
+  __isset = other132.__isset;
   return *this;
 }
 void HeartbeatRequest::printTo(std::ostream& out) const {
@@ -4804,14 +5565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->tasks.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->tasks.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->tasks[_i91].read(iprot);
+              xfer += this->tasks[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4824,14 +5585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->endpoints.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->endpoints.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->endpoints[_i96].read(iprot);
+              xfer += this->endpoints[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4860,14 +5621,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->usage.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->usage.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->usage[_i101].read(iprot);
+              xfer += this->usage[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4948,10 +5709,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskReport> ::const_iterator _iter102;
-    for (_iter102 = this->tasks.begin(); _iter102 != this->tasks.end(); ++_iter102)
+    std::vector<TaskReport> ::const_iterator _iter148;
+    for (_iter148 = this->tasks.begin(); _iter148 != this->tasks.end(); ++_iter148)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4960,10 +5721,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointReport> ::const_iterator _iter103;
-    for (_iter103 = this->endpoints.begin(); _iter103 != this->endpoints.end(); ++_iter103)
+    std::vector<EndpointReport> ::const_iterator _iter149;
+    for (_iter149 = this->endpoints.begin(); _iter149 != this->endpoints.end(); ++_iter149)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4980,10 +5741,10 @@
   xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
-    std::vector<UsageRecord> ::const_iterator _iter104;
-    for (_iter104 = this->usage.begin(); _iter104 != this->usage.end(); ++_iter104)
+    std::vector<UsageRecord> ::const_iterator _iter150;
+    for (_iter150 = this->usage.begin(); _iter150 != this->usage.end(); ++_iter150)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5029,39 +5790,74 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other105) {
-  accepted = other105.accepted;
-  highestEpoch = other105.highestEpoch;
-  info = other105.info;
-  free = other105.free;
-  total = other105.total;
-  tasks = other105.tasks;
-  endpoints = other105.endpoints;
-  load = other105.load;
-  revision = other105.revision;
-  usage = other105.usage;
-  leaving = other105.leaving;
-  fullInventory = other105.fullInventory;
-  usageVersion = other105.usageVersion;
-  agentClockMicros = other105.agentClockMicros;
-  __isset = other105.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other106) {
-  accepted = other106.accepted;
-  highestEpoch = other106.highestEpoch;
-  info = other106.info;
-  free = other106.free;
-  total = other106.total;
-  tasks = other106.tasks;
-  endpoints = other106.endpoints;
-  load = other106.load;
-  revision = other106.revision;
-  usage = other106.usage;
-  leaving = other106.leaving;
-  fullInventory = other106.fullInventory;
-  usageVersion = other106.usageVersion;
-  agentClockMicros = other106.agentClockMicros;
-  __isset = other106.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other151) {
+  accepted = other151.accepted;
+  highestEpoch = other151.highestEpoch;
+  info = other151.info;
+  free = other151.free;
+  total = other151.total;
+  tasks = other151.tasks;
+  endpoints = other151.endpoints;
+  load = other151.load;
+  revision = other151.revision;
+  usage = other151.usage;
+  leaving = other151.leaving;
+  fullInventory = other151.fullInventory;
+  usageVersion = other151.usageVersion;
+  agentClockMicros = other151.agentClockMicros;
+  __isset = other151.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other152) noexcept {
+  accepted = other152.accepted;
+  highestEpoch = other152.highestEpoch;
+  info = std::move(other152.info);
+  free = std::move(other152.free);
+  total = std::move(other152.total);
+  tasks = std::move(other152.tasks);
+  endpoints = std::move(other152.endpoints);
+  load = std::move(other152.load);
+  revision = other152.revision;
+  usage = std::move(other152.usage);
+  leaving = other152.leaving;
+  fullInventory = other152.fullInventory;
+  usageVersion = other152.usageVersion;
+  agentClockMicros = other152.agentClockMicros;
+  __isset = other152.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other153) {
+  accepted = other153.accepted;
+  highestEpoch = other153.highestEpoch;
+  info = other153.info;
+  free = other153.free;
+  total = other153.total;
+  tasks = other153.tasks;
+  endpoints = other153.endpoints;
+  load = other153.load;
+  revision = other153.revision;
+  usage = other153.usage;
+  leaving = other153.leaving;
+  fullInventory = other153.fullInventory;
+  usageVersion = other153.usageVersion;
+  agentClockMicros = other153.agentClockMicros;
+  __isset = other153.__isset;
+  return *this;
+}
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other154) noexcept {
+  accepted = other154.accepted;
+  highestEpoch = other154.highestEpoch;
+  info = std::move(other154.info);
+  free = std::move(other154.free);
+  total = std::move(other154.total);
+  tasks = std::move(other154.tasks);
+  endpoints = std::move(other154.endpoints);
+  load = std::move(other154.load);
+  revision = other154.revision;
+  usage = std::move(other154.usage);
+  leaving = other154.leaving;
+  fullInventory = other154.fullInventory;
+  usageVersion = other154.usageVersion;
+  agentClockMicros = other154.agentClockMicros;
+  __isset = other154.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -5162,153 +5958,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(JoinRequest &a, JoinRequest &b) {
-  using ::std::swap;
-  swap(a.info, b.info);
-  swap(a.revision, b.revision);
-  swap(a.__isset, b.__isset);
-}
-
-JoinRequest::JoinRequest(const JoinRequest& other107) {
-  info = other107.info;
-  revision = other107.revision;
-  __isset = other107.__isset;
-}
-JoinRequest& JoinRequest::operator=(const JoinRequest& other108) {
-  info = other108.info;
-  revision = other108.revision;
-  __isset = other108.__isset;
-  return *this;
-}
-void JoinRequest::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "JoinRequest(";
-  out << "info=" << to_string(info);
-  out << ", " << "revision=" << to_string(revision);
-  out << ")";
-}
-
-
-JoinReply::~JoinReply() noexcept {
-}
-
-
-void JoinReply::__set_accepted(const bool val) {
-  this->accepted = val;
-}
-
-void JoinReply::__set_reason(const RefusalReason::type val) {
-  this->reason = val;
-}
-
-void JoinReply::__set_ownerAddress(const std::string& val) {
-  this->ownerAddress = val;
-}
-
-void JoinReply::__set_retryAfterMicros(const int64_t val) {
-  this->retryAfterMicros = val;
-}
-std::ostream& operator<<(std::ostream& out, const JoinReply& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t JoinReply::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->accepted);
-          this->__isset.accepted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast109;
-          xfer += iprot->readI32(ecast109);
-          this->reason = static_cast<RefusalReason::type>(ecast109);
-          this->__isset.reason = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->ownerAddress);
-          this->__isset.ownerAddress = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->retryAfterMicros);
-          this->__isset.retryAfterMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t JoinReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("JoinReply");
-
-  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 1);
-  xfer += oprot->writeBool(this->accepted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->reason));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("ownerAddress", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->ownerAddress);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("retryAfterMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->retryAfterMicros);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5316,68 +5966,71 @@
   return xfer;
 }
 
-void swap(JoinReply &a, JoinReply &b) {
+void swap(JoinRequest &a, JoinRequest &b) {
   using ::std::swap;
-  swap(a.accepted, b.accepted);
-  swap(a.reason, b.reason);
-  swap(a.ownerAddress, b.ownerAddress);
-  swap(a.retryAfterMicros, b.retryAfterMicros);
+  swap(a.info, b.info);
+  swap(a.revision, b.revision);
   swap(a.__isset, b.__isset);
 }
 
-JoinReply::JoinReply(const JoinReply& other110) {
-  accepted = other110.accepted;
-  reason = other110.reason;
-  ownerAddress = other110.ownerAddress;
-  retryAfterMicros = other110.retryAfterMicros;
-  __isset = other110.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other155) {
+  info = other155.info;
+  revision = other155.revision;
+  __isset = other155.__isset;
+}
+JoinRequest::JoinRequest(JoinRequest&& other156) noexcept {
+  info = std::move(other156.info);
+  revision = other156.revision;
+  __isset = other156.__isset;
 }
-JoinReply& JoinReply::operator=(const JoinReply& other111) {
-  accepted = other111.accepted;
-  reason = other111.reason;
-  ownerAddress = other111.ownerAddress;
-  retryAfterMicros = other111.retryAfterMicros;
-  __isset = other111.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other157) {
+  info = other157.info;
+  revision = other157.revision;
+  __isset = other157.__isset;
   return *this;
 }
-void JoinReply::printTo(std::ostream& out) const {
+JoinRequest& JoinRequest::operator=(JoinRequest&& other158) noexcept {
+  info = std::move(other158.info);
+  revision = other158.revision;
+  __isset = other158.__isset;
+  return *this;
+}
+void JoinRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "JoinReply(";
-  out << "accepted=" << to_string(accepted);
-  out << ", " << "reason=" << to_string(reason);
-  out << ", " << "ownerAddress=" << to_string(ownerAddress);
-  out << ", " << "retryAfterMicros=" << to_string(retryAfterMicros);
+  out << "JoinRequest(";
+  out << "info=" << to_string(info);
+  out << ", " << "revision=" << to_string(revision);
   out << ")";
 }
 
 
-CellView::~CellView() noexcept {
+JoinReply::~JoinReply() noexcept {
 }
 
 
-void CellView::__set_cell(const std::string& val) {
-  this->cell = val;
+void JoinReply::__set_accepted(const bool val) {
+  this->accepted = val;
 }
 
-void CellView::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void JoinReply::__set_reason(const RefusalReason::type val) {
+  this->reason = val;
 }
 
-void CellView::__set_ownerAddress(const std::string& val) {
+void JoinReply::__set_ownerAddress(const std::string& val) {
   this->ownerAddress = val;
 }
 
-void CellView::__set_ownerInstance(const std::string& val) {
-  this->ownerInstance = val;
+void JoinReply::__set_retryAfterMicros(const int64_t val) {
+  this->retryAfterMicros = val;
 }
-std::ostream& operator<<(std::ostream& out, const CellView& obj)
+std::ostream& operator<<(std::ostream& out, const JoinReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CellView::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t JoinReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5399,17 +6052,19 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->cell);
-          this->__isset.cell = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepted);
+          this->__isset.accepted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast159;
+          xfer += iprot->readI32(ecast159);
+          this->reason = static_cast<RefusalReason::type>(ecast159);
+          this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5423,9 +6078,9 @@
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->ownerInstance);
-          this->__isset.ownerInstance = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMicros);
+          this->__isset.retryAfterMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5442,25 +6097,25 @@
   return xfer;
 }
 
-uint32_t CellView::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t JoinReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CellView");
+  xfer += oprot->writeStructBegin("JoinReply");
 
-  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->cell);
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->accepted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->reason));
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("ownerAddress", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->ownerAddress);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ownerInstance", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->ownerInstance);
+  xfer += oprot->writeFieldBegin("retryAfterMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retryAfterMicros);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5468,37 +6123,52 @@
   return xfer;
 }
 
-void swap(CellView &a, CellView &b) {
+void swap(JoinReply &a, JoinReply &b) {
   using ::std::swap;
-  swap(a.cell, b.cell);
-  swap(a.epoch, b.epoch);
+  swap(a.accepted, b.accepted);
+  swap(a.reason, b.reason);
   swap(a.ownerAddress, b.ownerAddress);
-  swap(a.ownerInstance, b.ownerInstance);
+  swap(a.retryAfterMicros, b.retryAfterMicros);
   swap(a.__isset, b.__isset);
 }
 
-CellView::CellView(const CellView& other112) {
-  cell = other112.cell;
-  epoch = other112.epoch;
-  ownerAddress = other112.ownerAddress;
-  ownerInstance = other112.ownerInstance;
-  __isset = other112.__isset;
+JoinReply::JoinReply(const JoinReply& other160) {
+  accepted = other160.accepted;
+  reason = other160.reason;
+  ownerAddress = other160.ownerAddress;
+  retryAfterMicros = other160.retryAfterMicros;
+  __isset = other160.__isset;
+}
+JoinReply::JoinReply(JoinReply&& other161) noexcept {
+  accepted = other161.accepted;
+  reason = other161.reason;
+  ownerAddress = std::move(other161.ownerAddress);
+  retryAfterMicros = other161.retryAfterMicros;
+  __isset = other161.__isset;
+}
+JoinReply& JoinReply::operator=(const JoinReply& other162) {
+  accepted = other162.accepted;
+  reason = other162.reason;
+  ownerAddress = other162.ownerAddress;
+  retryAfterMicros = other162.retryAfterMicros;
+  __isset = other162.__isset;
+  return *this;
 }
-CellView& CellView::operator=(const CellView& other113) {
-  cell = other113.cell;
-  epoch = other113.epoch;
-  ownerAddress = other113.ownerAddress;
-  ownerInstance = other113.ownerInstance;
-  __isset = other113.__isset;
+JoinReply& JoinReply::operator=(JoinReply&& other163) noexcept {
+  accepted = other163.accepted;
+  reason = other163.reason;
+  ownerAddress = std::move(other163.ownerAddress);
+  retryAfterMicros = other163.retryAfterMicros;
+  __isset = other163.__isset;
   return *this;
 }
-void CellView::printTo(std::ostream& out) const {
+void JoinReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CellView(";
-  out << "cell=" << to_string(cell);
-  out << ", " << "epoch=" << to_string(epoch);
+  out << "JoinReply(";
+  out << "accepted=" << to_string(accepted);
+  out << ", " << "reason=" << to_string(reason);
   out << ", " << "ownerAddress=" << to_string(ownerAddress);
-  out << ", " << "ownerInstance=" << to_string(ownerInstance);
+  out << ", " << "retryAfterMicros=" << to_string(retryAfterMicros);
   out << ")";
 }
 
@@ -5594,14 +6264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->endpoints.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->endpoints.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->endpoints[_i118].read(iprot);
+              xfer += this->endpoints[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5714,10 +6384,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointReport> ::const_iterator _iter119;
-    for (_iter119 = this->endpoints.begin(); _iter119 != this->endpoints.end(); ++_iter119)
+    std::vector<EndpointReport> ::const_iterator _iter169;
+    for (_iter169 = this->endpoints.begin(); _iter169 != this->endpoints.end(); ++_iter169)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5785,35 +6455,66 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberView::MemberView(const MemberView& other120) {
-  info = other120.info;
-  endpoints = other120.endpoints;
-  load = other120.load;
-  suspect = other120.suspect;
-  leaving = other120.leaving;
-  revision = other120.revision;
-  free = other120.free;
-  total = other120.total;
-  runningTasks = other120.runningTasks;
-  quarantined = other120.quarantined;
-  ageMicros = other120.ageMicros;
-  role = other120.role;
-  __isset = other120.__isset;
-}
-MemberView& MemberView::operator=(const MemberView& other121) {
-  info = other121.info;
-  endpoints = other121.endpoints;
-  load = other121.load;
-  suspect = other121.suspect;
-  leaving = other121.leaving;
-  revision = other121.revision;
-  free = other121.free;
-  total = other121.total;
-  runningTasks = other121.runningTasks;
-  quarantined = other121.quarantined;
-  ageMicros = other121.ageMicros;
-  role = other121.role;
-  __isset = other121.__isset;
+MemberView::MemberView(const MemberView& other170) {
+  info = other170.info;
+  endpoints = other170.endpoints;
+  load = other170.load;
+  suspect = other170.suspect;
+  leaving = other170.leaving;
+  revision = other170.revision;
+  free = other170.free;
+  total = other170.total;
+  runningTasks = other170.runningTasks;
+  quarantined = other170.quarantined;
+  ageMicros = other170.ageMicros;
+  role = other170.role;
+  __isset = other170.__isset;
+}
+MemberView::MemberView(MemberView&& other171) noexcept {
+  info = std::move(other171.info);
+  endpoints = std::move(other171.endpoints);
+  load = std::move(other171.load);
+  suspect = other171.suspect;
+  leaving = other171.leaving;
+  revision = other171.revision;
+  free = std::move(other171.free);
+  total = std::move(other171.total);
+  runningTasks = other171.runningTasks;
+  quarantined = other171.quarantined;
+  ageMicros = other171.ageMicros;
+  role = std::move(other171.role);
+  __isset = other171.__isset;
+}
+MemberView& MemberView::operator=(const MemberView& other172) {
+  info = other172.info;
+  endpoints = other172.endpoints;
+  load = other172.load;
+  suspect = other172.suspect;
+  leaving = other172.leaving;
+  revision = other172.revision;
+  free = other172.free;
+  total = other172.total;
+  runningTasks = other172.runningTasks;
+  quarantined = other172.quarantined;
+  ageMicros = other172.ageMicros;
+  role = other172.role;
+  __isset = other172.__isset;
+  return *this;
+}
+MemberView& MemberView::operator=(MemberView&& other173) noexcept {
+  info = std::move(other173.info);
+  endpoints = std::move(other173.endpoints);
+  load = std::move(other173.load);
+  suspect = other173.suspect;
+  leaving = other173.leaving;
+  revision = other173.revision;
+  free = std::move(other173.free);
+  total = std::move(other173.total);
+  runningTasks = other173.runningTasks;
+  quarantined = other173.quarantined;
+  ageMicros = other173.ageMicros;
+  role = std::move(other173.role);
+  __isset = other173.__isset;
   return *this;
 }
 void MemberView::printTo(std::ostream& out) const {
@@ -5906,14 +6607,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->members.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->members.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += this->members[_i126].read(iprot);
+              xfer += this->members[_i178].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5958,14 +6659,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size127;
-            ::apache::thrift::protocol::TType _etype130;
-            xfer += iprot->readListBegin(_etype130, _size127);
-            this->gone.resize(_size127);
-            uint32_t _i131;
-            for (_i131 = 0; _i131 < _size127; ++_i131)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->gone.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += iprot->readString(this->gone[_i131]);
+              xfer += iprot->readString(this->gone[_i183]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5998,10 +6699,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberView> ::const_iterator _iter132;
-    for (_iter132 = this->members.begin(); _iter132 != this->members.end(); ++_iter132)
+    std::vector<MemberView> ::const_iterator _iter184;
+    for (_iter184 = this->members.begin(); _iter184 != this->members.end(); ++_iter184)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6026,10 +6727,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->gone.size()));
-    std::vector<std::string> ::const_iterator _iter133;
-    for (_iter133 = this->gone.begin(); _iter133 != this->gone.end(); ++_iter133)
+    std::vector<std::string> ::const_iterator _iter185;
+    for (_iter185 = this->gone.begin(); _iter185 != this->gone.end(); ++_iter185)
     {
-      xfer += oprot->writeString((*_iter133));
+      xfer += oprot->writeString((*_iter185));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6052,25 +6753,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MembersReply::MembersReply(const MembersReply& other134) {
-  cell = other134.cell;
-  members = other134.members;
-  version = other134.version;
-  changed = other134.changed;
-  fromStart = other134.fromStart;
-  more = other134.more;
-  gone = other134.gone;
-  __isset = other134.__isset;
-}
-MembersReply& MembersReply::operator=(const MembersReply& other135) {
-  cell = other135.cell;
-  members = other135.members;
-  version = other135.version;
-  changed = other135.changed;
-  fromStart = other135.fromStart;
-  more = other135.more;
-  gone = other135.gone;
-  __isset = other135.__isset;
+MembersReply::MembersReply(const MembersReply& other186) {
+  cell = other186.cell;
+  members = other186.members;
+  version = other186.version;
+  changed = other186.changed;
+  fromStart = other186.fromStart;
+  more = other186.more;
+  gone = other186.gone;
+  __isset = other186.__isset;
+}
+MembersReply::MembersReply(MembersReply&& other187) noexcept {
+  cell = std::move(other187.cell);
+  members = std::move(other187.members);
+  version = other187.version;
+  changed = other187.changed;
+  fromStart = other187.fromStart;
+  more = other187.more;
+  gone = std::move(other187.gone);
+  __isset = other187.__isset;
+}
+MembersReply& MembersReply::operator=(const MembersReply& other188) {
+  cell = other188.cell;
+  members = other188.members;
+  version = other188.version;
+  changed = other188.changed;
+  fromStart = other188.fromStart;
+  more = other188.more;
+  gone = other188.gone;
+  __isset = other188.__isset;
+  return *this;
+}
+MembersReply& MembersReply::operator=(MembersReply&& other189) noexcept {
+  cell = std::move(other189.cell);
+  members = std::move(other189.members);
+  version = other189.version;
+  changed = other189.changed;
+  fromStart = other189.fromStart;
+  more = other189.more;
+  gone = std::move(other189.gone);
+  __isset = other189.__isset;
   return *this;
 }
 void MembersReply::printTo(std::ostream& out) const {
@@ -6186,14 +6908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cells.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->cells.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->cells.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += this->cells[_i140].read(iprot);
+              xfer += this->cells[_i194].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6262,10 +6984,10 @@
   xfer += oprot->writeFieldBegin("cells", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cells.size()));
-    std::vector<CellView> ::const_iterator _iter141;
-    for (_iter141 = this->cells.begin(); _iter141 != this->cells.end(); ++_iter141)
+    std::vector<CellView> ::const_iterator _iter195;
+    for (_iter195 = this->cells.begin(); _iter195 != this->cells.end(); ++_iter195)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter195).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6301,27 +7023,50 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipMessage::GossipMessage(const GossipMessage& other142) {
-  instance = other142.instance;
-  dataCentre = other142.dataCentre;
-  revision = other142.revision;
-  revisionHash = other142.revisionHash;
-  cells = other142.cells;
-  address = other142.address;
-  role = other142.role;
-  incarnation = other142.incarnation;
-  __isset = other142.__isset;
-}
-GossipMessage& GossipMessage::operator=(const GossipMessage& other143) {
-  instance = other143.instance;
-  dataCentre = other143.dataCentre;
-  revision = other143.revision;
-  revisionHash = other143.revisionHash;
-  cells = other143.cells;
-  address = other143.address;
-  role = other143.role;
-  incarnation = other143.incarnation;
-  __isset = other143.__isset;
+GossipMessage::GossipMessage(const GossipMessage& other196) {
+  instance = other196.instance;
+  dataCentre = other196.dataCentre;
+  revision = other196.revision;
+  revisionHash = other196.revisionHash;
+  cells = other196.cells;
+  address = other196.address;
+  role = other196.role;
+  incarnation = other196.incarnation;
+  __isset = other196.__isset;
+}
+GossipMessage::GossipMessage(GossipMessage&& other197) noexcept {
+  instance = std::move(other197.instance);
+  dataCentre = std::move(other197.dataCentre);
+  revision = other197.revision;
+  revisionHash = std::move(other197.revisionHash);
+  cells = std::move(other197.cells);
+  address = std::move(other197.address);
+  role = std::move(other197.role);
+  incarnation = other197.incarnation;
+  __isset = other197.__isset;
+}
+GossipMessage& GossipMessage::operator=(const GossipMessage& other198) {
+  instance = other198.instance;
+  dataCentre = other198.dataCentre;
+  revision = other198.revision;
+  revisionHash = other198.revisionHash;
+  cells = other198.cells;
+  address = other198.address;
+  role = other198.role;
+  incarnation = other198.incarnation;
+  __isset = other198.__isset;
+  return *this;
+}
+GossipMessage& GossipMessage::operator=(GossipMessage&& other199) noexcept {
+  instance = std::move(other199.instance);
+  dataCentre = std::move(other199.dataCentre);
+  revision = other199.revision;
+  revisionHash = std::move(other199.revisionHash);
+  cells = std::move(other199.cells);
+  address = std::move(other199.address);
+  role = std::move(other199.role);
+  incarnation = other199.incarnation;
+  __isset = other199.__isset;
   return *this;
 }
 void GossipMessage::printTo(std::ostream& out) const {
@@ -6448,17 +7193,30 @@
   swap(a.__isset, b.__isset);
 }
 
-TextDelta::TextDelta(const TextDelta& other144) {
-  keptPrefix = other144.keptPrefix;
-  keptSuffix = other144.keptSuffix;
-  middle = other144.middle;
-  __isset = other144.__isset;
+TextDelta::TextDelta(const TextDelta& other200) {
+  keptPrefix = other200.keptPrefix;
+  keptSuffix = other200.keptSuffix;
+  middle = other200.middle;
+  __isset = other200.__isset;
 }
-TextDelta& TextDelta::operator=(const TextDelta& other145) {
-  keptPrefix = other145.keptPrefix;
-  keptSuffix = other145.keptSuffix;
-  middle = other145.middle;
-  __isset = other145.__isset;
+TextDelta::TextDelta(TextDelta&& other201) noexcept {
+  keptPrefix = other201.keptPrefix;
+  keptSuffix = other201.keptSuffix;
+  middle = std::move(other201.middle);
+  __isset = other201.__isset;
+}
+TextDelta& TextDelta::operator=(const TextDelta& other202) {
+  keptPrefix = other202.keptPrefix;
+  keptSuffix = other202.keptSuffix;
+  middle = other202.middle;
+  __isset = other202.__isset;
+  return *this;
+}
+TextDelta& TextDelta::operator=(TextDelta&& other203) noexcept {
+  keptPrefix = other203.keptPrefix;
+  keptSuffix = other203.keptSuffix;
+  middle = std::move(other203.middle);
+  __isset = other203.__isset;
   return *this;
 }
 void TextDelta::printTo(std::ostream& out) const {
@@ -6631,23 +7389,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionDelta::RevisionDelta(const RevisionDelta& other146) {
-  fromRevision = other146.fromRevision;
-  fromHash = other146.fromHash;
-  toRevision = other146.toRevision;
-  toHash = other146.toHash;
-  routes = other146.routes;
-  pools = other146.pools;
-  __isset = other146.__isset;
-}
-RevisionDelta& RevisionDelta::operator=(const RevisionDelta& other147) {
-  fromRevision = other147.fromRevision;
-  fromHash = other147.fromHash;
-  toRevision = other147.toRevision;
-  toHash = other147.toHash;
-  routes = other147.routes;
-  pools = other147.pools;
-  __isset = other147.__isset;
+RevisionDelta::RevisionDelta(const RevisionDelta& other204) {
+  fromRevision = other204.fromRevision;
+  fromHash = other204.fromHash;
+  toRevision = other204.toRevision;
+  toHash = other204.toHash;
+  routes = other204.routes;
+  pools = other204.pools;
+  __isset = other204.__isset;
+}
+RevisionDelta::RevisionDelta(RevisionDelta&& other205) noexcept {
+  fromRevision = other205.fromRevision;
+  fromHash = std::move(other205.fromHash);
+  toRevision = other205.toRevision;
+  toHash = std::move(other205.toHash);
+  routes = std::move(other205.routes);
+  pools = std::move(other205.pools);
+  __isset = other205.__isset;
+}
+RevisionDelta& RevisionDelta::operator=(const RevisionDelta& other206) {
+  fromRevision = other206.fromRevision;
+  fromHash = other206.fromHash;
+  toRevision = other206.toRevision;
+  toHash = other206.toHash;
+  routes = other206.routes;
+  pools = other206.pools;
+  __isset = other206.__isset;
+  return *this;
+}
+RevisionDelta& RevisionDelta::operator=(RevisionDelta&& other207) noexcept {
+  fromRevision = other207.fromRevision;
+  fromHash = std::move(other207.fromHash);
+  toRevision = other207.toRevision;
+  toHash = std::move(other207.toHash);
+  routes = std::move(other207.routes);
+  pools = std::move(other207.pools);
+  __isset = other207.__isset;
   return *this;
 }
 void RevisionDelta::printTo(std::ostream& out) const {
@@ -6750,14 +7527,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->chain.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->chain.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->chain.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->chain[_i152].read(iprot);
+              xfer += this->chain[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6822,10 +7599,10 @@
   xfer += oprot->writeFieldBegin("chain", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->chain.size()));
-    std::vector<RevisionDelta> ::const_iterator _iter153;
-    for (_iter153 = this->chain.begin(); _iter153 != this->chain.end(); ++_iter153)
+    std::vector<RevisionDelta> ::const_iterator _iter213;
+    for (_iter213 = this->chain.begin(); _iter213 != this->chain.end(); ++_iter213)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6860,25 +7637,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RevisionReply::RevisionReply(const RevisionReply& other154) {
-  found = other154.found;
-  revision = other154.revision;
-  hash = other154.hash;
-  chain = other154.chain;
-  whole = other154.whole;
-  routes = other154.routes;
-  pools = other154.pools;
-  __isset = other154.__isset;
+RevisionReply::RevisionReply(const RevisionReply& other214) {
+  found = other214.found;
+  revision = other214.revision;
+  hash = other214.hash;
+  chain = other214.chain;
+  whole = other214.whole;
+  routes = other214.routes;
+  pools = other214.pools;
+  __isset = other214.__isset;
+}
+RevisionReply::RevisionReply(RevisionReply&& other215) noexcept {
+  found = other215.found;
+  revision = other215.revision;
+  hash = std::move(other215.hash);
+  chain = std::move(other215.chain);
+  whole = other215.whole;
+  routes = std::move(other215.routes);
+  pools = std::move(other215.pools);
+  __isset = other215.__isset;
+}
+RevisionReply& RevisionReply::operator=(const RevisionReply& other216) {
+  found = other216.found;
+  revision = other216.revision;
+  hash = other216.hash;
+  chain = other216.chain;
+  whole = other216.whole;
+  routes = other216.routes;
+  pools = other216.pools;
+  __isset = other216.__isset;
+  return *this;
 }
-RevisionReply& RevisionReply::operator=(const RevisionReply& other155) {
-  found = other155.found;
-  revision = other155.revision;
-  hash = other155.hash;
-  chain = other155.chain;
-  whole = other155.whole;
-  routes = other155.routes;
-  pools = other155.pools;
-  __isset = other155.__isset;
+RevisionReply& RevisionReply::operator=(RevisionReply&& other217) noexcept {
+  found = other217.found;
+  revision = other217.revision;
+  hash = std::move(other217.hash);
+  chain = std::move(other217.chain);
+  whole = other217.whole;
+  routes = std::move(other217.routes);
+  pools = std::move(other217.pools);
+  __isset = other217.__isset;
   return *this;
 }
 void RevisionReply::printTo(std::ostream& out) const {
@@ -6894,156 +7692,4 @@
   out << ")";
 }
 
-
-PeerView::~PeerView() noexcept {
-}
-
-
-void PeerView::__set_instance(const std::string& val) {
-  this->instance = val;
-}
-
-void PeerView::__set_address(const std::string& val) {
-  this->address = val;
-}
-
-void PeerView::__set_dataCentre(const std::string& val) {
-  this->dataCentre = val;
-}
-
-void PeerView::__set_role(const std::string& val) {
-  this->role = val;
-}
-std::ostream& operator<<(std::ostream& out, const PeerView& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t PeerView::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->instance);
-          this->__isset.instance = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->dataCentre);
-          this->__isset.dataCentre = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->role);
-          this->__isset.role = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t PeerView::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PeerView");
-
-  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->instance);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->address);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->dataCentre);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->role);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(PeerView &a, PeerView &b) {
-  using ::std::swap;
-  swap(a.instance, b.instance);
-  swap(a.address, b.address);
-  swap(a.dataCentre, b.dataCentre);
-  swap(a.role, b.role);
-  swap(a.__isset, b.__isset);
-}
-
-PeerView::PeerView(const PeerView& other156) {
-  instance = other156.instance;
-  address = other156.address;
-  dataCentre = other156.dataCentre;
-  role = other156.role;
-  __isset = other156.__isset;
-}
-PeerView& PeerView::operator=(const PeerView& other157) {
-  instance = other157.instance;
-  address = other157.address;
-  dataCentre = other157.dataCentre;
-  role = other157.role;
-  __isset = other157.__isset;
-  return *this;
-}
-void PeerView::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "PeerView(";
-  out << "instance=" << to_string(instance);
-  out << ", " << "address=" << to_string(address);
-  out << ", " << "dataCentre=" << to_string(dataCentre);
-  out << ", " << "role=" << to_string(role);
-  out << ")";
-}
-
 }} // namespace
--- a/Source/Core/Rpc/Generated/Ibisshed_types.h
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.h
@@ -146,6 +146,10 @@
 
 class UsageRecord;
 
+class CellView;
+
+class PeerView;
+
 class HeartbeatRequest;
 
 class HeartbeatReply;
@@ -154,8 +158,6 @@
 
 class JoinReply;
 
-class CellView;
-
 class MemberView;
 
 class MembersReply;
@@ -168,8 +170,6 @@
 
 class RevisionReply;
 
-class PeerView;
-
 typedef struct _Header__isset {
   _Header__isset() : name(false), value(false) {}
   bool name :1;
@@ -180,7 +180,9 @@
  public:
 
   Header(const Header&);
+  Header(Header&&) noexcept;
   Header& operator=(const Header&);
+  Header& operator=(Header&&) noexcept;
   Header() noexcept
          : name(),
            value() {
@@ -230,7 +232,9 @@
  public:
 
   TraceContext(const TraceContext&);
+  TraceContext(TraceContext&&) noexcept;
   TraceContext& operator=(const TraceContext&);
+  TraceContext& operator=(TraceContext&&) noexcept;
   TraceContext() noexcept
                : traceParent(),
                  traceState() {
@@ -285,7 +289,9 @@
  public:
 
   LoadReport(const LoadReport&) noexcept;
+  LoadReport(LoadReport&&) noexcept;
   LoadReport& operator=(const LoadReport&) noexcept;
+  LoadReport& operator=(LoadReport&&) noexcept;
   LoadReport() noexcept
              : slotsInUse(0),
                slotsLimit(0),
@@ -375,7 +381,9 @@
  public:
 
   ExecuteRequest(const ExecuteRequest&);
+  ExecuteRequest(ExecuteRequest&&) noexcept;
   ExecuteRequest& operator=(const ExecuteRequest&);
+  ExecuteRequest& operator=(ExecuteRequest&&) noexcept;
   ExecuteRequest() noexcept
                  : requestId(),
                    targetIncarnation(0),
@@ -491,7 +499,9 @@
  public:
 
   ExecuteReply(const ExecuteReply&);
+  ExecuteReply(ExecuteReply&&) noexcept;
   ExecuteReply& operator=(const ExecuteReply&);
+  ExecuteReply& operator=(ExecuteReply&&) noexcept;
   ExecuteReply() noexcept
                : outcome(static_cast<Outcome::type>(0)),
                  reason(static_cast<RefusalReason::type>(0)),
@@ -600,7 +610,9 @@
  public:
 
   ClaimKeyRequest(const ClaimKeyRequest&);
+  ClaimKeyRequest(ClaimKeyRequest&&) noexcept;
   ClaimKeyRequest& operator=(const ClaimKeyRequest&);
+  ClaimKeyRequest& operator=(ClaimKeyRequest&&) noexcept;
   ClaimKeyRequest() noexcept
                   : client(),
                     key(),
@@ -683,7 +695,9 @@
  public:
 
   ClaimKeyReply(const ClaimKeyReply&);
+  ClaimKeyReply(ClaimKeyReply&&) noexcept;
   ClaimKeyReply& operator=(const ClaimKeyReply&);
+  ClaimKeyReply& operator=(ClaimKeyReply&&) noexcept;
   ClaimKeyReply() noexcept
                 : state(static_cast<KeyState::type>(0)),
                   reason(static_cast<RefusalReason::type>(0)),
@@ -769,7 +783,9 @@
  public:
 
   SettleKeyRequest(const SettleKeyRequest&);
+  SettleKeyRequest(SettleKeyRequest&&) noexcept;
   SettleKeyRequest& operator=(const SettleKeyRequest&);
+  SettleKeyRequest& operator=(SettleKeyRequest&&) noexcept;
   SettleKeyRequest() noexcept
                    : client(),
                      key(),
@@ -837,7 +853,9 @@
  public:
 
   ResourceAmounts(const ResourceAmounts&) noexcept;
+  ResourceAmounts(ResourceAmounts&&) noexcept;
   ResourceAmounts& operator=(const ResourceAmounts&) noexcept;
+  ResourceAmounts& operator=(ResourceAmounts&&) noexcept;
   ResourceAmounts() noexcept
                   : milliCores(0),
                     memoryBytes(0),
@@ -901,7 +919,9 @@
  public:
 
   JobSpec(const JobSpec&);
+  JobSpec(JobSpec&&) noexcept;
   JobSpec& operator=(const JobSpec&);
+  JobSpec& operator=(JobSpec&&) noexcept;
   JobSpec() noexcept
           : client(),
             team(),
@@ -1001,7 +1021,9 @@
  public:
 
   SubmitReply(const SubmitReply&);
+  SubmitReply(SubmitReply&&) noexcept;
   SubmitReply& operator=(const SubmitReply&);
+  SubmitReply& operator=(SubmitReply&&) noexcept;
   SubmitReply() noexcept
               : accepted(0),
                 jobId(),
@@ -1083,7 +1105,9 @@
  public:
 
   JobView(const JobView&);
+  JobView(JobView&&) noexcept;
   JobView& operator=(const JobView&);
+  JobView& operator=(JobView&&) noexcept;
   JobView() noexcept
           : jobId(),
             state(),
@@ -1201,7 +1225,9 @@
  public:
 
   TaskStart(const TaskStart&);
+  TaskStart(TaskStart&&) noexcept;
   TaskStart& operator=(const TaskStart&);
+  TaskStart& operator=(TaskStart&&) noexcept;
   TaskStart() noexcept
             : taskId(),
               jobId(),
@@ -1307,7 +1333,9 @@
  public:
 
   TaskAction(const TaskAction&);
+  TaskAction(TaskAction&&) noexcept;
   TaskAction& operator=(const TaskAction&);
+  TaskAction& operator=(TaskAction&&) noexcept;
   TaskAction() noexcept
              : kind(static_cast<TaskActionKind::type>(0)),
                taskId(),
@@ -1392,7 +1420,9 @@
  public:
 
   TaskReport(const TaskReport&);
+  TaskReport(TaskReport&&) noexcept;
   TaskReport& operator=(const TaskReport&);
+  TaskReport& operator=(TaskReport&&) noexcept;
   TaskReport() noexcept
              : taskId(),
                jobId(),
@@ -1522,7 +1552,9 @@
  public:
 
   EndpointReport(const EndpointReport&);
+  EndpointReport(EndpointReport&&) noexcept;
   EndpointReport& operator=(const EndpointReport&);
+  EndpointReport& operator=(EndpointReport&&) noexcept;
   EndpointReport() noexcept
                  : endpointId(),
                    route(),
@@ -1607,7 +1639,9 @@
  public:
 
   AgentInfo(const AgentInfo&);
+  AgentInfo(AgentInfo&&) noexcept;
   AgentInfo& operator=(const AgentInfo&);
+  AgentInfo& operator=(AgentInfo&&) noexcept;
   AgentInfo() noexcept
             : instance(),
               incarnation(0),
@@ -1691,7 +1725,9 @@
  public:
 
   UsageRecord(const UsageRecord&);
+  UsageRecord(UsageRecord&&) noexcept;
   UsageRecord& operator=(const UsageRecord&);
+  UsageRecord& operator=(UsageRecord&&) noexcept;
   UsageRecord() noexcept
               : team(),
                 client(),
@@ -1761,6 +1797,138 @@
 
 std::ostream& operator<<(std::ostream& out, const UsageRecord& obj);
 
+typedef struct _CellView__isset {
+  _CellView__isset() : cell(false), epoch(false), ownerAddress(false), ownerInstance(false) {}
+  bool cell :1;
+  bool epoch :1;
+  bool ownerAddress :1;
+  bool ownerInstance :1;
+} _CellView__isset;
+
+class CellView : public virtual ::apache::thrift::TBase {
+ public:
+
+  CellView(const CellView&);
+  CellView(CellView&&) noexcept;
+  CellView& operator=(const CellView&);
+  CellView& operator=(CellView&&) noexcept;
+  CellView() noexcept
+           : cell(),
+             epoch(0),
+             ownerAddress(),
+             ownerInstance() {
+  }
+
+  virtual ~CellView() noexcept;
+  std::string cell;
+  int64_t epoch;
+  std::string ownerAddress;
+  std::string ownerInstance;
+
+  _CellView__isset __isset;
+
+  void __set_cell(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_ownerAddress(const std::string& val);
+
+  void __set_ownerInstance(const std::string& val);
+
+  bool operator == (const CellView & rhs) const
+  {
+    if (!(cell == rhs.cell))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(ownerAddress == rhs.ownerAddress))
+      return false;
+    if (!(ownerInstance == rhs.ownerInstance))
+      return false;
+    return true;
+  }
+  bool operator != (const CellView &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CellView & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CellView &a, CellView &b);
+
+std::ostream& operator<<(std::ostream& out, const CellView& obj);
+
+typedef struct _PeerView__isset {
+  _PeerView__isset() : instance(false), address(false), dataCentre(false), role(false) {}
+  bool instance :1;
+  bool address :1;
+  bool dataCentre :1;
+  bool role :1;
+} _PeerView__isset;
+
+class PeerView : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerView(const PeerView&);
+  PeerView(PeerView&&) noexcept;
+  PeerView& operator=(const PeerView&);
+  PeerView& operator=(PeerView&&) noexcept;
+  PeerView() noexcept
+           : instance(),
+             address(),
+             dataCentre(),
+             role() {
+  }
+
+  virtual ~PeerView() noexcept;
+  std::string instance;
+  std::string address;
+  std::string dataCentre;
+  std::string role;
+
+  _PeerView__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_role(const std::string& val);
+
+  bool operator == (const PeerView & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerView &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerView & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerView &a, PeerView &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerView& obj);
+
 typedef struct _HeartbeatRequest__isset {
   _HeartbeatRequest__isset() : cell(false), epoch(false), tenureMicros(false), revision(false), revisionHash(false), actions(false), durableTasks(false), ownerAddress(false), wantInventory(false), peers(false), relay(false), cells(false), drain(false), echoMicros(false), knownUsageVersion(false) {}
   bool cell :1;
@@ -1784,7 +1952,9 @@
  public:
 
   HeartbeatRequest(const HeartbeatRequest&);
+  HeartbeatRequest(HeartbeatRequest&&) noexcept;
   HeartbeatRequest& operator=(const HeartbeatRequest&);
+  HeartbeatRequest& operator=(HeartbeatRequest&&) noexcept;
   HeartbeatRequest() noexcept
                    : cell(),
                      epoch(0),
@@ -1920,7 +2090,9 @@
  public:
 
   HeartbeatReply(const HeartbeatReply&);
+  HeartbeatReply(HeartbeatReply&&) noexcept;
   HeartbeatReply& operator=(const HeartbeatReply&);
+  HeartbeatReply& operator=(HeartbeatReply&&) noexcept;
   HeartbeatReply() noexcept
                  : accepted(0),
                    highestEpoch(0),
@@ -2035,7 +2207,9 @@
  public:
 
   JoinRequest(const JoinRequest&);
+  JoinRequest(JoinRequest&&) noexcept;
   JoinRequest& operator=(const JoinRequest&);
+  JoinRequest& operator=(JoinRequest&&) noexcept;
   JoinRequest() noexcept
               : revision(0) {
   }
@@ -2086,7 +2260,9 @@
  public:
 
   JoinReply(const JoinReply&);
+  JoinReply(JoinReply&&) noexcept;
   JoinReply& operator=(const JoinReply&);
+  JoinReply& operator=(JoinReply&&) noexcept;
   JoinReply() noexcept
             : accepted(0),
               reason(static_cast<RefusalReason::type>(0)),
@@ -2142,70 +2318,6 @@
 
 std::ostream& operator<<(std::ostream& out, const JoinReply& obj);
 
-typedef struct _CellView__isset {
-  _CellView__isset() : cell(false), epoch(false), ownerAddress(false), ownerInstance(false) {}
-  bool cell :1;
-  bool epoch :1;
-  bool ownerAddress :1;
-  bool ownerInstance :1;
-} _CellView__isset;
-
-class CellView : public virtual ::apache::thrift::TBase {
- public:
-
-  CellView(const CellView&);
-  CellView& operator=(const CellView&);
-  CellView() noexcept
-           : cell(),
-             epoch(0),
-             ownerAddress(),
-             ownerInstance() {
-  }
-
-  virtual ~CellView() noexcept;
-  std::string cell;
-  int64_t epoch;
-  std::string ownerAddress;
-  std::string ownerInstance;
-
-  _CellView__isset __isset;
-
-  void __set_cell(const std::string& val);
-
-  void __set_epoch(const int64_t val);
-
-  void __set_ownerAddress(const std::string& val);
-
-  void __set_ownerInstance(const std::string& val);
-
-  bool operator == (const CellView & rhs) const
-  {
-    if (!(cell == rhs.cell))
-      return false;
-    if (!(epoch == rhs.epoch))
-      return false;
-    if (!(ownerAddress == rhs.ownerAddress))
-      return false;
-    if (!(ownerInstance == rhs.ownerInstance))
-      return false;
-    return true;
-  }
-  bool operator != (const CellView &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const CellView & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(CellView &a, CellView &b);
-
-std::ostream& operator<<(std::ostream& out, const CellView& obj);
-
 typedef struct _MemberView__isset {
   _MemberView__isset() : info(false), endpoints(false), load(false), suspect(false), leaving(false), revision(false), free(false), total(false), runningTasks(false), quarantined(false), ageMicros(false), role(false) {}
   bool info :1;
@@ -2226,7 +2338,9 @@
  public:
 
   MemberView(const MemberView&);
+  MemberView(MemberView&&) noexcept;
   MemberView& operator=(const MemberView&);
+  MemberView& operator=(MemberView&&) noexcept;
   MemberView() noexcept
              : suspect(0),
                leaving(0),
@@ -2336,7 +2450,9 @@
  public:
 
   MembersReply(const MembersReply&);
+  MembersReply(MembersReply&&) noexcept;
   MembersReply& operator=(const MembersReply&);
+  MembersReply& operator=(MembersReply&&) noexcept;
   MembersReply() noexcept
                : version(0),
                  changed(0),
@@ -2419,7 +2535,9 @@
  public:
 
   GossipMessage(const GossipMessage&);
+  GossipMessage(GossipMessage&&) noexcept;
   GossipMessage& operator=(const GossipMessage&);
+  GossipMessage& operator=(GossipMessage&&) noexcept;
   GossipMessage() noexcept
                 : instance(),
                   dataCentre(),
@@ -2505,7 +2623,9 @@
  public:
 
   TextDelta(const TextDelta&);
+  TextDelta(TextDelta&&) noexcept;
   TextDelta& operator=(const TextDelta&);
+  TextDelta& operator=(TextDelta&&) noexcept;
   TextDelta() noexcept
             : keptPrefix(0),
               keptSuffix(0),
@@ -2565,7 +2685,9 @@
  public:
 
   RevisionDelta(const RevisionDelta&);
+  RevisionDelta(RevisionDelta&&) noexcept;
   RevisionDelta& operator=(const RevisionDelta&);
+  RevisionDelta& operator=(RevisionDelta&&) noexcept;
   RevisionDelta() noexcept
                 : fromRevision(0),
                   fromHash(),
@@ -2642,7 +2764,9 @@
  public:
 
   RevisionReply(const RevisionReply&);
+  RevisionReply(RevisionReply&&) noexcept;
   RevisionReply& operator=(const RevisionReply&);
+  RevisionReply& operator=(RevisionReply&&) noexcept;
   RevisionReply() noexcept
                 : found(0),
                   revision(0),
@@ -2711,70 +2835,6 @@
 
 std::ostream& operator<<(std::ostream& out, const RevisionReply& obj);
 
-typedef struct _PeerView__isset {
-  _PeerView__isset() : instance(false), address(false), dataCentre(false), role(false) {}
-  bool instance :1;
-  bool address :1;
-  bool dataCentre :1;
-  bool role :1;
-} _PeerView__isset;
-
-class PeerView : public virtual ::apache::thrift::TBase {
- public:
-
-  PeerView(const PeerView&);
-  PeerView& operator=(const PeerView&);
-  PeerView() noexcept
-           : instance(),
-             address(),
-             dataCentre(),
-             role() {
-  }
-
-  virtual ~PeerView() noexcept;
-  std::string instance;
-  std::string address;
-  std::string dataCentre;
-  std::string role;
-
-  _PeerView__isset __isset;
-
-  void __set_instance(const std::string& val);
-
-  void __set_address(const std::string& val);
-
-  void __set_dataCentre(const std::string& val);
-
-  void __set_role(const std::string& val);
-
-  bool operator == (const PeerView & rhs) const
-  {
-    if (!(instance == rhs.instance))
-      return false;
-    if (!(address == rhs.address))
-      return false;
-    if (!(dataCentre == rhs.dataCentre))
-      return false;
-    if (!(role == rhs.role))
-      return false;
-    return true;
-  }
-  bool operator != (const PeerView &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const PeerView & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(PeerView &a, PeerView &b);
-
-std::ostream& operator<<(std::ostream& out, const PeerView& obj);
-
 }} // namespace
 
 #endif
--- a/Source/Core/Rpc/Ibisshed.thrift
+++ b/Source/Core/Rpc/Ibisshed.thrift
@@ -240,6 +240,20 @@
   7: i64 coreMicros,
 }
 
+struct CellView {
+  1: string cell,
+  2: i64 epoch,
+  3: string ownerAddress,
+  4: string ownerInstance,
+}
+
+struct PeerView {
+  1: string instance,
+  2: string address,
+  3: string dataCentre,
+  4: string role,
+}
+
 struct HeartbeatRequest {
   1: string cell,
   2: i64 epoch,
@@ -295,13 +309,6 @@
   4: i64 retryAfterMicros,
 }
 
-struct CellView {
-  1: string cell,
-  2: i64 epoch,
-  3: string ownerAddress,
-  4: string ownerInstance,
-}
-
 struct MemberView {
   1: AgentInfo info,
   2: list<EndpointReport> endpoints,
@@ -367,13 +374,6 @@
   7: binary pools,
 }
 
-struct PeerView {
-  1: string instance,
-  2: string address,
-  3: string dataCentre,
-  4: string role,
-}
-
 // Served by every agent and entry; the owner's calls are refused with NotOwner by the others.
 service Control {
   ExecuteReply execute(1: ExecuteRequest request),
--- a/Tools/generate-thrift.sh
+++ b/Tools/generate-thrift.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../Source/Core/Rpc"
 rm -rf Generated
 mkdir Generated
-thrift --gen cpp:no_skeleton -out Generated Ibisshed.thrift
+thrift --gen cpp:no_skeleton,moveable_types -out Generated Ibisshed.thrift
