Jobs: correct faults that random schedules found

Change: keep late checkpoints; count replies by incarnation and by the agent's own number; give no starts for silent workers; record the first attempt number of a job at a takeover; order segments by the time at which they were taken.

--- a/Source/Core/Jobs/Batches.cpp
+++ b/Source/Core/Jobs/Batches.cpp
@@ -92,6 +92,12 @@
 AddTaskRecords(const JobsState& aState, const Job& aJob, Packer& aPacker)
 {
   ProgressRecord record;
+  if (aJob.mFirstAttempt > 1) {
+    record.mKind = ProgressKind::FirstAttempt;
+    record.mTask = { aJob.mNumber, kWholeJob };
+    record.mAttempt = Common::Attempt(aJob.mFirstAttempt);
+    aPacker.add(record);
+  }
   for (std::uint32_t index = 0; index < aJob.mEnded.size(); ++index) {
     const auto kind = static_cast<ProgressKind>(aJob.mEnded[index]);
     if (aJob.mEnded[index] != 0 && kind != ProgressKind::Cancelled) {
@@ -103,8 +109,7 @@
   for (const std::uint32_t slot : aJob.mLive) {
     const LiveTask& task = aState.mTasks[slot];
     // The attempt in progress is not written: its worker reports it.
-    const std::uint32_t over =
-      task.mState == LiveState::Waiting ? task.mAttempt : task.mAttempt - 1;
+    const std::uint32_t over = task.mWorker == kNoWorker ? task.mAttempt : task.mAttempt - 1;
     if (over == 0 && task.mCheckpointAttempt == 0) {
       continue;
     }
--- a/Source/Core/Jobs/Ends.cpp
+++ b/Source/Core/Jobs/Ends.cpp
@@ -138,17 +138,18 @@
 }
 
 void
-RecordAttemptOver(JobsState& aState, std::uint32_t aSlot, ProgressKind aKind)
+RecordAttempt(JobsState& aState, std::uint32_t aSlot, ProgressKind aKind)
 {
   const LiveTask& task = aState.mTasks[aSlot];
   ProgressRecord record;
   record.mKind = aKind;
   record.mTask = task.mKey;
-  record.mAttempt = Common::Attempt(task.mAttempt);
+  const bool over = aKind == ProgressKind::AttemptOver;
+  record.mAttempt = Common::Attempt(over ? task.mAttempt : task.mCheckpointAttempt);
   record.mCheckpointAttempt = Common::Attempt(task.mCheckpointAttempt);
   if (task.mCheckpointAttempt != 0) {
     record.mCheckpoint = aState.mCheckpoints[aSlot];
-    if (task.mCheckpointAttempt < task.mAttempt) {
+    if (over && task.mCheckpointAttempt < task.mAttempt) {
       record.mResumedBy = record.mAttempt;
     }
   }
@@ -186,7 +187,7 @@
     EndTask(aState, job, key.mIndex, kind, task.mAttempt, aNow);
     return;
   }
-  RecordAttemptOver(aState, aSlot, ProgressKind::AttemptOver);
+  RecordAttempt(aState, aSlot, ProgressKind::AttemptOver);
   Vacate(aState, aSlot, aNow);
   job.mAgain.push_back(key.mIndex);
   RefreshQueue(aState, job);
--- a/Source/Core/Jobs/Jobs.h
+++ b/Source/Core/Jobs/Jobs.h
@@ -64,13 +64,17 @@
             const Now& aNow,
             std::vector<TaskAction>& aActions);
 
-/// Applies a heartbeat reply: its reports and, if it is full, the absence of others. A reply that
-/// is older than the newest one of the worker is dropped.
+/// True if a newer reply of the worker was applied. Nothing of a stale reply may be used.
+bool
+IsStale(const JobsState& aState, const Inventory& aInventory);
+
+/// Applies a heartbeat reply: its reports and, if it is full, the absence of others. Drops stale
+/// replies.
 std::vector<TaskAction>
 ApplyInventory(JobsState& aState, const Inventory& aInventory, const Now& aNow);
 
 /// Starts, evictions and stops of the worker that no report has settled; they are sent with each
-/// heartbeat, and agents take repeated ones as one.
+/// heartbeat, and agents take repeated ones as one. No starts are given for a silent worker.
 struct Commands
 {
   std::vector<TaskStart> mStarts;
@@ -79,7 +83,18 @@
 Commands
 PendingCommands(const JobsState& aState, const Common::WorkerId& aWorker);
 
-/// The worker is silent: its tasks become uncertain until it is heard or released.
+/// Starts on the worker that no report has confirmed, also those that are to be stopped again.
+/// Their room stays reserved: the command may still arrive there.
+struct UnconfirmedStart
+{
+  TaskKey mKey;
+  Common::Attempt mAttempt;
+};
+std::vector<UnconfirmedStart>
+UnconfirmedStarts(const JobsState& aState, const Common::WorkerId& aWorker);
+
+/// The worker is silent: its tasks become uncertain until it is heard or released. Call this as
+/// soon as heartbeats fail, and ReleaseWorker only when all earlier heartbeats have timed out.
 void
 MarkSilent(JobsState& aState, const Common::WorkerId& aWorker, const Now& aNow);
 
@@ -165,7 +180,8 @@
   std::string mText;
 };
 
-/// State of a new owner from the store values of the cell (snapshot and segments, in any order).
+/// State of a new owner from the store values of the cell (snapshot and segments, in the order in
+/// which their batches were taken, earlier epochs first).
 /// Every task that has not ended is held: agents' inventories say which ones run, and ReleaseWorker
 /// and ReleaseHeld let the others start.
 tl::expected<JobsState, RebuildError>
--- a/Source/Core/Jobs/Model.h
+++ b/Source/Core/Jobs/Model.h
@@ -105,8 +105,8 @@
 struct Inventory
 {
   Common::WorkerId mWorker;
-  /// Number of the heartbeat that this answers; it rises for each worker. Replies that come out of
-  /// order are dropped by it.
+  /// Number that the agent gives to its replies; it rises within one incarnation. The number of the
+  /// heartbeat would not do, because an agent may take two heartbeats in the other order.
   std::uint64_t mSequence = 0;
   /// True if mReports names every task that the agent knows. A running task that is not named has
   /// then ended without a trace.
--- a/Source/Core/Jobs/Rebuild.cpp
+++ b/Source/Core/Jobs/Rebuild.cpp
@@ -58,6 +58,11 @@
     job->mDetail = aRecord.mCheckpoint;
     return;
   }
+  if (aRecord.mKind == ProgressKind::FirstAttempt) {
+    job->mFirstAttempt =
+      std::max(job->mFirstAttempt, static_cast<std::uint32_t>(aRecord.mAttempt.value()));
+    return;
+  }
   if (index >= job->mSpec.mTasks || HasEnded(*job, index)) {
     return;
   }
@@ -68,12 +73,18 @@
   EndTask(aState, *job, index, aRecord.mKind, 0, aNow, false);
 }
 
+/// If a worker stayed silent, it may have run one attempt that nobody knows of. Its number is left
+/// out, durably, so that a later owner does not use it either.
 void
 ReleaseTask(JobsState& aState, std::uint32_t aSlot, bool aAllHeard, const Now& aNow)
 {
   LiveTask& task = aState.mTasks[aSlot];
   Job& job = *FindJob(aState, task.mKey.mJob);
-  task.mAttempt = std::max(task.mAttempt, task.mCheckpointAttempt) + (aAllHeard ? 0 : 1);
+  task.mAttempt = std::max(task.mAttempt, task.mCheckpointAttempt);
+  if (!aAllHeard) {
+    ++task.mAttempt;
+    RecordAttempt(aState, aSlot, ProgressKind::AttemptOver);
+  }
   Vacate(aState, aSlot, aNow);
   job.mAgain.push_back(task.mKey.mIndex);
 }
@@ -104,8 +115,13 @@
       ReleaseTask(aState, slot, aAllHeard, aNow);
     }
   }
-  if (!aAllHeard) {
-    aJob.mFirstAttempt = 2;
+  if (!aAllHeard && !aborted && aJob.waiting() > 0) {
+    ++aJob.mFirstAttempt;
+    ProgressRecord record;
+    record.mKind = ProgressKind::FirstAttempt;
+    record.mTask = { aJob.mNumber, kWholeJob };
+    record.mAttempt = Common::Attempt(aJob.mFirstAttempt);
+    AddProgress(aState, std::move(record));
   }
   if (aborted) {
     EndWaiting(aState, aJob, aNow);
--- a/Source/Core/Jobs/Records.cpp
+++ b/Source/Core/Jobs/Records.cpp
@@ -183,7 +183,8 @@
 bool
 IsWholeJob(ProgressKind aKind)
 {
-  return aKind == ProgressKind::JobCancelled || aKind == ProgressKind::JobFailed;
+  return aKind == ProgressKind::JobCancelled || aKind == ProgressKind::JobFailed ||
+         aKind == ProgressKind::FirstAttempt;
 }
 
 using ByKind = std::map<std::pair<std::int64_t, ProgressKind>, std::vector<const ProgressRecord*>>;
@@ -200,6 +201,7 @@
   std::uint32_t last = 0;
   for (const ProgressRecord* record : aGroup) {
     if (IsWholeJob(kind)) {
+      PutNumber(aOut, static_cast<std::uint64_t>(record->mAttempt.value()));
       PutText(aOut, record->mCheckpoint);
       continue;
     }
@@ -241,6 +243,7 @@
     record.mKind = aKind;
     record.mTask = { aJob, kWholeJob };
     if (IsWholeJob(aKind)) {
+      record.mAttempt = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
       record.mCheckpoint = aIn.text();
     } else {
       last += static_cast<std::uint32_t>(aIn.number());
@@ -264,7 +267,7 @@
   for (std::size_t i = 0; i < groups && aIn.good(); ++i) {
     job += aIn.signedNumber();
     const std::uint64_t kind = aIn.number();
-    if (kind < 1 || kind > static_cast<std::uint64_t>(ProgressKind::Checkpoint)) {
+    if (kind < 1 || kind > static_cast<std::uint64_t>(ProgressKind::FirstAttempt)) {
       aIn.fail("unknown kind of progress record");
       return;
     }
--- a/Source/Core/Jobs/Records.h
+++ b/Source/Core/Jobs/Records.h
@@ -34,12 +34,15 @@
   JobFailed = 7,
   /// mAttempt made mCheckpoint and goes on.
   Checkpoint = 8,
+  /// Tasks of the job without a record of their own start with attempt mAttempt; mIndex is
+  /// kWholeJob.
+  FirstAttempt = 9,
 };
 
 constexpr std::uint32_t kWholeJob = UINT32_MAX;
 
-/// Records may be applied in any order and more than once: an end of a task is final, and of two
-/// attempts the higher one counts.
+/// Records may be applied more than once: an end of a task is final, and of two attempts the higher
+/// one counts. Only checkpoints of the same attempt have to be applied in their order.
 struct ProgressRecord
 {
   ProgressKind mKind = ProgressKind::Finished;
--- a/Source/Core/Jobs/Report.cpp
+++ b/Source/Core/Jobs/Report.cpp
@@ -85,12 +85,41 @@
   aState.mTasks[aCase.mSlot].mSince = aNow.mTime - aCase.mReport.mRan;
 }
 
+/// A report of an attempt that is over already may still bring its checkpoint, for example when the
+/// worker was released before it was heard. It counts for the next start unless a later attempt has
+/// made one.
+void
+TakeLateCheckpoint(JobsState& aState, const Case& aCase)
+{
+  if (aCase.mSlot == kNoTask || aCase.mReport.mCheckpoint.empty()) {
+    return;
+  }
+  const std::uint32_t newest = aState.mTasks[aCase.mSlot].mCheckpointAttempt;
+  const bool isNew =
+    newest < aCase.mAttempt ||
+    (newest == aCase.mAttempt && aState.mCheckpoints[aCase.mSlot] != aCase.mReport.mCheckpoint);
+  if (isNew) {
+    StoreCheckpoint(aState, aCase.mSlot, aCase);
+    RecordAttempt(aState, aCase.mSlot, ProgressKind::Checkpoint);
+  }
+}
+
+void
+ApplyLateEnd(JobsState& aState, const Case& aCase, std::vector<TaskAction>& aActions)
+{
+  TakeLateCheckpoint(aState, aCase);
+  if (IsDurable(aState, aCase.mKey)) {
+    aActions.push_back(Answer(aState, aCase, ActionKind::Forget));
+  }
+}
+
 void
 ApplyRunning(JobsState& aState, Case& aCase, const Now& aNow, std::vector<TaskAction>& aActions)
 {
   const bool aborted = aCase.mJob->mCancelled || aCase.mJob->mFailed;
   if (!IsCurrentRun(aState, aCase)) {
     if (!IsNewer(aState, aCase)) {
+      TakeLateCheckpoint(aState, aCase);
       aActions.push_back(Answer(aState, aCase, ActionKind::Stop));
       return;
     }
@@ -111,7 +140,7 @@
                                 aState.mCheckpoints[aCase.mSlot] != aCase.mReport.mCheckpoint);
   if (isNewCheckpoint) {
     StoreCheckpoint(aState, aCase.mSlot, aCase);
-    RecordAttemptOver(aState, aCase.mSlot, ProgressKind::Checkpoint);
+    RecordAttempt(aState, aCase.mSlot, ProgressKind::Checkpoint);
   }
 }
 
@@ -155,24 +184,6 @@
   }
 }
 
-/// A repeated report of the attempt that the task now waits to follow may still bring its
-/// checkpoint, for example when the worker was released before it was heard.
-void
-ApplyLateEnd(JobsState& aState, const Case& aCase, std::vector<TaskAction>& aActions)
-{
-  if (aCase.mSlot != kNoTask && !aCase.mReport.mCheckpoint.empty()) {
-    const LiveTask& task = aState.mTasks[aCase.mSlot];
-    if (task.mState == LiveState::Waiting && task.mAttempt == aCase.mAttempt &&
-        task.mCheckpointAttempt < aCase.mAttempt) {
-      StoreCheckpoint(aState, aCase.mSlot, aCase);
-      RecordAttemptOver(aState, aCase.mSlot, ProgressKind::AttemptOver);
-    }
-  }
-  if (IsDurable(aState, aCase.mKey)) {
-    aActions.push_back(Answer(aState, aCase, ActionKind::Forget));
-  }
-}
-
 void
 ApplyEnd(JobsState& aState, Case& aCase, const Now& aNow, std::vector<TaskAction>& aActions)
 {
@@ -200,14 +211,15 @@
 ApplyAbsence(JobsState& aState,
              std::uint32_t aWorker,
              bool aRestarted,
-             const std::vector<TaskKey>& aNamed,
+             const std::vector<std::pair<TaskKey, std::uint32_t>>& aNamed,
              const Now& aNow)
 {
   std::vector<std::uint32_t> gone;
   for (const std::uint32_t slot : aState.mWorkers[aWorker].mTasks) {
     const LiveTask& task = aState.mTasks[slot];
     const bool settled = task.mSeen || aRestarted;
-    if (settled && !std::binary_search(aNamed.begin(), aNamed.end(), task.mKey)) {
+    if (settled &&
+        !std::binary_search(aNamed.begin(), aNamed.end(), std::pair(task.mKey, task.mAttempt))) {
       gone.push_back(slot);
     }
   }
@@ -254,12 +266,25 @@
   }
 }
 
+bool
+IsStale(const JobsState& aState, const Inventory& aInventory)
+{
+  const auto found = aState.mWorkerIndex.find(aInventory.mWorker);
+  if (found == aState.mWorkerIndex.end()) {
+    return false;
+  }
+  const WorkerTasks& worker = aState.mWorkers[found->second];
+  return aInventory.mIncarnation < worker.mIncarnation ||
+         (aInventory.mIncarnation == worker.mIncarnation &&
+          aInventory.mSequence < worker.mSequence);
+}
+
 std::vector<TaskAction>
 ApplyInventory(JobsState& aState, const Inventory& aInventory, const Now& aNow)
 {
   std::vector<TaskAction> actions;
   const std::uint32_t number = WorkerNumber(aState, aInventory.mWorker);
-  if (aInventory.mSequence < aState.mWorkers[number].mSequence) {
+  if (IsStale(aState, aInventory)) {
     return actions;
   }
   aState.mWorkers[number].mSequence = aInventory.mSequence;
@@ -269,12 +294,12 @@
   if (!restarted || aInventory.mFull) {
     aState.mWorkers[number].mIncarnation = aInventory.mIncarnation;
   }
-  std::vector<TaskKey> named;
+  std::vector<std::pair<TaskKey, std::uint32_t>> named;
   for (const TaskReport& report : aInventory.mReports) {
     ApplyReport(aState, aInventory.mWorker, report, aNow, actions);
     if (aInventory.mFull) {
       if (const auto key = ParseTaskId(aState.mCell, report.mTask.str())) {
-        named.push_back(*key);
+        named.emplace_back(*key, static_cast<std::uint32_t>(report.mAttempt.value()));
       }
     }
   }
--- a/Source/Core/Jobs/Start.cpp
+++ b/Source/Core/Jobs/Start.cpp
@@ -221,9 +221,12 @@
   if (found == aState.mWorkerIndex.end()) {
     return commands;
   }
+  // A start that is on its way to a silent worker could arrive after the worker's release, when its
+  // task runs elsewhere. None is sent until the worker is heard.
+  const bool silent = aState.mWorkers[found->second].mSilent;
   for (const std::uint32_t slot : aState.mWorkers[found->second].mTasks) {
     const LiveTask& task = aState.mTasks[slot];
-    if (task.mState == LiveState::Starting) {
+    if (task.mState == LiveState::Starting && !silent) {
       commands.mStarts.push_back(
         DescribeStart(aState, *FindJob(aState, task.mKey.mJob), task, slot));
     } else if (task.mState == LiveState::Evicting) {
@@ -235,6 +238,23 @@
   return commands;
 }
 
+std::vector<UnconfirmedStart>
+UnconfirmedStarts(const JobsState& aState, const Common::WorkerId& aWorker)
+{
+  std::vector<UnconfirmedStart> starts;
+  const auto found = aState.mWorkerIndex.find(aWorker);
+  if (found == aState.mWorkerIndex.end()) {
+    return starts;
+  }
+  for (const std::uint32_t slot : aState.mWorkers[found->second].mTasks) {
+    const LiveTask& task = aState.mTasks[slot];
+    if (!task.mSeen) {
+      starts.push_back({ task.mKey, Common::Attempt(task.mAttempt) });
+    }
+  }
+  return starts;
+}
+
 Common::Resources
 ChargedOn(const JobsState& aState, const Common::WorkerId& aWorker)
 {
--- a/Source/Core/Jobs/State.h
+++ b/Source/Core/Jobs/State.h
@@ -79,8 +79,8 @@
   bool mAside = false;
   /// Why the job is set aside, or why it failed.
   std::string mDetail;
-  /// First attempt number of tasks that were never reported. It is 2 after a takeover in which a
-  /// worker stayed silent, because that worker may have used 1.
+  /// First attempt number of tasks that were never reported. It rises with each takeover in which a
+  /// worker stayed silent, because that worker may have used the last one.
   std::uint32_t mFirstAttempt = 1;
   /// Consecutive calls of the placer that found no room.
   std::uint32_t mMisses = 0;
--- a/Source/Core/Jobs/Transitions.h
+++ b/Source/Core/Jobs/Transitions.h
@@ -95,9 +95,9 @@
          const Now& aNow,
          std::vector<TaskAction>& aActions);
 
-/// Records that the attempt is over, with the newest checkpoint.
+/// Records that the attempt is over (AttemptOver), or only the newest checkpoint (Checkpoint).
 void
-RecordAttemptOver(JobsState& aState, std::uint32_t aSlot, ProgressKind aKind);
+RecordAttempt(JobsState& aState, std::uint32_t aSlot, ProgressKind aKind);
 
 void
 AddProgress(JobsState& aState, ProgressRecord aRecord);
