--- a/Source/Bench/Measure.cpp
+++ b/Source/Bench/Measure.cpp
@@ -1,7 +1,6 @@
 #include "Bench/Measure.h"
 
 #include <cstdio>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -59,6 +58,24 @@
   return sAreas;
 }
 
+namespace {
+
+bool sQuick = false;
+
+} // namespace
+
+bool
+Quick()
+{
+  return sQuick;
+}
+
+void
+SetQuick(bool aQuick)
+{
+  sQuick = aQuick;
+}
+
 Registration::Registration(std::string aName, MeasureFunction aRun)
 {
   Areas().push_back({ std::move(aName), std::move(aRun) });
@@ -81,8 +98,8 @@
   }
 }
 
-void
-PrintJson(const Measures& aMeasures)
+std::string
+JsonText(const Measures& aMeasures)
 {
   nlohmann::json lines = nlohmann::json::array();
   for (const Measure& measure : aMeasures) {
@@ -94,7 +111,7 @@
                       { "bound", BoundText(measure) },
                       { "verdict", VerdictOf(measure) } });
   }
-  std::cout << lines.dump(2) << '\n';
+  return lines.dump(2) + '\n';
 }
 
 } // namespace Bench
--- a/Source/Bench/Measure.h
+++ b/Source/Bench/Measure.h
@@ -43,6 +43,13 @@
 std::vector<Area>&
 Areas();
 
+/// True if the run should skip its longest parts, so that all areas take less than 50 s together.
+bool
+Quick();
+
+void
+SetQuick(bool aQuick);
+
 /// Registers an area from a static object of its .cpp file.
 struct Registration
 {
@@ -52,7 +59,7 @@
 void
 PrintTable(const Measures& aMeasures);
 
-void
-PrintJson(const Measures& aMeasures);
+std::string
+JsonText(const Measures& aMeasures);
 
 } // namespace Bench
