Ask again for holders of a revision

Cause: with 5% loss a process that had the texts of a revision but lost the answers of its peers waited for the full hold timeout of 1 s; the test that expects 60 of 60 processes within 2 s saw 59. Change: while too few holders are known, peers are asked again every 250 ms.

--- a/Source/Core/Spread/Spread.cpp
+++ b/Source/Core/Spread/Spread.cpp
@@ -80,6 +80,7 @@
   aState.mHeld = aDigest;
   aState.mTexts = std::move(aTexts);
   aState.mHeldSince = aNow;
+  aState.mNextHolderAsk = aNow + aState.mTiming.mAskEvery;
   aState.mHolders.clear();
   aState.mStartup.reset();
   if (!aSource.empty()) {
@@ -163,6 +164,10 @@
     return;
   }
   PutInForceIfSafe(aState, aNow, aActions);
+  if (aState.mInForce != aState.mHeld && aNow >= aState.mNextHolderAsk) {
+    aState.mNextHolderAsk = aNow + aState.mTiming.mAskEvery;
+    Announce(aState, aState.mLocalPeers, aState.mTiming.mFanOut, aRandom, aActions);
+  }
   if (aNow >= aState.mNextExchange) {
     aState.mNextExchange = aNow + Jittered(aState.mTiming.mExchangeEvery, aRandom);
     ExchangeWithOne(aState, aState.mLocalPeers, aRandom, aActions);
@@ -338,7 +343,8 @@
     next = std::min(next, aState.mFetch->mDeadline);
   }
   if (aState.mInForce != aState.mHeld) {
-    next = std::min(next, aState.mHeldSince + aState.mTiming.mHoldTimeout);
+    next =
+      std::min({ next, aState.mNextHolderAsk, aState.mHeldSince + aState.mTiming.mHoldTimeout });
   }
   return next;
 }
--- a/Source/Core/Spread/Spread.h
+++ b/Source/Core/Spread/Spread.h
@@ -38,7 +38,7 @@
   /// How long a starting process collects answers while the store is away; the target for a change
   /// to be in force everywhere.
   Duration mSettle = std::chrono::seconds(2);
-  /// Interval at which a starting process asks its peers again.
+  /// Interval at which a starting process, or one that waits for holders, asks peers again.
   Duration mAskEvery = std::chrono::milliseconds(250);
   /// A peer sends the whole texts when the deltas would be longer than this.
   std::size_t mMaxDeltaBytes = std::size_t{ 64 } * 1024;
@@ -62,6 +62,8 @@
   /// The revision in use; it follows mHeld when enough other processes hold that too.
   Digest mInForce;
   Timestamp mHeldSince;
+  /// When to ask peers again whether they hold mHeld, while too few are known to.
+  Timestamp mNextHolderAsk;
   /// Processes known to hold mHeld or a later revision.
   std::vector<InstanceId> mHolders;
 
