--- a/Source/Ibisctl/Arguments.cpp
+++ b/Source/Core/Common/Arguments.cpp
@@ -1,16 +1,28 @@
-#include "Ibisctl/Arguments.h"
+#include "Common/Arguments.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <getopt.h>
 
-namespace Ibisctl {
+namespace Common {
 
 namespace {
 
 /// Codes of long options start above those of characters, which getopt returns for errors.
 constexpr int kFirstCode = 256;
 
+/// The word that getopt refused. For a short option getopt names the letter, for a long one it has
+/// moved behind the word but not yet permuted it.
+std::string
+RefusedWord(const std::vector<char*>& aWords)
+{
+  if (optopt > 0 && optopt < kFirstCode) {
+    return { '-', static_cast<char>(optopt) };
+  }
+  return aWords[static_cast<std::size_t>(optind - 1)];
+}
+
 std::string
 Complaint(int aCode, const std::string& aWord)
 {
@@ -48,7 +60,7 @@
   }
   options.push_back({ nullptr, 0, nullptr, 0 });
 
-  std::vector<std::string> words = { "ibisctl" };
+  std::vector<std::string> words = { "" }; // the place of the program's name
   words.insert(words.end(), aWords.begin(), aWords.end());
   std::vector<char*> pointers;
   pointers.reserve(words.size() + 1);
@@ -61,15 +73,13 @@
   const int count = static_cast<int>(words.size());
   optind = 0; // makes getopt forget an earlier parse
   for (;;) {
-    const int current = optind == 0 ? 1 : optind;
     const int code =
       getopt_long(count, pointers.data(), aStopAtWord ? "+:" : ":", options.data(), nullptr);
     if (code == -1) {
       break;
     }
     if (code < kFirstCode) {
-      const int wrong = optind > 1 && optind <= count ? optind - 1 : current;
-      return tl::unexpected(Complaint(code, pointers[static_cast<std::size_t>(wrong)]));
+      return tl::unexpected(Complaint(code, RefusedWord(pointers)));
     }
     const std::string& name = aSpecs[static_cast<std::size_t>(code - kFirstCode)].mName;
     parsed.mOptions[name].emplace_back(optarg == nullptr ? "" : optarg);
@@ -80,6 +90,22 @@
   return parsed;
 }
 
+std::string
+OptionsText(const std::vector<OptionSpec>& aSpecs)
+{
+  constexpr std::size_t kWidth = 28;
+  std::string text;
+  for (const OptionSpec& spec : aSpecs) {
+    std::string left = "  --" + spec.mName;
+    if (!spec.mValue.empty()) {
+      left.append(" ").append(spec.mValue);
+    }
+    left.append(std::max(left.size() + 1, kWidth) - left.size(), ' ');
+    text.append(left).append(spec.mHelp).append("\n");
+  }
+  return text;
+}
+
 std::optional<std::int64_t>
 ParseCount(const std::string& aText)
 {
@@ -92,4 +118,4 @@
   return number;
 }
 
-} // namespace Ibisctl
+} // namespace Common
--- a/Source/Ibisctl/Arguments.h
+++ b/Source/Core/Common/Arguments.h
@@ -8,7 +8,8 @@
 
 #include <tl/expected.hpp>
 
-namespace Ibisctl {
+/// Command lines with long options.
+namespace Common {
 
 /// A long option.
 struct OptionSpec
@@ -39,8 +40,12 @@
                const std::vector<OptionSpec>& aSpecs,
                bool aStopAtWord = false);
 
+/// One line of help for each option.
+std::string
+OptionsText(const std::vector<OptionSpec>& aSpecs);
+
 /// A whole number of at least 0, or nothing if aText is none.
 std::optional<std::int64_t>
 ParseCount(const std::string& aText);
 
-} // namespace Ibisctl
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Config/CommandLine.cpp
@@ -0,0 +1,56 @@
+#include "Config/CommandLine.h"
+
+#include "Common/Arguments.h"
+
+namespace Config {
+
+namespace {
+
+const std::vector<Common::OptionSpec>&
+Options()
+{
+  static const std::vector<Common::OptionSpec> kOptions = {
+    { "settings", "FILE", "read the settings from FILE" },
+    { "set", "SECTION.KEY=VALUE", "replace one setting; may be repeated" },
+    { "check", "", "check the settings and exit" },
+    { "help", "", "print this help" },
+    { "version", "", "print the version" },
+  };
+  return kOptions;
+}
+
+} // namespace
+
+tl::expected<CommandLine, std::string>
+ParseCommandLine(const std::vector<std::string>& aArguments)
+{
+  const auto parsed = Common::ParseArguments(aArguments, Options());
+  if (!parsed) {
+    return tl::unexpected(parsed.error());
+  }
+  if (!parsed->mPositional.empty()) {
+    return tl::unexpected("unexpected argument \"" + parsed->mPositional.front() + '"');
+  }
+  CommandLine line;
+  line.mSettingsFile = parsed->value("settings");
+  const auto overrides = parsed->mOptions.find("set");
+  if (overrides != parsed->mOptions.end()) {
+    line.mOverrides = overrides->second;
+  }
+  line.mCheck = parsed->has("check");
+  line.mHelp = parsed->has("help");
+  line.mVersion = parsed->has("version");
+  if (line.mSettingsFile.empty() && !line.mHelp && !line.mVersion) {
+    return tl::unexpected(std::string("--settings FILE is missing"));
+  }
+  return line;
+}
+
+std::string
+CommandLineHelp()
+{
+  return "Usage: ibisshedd --settings FILE [--set SECTION.KEY=VALUE]... [--check]\n\nOptions:\n" +
+         Common::OptionsText(Options());
+}
+
+} // namespace Config
--- a/Source/Ibisctl/ApiClient.cpp
+++ b/Source/Ibisctl/ApiClient.cpp
@@ -5,7 +5,7 @@
 
 #include <httplib.h>
 
-#include "Ibisctl/Arguments.h"
+#include "Common/Arguments.h"
 #include "Ibisctl/Command.h"
 
 namespace Ibisctl {
--- a/Source/Ibisctl/Command.h
+++ b/Source/Ibisctl/Command.h
@@ -9,11 +9,15 @@
 #include <nlohmann/json_fwd.hpp>
 #include <tl/expected.hpp>
 
+#include "Common/Arguments.h"
 #include "Ibisctl/ApiClient.h"
-#include "Ibisctl/Arguments.h"
 
 namespace Ibisctl {
 
+using Common::Arguments;
+using Common::OptionSpec;
+using Common::ParseCount;
+
 /// Exit codes; docs/ibisctl.md describes them.
 constexpr int kSuccess = 0;
 constexpr int kNegative = 1;
--- a/Source/Ibisctl/Run.cpp
+++ b/Source/Ibisctl/Run.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using Common::ParseArguments;
+
 const char* const kDefaultServer = "127.0.0.1:7480";
 constexpr std::int64_t kDefaultTimeoutMs = 10'000;
 
@@ -41,17 +43,6 @@
   return commands;
 }
 
-void
-PrintOptions(const std::vector<OptionSpec>& aOptions, std::ostream& aOut)
-{
-  constexpr std::size_t kWidth = 28;
-  for (const OptionSpec& spec : aOptions) {
-    std::string left = "  --" + spec.mName + (spec.mValue.empty() ? "" : ' ' + spec.mValue);
-    left.append(std::max(left.size() + 1, kWidth) - left.size(), ' ');
-    aOut << left << spec.mHelp << '\n';
-  }
-}
-
 void
 PrintHelp(const std::vector<Command>& aCommands, std::ostream& aOut)
 {
@@ -63,7 +54,7 @@
     aOut << left << command.mHelp << '\n';
   }
   aOut << "\nOptions:\n";
-  PrintOptions(CommonOptions(), aOut);
+  aOut << Common::OptionsText(CommonOptions());
   aOut << "\nIBISCTL_SERVER names the servers if --server is not given; the default is "
        << kDefaultServer << ".\nExit codes: 0 success, 1 findings or a negative answer, 2 usage "
        << "error, 3 no server answered.\n";
@@ -75,8 +66,8 @@
   aOut << "Usage: ibisctl " << aCommand.mName << (aCommand.mUsage.empty() ? "" : " ")
        << aCommand.mUsage << " [OPTION]...\n\n"
        << aCommand.mHelp << ".\n\nOptions:\n";
-  PrintOptions(aCommand.mOptions, aOut);
-  PrintOptions(CommonOptions(), aOut);
+  aOut << Common::OptionsText(aCommand.mOptions);
+  aOut << Common::OptionsText(CommonOptions());
 }
 
 void
