--- a/Source/Core/Toml/Document.cpp
+++ b/Source/Core/Toml/Document.cpp
@@ -1,5 +1,6 @@
 #include "Toml/Document.h"
 
+#include <algorithm>
 #include <exception>
 
 #include <toml++/toml.h>
@@ -48,9 +49,19 @@
   return value;
 }
 
+/// The parser quotes the text as it stands; a line end in it would break the finding over two
+/// lines.
 Common::Finding
 SyntaxFinding(const std::string& aFile, Position aPosition, std::string aMessage)
 {
+  std::replace_if(
+    aMessage.begin(),
+    aMessage.end(),
+    [](char aCharacter) {
+      const auto code = static_cast<unsigned char>(aCharacter);
+      return code < 0x20 || code == 0x7f;
+    },
+    ' ');
   return { Common::Severity::Error,
            { aFile, aPosition.mLine, aPosition.mColumn },
            std::move(aMessage) };
--- a/Source/UnitTests/Toml/DocumentTests.cpp
+++ b/Source/UnitTests/Toml/DocumentTests.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "Toml/TableReader.h"
@@ -49,6 +51,9 @@
   }
   SECTION("a syntax error")
   {
+    // The parser quotes a line end as it stands, which broke the finding over two lines.
+    const std::string broken = Refusal("a = tru\nue\n");
+    REQUIRE(std::count(broken.begin(), broken.end(), '\n') == 1);
     REQUIRE(Refusal("a = 1\nb = = 2\n").rfind("f:2:5: ", 0) == 0);
   }
 }
