Tables: generate more routes, so that the rule of headers is tested

Cause: with at most 12 routes the property of the index rarely had two routes that differ only in their number of headers; a trial copy of the index that preferred fewer headers passed it.

Change: up to 60 routes and 50 requests for each table. The trial copy now fails the property.

--- a/Source/UnitTests/Tables/Generators.cpp
+++ b/Source/UnitTests/Tables/Generators.cpp
@@ -274,7 +274,7 @@
 AnyTables()
 {
   return rc::gen::map(rc::gen::tuple(rc::gen::arbitrary<std::uint64_t>(),
-                                     rc::gen::inRange<std::size_t>(0, 12),
+                                     rc::gen::inRange<std::size_t>(0, 60),
                                      rc::gen::inRange<std::size_t>(0, 4)),
                       [](const std::tuple<std::uint64_t, std::size_t, std::size_t>& aSizes) {
                         const auto& [seed, routes, others] = aSizes;
--- a/Source/UnitTests/Tables/PropertyTests.cpp
+++ b/Source/UnitTests/Tables/PropertyTests.cpp
@@ -161,7 +161,7 @@
     const Tables::TableSet tables = *AnyTables();
     const Tables::RouteIndex index = Tables::BuildRouteIndex(tables);
     std::size_t matched = 0;
-    for (int i = 0; i < 20; ++i) {
+    for (int i = 0; i < 50; ++i) {
       const Request request = *AnyRequest();
       std::vector<Tables::RequestHeader> headers;
       for (const Tables::HeaderMatch& header : request.mHeaders) {
