--- a/Source/Core/Jobs/Report.cpp
+++ b/Source/Core/Jobs/Report.cpp
@@ -85,12 +85,41 @@
   aState.mTasks[aCase.mSlot].mSince = aNow.mTime - aCase.mReport.mRan;
 }
 
+/// A report of an attempt that is over already may still bring its checkpoint, for example when the
+/// worker was released before it was heard. It counts for the next start unless a later attempt has
+/// made one.
+void
+TakeLateCheckpoint(JobsState& aState, const Case& aCase)
+{
+  if (aCase.mSlot == kNoTask || aCase.mReport.mCheckpoint.empty()) {
+    return;
+  }
+  const std::uint32_t newest = aState.mTasks[aCase.mSlot].mCheckpointAttempt;
+  const bool isNew =
+    newest < aCase.mAttempt ||
+    (newest == aCase.mAttempt && aState.mCheckpoints[aCase.mSlot] != aCase.mReport.mCheckpoint);
+  if (isNew) {
+    StoreCheckpoint(aState, aCase.mSlot, aCase);
+    RecordAttempt(aState, aCase.mSlot, ProgressKind::Checkpoint);
+  }
+}
+
+void
+ApplyLateEnd(JobsState& aState, const Case& aCase, std::vector<TaskAction>& aActions)
+{
+  TakeLateCheckpoint(aState, aCase);
+  if (IsDurable(aState, aCase.mKey)) {
+    aActions.push_back(Answer(aState, aCase, ActionKind::Forget));
+  }
+}
+
 void
 ApplyRunning(JobsState& aState, Case& aCase, const Now& aNow, std::vector<TaskAction>& aActions)
 {
   const bool aborted = aCase.mJob->mCancelled || aCase.mJob->mFailed;
   if (!IsCurrentRun(aState, aCase)) {
     if (!IsNewer(aState, aCase)) {
+      TakeLateCheckpoint(aState, aCase);
       aActions.push_back(Answer(aState, aCase, ActionKind::Stop));
       return;
     }
@@ -111,7 +140,7 @@
                                 aState.mCheckpoints[aCase.mSlot] != aCase.mReport.mCheckpoint);
   if (isNewCheckpoint) {
     StoreCheckpoint(aState, aCase.mSlot, aCase);
-    RecordAttemptOver(aState, aCase.mSlot, ProgressKind::Checkpoint);
+    RecordAttempt(aState, aCase.mSlot, ProgressKind::Checkpoint);
   }
 }
 
@@ -125,38 +154,33 @@
       aActions.push_back(ActionFor(aState, ActionKind::Stop, task));
     }
   }
-  EndTask(aState, *aCase.mJob, aCase.mKey.mIndex, ProgressKind::Finished, aCase.mAttempt, aNow);
+  Job& job = *aCase.mJob;
+  EndTask(aState, job, aCase.mKey.mIndex, ProgressKind::Finished, aCase.mAttempt, aNow);
+  RecordUse(aState.mSizes,
+            job.mSpec.mRoute,
+            job.mSpec.mClient,
+            { job.mSpec.mPerTask, job.mSpec.mRunTime },
+            { aCase.mReport.mCoreMicros, aCase.mReport.mPeakMemory, aCase.mReport.mRan });
+  NoteOutcome(aState, job, aCase.mWorker, true, aNow);
 }
 
 void
-ApplyFailed(JobsState& aState, Case& aCase, const Now& aNow)
+ApplyFailed(JobsState& aState, Case& aCase, const Now& aNow, std::vector<TaskAction>& aActions)
 {
   LiveTask& task = aState.mTasks[aCase.mSlot];
   Job& job = *aCase.mJob;
+  const bool aborted = job.mCancelled || job.mFailed;
   ++task.mFailures;
-  const bool last = task.mFailures >= job.mSpec.mMaxAttempts;
-  if (last && !job.mCancelled && !job.mFailed) {
+  task.mFailedOn = aCase.mWorker;
+  // Noting the outcome may forgive the failure, if it shows that the worker is bad.
+  const std::string blame = NoteOutcome(aState, job, aCase.mWorker, false, aNow);
+  if (!aborted && task.mFailures >= job.mSpec.mMaxAttempts) {
     EndTask(aState, job, aCase.mKey.mIndex, ProgressKind::Failed, aCase.mAttempt, aNow);
-    return;
-  }
-  AttemptOver(aState, aCase.mSlot, TaskState::Failed, aNow);
-}
-
-/// A repeated report of the attempt that the task now waits to follow may still bring its
-/// checkpoint, for example when the worker was released before it was heard.
-void
-ApplyLateEnd(JobsState& aState, const Case& aCase, std::vector<TaskAction>& aActions)
-{
-  if (aCase.mSlot != kNoTask && !aCase.mReport.mCheckpoint.empty()) {
-    const LiveTask& task = aState.mTasks[aCase.mSlot];
-    if (task.mState == LiveState::Waiting && task.mAttempt == aCase.mAttempt &&
-        task.mCheckpointAttempt < aCase.mAttempt) {
-      StoreCheckpoint(aState, aCase.mSlot, aCase);
-      RecordAttemptOver(aState, aCase.mSlot, ProgressKind::AttemptOver);
-    }
+  } else {
+    AttemptOver(aState, aCase.mSlot, TaskState::Failed, aNow);
   }
-  if (IsDurable(aState, aCase.mKey)) {
-    aActions.push_back(Answer(aState, aCase, ActionKind::Forget));
+  if (!blame.empty()) {
+    AbortJob(aState, job, ProgressKind::JobFailed, blame, aNow, aActions);
   }
 }
 
@@ -172,7 +196,7 @@
   }
   StoreCheckpoint(aState, aCase.mSlot, aCase);
   if (aCase.mReport.mState == TaskState::Failed) {
-    ApplyFailed(aState, aCase, aNow);
+    ApplyFailed(aState, aCase, aNow, aActions);
     return;
   }
   if (aCase.mReport.mState == TaskState::Evicted) {
@@ -181,17 +205,21 @@
   AttemptOver(aState, aCase.mSlot, aCase.mReport.mState, aNow);
 }
 
-/// Tasks that the agent reported before and no longer knows have ended without a trace.
+/// Tasks that the agent reported before and no longer knows have ended without a trace. After a
+/// change of incarnation this holds for unconfirmed starts too.
 void
 ApplyAbsence(JobsState& aState,
              std::uint32_t aWorker,
-             const std::vector<TaskKey>& aNamed,
+             bool aRestarted,
+             const std::vector<std::pair<TaskKey, std::uint32_t>>& aNamed,
              const Now& aNow)
 {
   std::vector<std::uint32_t> gone;
   for (const std::uint32_t slot : aState.mWorkers[aWorker].mTasks) {
     const LiveTask& task = aState.mTasks[slot];
-    if (task.mSeen && !std::binary_search(aNamed.begin(), aNamed.end(), task.mKey)) {
+    const bool settled = task.mSeen || aRestarted;
+    if (settled &&
+        !std::binary_search(aNamed.begin(), aNamed.end(), std::pair(task.mKey, task.mAttempt))) {
       gone.push_back(slot);
     }
   }
@@ -238,28 +266,46 @@
   }
 }
 
+bool
+IsStale(const JobsState& aState, const Inventory& aInventory)
+{
+  const auto found = aState.mWorkerIndex.find(aInventory.mWorker);
+  if (found == aState.mWorkerIndex.end()) {
+    return false;
+  }
+  const WorkerTasks& worker = aState.mWorkers[found->second];
+  return aInventory.mIncarnation < worker.mIncarnation ||
+         (aInventory.mIncarnation == worker.mIncarnation &&
+          aInventory.mSequence < worker.mSequence);
+}
+
 std::vector<TaskAction>
 ApplyInventory(JobsState& aState, const Inventory& aInventory, const Now& aNow)
 {
   std::vector<TaskAction> actions;
   const std::uint32_t number = WorkerNumber(aState, aInventory.mWorker);
-  if (aInventory.mSequence < aState.mWorkers[number].mSequence) {
+  if (IsStale(aState, aInventory)) {
     return actions;
   }
   aState.mWorkers[number].mSequence = aInventory.mSequence;
   aState.mWorkers[number].mSilent = false;
-  std::vector<TaskKey> named;
+  const bool restarted = aInventory.mIncarnation != aState.mWorkers[number].mIncarnation &&
+                         aState.mWorkers[number].mIncarnation.value() != 0;
+  if (!restarted || aInventory.mFull) {
+    aState.mWorkers[number].mIncarnation = aInventory.mIncarnation;
+  }
+  std::vector<std::pair<TaskKey, std::uint32_t>> named;
   for (const TaskReport& report : aInventory.mReports) {
     ApplyReport(aState, aInventory.mWorker, report, aNow, actions);
     if (aInventory.mFull) {
       if (const auto key = ParseTaskId(aState.mCell, report.mTask.str())) {
-        named.push_back(*key);
+        named.emplace_back(*key, static_cast<std::uint32_t>(report.mAttempt.value()));
       }
     }
   }
   if (aInventory.mFull) {
     std::sort(named.begin(), named.end());
-    ApplyAbsence(aState, number, named, aNow);
+    ApplyAbsence(aState, number, restarted, named, aNow);
   }
   return actions;
 }
--- a/Source/Core/Jobs/Start.cpp
+++ b/Source/Core/Jobs/Start.cpp
@@ -70,7 +70,7 @@
     start.mCheckpointAttempt = Common::Attempt(aTask.mCheckpointAttempt);
   }
   start.mNeed = aTask.mNeed;
-  start.mRunTime = aJob.mSpec.mRunTime;
+  start.mRunTime = aJob.mSize.mRunTime;
   start.mPayload = aJob.mSpec.mPayload;
   start.mRoute = aJob.mSpec.mRoute;
   start.mClient = aJob.mSpec.mClient;
@@ -95,7 +95,7 @@
         (best != nullptr && best->mQueue.begin()->first <= team.mQueue.begin()->first)) {
       continue;
     }
-    if (Fits(team.mUsed + HeadJob(aState, team).mSpec.mPerTask, team.mQuota)) {
+    if (Fits(team.mUsed + SizeOf(aState, HeadJob(aState, team)).mAmounts, team.mQuota)) {
       best = &team;
     }
   }
@@ -142,7 +142,7 @@
       continue;
     }
     Job& head = HeadJob(aState, team);
-    const Resources& need = head.mSpec.mPerTask;
+    const Resources need = SizeOf(aState, head).mAmounts;
     const Resources own = Positive(team.mQuota - team.mUsed);
     if (!Fits(Positive(need - own), Positive(aIdle))) {
       if (!Fits(need, team.mQuota)) {
@@ -174,8 +174,11 @@
   const std::uint32_t before =
     known == kNoTask ? job.mFirstAttempt - 1 : aState.mTasks[known].mAttempt;
   need.mAttempt = Common::Attempt(before + 1);
-  need.mNeed = job.mSpec.mPerTask;
+  need.mNeed = SizeOf(aState, job).mAmounts;
   need.mSpec = &job.mSpec;
+  if (known != kNoTask && aState.mTasks[known].mFailedOn != kNoWorker) {
+    need.mAvoid = aState.mWorkers[aState.mTasks[known].mFailedOn].mName;
+  }
   const std::optional<Common::WorkerId> worker = aPlace(need);
   if (!worker) {
     ParkJob(aState, job, aNow.mTime);
@@ -218,9 +221,12 @@
   if (found == aState.mWorkerIndex.end()) {
     return commands;
   }
+  // A start that is on its way to a silent worker could arrive after the worker's release, when its
+  // task runs elsewhere. None is sent until the worker is heard.
+  const bool silent = aState.mWorkers[found->second].mSilent;
   for (const std::uint32_t slot : aState.mWorkers[found->second].mTasks) {
     const LiveTask& task = aState.mTasks[slot];
-    if (task.mState == LiveState::Starting) {
+    if (task.mState == LiveState::Starting && !silent) {
       commands.mStarts.push_back(
         DescribeStart(aState, *FindJob(aState, task.mKey.mJob), task, slot));
     } else if (task.mState == LiveState::Evicting) {
@@ -232,6 +238,23 @@
   return commands;
 }
 
+std::vector<UnconfirmedStart>
+UnconfirmedStarts(const JobsState& aState, const Common::WorkerId& aWorker)
+{
+  std::vector<UnconfirmedStart> starts;
+  const auto found = aState.mWorkerIndex.find(aWorker);
+  if (found == aState.mWorkerIndex.end()) {
+    return starts;
+  }
+  for (const std::uint32_t slot : aState.mWorkers[found->second].mTasks) {
+    const LiveTask& task = aState.mTasks[slot];
+    if (!task.mSeen) {
+      starts.push_back({ task.mKey, Common::Attempt(task.mAttempt) });
+    }
+  }
+  return starts;
+}
+
 Common::Resources
 ChargedOn(const JobsState& aState, const Common::WorkerId& aWorker)
 {
