Admission: count kept connections when limits fall, bound memory

Nothing starts now until the excess is closed; ExcessIdleConnections says how many.

Headroom leaves one slot to lend, so that patient work runs on one-slot endpoints.

--- a/Source/Core/Admission/Admission.cpp
+++ b/Source/Core/Admission/Admission.cpp
@@ -31,8 +31,10 @@
 bool
 CanStart(const Gate& aGate, const WorkerLedger& aWorker)
 {
-  const std::int64_t connections = ConnectionsInUse(aGate) - aGate.mIdleConnections.value();
-  return SlotsInUse(aGate) < SlotLimit(aGate) && connections < aGate.mLimits.mConnections.value() &&
+  // A kept connection is used again; without one a new connection is opened.
+  const std::int64_t opened = aGate.mIdleConnections > Common::Connections(0) ? 0 : 1;
+  return SlotsInUse(aGate) < SlotLimit(aGate) &&
+         ConnectionsInUse(aGate) + opened <= aGate.mLimits.mConnections.value() &&
          SlotFits(aWorker);
 }
 
@@ -223,6 +225,14 @@
   }
 }
 
+Common::Connections
+ExcessIdleConnections(const Gate& aGate)
+{
+  const Common::Connections excess =
+    Common::Connections(ConnectionsInUse(aGate)) - aGate.mLimits.mConnections;
+  return std::clamp(excess, Common::Connections(0), aGate.mIdleConnections);
+}
+
 Actions
 StartDrain(Gate& aGate, Timestamp aNow)
 {
--- a/Source/Core/Admission/Admission.h
+++ b/Source/Core/Admission/Admission.h
@@ -133,6 +133,11 @@
 void
 SetForeignUse(Gate& aGate, Common::Slots aSlots, Common::Connections aConnections);
 
+/// Kept connections to close after the limit was lowered or foreign use rose. Until they are closed
+/// nothing starts.
+Common::Connections
+ExcessIdleConnections(const Gate& aGate);
+
 /// A kept connection was closed.
 void
 CloseIdleConnection(Gate& aGate);
--- a/Source/Core/Admission/RequestWindow.h
+++ b/Source/Core/Admission/RequestWindow.h
@@ -51,9 +51,9 @@
 struct WindowLimits
 {
   Common::Duration mRetention{ std::chrono::minutes(2) };
-  // 32,768 ids of about 200 bytes and 8 MB of replies fit in the agent's 20 MB aim.
-  std::size_t mMaxIds = 32768;
-  Common::Bytes mMaxReplies{ 8 << 20 };
+  // About 260 bytes each; with the replies they take less than half of the agent's 20 MB aim.
+  std::size_t mMaxIds = 16384;
+  Common::Bytes mMaxReplies{ 4 << 20 };
   Common::Bytes mMaxReply{ 256 << 10 };
 };
 
--- a/Source/Core/Admission/Shares.cpp
+++ b/Source/Core/Admission/Shares.cpp
@@ -55,7 +55,9 @@
     const double wanted = use.mDemand + HarmOfBlocking(aGate, i, aClass) * std::sqrt(use.mDemand);
     headroom += std::max(0.0, wanted - static_cast<double>(use.mInUse));
   }
-  return std::floor(headroom + 0.5);
+  // One slot is always lent, or a class without a guarantee would never run on a small endpoint.
+  const double most = std::max(0.0, static_cast<double>(SlotLimit(aGate) - 1));
+  return std::min(most, std::floor(headroom + 0.5));
 }
 
 } // namespace
--- a/Source/Core/Dispatch/Keys.cpp
+++ b/Source/Core/Dispatch/Keys.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "Common/Hash.h"
+
 namespace Dispatch {
 
 namespace {
@@ -16,6 +18,9 @@
 constexpr Duration kBusyRetry = std::chrono::milliseconds(50);
 constexpr Duration kFullRetry = std::chrono::seconds(5);
 
+/// An entry in its place in the registry, so that its name can be pointed to.
+using Stored = std::pair<const KeyRegistry::Name, KeyEntry>;
+
 Duration
 ForgetAfter(const KeyRegistry& aRegistry)
 {
@@ -25,11 +30,11 @@
 }
 
 void
-SetDue(KeyRegistry& aRegistry, const KeyRegistry::Name& aName, KeyEntry& aEntry, Timestamp aUntil)
+SetDue(KeyRegistry& aRegistry, Stored& aStored, Timestamp aUntil)
 {
-  aRegistry.mDue.erase({ aEntry.mUntil, aName });
-  aEntry.mUntil = aUntil;
-  aRegistry.mDue.emplace(aUntil, aName);
+  aRegistry.mDue.erase({ aStored.second.mUntil, &aStored.first });
+  aStored.second.mUntil = aUntil;
+  aRegistry.mDue.emplace(aUntil, &aStored.first);
 }
 
 void
@@ -42,18 +47,15 @@
 }
 
 void
-KeepReply(KeyRegistry& aRegistry,
-          const KeyRegistry::Name& aName,
-          KeyEntry& aEntry,
-          std::shared_ptr<const std::string> aReply)
+KeepReply(KeyRegistry& aRegistry, Stored& aStored, std::shared_ptr<const std::string> aReply)
 {
   const Common::Bytes size(aReply ? static_cast<std::int64_t>(aReply->size()) : 0);
   if (!aReply || size > aRegistry.mLimits.mMaxReply || size > aRegistry.mLimits.mMaxReplies) {
     return;
   }
-  aEntry.mReply = std::move(aReply);
+  aStored.second.mReply = std::move(aReply);
   aRegistry.mReplyBytes += size;
-  aRegistry.mWithReply.push_back(aName);
+  aRegistry.mWithReply.push_back(aStored.first);
   while (aRegistry.mReplyBytes > aRegistry.mLimits.mMaxReplies) {
     const auto oldest = aRegistry.mEntries.find(aRegistry.mWithReply.front());
     aRegistry.mWithReply.pop_front();
@@ -80,42 +82,36 @@
 }
 
 KeyAnswer
-Grant(KeyRegistry& aRegistry,
-      const KeyRegistry::Name& aName,
-      KeyEntry& aEntry,
-      const KeyClaim& aClaim,
-      Timestamp aNow)
+Grant(KeyRegistry& aRegistry, Stored& aStored, const KeyClaim& aClaim, Timestamp aNow)
 {
-  aEntry.mState = KeyState::InProgress;
-  aEntry.mHolder = aClaim.mRequest;
-  aEntry.mFingerprint = aClaim.mFingerprint;
-  aEntry.mReleased = false;
-  SetDue(aRegistry, aName, aEntry, aNow + aClaim.mRemaining + kSettleGrace);
+  KeyEntry& entry = aStored.second;
+  entry.mState = KeyState::InProgress;
+  entry.mHolder = aClaim.mRequest;
+  entry.mFingerprint = Common::HashBytes(aClaim.mFingerprint);
+  entry.mReleased = false;
+  SetDue(aRegistry, aStored, aNow + aClaim.mRemaining + kSettleGrace);
   return { KeyState::Granted, Common::Refusal::None, nullptr, Duration(0) };
 }
 
 KeyAnswer
-AnswerKnown(KeyRegistry& aRegistry,
-            const KeyRegistry::Name& aName,
-            KeyEntry& aEntry,
-            const KeyClaim& aClaim,
-            Timestamp aNow)
+AnswerKnown(KeyRegistry& aRegistry, Stored& aStored, const KeyClaim& aClaim, Timestamp aNow)
 {
-  if (aEntry.mFingerprint != aClaim.mFingerprint) {
+  const KeyEntry& entry = aStored.second;
+  if (entry.mFingerprint != Common::HashBytes(aClaim.mFingerprint)) {
     return { KeyState::Refused, Common::Refusal::Invalid, nullptr, Duration(0) };
   }
-  if (aEntry.mReleased) {
+  if (entry.mReleased) {
     // A delayed claim of the submission that settled must not take the key again.
-    return aEntry.mHolder == aClaim.mRequest
+    return entry.mHolder == aClaim.mRequest
              ? KeyAnswer{ KeyState::Refused, Common::Refusal::NoCapacity, nullptr, kBusyRetry }
-             : Grant(aRegistry, aName, aEntry, aClaim, aNow);
+             : Grant(aRegistry, aStored, aClaim, aNow);
   }
-  if (aEntry.mState == KeyState::InProgress) {
-    return aEntry.mHolder == aClaim.mRequest
+  if (entry.mState == KeyState::InProgress) {
+    return entry.mHolder == aClaim.mRequest
              ? KeyAnswer{ KeyState::Granted, Common::Refusal::None, nullptr, Duration(0) }
              : KeyAnswer{ KeyState::InProgress, Common::Refusal::None, nullptr, kBusyRetry };
   }
-  return { aEntry.mState, Common::Refusal::None, aEntry.mReply, Duration(0) };
+  return { entry.mState, Common::Refusal::None, entry.mReply, Duration(0) };
 }
 
 } // namespace
@@ -138,7 +134,7 @@
   const KeyRegistry::Name name(aClaim.mClient, aClaim.mKey);
   const auto known = aRegistry.mEntries.find(name);
   if (known != aRegistry.mEntries.end()) {
-    return AnswerKnown(aRegistry, name, known->second, aClaim, aNow);
+    return AnswerKnown(aRegistry, *known, aClaim, aNow);
   }
   if (StateOfNewKey(aRegistry, aClaim, aUnixNow) == KeyState::Unknown) {
     return { KeyState::Unknown, Common::Refusal::None, nullptr, Duration(0) };
@@ -147,7 +143,7 @@
   if (aRegistry.mEntries.size() >= aRegistry.mLimits.mMaxKeys) {
     return { KeyState::Refused, Common::Refusal::Throttled, nullptr, kFullRetry };
   }
-  return Grant(aRegistry, name, aRegistry.mEntries[name], aClaim, aNow);
+  return Grant(aRegistry, *aRegistry.mEntries.try_emplace(name).first, aClaim, aNow);
 }
 
 bool
@@ -170,7 +166,7 @@
   switch (aOutcome) {
     case Common::Outcome::Ran:
       entry.mState = KeyState::Finished;
-      KeepReply(aRegistry, aName, entry, std::move(aReply));
+      KeepReply(aRegistry, *found, std::move(aReply));
       break;
     case Common::Outcome::NotRun:
       entry.mState = KeyState::InProgress;
@@ -180,7 +176,7 @@
       entry.mState = KeyState::Unknown;
       break;
   }
-  SetDue(aRegistry, aName, entry, aNow + ForgetAfter(aRegistry));
+  SetDue(aRegistry, *found, aNow + ForgetAfter(aRegistry));
   return true;
 }
 
@@ -188,16 +184,16 @@
 SweepKeys(KeyRegistry& aRegistry, Timestamp aNow)
 {
   while (!aRegistry.mDue.empty() && aRegistry.mDue.begin()->first < aNow) {
-    const KeyRegistry::Name name = aRegistry.mDue.begin()->second;
-    KeyEntry& entry = aRegistry.mEntries.at(name);
+    const auto found = aRegistry.mEntries.find(*aRegistry.mDue.begin()->second);
+    KeyEntry& entry = found->second;
     if (entry.mState == KeyState::InProgress && !entry.mReleased) {
       entry.mState = KeyState::Unknown;
-      SetDue(aRegistry, name, entry, aNow + ForgetAfter(aRegistry));
+      SetDue(aRegistry, *found, aNow + ForgetAfter(aRegistry));
       continue;
     }
     aRegistry.mDue.erase(aRegistry.mDue.begin());
     DropReply(aRegistry, entry);
-    aRegistry.mEntries.erase(name);
+    aRegistry.mEntries.erase(found);
   }
   const auto holdsReply = [&](const KeyRegistry::Name& aName) {
     const auto found = aRegistry.mEntries.find(aName);
--- a/Source/Core/Dispatch/Keys.h
+++ b/Source/Core/Dispatch/Keys.h
@@ -58,16 +58,19 @@
 struct KeyLimits
 {
   Duration mRetention{ std::chrono::minutes(10) };
-  std::size_t mMaxKeys = 200000;
+  // About 470 bytes each; with the replies an owner stays below 20 MB. Over the retention this is
+  // 40 new keys a second in one cell.
+  std::size_t mMaxKeys = 24576;
   Common::Bytes mMaxReply{ 64 << 10 };
-  Common::Bytes mMaxReplies{ 16 << 20 };
+  Common::Bytes mMaxReplies{ 6 << 20 };
 };
 
 struct KeyEntry
 {
   KeyState mState = KeyState::InProgress;
   Common::RequestId mHolder;
-  std::string mFingerprint;
+  /// Hash of the claim's fingerprint.
+  std::uint64_t mFingerprint = 0;
   std::shared_ptr<const std::string> mReply;
   /// For InProgress: when the key becomes unknown. Otherwise when it is forgotten.
   Timestamp mUntil;
@@ -79,14 +82,22 @@
 /// the cell; only the first owner of a cell has none before it.
 struct KeyRegistry
 {
+  KeyRegistry() = default;
+  // mDue points into mEntries.
+  KeyRegistry(const KeyRegistry&) = delete;
+  KeyRegistry& operator=(const KeyRegistry&) = delete;
+  KeyRegistry(KeyRegistry&&) = default;
+  KeyRegistry& operator=(KeyRegistry&&) = default;
+  ~KeyRegistry() = default;
+
   using Name = std::pair<Common::ClientId, Common::IdempotencyKey>;
 
   KeyLimits mLimits;
   /// Unix time from which no earlier owner can grant a key; nothing for the first owner.
   std::optional<UnixMillis> mTakeover;
   std::map<Name, KeyEntry> mEntries;
-  /// Every entry by its mUntil.
-  std::set<std::pair<Timestamp, Name>> mDue;
+  /// Every entry by its mUntil. The names are those in mEntries.
+  std::set<std::pair<Timestamp, const Name*>> mDue;
   /// Entries with a reply, oldest first.
   std::deque<Name> mWithReply;
   Common::Bytes mReplyBytes;
--- a/Source/UnitTests/Admission/GateTests.cpp
+++ b/Source/UnitTests/Admission/GateTests.cpp
@@ -114,6 +114,17 @@
     REQUIRE(ConnectionsInUse(gate) == 2);
   }
 
+  SECTION("after the limit was lowered, kept connections must be closed before anything starts")
+  {
+    Withdraw(gate, MakeRequest(3).mId);
+    Release(gate, worker, MakeRequest(1).mId, { true, true }, kStart);
+    SetLimits(gate, worker, Limits(4, 1), kStart);
+    REQUIRE(Offer(gate, worker, MakeRequest(4), kStart).empty());
+    REQUIRE(ExcessIdleConnections(gate) == Common::Connections(1));
+    CloseIdleConnection(gate);
+    REQUIRE(Release(gate, worker, MakeRequest(2).mId, {}, kStart).size() == 1);
+  }
+
   SECTION("what the endpoint counts of an earlier agent is not granted again")
   {
     SetForeignUse(gate, Common::Slots(1), Common::Connections(1));
--- /dev/null
+++ b/Source/UnitTests/Admission/LimiterTests.cpp
@@ -0,0 +1,78 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+
+#include "Admission/Limiter.h"
+
+using namespace std::chrono_literals;
+using namespace Admission;
+
+namespace {
+
+/// Keeps the limiter's slots full at an endpoint that takes 20 ms per request up to aKnee requests
+/// in progress and slows down above it. Returns the limit at the end.
+double
+Saturate(Limiter& aLimiter, Common::Timestamp& aNow, std::int64_t aKnee, Common::Duration aTime)
+{
+  const Common::Timestamp end = aNow + aTime;
+  std::deque<std::pair<Common::Timestamp, Common::Duration>> running;
+  while (aNow < end) {
+    while (static_cast<double>(running.size()) < std::floor(aLimiter.mLimit)) {
+      const double inUse = static_cast<double>(running.size() + 1);
+      const double slow = std::max(1.0, std::pow(inUse / static_cast<double>(aKnee), 1.5));
+      const Common::Duration took(static_cast<std::int64_t>(20000 * slow));
+      running.emplace_back(aNow + took, took);
+    }
+    const auto next = std::min_element(running.begin(), running.end());
+    const Common::Duration took = next->second;
+    aNow = std::max(aNow, next->first);
+    AddLatency(
+      aLimiter, Common::RouteId("r"), took, static_cast<std::int64_t>(running.size()), aNow);
+    running.erase(next);
+    StepLimit(aLimiter, 32, aNow);
+  }
+  return aLimiter.mLimit;
+}
+
+} // namespace
+
+TEST_CASE("The adaptive limit follows the endpoint", "[Admission]")
+{
+  Common::Timestamp now{ 1h };
+  Limiter limiter;
+  StepLimit(limiter, 32, now);
+  REQUIRE(limiter.mLimit == 32);
+
+  SECTION("an endpoint that never slows keeps all slots but for the trials")
+  {
+    Saturate(limiter, now, 1000, 5min);
+    REQUIRE((limiter.mPhase == LimitPhase::Steady ? limiter.mLimit : limiter.mBefore) == 32);
+  }
+
+  SECTION("one that slows above 8 requests ends near 8, and gets its slots back when it recovers")
+  {
+    Saturate(limiter, now, 8, 2min);
+    REQUIRE(limiter.mLimit <= 12);
+    REQUIRE(limiter.mLimit >= 6);
+    Saturate(limiter, now, 1000, 5min);
+    REQUIRE(limiter.mLimit >= 24);
+  }
+
+  SECTION("the floor holds")
+  {
+    limiter.mFloor = 20;
+    REQUIRE(Saturate(limiter, now, 4, 2min) >= 20);
+  }
+
+  SECTION("a limit that is not reached is left alone")
+  {
+    for (int i = 0; i < 100000; ++i) {
+      now += 1ms;
+      AddLatency(limiter, Common::RouteId("r"), i % 2 == 0 ? 20ms : 200ms, 3, now);
+      StepLimit(limiter, 32, now);
+    }
+    REQUIRE(limiter.mLimit == 32);
+  }
+}
