Dispatch: test the request steps scenario by scenario

Guards against retries of what may have run, hedges of requests that are not idempotent, retries beyond the budget, a second answer, and a key that is settled with less than the truth.

--- /dev/null
+++ b/Source/UnitTests/Dispatch/RequestTests.cpp
@@ -0,0 +1,288 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "Dispatch/EntryGate.h"
+#include "Dispatch/Request.h"
+
+using namespace std::chrono_literals;
+using namespace Dispatch;
+using Common::Outcome;
+using Common::Refusal;
+using Kind = RequestActionKind;
+
+namespace {
+
+const Timestamp kStart{ 1h };
+
+/// One request of an entry that knows three agents in its data centre.
+struct Fixture
+{
+  explicit Fixture(bool aIdempotent = false, bool aHasKey = false)
+  {
+    for (const std::string name : { "a", "b", "c" }) {
+      AgentReport report;
+      report.mInstance = Common::InstanceId(name);
+      report.mIncarnation = Common::Incarnation(1);
+      report.mSlotsLimit = 8;
+      ApplyReport(mPool, report, 3, kStart, mRandom);
+    }
+    mRules.mHedgeAfter = 50ms;
+    mBudget.mPerSecond = 0;
+    reset(1, aIdempotent, aHasKey);
+  }
+
+  void reset(std::uint64_t aSequence, bool aIdempotent, bool aHasKey)
+  {
+    mState = {};
+    mState.mSpec.mName = { Common::InstanceId("entry"), Common::Incarnation(1), aSequence, 1 };
+    mState.mSpec.mIdempotent = aIdempotent;
+    mState.mSpec.mHedge = true;
+    mState.mSpec.mHasKey = aHasKey;
+    mState.mSpec.mDeadline = kStart + 1s;
+  }
+
+  RequestActions step(const RequestEvent& aEvent, Timestamp aNow = kStart)
+  {
+    DispatchContext context{ mPool, mBudget, mPlace, mRules };
+    return StepRequest(mState, aEvent, context, aNow, mRandom);
+  }
+
+  std::int32_t inFlight() const
+  {
+    std::int32_t sum = 0;
+    for (const AgentView& agent : mPool.mAgents) {
+      sum += agent.mInFlight;
+    }
+    return sum;
+  }
+
+  Common::Random mRandom{ 1 };
+  PoolView mPool;
+  RetryBudget mBudget;
+  Place mPlace;
+  DispatchRules mRules;
+  RequestState mState;
+};
+
+const RequestAction*
+Find(const RequestActions& aActions, Kind aKind)
+{
+  const auto found =
+    std::find_if(aActions.begin(), aActions.end(), [&](const RequestAction& aAction) {
+      return aAction.mKind == aKind;
+    });
+  return found == aActions.end() ? nullptr : &*found;
+}
+
+CallResult
+Reply(Outcome aOutcome, Refusal aReason = Refusal::None)
+{
+  return { Delivery::Answered, aOutcome, aReason, Common::Incarnation(1), false, Duration(0) };
+}
+
+CallResult
+InProgress()
+{
+  CallResult result = Reply(Outcome::Unknown);
+  result.mInProgress = true;
+  return result;
+}
+
+} // namespace
+
+TEST_CASE("A request that may have run is asked for, not sent again", "[Dispatch]")
+{
+  Fixture entry;
+  const RequestAction sent = *Find(entry.step(Begin{}), Kind::Send);
+  REQUIRE(entry.inFlight() == 1);
+
+  SECTION("a hedge is never sent for it")
+  {
+    REQUIRE_FALSE(Find(entry.step(Tick{}, kStart + 100ms), Kind::Send));
+  }
+
+  SECTION("after a lost reply the same incarnation is asked")
+  {
+    const auto actions = entry.step(ExecuteReply{ sent.mId, {} }, kStart + 10ms);
+    REQUIRE_FALSE(Find(actions, Kind::Send));
+    REQUIRE_FALSE(Find(actions, Kind::Answer));
+    REQUIRE(Find(actions, Kind::Query)->mId == sent.mId);
+    REQUIRE(Find(actions, Kind::Query)->mAgent.mInstance == sent.mAgent.mInstance);
+
+    SECTION("again while it runs, until the answer is there")
+    {
+      const auto wait = entry.step(QueryReply{ sent.mId, InProgress() }, kStart + 20ms);
+      const auto again = entry.step(Tick{}, Find(wait, Kind::WakeAt)->mAt);
+      REQUIRE(Find(again, Kind::Query));
+      const auto done = entry.step(QueryReply{ sent.mId, Reply(Outcome::Ran) }, kStart + 90ms);
+      REQUIRE(Find(done, Kind::Answer)->mOutcome == Outcome::Ran);
+      REQUIRE(Find(done, Kind::Close));
+      REQUIRE(entry.inFlight() == 0);
+    }
+
+    SECTION("a restarted agent cannot tell: unknown, never not-run")
+    {
+      CallResult other = Reply(Outcome::NotRun);
+      other.mIncarnation = Common::Incarnation(2);
+      const auto done = entry.step(QueryReply{ sent.mId, other }, kStart + 20ms);
+      REQUIRE(Find(done, Kind::Answer)->mOutcome == Outcome::Unknown);
+    }
+
+    SECTION("a definite not-run from the query allows another agent")
+    {
+      const auto next =
+        entry.step(QueryReply{ sent.mId, Reply(Outcome::NotRun, Refusal::Leaving) }, kStart + 20ms);
+      REQUIRE(Find(next, Kind::Send)->mAgent.mInstance != sent.mAgent.mInstance);
+    }
+
+    SECTION("a late first reply after the query has been sent changes nothing")
+    {
+      REQUIRE_FALSE(Find(entry.step(ExecuteReply{ sent.mId, Reply(Outcome::Ran) }), Kind::Answer));
+    }
+  }
+
+  SECTION("without any answer the deadline makes it unknown")
+  {
+    const auto done = entry.step(Tick{}, kStart + 1s);
+    REQUIRE(Find(done, Kind::Answer)->mOutcome == Outcome::Unknown);
+    SECTION("and a second answer is never given")
+    {
+      const auto late = entry.step(ExecuteReply{ sent.mId, Reply(Outcome::Ran) }, kStart + 2s);
+      REQUIRE_FALSE(Find(late, Kind::Answer));
+      REQUIRE(Find(late, Kind::Close));
+    }
+  }
+
+  SECTION("a reply to another request is ignored")
+  {
+    const auto stray =
+      entry.step(ExecuteReply{ Common::RequestId("entry/1/2/1"), Reply(Outcome::Ran) });
+    REQUIRE_FALSE(Find(stray, Kind::Answer));
+    REQUIRE(entry.inFlight() == 1);
+  }
+}
+
+TEST_CASE("Refused requests go elsewhere within the budget", "[Dispatch]")
+{
+  Fixture entry;
+  entry.mBudget.mTokens = 1;
+  const RequestAction first = *Find(entry.step(Begin{}), Kind::Send);
+  const auto full = Reply(Outcome::NotRun, Refusal::NoCapacity);
+  const RequestAction second = *Find(entry.step(ExecuteReply{ first.mId, full }), Kind::Send);
+  REQUIRE(second.mAgent.mInstance != first.mAgent.mInstance);
+  REQUIRE(second.mId != first.mId);
+  const auto done = entry.step(ExecuteReply{ second.mId, full });
+  REQUIRE_FALSE(Find(done, Kind::Send));
+  REQUIRE(Find(done, Kind::Answer)->mOutcome == Outcome::NotRun);
+  REQUIRE(Find(done, Kind::Answer)->mReason == Refusal::NoCapacity);
+  REQUIRE(Find(done, Kind::Answer)->mRemaining > 0ms);
+
+  SECTION("leaving agents cost no budget")
+  {
+    entry.reset(2, false, false);
+    const RequestAction again = *Find(entry.step(Begin{}), Kind::Send);
+    const auto leaving = Reply(Outcome::NotRun, Refusal::Leaving);
+    REQUIRE(Find(entry.step(ExecuteReply{ again.mId, leaving }), Kind::Send));
+  }
+
+  SECTION("an overloaded pool sees few more calls than requests")
+  {
+    std::size_t sends = 0;
+    for (std::uint64_t i = 10; i < 1010; ++i) {
+      entry.reset(i, true, false);
+      RequestActions actions = entry.step(Begin{});
+      while (const RequestAction* send = Find(actions, Kind::Send)) {
+        ++sends;
+        actions = entry.step(ExecuteReply{ send->mId, full });
+      }
+    }
+    REQUIRE(sends <= 1000 + 20);
+  }
+}
+
+TEST_CASE("Only idempotent requests are hedged and retried after a loss", "[Dispatch]")
+{
+  Fixture entry(true);
+  entry.mBudget.mTokens = 1;
+  const RequestAction first = *Find(entry.step(Begin{}), Kind::Send);
+
+  SECTION("the first answer counts, the other one is counted out")
+  {
+    const auto actions = entry.step(Tick{}, kStart + 50ms);
+    const RequestAction hedge = *Find(actions, Kind::Send);
+    REQUIRE(hedge.mAgent.mInstance != first.mAgent.mInstance);
+    const auto done = entry.step(ExecuteReply{ hedge.mId, Reply(Outcome::Ran) }, kStart + 60ms);
+    REQUIRE(Find(done, Kind::Answer)->mId == hedge.mId);
+    REQUIRE_FALSE(Find(done, Kind::Close));
+    const auto late = entry.step(ExecuteReply{ first.mId, Reply(Outcome::Ran) }, kStart + 70ms);
+    REQUIRE_FALSE(Find(late, Kind::Answer));
+    REQUIRE(Find(late, Kind::Close));
+    REQUIRE(entry.inFlight() == 0);
+  }
+
+  SECTION("a lost attempt that may have run keeps the outcome from being not-run")
+  {
+    const auto retried = entry.step(ExecuteReply{ first.mId, {} });
+    const RequestAction second = *Find(retried, Kind::Send);
+    const auto refused =
+      entry.step(ExecuteReply{ second.mId, Reply(Outcome::NotRun, Refusal::NoCapacity) });
+    REQUIRE_FALSE(Find(refused, Kind::Answer));
+    const auto done = entry.step(Tick{}, kStart + 1s);
+    REQUIRE(Find(done, Kind::Answer)->mOutcome == Outcome::Unknown);
+  }
+}
+
+TEST_CASE("A key is claimed before anything is sent and settled with the truth", "[Dispatch]")
+{
+  Fixture entry(false, true);
+  const auto begun = entry.step(Begin{});
+  REQUIRE(Find(begun, Kind::Claim));
+  REQUIRE_FALSE(Find(begun, Kind::Send));
+
+  SECTION("granted: sent; unknown at the deadline is corrected by the late reply")
+  {
+    const auto granted =
+      entry.step(ClaimReply{ Delivery::Answered, { KeyState::Granted, {}, nullptr, {} } });
+    const RequestAction sent = *Find(granted, Kind::Send);
+    const auto late = entry.step(Tick{}, kStart + 1s);
+    REQUIRE(Find(late, Kind::Settle)->mOutcome == Outcome::Unknown);
+    const auto ran = entry.step(ExecuteReply{ sent.mId, Reply(Outcome::Ran) }, kStart + 2s);
+    REQUIRE(Find(ran, Kind::Settle)->mOutcome == Outcome::Ran);
+    REQUIRE(Find(ran, Kind::Settle)->mId == sent.mId);
+
+    SECTION("a reply to the earlier settlement does not count for the later one")
+    {
+      REQUIRE_FALSE(
+        Find(entry.step(SettleReply{ Outcome::Unknown, true }, kStart + 2s), Kind::Close));
+      REQUIRE(Find(entry.step(SettleReply{ Outcome::Ran, true }, kStart + 2s), Kind::Close));
+    }
+  }
+
+  SECTION("finished: the stored answer, nothing is sent or settled")
+  {
+    const auto done =
+      entry.step(ClaimReply{ Delivery::Answered, { KeyState::Finished, {}, nullptr, {} } });
+    REQUIRE(Find(done, Kind::Answer)->mOutcome == Outcome::Ran);
+    REQUIRE(Find(done, Kind::Answer)->mId.empty());
+    REQUIRE_FALSE(Find(done, Kind::Send));
+    REQUIRE_FALSE(Find(done, Kind::Settle));
+  }
+
+  SECTION("a claim that is never answered is released")
+  {
+    entry.step(ClaimReply{});
+    const auto done = entry.step(Tick{}, kStart + 1s);
+    REQUIRE(Find(done, Kind::Answer)->mOutcome == Outcome::NotRun);
+    REQUIRE(Find(done, Kind::Settle)->mOutcome == Outcome::NotRun);
+  }
+}
+
+TEST_CASE("The entry's limit follows the pool", "[Dispatch]")
+{
+  Fixture entry;
+  REQUIRE(EntryLimits(entry.mPool, 3, 1, {}, {}).mSlots == Common::Slots(36));
+  REQUIRE(EntryLimits(entry.mPool, 30, 2, {}, {}).mSlots == Common::Slots(180));
+  FindAgent(entry.mPool, Common::InstanceId("a"))->mReport.mLeaving = true;
+  REQUIRE(EntryLimits(entry.mPool, 3, 1, {}, {}).mSlots == Common::Slots(24));
+}
