--- a/Source/Core/Admission/Admission.cpp
+++ b/Source/Core/Admission/Admission.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration kMinRetry = std::chrono::milliseconds(20);
 constexpr Duration kMaxRetry = std::chrono::seconds(5);
+// A sweep looks at every waiting request; requests that start are checked anyway.
+constexpr Duration kSweepEvery = std::chrono::milliseconds(10);
 constexpr Duration kDrainRetry = std::chrono::milliseconds(50);
 // Mean deviations of the service time that must fit before the deadline, beside the mean, when a
 // request joins a queue and when it starts ahead of others.
@@ -164,8 +166,10 @@
 {
   Actions out;
   AdjustLimit(aGate, aNow);
+  const bool sweep = aNow - aGate.mSweptAt >= kSweepEvery;
+  aGate.mSweptAt = sweep ? aNow : aGate.mSweptAt;
   for (FairQueue& queue : aGate.mQueues) {
-    if (queue.mQueued == 0) {
+    if (queue.mQueued == 0 || !sweep) {
       continue;
     }
     auto late = TakeIf(queue, [&](const QueuedRequest& aItem) {
--- a/Source/Core/Admission/Admission.h
+++ b/Source/Core/Admission/Admission.h
@@ -65,6 +65,7 @@
   Common::Slots mForeignSlots;
   Common::Connections mForeignConnections;
   Timestamp mAccruedAt;
+  Timestamp mSweptAt;
   bool mDraining = false;
 };
 
--- a/Source/Core/Admission/FairQueue.h
+++ b/Source/Core/Admission/FairQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -87,6 +88,9 @@
   std::vector<QueuedRequest> taken;
   for (auto& [teamName, team] : aQueue.mTeams) {
     for (auto& [clientName, client] : team.mClients) {
+      if (std::none_of(client.mItems.begin(), client.mItems.end(), aPredicate)) {
+        continue;
+      }
       std::deque<QueuedRequest> kept;
       for (auto& item : client.mItems) {
         (aPredicate(item) ? taken.emplace_back() : kept.emplace_back()) = std::move(item);
