--- a/Source/Core/Admission/Admission.cpp
+++ b/Source/Core/Admission/Admission.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration kMinRetry = std::chrono::milliseconds(20);
 constexpr Duration kMaxRetry = std::chrono::seconds(5);
+// A sweep looks at every waiting request; requests that start are checked anyway.
+constexpr Duration kSweepEvery = std::chrono::milliseconds(10);
 constexpr Duration kDrainRetry = std::chrono::milliseconds(50);
 // Mean deviations of the service time that must fit before the deadline, beside the mean, when a
 // request joins a queue and when it starts ahead of others.
@@ -31,8 +33,10 @@
 bool
 CanStart(const Gate& aGate, const WorkerLedger& aWorker)
 {
-  const std::int64_t connections = ConnectionsInUse(aGate) - aGate.mIdleConnections.value();
-  return SlotsInUse(aGate) < SlotLimit(aGate) && connections < aGate.mLimits.mConnections.value() &&
+  // A kept connection is used again; without one a new connection is opened.
+  const std::int64_t opened = aGate.mIdleConnections > Common::Connections(0) ? 0 : 1;
+  return SlotsInUse(aGate) < SlotLimit(aGate) &&
+         ConnectionsInUse(aGate) + opened <= aGate.mLimits.mConnections.value() &&
          SlotFits(aWorker);
 }
 
@@ -162,8 +166,10 @@
 {
   Actions out;
   AdjustLimit(aGate, aNow);
+  const bool sweep = aNow - aGate.mSweptAt >= kSweepEvery;
+  aGate.mSweptAt = sweep ? aNow : aGate.mSweptAt;
   for (FairQueue& queue : aGate.mQueues) {
-    if (queue.mQueued == 0) {
+    if (queue.mQueued == 0 || !sweep) {
       continue;
     }
     auto late = TakeIf(queue, [&](const QueuedRequest& aItem) {
@@ -223,6 +229,14 @@
   }
 }
 
+Common::Connections
+ExcessIdleConnections(const Gate& aGate)
+{
+  const Common::Connections excess =
+    Common::Connections(ConnectionsInUse(aGate)) - aGate.mLimits.mConnections;
+  return std::clamp(excess, Common::Connections(0), aGate.mIdleConnections);
+}
+
 Actions
 StartDrain(Gate& aGate, Timestamp aNow)
 {
