Jobs: test random schedules of a cell, and correct what they found

Change: a cell of agents, a store and a line of owners runs random schedules, and a checker that sees only workers and submitters looks for tasks in two places, lost jobs, wrong or repeated resumes, attempt numbers that do not rise and over-asked workers. Seven planted faults show that it finds them. Found and corrected: a held job started a task of which only one worker had reported the end; checkpoints of one attempt changed their order inside a segment; a submission that reached the store after a takeover doubled a job with the same key; attempt numbers were used again after two takeovers with silent workers (they now go on after a gap that rises with the epoch; a gap of one and a fixed gap of 100 both failed).

--- a/Source/Core/Jobs/Batches.cpp
+++ b/Source/Core/Jobs/Batches.cpp
@@ -32,7 +32,7 @@
 {
   aState.mAside.erase(aJob.mNumber.value());
   if (!aJob.mSpec.mKey.empty()) {
-    const auto key = aState.mKeys.find(aJob.mSpec.mClient.str() + '\0' + aJob.mSpec.mKey.str());
+    const auto key = aState.mKeys.find(KeyText(aJob.mSpec));
     if (key != aState.mKeys.end() && key->second == aJob.mNumber) {
       aState.mKeys.erase(key);
     }
@@ -109,15 +109,14 @@
   for (const std::uint32_t slot : aJob.mLive) {
     const LiveTask& task = aState.mTasks[slot];
     // The attempt in progress is not written: its worker reports it.
-    const std::uint32_t over = task.mWorker == kNoWorker ? task.mAttempt : task.mAttempt - 1;
+    const std::uint32_t over = AttemptsOver(task);
     if (over == 0 && task.mCheckpointAttempt == 0) {
       continue;
     }
     record = {};
     record.mTask = task.mKey;
-    record.mKind =
-      task.mCheckpointAttempt > over ? ProgressKind::Checkpoint : ProgressKind::AttemptOver;
-    record.mAttempt = Common::Attempt(std::max(over, task.mCheckpointAttempt));
+    record.mKind = ProgressKind::AttemptOver;
+    record.mAttempt = Common::Attempt(over);
     record.mCheckpointAttempt = Common::Attempt(task.mCheckpointAttempt);
     if (task.mCheckpointAttempt != 0) {
       record.mCheckpoint = aState.mCheckpoints.at(slot);
--- a/Source/Core/Jobs/Ends.cpp
+++ b/Source/Core/Jobs/Ends.cpp
@@ -137,19 +137,24 @@
   EndWaiting(aState, aJob, aNow);
 }
 
+std::uint32_t
+AttemptsOver(const LiveTask& aTask)
+{
+  return aTask.mWorker == kNoWorker ? aTask.mAttempt : aTask.mAttempt - 1;
+}
+
 void
-RecordAttempt(JobsState& aState, std::uint32_t aSlot, ProgressKind aKind)
+RecordAttempts(JobsState& aState, std::uint32_t aSlot, std::uint32_t aOver)
 {
   const LiveTask& task = aState.mTasks[aSlot];
   ProgressRecord record;
-  record.mKind = aKind;
+  record.mKind = ProgressKind::AttemptOver;
   record.mTask = task.mKey;
-  const bool over = aKind == ProgressKind::AttemptOver;
-  record.mAttempt = Common::Attempt(over ? task.mAttempt : task.mCheckpointAttempt);
+  record.mAttempt = Common::Attempt(aOver);
   record.mCheckpointAttempt = Common::Attempt(task.mCheckpointAttempt);
   if (task.mCheckpointAttempt != 0) {
     record.mCheckpoint = aState.mCheckpoints[aSlot];
-    if (over && task.mCheckpointAttempt < task.mAttempt) {
+    if (task.mCheckpointAttempt < aOver) {
       record.mResumedBy = record.mAttempt;
     }
   }
@@ -187,7 +192,11 @@
     EndTask(aState, job, key.mIndex, kind, task.mAttempt, aNow);
     return;
   }
-  RecordAttempt(aState, aSlot, ProgressKind::AttemptOver);
+  RecordAttempts(aState, aSlot, task.mAttempt);
+  if (job.mHeld) {
+    Occupy(aState, aSlot, kNoWorker, {}, LiveState::Uncertain, aNow);
+    return;
+  }
   Vacate(aState, aSlot, aNow);
   job.mAgain.push_back(key.mIndex);
   RefreshQueue(aState, job);
--- a/Source/Core/Jobs/Rebuild.cpp
+++ b/Source/Core/Jobs/Rebuild.cpp
@@ -7,9 +7,46 @@
 
 namespace {
 
+/// More starts than one owner makes of a task before a record of them is written.
+constexpr std::uint32_t kAttemptsPerEpoch = 100;
+
+/// Attempts that earlier owners may have used without a trace. The bound rises with the epoch,
+/// because a fixed gap after the last known attempt gave the same numbers to two owners in a row
+/// whose records were not written.
+std::uint32_t
+UsedBefore(const JobsState& aState)
+{
+  return static_cast<std::uint32_t>(aState.mEpoch.value()) * kAttemptsPerEpoch;
+}
+
+/// True if a later job has the key of the record. The earlier one then reached the store after its
+/// owner was replaced, so that it was never acknowledged, or it ended before its retention was
+/// over.
+bool
+IsReplaced(JobsState& aState, const JobRecord& aRecord)
+{
+  if (aRecord.mSpec.mKey.empty()) {
+    return false;
+  }
+  const auto known = aState.mKeys.find(KeyText(aRecord.mSpec));
+  if (known == aState.mKeys.end()) {
+    return false;
+  }
+  if (known->second > aRecord.mNumber) {
+    return true;
+  }
+  if (known->second < aRecord.mNumber) {
+    aState.mJobs.erase(known->second.value());
+  }
+  return false;
+}
+
 void
 AddJob(JobsState& aState, JobRecord aRecord)
 {
+  if (IsReplaced(aState, aRecord)) {
+    return;
+  }
   const auto [place, isNew] = aState.mJobs.try_emplace(aRecord.mNumber.value());
   if (!isNew) {
     return;
@@ -32,12 +69,7 @@
     Occupy(aState, slot, kNoWorker, {}, LiveState::Uncertain, aNow);
   }
   LiveTask& task = aState.mTasks[slot];
-  auto attempt = static_cast<std::uint32_t>(aRecord.mAttempt.value());
-  if (aRecord.mKind == ProgressKind::Checkpoint) {
-    // The attempt may still run, so only the ones before it are over.
-    --attempt;
-  }
-  task.mAttempt = std::max(task.mAttempt, attempt);
+  task.mAttempt = std::max(task.mAttempt, static_cast<std::uint32_t>(aRecord.mAttempt.value()));
   const auto checkpoint = static_cast<std::uint32_t>(aRecord.mCheckpointAttempt.value());
   if (checkpoint != 0 && checkpoint >= task.mCheckpointAttempt) {
     task.mCheckpointAttempt = checkpoint;
@@ -66,15 +98,15 @@
   if (index >= job->mSpec.mTasks || HasEnded(*job, index)) {
     return;
   }
-  if (aRecord.mKind == ProgressKind::AttemptOver || aRecord.mKind == ProgressKind::Checkpoint) {
+  if (aRecord.mKind == ProgressKind::AttemptOver) {
     ApplyAttempt(aState, *job, aRecord, aNow);
     return;
   }
   EndTask(aState, *job, index, aRecord.mKind, 0, aNow, false);
 }
 
-/// If a worker stayed silent, it may have run one attempt that nobody knows of. Its number is left
-/// out, durably, so that a later owner does not use it either.
+/// If a worker stayed silent, it may have run attempts that nobody knows of. Their numbers are left
+/// out, durably, so that a later owner does not use them either.
 void
 ReleaseTask(JobsState& aState, std::uint32_t aSlot, bool aAllHeard, const Now& aNow)
 {
@@ -82,14 +114,14 @@
   Job& job = *FindJob(aState, task.mKey.mJob);
   task.mAttempt = std::max(task.mAttempt, task.mCheckpointAttempt);
   if (!aAllHeard) {
-    ++task.mAttempt;
-    RecordAttempt(aState, aSlot, ProgressKind::AttemptOver);
+    task.mAttempt = std::max(task.mAttempt, UsedBefore(aState));
+    RecordAttempts(aState, aSlot, task.mAttempt);
   }
   Vacate(aState, aSlot, aNow);
   job.mAgain.push_back(task.mKey.mIndex);
 }
 
-/// One attempt of each task that nobody reported may have run on a silent worker.
+/// Tasks that nobody reported may have run on a silent worker.
 void
 EndUnreported(JobsState& aState, Job& aJob, const Now& aNow)
 {
@@ -116,7 +148,7 @@
     }
   }
   if (!aAllHeard && !aborted && aJob.waiting() > 0) {
-    ++aJob.mFirstAttempt;
+    aJob.mFirstAttempt = std::max(aJob.mFirstAttempt, UsedBefore(aState) + 1);
     ProgressRecord record;
     record.mKind = ProgressKind::FirstAttempt;
     record.mTask = { aJob.mNumber, kWholeJob };
--- a/Source/Core/Jobs/Records.cpp
+++ b/Source/Core/Jobs/Records.cpp
@@ -174,12 +174,6 @@
   return record;
 }
 
-bool
-HasDetails(ProgressKind aKind)
-{
-  return aKind == ProgressKind::AttemptOver || aKind == ProgressKind::Checkpoint;
-}
-
 bool
 IsWholeJob(ProgressKind aKind)
 {
@@ -208,7 +202,7 @@
     PutNumber(aOut, record->mTask.mIndex - last);
     last = record->mTask.mIndex;
     PutNumber(aOut, static_cast<std::uint64_t>(record->mAttempt.value()));
-    if (HasDetails(kind)) {
+    if (kind == ProgressKind::AttemptOver) {
       PutNumber(aOut, static_cast<std::uint64_t>(record->mCheckpointAttempt.value()));
       PutNumber(aOut, static_cast<std::uint64_t>(record->mResumedBy.value()));
       PutText(aOut, record->mCheckpoint);
@@ -249,7 +243,7 @@
       last += static_cast<std::uint32_t>(aIn.number());
       record.mTask.mIndex = last;
       record.mAttempt = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
-      if (HasDetails(aKind)) {
+      if (aKind == ProgressKind::AttemptOver) {
         record.mCheckpointAttempt = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
         record.mResumedBy = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
         record.mCheckpoint = aIn.text();
--- a/Source/Core/Jobs/Records.h
+++ b/Source/Core/Jobs/Records.h
@@ -26,23 +26,22 @@
   Cancelled = 3,
   /// A task with restart "never" whose end is not known.
   Unknown = 4,
-  /// mAttempt ended without finishing the task; mCheckpoint is the newest checkpoint.
+  /// The attempts up to mAttempt (0 for none) ended without finishing the task; mCheckpoint is the
+  /// newest checkpoint, which may come from an attempt that goes on.
   AttemptOver = 5,
   /// The whole job is cancelled; mIndex is kWholeJob.
   JobCancelled = 6,
   /// The whole job failed; mCheckpoint holds the reason, mIndex is kWholeJob.
   JobFailed = 7,
-  /// mAttempt made mCheckpoint and goes on.
-  Checkpoint = 8,
   /// Tasks of the job without a record of their own start with attempt mAttempt; mIndex is
   /// kWholeJob.
-  FirstAttempt = 9,
+  FirstAttempt = 8,
 };
 
 constexpr std::uint32_t kWholeJob = UINT32_MAX;
 
 /// Records may be applied more than once: an end of a task is final, and of two attempts the higher
-/// one counts. Only checkpoints of the same attempt have to be applied in their order.
+/// one counts. Only records of the same task with checkpoints have to be applied in their order.
 struct ProgressRecord
 {
   ProgressKind mKind = ProgressKind::Finished;
--- a/Source/Core/Jobs/Report.cpp
+++ b/Source/Core/Jobs/Report.cpp
@@ -100,7 +100,7 @@
     (newest == aCase.mAttempt && aState.mCheckpoints[aCase.mSlot] != aCase.mReport.mCheckpoint);
   if (isNew) {
     StoreCheckpoint(aState, aCase.mSlot, aCase);
-    RecordAttempt(aState, aCase.mSlot, ProgressKind::Checkpoint);
+    RecordAttempts(aState, aCase.mSlot, AttemptsOver(aState.mTasks[aCase.mSlot]));
   }
 }
 
@@ -140,7 +140,7 @@
                                 aState.mCheckpoints[aCase.mSlot] != aCase.mReport.mCheckpoint);
   if (isNewCheckpoint) {
     StoreCheckpoint(aState, aCase.mSlot, aCase);
-    RecordAttempt(aState, aCase.mSlot, ProgressKind::Checkpoint);
+    RecordAttempts(aState, aCase.mSlot, AttemptsOver(aState.mTasks[aCase.mSlot]));
   }
 }
 
--- a/Source/Core/Jobs/Start.cpp
+++ b/Source/Core/Jobs/Start.cpp
@@ -33,7 +33,7 @@
     // A late report has settled the task since it was put here.
     aJob.mAgain.pop_back();
   }
-  while (!aJob.mHeld && aJob.mNextFresh < aJob.mSpec.mTasks) {
+  while (aJob.mNextFresh < aJob.mSpec.mTasks) {
     if (!HasEnded(aJob, aJob.mNextFresh) &&
         FindTask(aState, { aJob.mNumber, aJob.mNextFresh }) == kNoTask) {
       return aJob.mNextFresh;
--- a/Source/Core/Jobs/State.h
+++ b/Source/Core/Jobs/State.h
@@ -80,7 +80,7 @@
   /// Why the job is set aside, or why it failed.
   std::string mDetail;
   /// First attempt number of tasks that were never reported. It rises with each takeover in which a
-  /// worker stayed silent, because that worker may have used the last one.
+  /// worker stayed silent, because that worker may have used the numbers before.
   std::uint32_t mFirstAttempt = 1;
   /// Consecutive calls of the placer that found no room.
   std::uint32_t mMisses = 0;
@@ -106,12 +106,9 @@
 
   std::uint32_t ended() const { return mFinished + mFailedTasks + mCancelledTasks + mUnknown; }
   std::uint32_t waiting() const { return mSpec.mTasks - ended() - mActive; }
-  /// Waiting tasks that may start. While the job is held, these are only the ones of which a report
-  /// has said that they do not run.
-  std::uint32_t startable() const
-  {
-    return mHeld ? static_cast<std::uint32_t>(mLive.size()) - mActive : waiting();
-  }
+  /// Waiting tasks that may start. None while the job is held: even if a worker reports the end of
+  /// an attempt, a silent one may run the next.
+  std::uint32_t startable() const { return mHeld ? 0 : waiting(); }
 };
 
 struct Team
--- a/Source/Core/Jobs/Submit.cpp
+++ b/Source/Core/Jobs/Submit.cpp
@@ -216,7 +216,7 @@
 SubmitJob(JobsState& aState, const JobSpec& aSpec, const Now& aNow)
 {
   if (!aSpec.mKey.empty()) {
-    const auto known = aState.mKeys.find(aSpec.mClient.str() + '\0' + aSpec.mKey.str());
+    const auto known = aState.mKeys.find(KeyText(aSpec));
     if (known != aState.mKeys.end()) {
       const Job* job = FindJob(aState, known->second);
       return Submitted{ JobIdText(aState.mCell, job->mNumber), false, job->mDurable };
--- a/Source/Core/Jobs/Transitions.cpp
+++ b/Source/Core/Jobs/Transitions.cpp
@@ -43,6 +43,12 @@
   return found == aState.mTaskIndex.end() ? kNoTask : found->second;
 }
 
+std::string
+KeyText(const JobSpec& aSpec)
+{
+  return aSpec.mClient.str() + '\0' + aSpec.mKey.str();
+}
+
 std::uint32_t
 WorkerNumber(JobsState& aState, const Common::WorkerId& aWorker)
 {
@@ -101,7 +107,7 @@
   aJob.mOrder = OrderKey(aJob.mSpec, aJob.mSubmitted);
   aJob.mTeam = TeamNumber(aState, aJob.mSpec.mTeam);
   if (!aJob.mSpec.mKey.empty()) {
-    aState.mKeys[aJob.mSpec.mClient.str() + '\0' + aJob.mSpec.mKey.str()] = aJob.mNumber;
+    aState.mKeys[KeyText(aJob.mSpec)] = aJob.mNumber;
   }
 }
 
--- a/Source/Core/Jobs/Transitions.h
+++ b/Source/Core/Jobs/Transitions.h
@@ -17,6 +17,10 @@
 std::uint32_t
 FindTask(const JobsState& aState, const TaskKey& aKey);
 
+/// Name of the job's idempotency key in JobsState::mKeys.
+std::string
+KeyText(const JobSpec& aSpec);
+
 std::uint32_t
 WorkerNumber(JobsState& aState, const Common::WorkerId& aWorker);
 
@@ -95,9 +99,13 @@
          const Now& aNow,
          std::vector<TaskAction>& aActions);
 
-/// Records that the attempt is over (AttemptOver), or only the newest checkpoint (Checkpoint).
+/// Attempts of the task that are known to be over.
+std::uint32_t
+AttemptsOver(const LiveTask& aTask);
+
+/// Records that the attempts up to aOver are over, with the newest checkpoint.
 void
-RecordAttempt(JobsState& aState, std::uint32_t aSlot, ProgressKind aKind);
+RecordAttempts(JobsState& aState, std::uint32_t aSlot, std::uint32_t aOver);
 
 void
 AddProgress(JobsState& aState, ProgressRecord aRecord);
--- /dev/null
+++ b/Source/UnitTests/Jobs/Checker.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Core/Jobs/Model.h"
+
+/// Checks a schedule from what workers and submitters can see: starts, ends, checkpoints, and
+/// acknowledgements. It knows nothing of the owner's state.
+class Checker
+{
+public:
+  /// Time of the next events, in steps.
+  std::uint64_t time() const { return mTime; }
+  void tick() { ++mTime; }
+  /// aSent is the time at which the owner sent the command: what it was told later does not bind
+  /// it.
+  void started(const Jobs::TaskStart& aStart, const std::string& aWorker, std::uint64_t aSent);
+  void checkpointed(const std::string& aTask,
+                    std::int64_t aAttempt,
+                    const std::string& aName,
+                    const std::string& aWorker);
+  void ended(const std::string& aTask,
+             std::int64_t aAttempt,
+             Jobs::TaskState aHow,
+             const std::string& aWorker);
+  /// The machine is gone with all that ran on it.
+  void died(const std::string& aWorker);
+  /// The present owner has received this report.
+  void told(const Jobs::TaskReport& aReport);
+  /// An owner has said that the end of this attempt is durable.
+  void forgotten(const std::string& aTask, std::int64_t aAttempt);
+  void ownerChanged();
+  void overAsked(const std::string& aWorker);
+
+  void acknowledged(const std::string& aJob, const Jobs::JobSpec& aSpec);
+  void cancelled(const std::string& aJob) { mJobs[aJob].mCancelled = true; }
+  /// What the submitter is shown when everything has come to rest.
+  void shown(const std::string& aJob, const Jobs::JobSummary* aSummary);
+
+  const std::vector<std::string>& faults() const { return mFaults; }
+  std::vector<std::string> acknowledgedJobs() const;
+
+private:
+  static constexpr std::uint64_t kNever = UINT64_MAX;
+
+  struct Saved
+  {
+    std::string mName;
+    std::int64_t mAttempt = 0;
+    std::string mWorker;
+    std::uint64_t mToldAt = kNever;
+    /// The machine was lost before it had told anyone.
+    bool mLost = false;
+  };
+  struct Task
+  {
+    std::map<std::string, std::int64_t> mRunning;
+    std::vector<Saved> mSaved;
+    /// Attempts whose end the present owner was told, and those that it called durable, with the
+    /// time.
+    std::map<std::int64_t, std::uint64_t> mTold;
+    std::map<std::int64_t, std::uint64_t> mDurable;
+    /// 0 also if nobody alive knows that it finished.
+    std::int64_t mFinishedBy = 0;
+    bool mEverFinished = false;
+    /// Attempts that started, with their worker; "" if the machine is gone. Those which nobody
+    /// alive knows of are dropped.
+    std::map<std::int64_t, std::string> mAttempts;
+    std::uint32_t mStarts = 0;
+  };
+  struct JobSeen
+  {
+    Jobs::JobSpec mSpec;
+    bool mAcknowledged = false;
+    bool mCancelled = false;
+    std::set<std::string> mFailedOn;
+  };
+
+  void fault(const std::string& aText) { mFaults.push_back(aText); }
+  static bool isKnown(const Task& aTask, std::int64_t aAttempt, std::uint64_t aAt);
+  void dropUnknown(Task& aTask) const;
+  void checkCheckpoint(const Task& aTask, const Jobs::TaskStart& aStart, std::uint64_t aSent);
+
+  std::map<std::string, Task> mTasks;
+  std::map<std::string, JobSeen> mJobs;
+  std::map<std::pair<std::string, std::string>, std::string> mKeys;
+  std::vector<std::string> mFaults;
+  std::uint64_t mTime = 1;
+};
--- /dev/null
+++ b/Source/UnitTests/Jobs/World.cpp
@@ -0,0 +1,310 @@
+#include "UnitTests/Jobs/World.h"
+
+#include <algorithm>
+
+using namespace std::chrono_literals;
+using namespace Jobs;
+
+namespace {
+
+Common::Resources
+Amounts(std::int64_t aMilliCores)
+{
+  return { Common::MilliCores(aMilliCores), Common::Bytes(aMilliCores << 20), {} };
+}
+
+Placement::Ticket
+TicketOf(const TaskKey& aKey, Common::Attempt aAttempt)
+{
+  return TaskKeyHash{}(aKey)*31 + static_cast<std::uint64_t>(aAttempt.value());
+}
+
+JobsState
+EmptyState(std::int64_t aEpoch, std::size_t aWorkers)
+{
+  JobsState state = MakeState(Common::CellId("dc"), Common::Epoch(aEpoch));
+  SetTeams(state,
+           { { Common::TeamId("a"), 1, Amounts(4000), true },
+             { Common::TeamId("b"), 2, Amounts(2000), false } });
+  SetShapes(state, { { {}, Amounts(4000), static_cast<std::uint32_t>(aWorkers) } });
+  return state;
+}
+
+} // namespace
+
+World::World(const WorldConfig& aConfig)
+  : mConfig(aConfig)
+  , mRandom(aConfig.mSeed)
+  , mState(EmptyState(1, aConfig.mWorkers))
+  , mContacts(aConfig.mWorkers)
+  , mRoster(aConfig.mWorkers, 1)
+{
+  for (std::size_t i = 0; i < aConfig.mWorkers; ++i) {
+    mAgents.emplace_back("w" + std::to_string(i), Amounts(4000), mChecker);
+    const auto number = Placement::SetWorker(
+      mIndex, { Common::WorkerId(mAgents[i].name()), {}, {}, {}, Amounts(4000) });
+    Placement::SetGate(mIndex, number, Placement::Gate::Closed);
+  }
+}
+
+Now
+World::now() const
+{
+  return { Common::Timestamp(1h + mTime),
+           1'700'000'000s + std::chrono::duration_cast<Common::UnixMillis>(mTime) };
+}
+
+void
+World::submit()
+{
+  JobSpec spec;
+  spec.mClient = Common::ClientId("c");
+  spec.mTeam = Common::TeamId(mRandom.below(2) == 0 ? "a" : "b");
+  spec.mRoute = Common::RouteId("r");
+  spec.mTasks = 1 + static_cast<std::uint32_t>(mRandom.below(4));
+  spec.mPerTask = Amounts(500 + 500 * static_cast<std::int64_t>(mRandom.below(4)));
+  spec.mMaxAttempts = 1000;
+  spec.mPriority = static_cast<std::int32_t>(mRandom.below(3));
+  if (mRandom.below(4) == 0) {
+    spec.mRestart = Tables::RestartPolicy::Never;
+  }
+  if (mRandom.below(2) == 0) {
+    // Half of these repeat an earlier submission.
+    spec.mKey =
+      Common::IdempotencyKey("k" + std::to_string(mRandom.below(2) == 0 ? mKeys : ++mKeys));
+  }
+  const auto submitted = SubmitJob(mState, spec, now());
+  if (!submitted) {
+    return;
+  }
+  if (submitted->mNew) {
+    mSubmitted[submitted->mJob.str()] = spec;
+  }
+  if (submitted->mDurable || mConfig.mPlanted == Planted::EarlyAcknowledge) {
+    mChecker.acknowledged(submitted->mJob.str(), mSubmitted[submitted->mJob.str()]);
+  }
+}
+
+void
+World::cancel()
+{
+  const std::vector<std::string> jobs = mChecker.acknowledgedJobs();
+  if (jobs.empty()) {
+    return;
+  }
+  const std::string& job = jobs[mRandom.below(jobs.size())];
+  std::vector<TaskAction> actions;
+  if (CancelJob(mState, Common::JobId(job), now(), actions)) {
+    mChecker.cancelled(job);
+    applyActions(std::move(actions));
+  }
+}
+
+void
+World::schedule()
+{
+  const Placement::Policy policy;
+  NextTasks(mState, now(), 8, [&](const TaskNeed& aNeed) -> std::optional<Common::WorkerId> {
+    Placement::Request request;
+    request.mTicket = TicketOf(aNeed.mKey, aNeed.mAttempt);
+    request.mNeed = aNeed.mNeed;
+    const auto worker = Placement::PlaceTask(mIndex, request, policy, mRandom);
+    return worker ? std::optional(Placement::NameOf(mIndex, *worker)) : std::nullopt;
+  });
+}
+
+void
+World::applyActions(std::vector<TaskAction> aActions)
+{
+  for (TaskAction& action : aActions) {
+    const auto worker = static_cast<std::size_t>(std::stoul(action.mWorker.str().substr(1)));
+    mContacts[worker].mActions.push_back(std::move(action));
+  }
+}
+
+void
+World::sendHeartbeat(std::size_t aWorker)
+{
+  mChecker.tick();
+  Contact& contact = mContacts[aWorker];
+  Heartbeat heartbeat;
+  heartbeat.mWorker = aWorker;
+  heartbeat.mEpoch = mEpoch;
+  heartbeat.mSent = mChecker.time();
+  heartbeat.mIncarnation = contact.mIncarnation;
+  Commands commands = PendingCommands(mState, Common::WorkerId(mAgents[aWorker].name()));
+  heartbeat.mStarts = std::move(commands.mStarts);
+  heartbeat.mActions = std::move(commands.mActions);
+  for (TaskStart& start : heartbeat.mStarts) {
+    if (mConfig.mPlanted == Planted::LostCheckpoint) {
+      start.mCheckpoint.clear();
+    }
+  }
+  std::move(
+    contact.mActions.begin(), contact.mActions.end(), std::back_inserter(heartbeat.mActions));
+  contact.mActions.clear();
+  mHeartbeats.push_back(std::move(heartbeat));
+}
+
+void
+World::deliverTo(const Heartbeat& aHeartbeat)
+{
+  if (mContacts[aHeartbeat.mWorker].mCutOff) {
+    return;
+  }
+  if (auto reply = mAgents[aHeartbeat.mWorker].receive(aHeartbeat, mConfig.mRefuse, mRandom)) {
+    mReplies.push_back(std::move(*reply));
+  }
+}
+
+/// Delivers a message in any order; it may be lost or come twice.
+void
+World::deliver()
+{
+  mChecker.tick();
+  const bool isReply = mHeartbeats.empty() || (!mReplies.empty() && mRandom.below(2) == 0);
+  const std::size_t count = isReply ? mReplies.size() : mHeartbeats.size();
+  if (count == 0) {
+    return;
+  }
+  const auto place = static_cast<std::ptrdiff_t>(mRandom.below(count));
+  const bool keep = mRandom.unit() < mConfig.mDuplicate;
+  const bool drop = mRandom.unit() < mConfig.mDrop;
+  if (isReply) {
+    const Reply reply = mReplies[static_cast<std::size_t>(place)];
+    if (!keep) {
+      mReplies.erase(mReplies.begin() + place);
+    }
+    if (!drop && !mContacts[reply.mWorker].mCutOff) {
+      receive(reply);
+    }
+    return;
+  }
+  const Heartbeat heartbeat = mHeartbeats[static_cast<std::size_t>(place)];
+  if (!keep) {
+    mHeartbeats.erase(mHeartbeats.begin() + place);
+  }
+  if (!drop) {
+    deliverTo(heartbeat);
+  }
+}
+
+void
+World::receive(const Reply& aReply)
+{
+  Contact& contact = mContacts[aReply.mWorker];
+  if (aReply.mEpoch != mEpoch) {
+    return;
+  }
+  Inventory inventory = aReply.mInventory;
+  if (mConfig.mPlanted == Planted::NoSequence) {
+    inventory.mSequence = ++contact.mSeen;
+  }
+  if (IsStale(mState, inventory)) {
+    return;
+  }
+  for (const TaskReport& report : inventory.mReports) {
+    mChecker.told(report);
+  }
+  std::vector<TaskAction> actions = ApplyInventory(mState, inventory, now());
+  if (mConfig.mPlanted == Planted::EarlyForget) {
+    for (const TaskReport& report : inventory.mReports) {
+      actions.push_back({ ActionKind::Forget, inventory.mWorker, report.mTask, report.mAttempt });
+    }
+  }
+  applyActions(std::move(actions));
+  contact.mIncarnation = inventory.mIncarnation.value();
+  contact.mHeard = true;
+  std::vector<Placement::Ticket> outstanding;
+  if (mConfig.mPlanted != Planted::NoReservation) {
+    for (const UnconfirmedStart& start : UnconfirmedStarts(mState, inventory.mWorker)) {
+      outstanding.push_back(TicketOf(start.mKey, start.mAttempt));
+    }
+  }
+  const auto worker = Placement::FindWorker(mIndex, inventory.mWorker);
+  Placement::ReportFree(mIndex, worker, aReply.mFree, outstanding);
+  Placement::SetGate(mIndex, worker, Placement::Gate::Open);
+  applyHealth();
+}
+
+void
+World::applyHealth()
+{
+  for (const HealthChange& change : TakeHealthChanges(mState, now())) {
+    const auto worker = Placement::FindWorker(mIndex, change.mWorker);
+    Placement::SetGate(mIndex,
+                       worker,
+                       change.mHealth == WorkerHealth::Good      ? Placement::Gate::Open
+                       : change.mHealth == WorkerHealth::Probing ? Placement::Gate::Probe
+                                                                 : Placement::Gate::Closed);
+  }
+}
+
+void
+World::evict()
+{
+  if (mRandom.below(3) == 0) {
+    applyActions(ReclaimQuota(mState, now(), 4));
+    return;
+  }
+  const Common::WorkerId worker(mAgents[anyWorker()].name());
+  const auto found = mState.mWorkerIndex.find(worker);
+  if (found == mState.mWorkerIndex.end() || mState.mWorkers[found->second].mTasks.empty()) {
+    return;
+  }
+  const auto& tasks = mState.mWorkers[found->second].mTasks;
+  const TaskKey key = mState.mTasks[tasks[mRandom.below(tasks.size())]].mKey;
+  std::vector<TaskAction> actions;
+  EvictTask(mState, TaskIdText(mState.mCell, key), now(), actions);
+  applyActions(std::move(actions));
+}
+
+void
+World::write()
+{
+  const bool jobs = mRandom.below(2) == 0;
+  const auto batch = jobs ? TakeJobBatch(mState, 1 << 19) : TakeProgressBatch(mState, 50);
+  if (!batch) {
+    return;
+  }
+  mWrites.push_back({ batch->mId, mNextKey++, EncodeSegment(batch->mSegment), false });
+}
+
+void
+World::acknowledge(std::uint64_t aBatch)
+{
+  for (const Common::JobId& job : BatchWritten(mState, aBatch, now())) {
+    mChecker.acknowledged(job.str(), mSubmitted[job.str()]);
+  }
+}
+
+/// A write takes effect and is answered, takes effect without an answer (which reading settles
+/// later), or fails.
+void
+World::settleWrite()
+{
+  if (!mLate.empty() && mRandom.below(4) == 0) {
+    mStore[mLate.back().mKey] = mLate.back().mValue;
+    mLate.pop_back();
+  }
+  if (mWrites.empty()) {
+    return;
+  }
+  const std::size_t place = mRandom.below(mWrites.size());
+  Write& item = mWrites[place];
+  const std::uint64_t choice = mRandom.below(4);
+  if (!item.mApplied && choice == 0) {
+    BatchFailed(mState, item.mBatch);
+  } else {
+    if (!item.mApplied) {
+      mStore[item.mKey] = item.mValue;
+      mKnown.insert(item.mKey);
+      item.mApplied = true;
+    }
+    if (choice == 1) {
+      return;
+    }
+    acknowledge(item.mBatch);
+  }
+  mWrites.erase(mWrites.begin() + static_cast<std::ptrdiff_t>(place));
+}
