--- a/Source/Core/Rpc/Generated/Control.cpp
+++ b/Source/Core/Rpc/Generated/Control.cpp
@@ -800,8 +800,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+          xfer += iprot->readI64(this->heldRevision);
+          this->__isset.heldRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->heldHash);
+          this->__isset.heldHash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -823,8 +831,12 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Control_fetchRevision_args");
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("heldRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->heldRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldHash", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->heldHash);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -842,8 +854,12 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Control_fetchRevision_pargs");
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64((*(this->revision)));
+  xfer += oprot->writeFieldBegin("heldRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64((*(this->heldRevision)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldHash", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString((*(this->heldHash)));
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2035,14 +2051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->success.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->success.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->success[_i132].read(iprot);
+              xfer += this->success[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2073,10 +2089,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<JobView> ::const_iterator _iter133;
-      for (_iter133 = this->success.begin(); _iter133 != this->success.end(); ++_iter133)
+      std::vector<JobView> ::const_iterator _iter163;
+      for (_iter163 = this->success.begin(); _iter163 != this->success.end(); ++_iter163)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter163).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2117,14 +2133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            (*(this->success)).resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            (*(this->success)).resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += (*(this->success))[_i138].read(iprot);
+              xfer += (*(this->success))[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2452,14 +2468,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->success.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->success.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += this->success[_i143].read(iprot);
+              xfer += this->success[_i173].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2490,10 +2506,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<UsageRecord> ::const_iterator _iter144;
-      for (_iter144 = this->success.begin(); _iter144 != this->success.end(); ++_iter144)
+      std::vector<UsageRecord> ::const_iterator _iter174;
+      for (_iter174 = this->success.begin(); _iter174 != this->success.end(); ++_iter174)
       {
-        xfer += (*_iter144).write(oprot);
+        xfer += (*_iter174).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2534,14 +2550,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            (*(this->success)).resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            (*(this->success)).resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += (*(this->success))[_i149].read(iprot);
+              xfer += (*(this->success))[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2765,213 +2781,806 @@
   return xfer;
 }
 
-void ControlClient::execute(ExecuteReply& _return, const ExecuteRequest& request)
-{
-  send_execute(request);
-  recv_execute(_return);
+
+Control_declareLost_args::~Control_declareLost_args() noexcept {
 }
 
-void ControlClient::send_execute(const ExecuteRequest& request)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("execute", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_execute_pargs args;
-  args.request = &request;
-  args.write(oprot_);
+uint32_t Control_declareLost_args::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
-}
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
 
-void ControlClient::recv_execute(ExecuteReply& _return)
-{
+  xfer += iprot->readStructBegin(fname);
 
-  int32_t rseqid = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+  using ::apache::thrift::protocol::TProtocolException;
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-    throw x;
-  }
-  if (mtype != ::apache::thrift::protocol::T_REPLY) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  if (fname.compare("execute") != 0) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  Control_execute_presult result;
-  result.success = &_return;
-  result.read(iprot_);
-  iprot_->readMessageEnd();
-  iprot_->getTransport()->readEnd();
 
-  if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "execute failed: unknown result");
-}
 
-void ControlClient::queryOutcome(ExecuteReply& _return, const std::string& requestId, const int64_t targetIncarnation)
-{
-  send_queryOutcome(requestId, targetIncarnation);
-  recv_queryOutcome(_return);
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void ControlClient::send_queryOutcome(const std::string& requestId, const int64_t targetIncarnation)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("queryOutcome", ::apache::thrift::protocol::T_CALL, cseqid);
+uint32_t Control_declareLost_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_declareLost_args");
 
-  Control_queryOutcome_pargs args;
-  args.requestId = &requestId;
-  args.targetIncarnation = &targetIncarnation;
-  args.write(oprot_);
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cell);
+  xfer += oprot->writeFieldEnd();
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void ControlClient::recv_queryOutcome(ExecuteReply& _return)
-{
 
-  int32_t rseqid = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+Control_declareLost_pargs::~Control_declareLost_pargs() noexcept {
+}
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-    throw x;
-  }
-  if (mtype != ::apache::thrift::protocol::T_REPLY) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  if (fname.compare("queryOutcome") != 0) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  Control_queryOutcome_presult result;
-  result.success = &_return;
-  result.read(iprot_);
-  iprot_->readMessageEnd();
-  iprot_->getTransport()->readEnd();
 
-  if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
-  }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "queryOutcome failed: unknown result");
-}
+uint32_t Control_declareLost_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_declareLost_pargs");
 
-void ControlClient::heartbeat(HeartbeatReply& _return, const HeartbeatRequest& request)
-{
-  send_heartbeat(request);
-  recv_heartbeat(_return);
-}
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->cell)));
+  xfer += oprot->writeFieldEnd();
 
-void ControlClient::send_heartbeat(const HeartbeatRequest& request)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_CALL, cseqid);
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
 
-  Control_heartbeat_pargs args;
-  args.request = &request;
-  args.write(oprot_);
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
+Control_declareLost_result::~Control_declareLost_result() noexcept {
 }
 
-void ControlClient::recv_heartbeat(HeartbeatReply& _return)
-{
 
-  int32_t rseqid = 0;
+uint32_t Control_declareLost_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
   std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-    throw x;
-  }
-  if (mtype != ::apache::thrift::protocol::T_REPLY) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  if (fname.compare("heartbeat") != 0) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  Control_heartbeat_presult result;
-  result.success = &_return;
-  result.read(iprot_);
-  iprot_->readMessageEnd();
-  iprot_->getTransport()->readEnd();
+  xfer += iprot->readStructBegin(fname);
 
-  if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
-  }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "heartbeat failed: unknown result");
-}
+  using ::apache::thrift::protocol::TProtocolException;
 
-void ControlClient::gossip(GossipMessage& _return, const GossipMessage& message)
-{
-  send_gossip(message);
-  recv_gossip(_return);
-}
 
-void ControlClient::send_gossip(const GossipMessage& message)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("gossip", ::apache::thrift::protocol::T_CALL, cseqid);
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
 
-  Control_gossip_pargs args;
-  args.message = &message;
-  args.write(oprot_);
+  xfer += iprot->readStructEnd();
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
+  return xfer;
 }
 
-void ControlClient::recv_gossip(GossipMessage& _return)
-{
+uint32_t Control_declareLost_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
 
-  int32_t rseqid = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+  uint32_t xfer = 0;
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
-    iprot_->readMessageEnd();
+  xfer += oprot->writeStructBegin("Control_declareLost_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+    xfer += oprot->writeBool(this->success);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_declareLost_presult::~Control_declareLost_presult() noexcept {
+}
+
+
+uint32_t Control_declareLost_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+Control_offerCell_args::~Control_offerCell_args() noexcept {
+}
+
+
+uint32_t Control_offerCell_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cell);
+          this->__isset.cell = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_offerCell_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_offerCell_args");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cell);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_offerCell_pargs::~Control_offerCell_pargs() noexcept {
+}
+
+
+uint32_t Control_offerCell_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_offerCell_pargs");
+
+  xfer += oprot->writeFieldBegin("cell", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->cell)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_offerCell_result::~Control_offerCell_result() noexcept {
+}
+
+
+uint32_t Control_offerCell_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_offerCell_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Control_offerCell_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+    xfer += oprot->writeBool(this->success);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_offerCell_presult::~Control_offerCell_presult() noexcept {
+}
+
+
+uint32_t Control_offerCell_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+Control_trace_args::~Control_trace_args() noexcept {
+}
+
+
+uint32_t Control_trace_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->traceId);
+          this->__isset.traceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_trace_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_trace_args");
+
+  xfer += oprot->writeFieldBegin("traceId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->traceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_trace_pargs::~Control_trace_pargs() noexcept {
+}
+
+
+uint32_t Control_trace_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_trace_pargs");
+
+  xfer += oprot->writeFieldBegin("traceId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->traceId)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_trace_result::~Control_trace_result() noexcept {
+}
+
+
+uint32_t Control_trace_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->success.clear();
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->success.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
+            {
+              xfer += iprot->readString(this->success[_i184]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_trace_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Control_trace_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->success.size()));
+      std::vector<std::string> ::const_iterator _iter185;
+      for (_iter185 = this->success.begin(); _iter185 != this->success.end(); ++_iter185)
+      {
+        xfer += oprot->writeString((*_iter185));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_trace_presult::~Control_trace_presult() noexcept {
+}
+
+
+uint32_t Control_trace_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            (*(this->success)).clear();
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            (*(this->success)).resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
+            {
+              xfer += iprot->readString((*(this->success))[_i190]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+void ControlClient::execute(ExecuteReply& _return, const ExecuteRequest& request)
+{
+  send_execute(request);
+  recv_execute(_return);
+}
+
+void ControlClient::send_execute(const ExecuteRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("execute", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_execute_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_execute(ExecuteReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("execute") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_execute_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "execute failed: unknown result");
+}
+
+void ControlClient::queryOutcome(ExecuteReply& _return, const std::string& requestId, const int64_t targetIncarnation)
+{
+  send_queryOutcome(requestId, targetIncarnation);
+  recv_queryOutcome(_return);
+}
+
+void ControlClient::send_queryOutcome(const std::string& requestId, const int64_t targetIncarnation)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("queryOutcome", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_queryOutcome_pargs args;
+  args.requestId = &requestId;
+  args.targetIncarnation = &targetIncarnation;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_queryOutcome(ExecuteReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("queryOutcome") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_queryOutcome_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "queryOutcome failed: unknown result");
+}
+
+void ControlClient::heartbeat(HeartbeatReply& _return, const HeartbeatRequest& request)
+{
+  send_heartbeat(request);
+  recv_heartbeat(_return);
+}
+
+void ControlClient::send_heartbeat(const HeartbeatRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_heartbeat_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_heartbeat(HeartbeatReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("heartbeat") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_heartbeat_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "heartbeat failed: unknown result");
+}
+
+void ControlClient::gossip(GossipMessage& _return, const GossipMessage& message)
+{
+  send_gossip(message);
+  recv_gossip(_return);
+}
+
+void ControlClient::send_gossip(const GossipMessage& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("gossip", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_gossip_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_gossip(GossipMessage& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
     throw x;
   }
@@ -2998,19 +3607,20 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "gossip failed: unknown result");
 }
 
-void ControlClient::fetchRevision(RevisionReply& _return, const int64_t revision)
+void ControlClient::fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash)
 {
-  send_fetchRevision(revision);
+  send_fetchRevision(heldRevision, heldHash);
   recv_fetchRevision(_return);
 }
 
-void ControlClient::send_fetchRevision(const int64_t revision)
+void ControlClient::send_fetchRevision(const int64_t heldRevision, const std::string& heldHash)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("fetchRevision", ::apache::thrift::protocol::T_CALL, cseqid);
 
   Control_fetchRevision_pargs args;
-  args.revision = &revision;
+  args.heldRevision = &heldRevision;
+  args.heldHash = &heldHash;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3289,19 +3899,195 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "submitJob failed: unknown result");
 }
 
-void ControlClient::cancelJob(SubmitReply& _return, const std::string& jobId)
+void ControlClient::cancelJob(SubmitReply& _return, const std::string& jobId)
+{
+  send_cancelJob(jobId);
+  recv_cancelJob(_return);
+}
+
+void ControlClient::send_cancelJob(const std::string& jobId)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("cancelJob", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_cancelJob_pargs args;
+  args.jobId = &jobId;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_cancelJob(SubmitReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("cancelJob") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_cancelJob_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "cancelJob failed: unknown result");
+}
+
+void ControlClient::showJobs(std::vector<JobView> & _return, const std::string& jobId, const int32_t limit)
+{
+  send_showJobs(jobId, limit);
+  recv_showJobs(_return);
+}
+
+void ControlClient::send_showJobs(const std::string& jobId, const int32_t limit)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("showJobs", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_showJobs_pargs args;
+  args.jobId = &jobId;
+  args.limit = &limit;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_showJobs(std::vector<JobView> & _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("showJobs") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_showJobs_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "showJobs failed: unknown result");
+}
+
+void ControlClient::members(MembersReply& _return, const int64_t knownVersion, const std::string& pool, const int32_t maxMembers)
+{
+  send_members(knownVersion, pool, maxMembers);
+  recv_members(_return);
+}
+
+void ControlClient::send_members(const int64_t knownVersion, const std::string& pool, const int32_t maxMembers)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("members", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_members_pargs args;
+  args.knownVersion = &knownVersion;
+  args.pool = &pool;
+  args.maxMembers = &maxMembers;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_members(MembersReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("members") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_members_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "members failed: unknown result");
+}
+
+void ControlClient::usage(std::vector<UsageRecord> & _return)
 {
-  send_cancelJob(jobId);
-  recv_cancelJob(_return);
+  send_usage();
+  recv_usage(_return);
 }
 
-void ControlClient::send_cancelJob(const std::string& jobId)
+void ControlClient::send_usage()
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("cancelJob", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("usage", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_cancelJob_pargs args;
-  args.jobId = &jobId;
+  Control_usage_pargs args;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3309,7 +4095,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlClient::recv_cancelJob(SubmitReply& _return)
+void ControlClient::recv_usage(std::vector<UsageRecord> & _return)
 {
 
   int32_t rseqid = 0;
@@ -3329,12 +4115,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("cancelJob") != 0) {
+  if (fname.compare("usage") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  Control_cancelJob_presult result;
+  Control_usage_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -3344,23 +4130,23 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "cancelJob failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "usage failed: unknown result");
 }
 
-void ControlClient::showJobs(std::vector<JobView> & _return, const std::string& jobId, const int32_t limit)
+bool ControlClient::drain(const std::string& instance, const bool on)
 {
-  send_showJobs(jobId, limit);
-  recv_showJobs(_return);
+  send_drain(instance, on);
+  return recv_drain();
 }
 
-void ControlClient::send_showJobs(const std::string& jobId, const int32_t limit)
+void ControlClient::send_drain(const std::string& instance, const bool on)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("showJobs", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("drain", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_showJobs_pargs args;
-  args.jobId = &jobId;
-  args.limit = &limit;
+  Control_drain_pargs args;
+  args.instance = &instance;
+  args.on = &on;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3368,7 +4154,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlClient::recv_showJobs(std::vector<JobView> & _return)
+bool ControlClient::recv_drain()
 {
 
   int32_t rseqid = 0;
@@ -3388,39 +4174,37 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("showJobs") != 0) {
+  if (fname.compare("drain") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  Control_showJobs_presult result;
+  bool _return;
+  Control_drain_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
   if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
+    return _return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "showJobs failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "drain failed: unknown result");
 }
 
-void ControlClient::members(MembersReply& _return, const int64_t knownVersion, const std::string& pool, const int32_t maxMembers)
+bool ControlClient::declareLost(const std::string& cell)
 {
-  send_members(knownVersion, pool, maxMembers);
-  recv_members(_return);
+  send_declareLost(cell);
+  return recv_declareLost();
 }
 
-void ControlClient::send_members(const int64_t knownVersion, const std::string& pool, const int32_t maxMembers)
+void ControlClient::send_declareLost(const std::string& cell)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("members", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_members_pargs args;
-  args.knownVersion = &knownVersion;
-  args.pool = &pool;
-  args.maxMembers = &maxMembers;
+  Control_declareLost_pargs args;
+  args.cell = &cell;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3428,7 +4212,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlClient::recv_members(MembersReply& _return)
+bool ControlClient::recv_declareLost()
 {
 
   int32_t rseqid = 0;
@@ -3448,36 +4232,37 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("members") != 0) {
+  if (fname.compare("declareLost") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  Control_members_presult result;
+  bool _return;
+  Control_declareLost_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
   if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
+    return _return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "members failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "declareLost failed: unknown result");
 }
 
-void ControlClient::usage(std::vector<UsageRecord> & _return)
+bool ControlClient::offerCell(const std::string& cell)
 {
-  send_usage();
-  recv_usage(_return);
+  send_offerCell(cell);
+  return recv_offerCell();
 }
 
-void ControlClient::send_usage()
+void ControlClient::send_offerCell(const std::string& cell)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("usage", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_usage_pargs args;
+  Control_offerCell_pargs args;
+  args.cell = &cell;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3485,7 +4270,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ControlClient::recv_usage(std::vector<UsageRecord> & _return)
+bool ControlClient::recv_offerCell()
 {
 
   int32_t rseqid = 0;
@@ -3505,38 +4290,37 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("usage") != 0) {
+  if (fname.compare("offerCell") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  Control_usage_presult result;
+  bool _return;
+  Control_offerCell_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
   if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
+    return _return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "usage failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "offerCell failed: unknown result");
 }
 
-bool ControlClient::drain(const std::string& instance, const bool on)
+void ControlClient::trace(std::vector<std::string> & _return, const std::string& traceId)
 {
-  send_drain(instance, on);
-  return recv_drain();
+  send_trace(traceId);
+  recv_trace(_return);
 }
 
-void ControlClient::send_drain(const std::string& instance, const bool on)
+void ControlClient::send_trace(const std::string& traceId)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("drain", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("trace", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Control_drain_pargs args;
-  args.instance = &instance;
-  args.on = &on;
+  Control_trace_pargs args;
+  args.traceId = &traceId;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -3544,7 +4328,7 @@
   oprot_->getTransport()->flush();
 }
 
-bool ControlClient::recv_drain()
+void ControlClient::recv_trace(std::vector<std::string> & _return)
 {
 
   int32_t rseqid = 0;
@@ -3564,22 +4348,22 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("drain") != 0) {
+  if (fname.compare("trace") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  bool _return;
-  Control_drain_presult result;
+  Control_trace_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
   if (result.__isset.success) {
-    return _return;
+    // _return pointer has now been filled
+    return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "drain failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "trace failed: unknown result");
 }
 
 bool ControlProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
@@ -3840,7 +4624,7 @@
 
   Control_fetchRevision_result result;
   try {
-    iface_->fetchRevision(result.success, args.revision);
+    iface_->fetchRevision(result.success, args.heldRevision, args.heldHash);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
@@ -4201,32 +4985,194 @@
   if (this->eventHandler_.get() != nullptr) {
     ctx = this->eventHandler_->getContext("Control.members", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.members");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.members");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Control.members");
+  }
+
+  Control_members_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Control.members", bytes);
+  }
+
+  Control_members_result result;
+  try {
+    iface_->members(result.success, args.knownVersion, args.pool, args.maxMembers);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.members");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("members", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.members");
+  }
+
+  oprot->writeMessageBegin("members", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.members", bytes);
+  }
+}
+
+void ControlProcessor::process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.usage", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.usage");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Control.usage");
+  }
+
+  Control_usage_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Control.usage", bytes);
+  }
+
+  Control_usage_result result;
+  try {
+    iface_->usage(result.success);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.usage");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("usage", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.usage");
+  }
+
+  oprot->writeMessageBegin("usage", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.usage", bytes);
+  }
+}
+
+void ControlProcessor::process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.drain", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.drain");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Control.drain");
+  }
+
+  Control_drain_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Control.drain", bytes);
+  }
+
+  Control_drain_result result;
+  try {
+    result.success = iface_->drain(args.instance, args.on);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.drain");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("drain", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.drain");
+  }
+
+  oprot->writeMessageBegin("drain", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.drain", bytes);
+  }
+}
+
+void ControlProcessor::process_declareLost(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.declareLost", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.declareLost");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "Control.members");
+    this->eventHandler_->preRead(ctx, "Control.declareLost");
   }
 
-  Control_members_args args;
+  Control_declareLost_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "Control.members", bytes);
+    this->eventHandler_->postRead(ctx, "Control.declareLost", bytes);
   }
 
-  Control_members_result result;
+  Control_declareLost_result result;
   try {
-    iface_->members(result.success, args.knownVersion, args.pool, args.maxMembers);
+    result.success = iface_->declareLost(args.cell);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "Control.members");
+      this->eventHandler_->handlerError(ctx, "Control.declareLost");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("members", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -4235,52 +5181,52 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "Control.members");
+    this->eventHandler_->preWrite(ctx, "Control.declareLost");
   }
 
-  oprot->writeMessageBegin("members", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "Control.members", bytes);
+    this->eventHandler_->postWrite(ctx, "Control.declareLost", bytes);
   }
 }
 
-void ControlProcessor::process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void ControlProcessor::process_offerCell(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("Control.usage", callContext);
+    ctx = this->eventHandler_->getContext("Control.offerCell", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.usage");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.offerCell");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "Control.usage");
+    this->eventHandler_->preRead(ctx, "Control.offerCell");
   }
 
-  Control_usage_args args;
+  Control_offerCell_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "Control.usage", bytes);
+    this->eventHandler_->postRead(ctx, "Control.offerCell", bytes);
   }
 
-  Control_usage_result result;
+  Control_offerCell_result result;
   try {
-    iface_->usage(result.success);
+    result.success = iface_->offerCell(args.cell);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "Control.usage");
+      this->eventHandler_->handlerError(ctx, "Control.offerCell");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("usage", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -4289,52 +5235,52 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "Control.usage");
+    this->eventHandler_->preWrite(ctx, "Control.offerCell");
   }
 
-  oprot->writeMessageBegin("usage", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "Control.usage", bytes);
+    this->eventHandler_->postWrite(ctx, "Control.offerCell", bytes);
   }
 }
 
-void ControlProcessor::process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void ControlProcessor::process_trace(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("Control.drain", callContext);
+    ctx = this->eventHandler_->getContext("Control.trace", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.drain");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.trace");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "Control.drain");
+    this->eventHandler_->preRead(ctx, "Control.trace");
   }
 
-  Control_drain_args args;
+  Control_trace_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "Control.drain", bytes);
+    this->eventHandler_->postRead(ctx, "Control.trace", bytes);
   }
 
-  Control_drain_result result;
+  Control_trace_result result;
   try {
-    result.success = iface_->drain(args.instance, args.on);
+    iface_->trace(result.success, args.traceId);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "Control.drain");
+      this->eventHandler_->handlerError(ctx, "Control.trace");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("drain", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("trace", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -4343,17 +5289,17 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "Control.drain");
+    this->eventHandler_->preWrite(ctx, "Control.trace");
   }
 
-  oprot->writeMessageBegin("drain", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("trace", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "Control.drain", bytes);
+    this->eventHandler_->postWrite(ctx, "Control.trace", bytes);
   }
 }
 
@@ -4701,20 +5647,21 @@
   } // end while(true)
 }
 
-void ControlConcurrentClient::fetchRevision(RevisionReply& _return, const int64_t revision)
+void ControlConcurrentClient::fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash)
 {
-  int32_t seqid = send_fetchRevision(revision);
+  int32_t seqid = send_fetchRevision(heldRevision, heldHash);
   recv_fetchRevision(_return, seqid);
 }
 
-int32_t ControlConcurrentClient::send_fetchRevision(const int64_t revision)
+int32_t ControlConcurrentClient::send_fetchRevision(const int64_t heldRevision, const std::string& heldHash)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
   oprot_->writeMessageBegin("fetchRevision", ::apache::thrift::protocol::T_CALL, cseqid);
 
   Control_fetchRevision_pargs args;
-  args.revision = &revision;
+  args.heldRevision = &heldRevision;
+  args.heldHash = &heldHash;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -5545,5 +6492,257 @@
   } // end while(true)
 }
 
+bool ControlConcurrentClient::declareLost(const std::string& cell)
+{
+  int32_t seqid = send_declareLost(cell);
+  return recv_declareLost(seqid);
+}
+
+int32_t ControlConcurrentClient::send_declareLost(const std::string& cell)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("declareLost", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_declareLost_pargs args;
+  args.cell = &cell;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+bool ControlConcurrentClient::recv_declareLost(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("declareLost") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      bool _return;
+      Control_declareLost_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "declareLost failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+bool ControlConcurrentClient::offerCell(const std::string& cell)
+{
+  int32_t seqid = send_offerCell(cell);
+  return recv_offerCell(seqid);
+}
+
+int32_t ControlConcurrentClient::send_offerCell(const std::string& cell)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("offerCell", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_offerCell_pargs args;
+  args.cell = &cell;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+bool ControlConcurrentClient::recv_offerCell(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("offerCell") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      bool _return;
+      Control_offerCell_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "offerCell failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void ControlConcurrentClient::trace(std::vector<std::string> & _return, const std::string& traceId)
+{
+  int32_t seqid = send_trace(traceId);
+  recv_trace(_return, seqid);
+}
+
+int32_t ControlConcurrentClient::send_trace(const std::string& traceId)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("trace", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_trace_pargs args;
+  args.traceId = &traceId;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlConcurrentClient::recv_trace(std::vector<std::string> & _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("trace") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Control_trace_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "trace failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
