--- a/Source/Core/Jobs/Batches.cpp
+++ b/Source/Core/Jobs/Batches.cpp
@@ -32,7 +32,7 @@
 {
   aState.mAside.erase(aJob.mNumber.value());
   if (!aJob.mSpec.mKey.empty()) {
-    const auto key = aState.mKeys.find(aJob.mSpec.mClient.str() + '\0' + aJob.mSpec.mKey.str());
+    const auto key = aState.mKeys.find(KeyText(aJob.mSpec));
     if (key != aState.mKeys.end() && key->second == aJob.mNumber) {
       aState.mKeys.erase(key);
     }
@@ -92,6 +92,12 @@
 AddTaskRecords(const JobsState& aState, const Job& aJob, Packer& aPacker)
 {
   ProgressRecord record;
+  if (aJob.mFirstAttempt > 1) {
+    record.mKind = ProgressKind::FirstAttempt;
+    record.mTask = { aJob.mNumber, kWholeJob };
+    record.mAttempt = Common::Attempt(aJob.mFirstAttempt);
+    aPacker.add(record);
+  }
   for (std::uint32_t index = 0; index < aJob.mEnded.size(); ++index) {
     const auto kind = static_cast<ProgressKind>(aJob.mEnded[index]);
     if (aJob.mEnded[index] != 0 && kind != ProgressKind::Cancelled) {
@@ -103,16 +109,14 @@
   for (const std::uint32_t slot : aJob.mLive) {
     const LiveTask& task = aState.mTasks[slot];
     // The attempt in progress is not written: its worker reports it.
-    const std::uint32_t over =
-      task.mState == LiveState::Waiting ? task.mAttempt : task.mAttempt - 1;
+    const std::uint32_t over = AttemptsOver(task);
     if (over == 0 && task.mCheckpointAttempt == 0) {
       continue;
     }
     record = {};
     record.mTask = task.mKey;
-    record.mKind =
-      task.mCheckpointAttempt > over ? ProgressKind::Checkpoint : ProgressKind::AttemptOver;
-    record.mAttempt = Common::Attempt(std::max(over, task.mCheckpointAttempt));
+    record.mKind = ProgressKind::AttemptOver;
+    record.mAttempt = Common::Attempt(over);
     record.mCheckpointAttempt = Common::Attempt(task.mCheckpointAttempt);
     if (task.mCheckpointAttempt != 0) {
       record.mCheckpoint = aState.mCheckpoints.at(slot);
--- a/Source/Core/Jobs/Records.cpp
+++ b/Source/Core/Jobs/Records.cpp
@@ -174,16 +174,11 @@
   return record;
 }
 
-bool
-HasDetails(ProgressKind aKind)
-{
-  return aKind == ProgressKind::AttemptOver || aKind == ProgressKind::Checkpoint;
-}
-
 bool
 IsWholeJob(ProgressKind aKind)
 {
-  return aKind == ProgressKind::JobCancelled || aKind == ProgressKind::JobFailed;
+  return aKind == ProgressKind::JobCancelled || aKind == ProgressKind::JobFailed ||
+         aKind == ProgressKind::FirstAttempt;
 }
 
 using ByKind = std::map<std::pair<std::int64_t, ProgressKind>, std::vector<const ProgressRecord*>>;
@@ -200,13 +195,14 @@
   std::uint32_t last = 0;
   for (const ProgressRecord* record : aGroup) {
     if (IsWholeJob(kind)) {
+      PutNumber(aOut, static_cast<std::uint64_t>(record->mAttempt.value()));
       PutText(aOut, record->mCheckpoint);
       continue;
     }
     PutNumber(aOut, record->mTask.mIndex - last);
     last = record->mTask.mIndex;
     PutNumber(aOut, static_cast<std::uint64_t>(record->mAttempt.value()));
-    if (HasDetails(kind)) {
+    if (kind == ProgressKind::AttemptOver) {
       PutNumber(aOut, static_cast<std::uint64_t>(record->mCheckpointAttempt.value()));
       PutNumber(aOut, static_cast<std::uint64_t>(record->mResumedBy.value()));
       PutText(aOut, record->mCheckpoint);
@@ -241,12 +237,13 @@
     record.mKind = aKind;
     record.mTask = { aJob, kWholeJob };
     if (IsWholeJob(aKind)) {
+      record.mAttempt = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
       record.mCheckpoint = aIn.text();
     } else {
       last += static_cast<std::uint32_t>(aIn.number());
       record.mTask.mIndex = last;
       record.mAttempt = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
-      if (HasDetails(aKind)) {
+      if (aKind == ProgressKind::AttemptOver) {
         record.mCheckpointAttempt = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
         record.mResumedBy = Common::Attempt(static_cast<std::int64_t>(aIn.number()));
         record.mCheckpoint = aIn.text();
@@ -264,7 +261,7 @@
   for (std::size_t i = 0; i < groups && aIn.good(); ++i) {
     job += aIn.signedNumber();
     const std::uint64_t kind = aIn.number();
-    if (kind < 1 || kind > static_cast<std::uint64_t>(ProgressKind::Checkpoint)) {
+    if (kind < 1 || kind > static_cast<std::uint64_t>(ProgressKind::FirstAttempt)) {
       aIn.fail("unknown kind of progress record");
       return;
     }
