--- a/Source/Core/Config/CommandLine.cpp
+++ b/Source/Core/Config/CommandLine.cpp
@@ -10,7 +10,7 @@
 Options()
 {
   static const std::vector<Common::OptionSpec> kOptions = {
-    { "settings", "FILE", "read the settings from FILE" },
+    { "config", "FILE", "read the settings from FILE" },
     { "set", "SECTION.KEY=VALUE", "replace one setting; may be repeated" },
     { "check", "", "check the settings and exit" },
     { "help", "", "print this help" },
@@ -32,7 +32,7 @@
     return tl::unexpected("unexpected argument \"" + parsed->mPositional.front() + '"');
   }
   CommandLine line;
-  line.mSettingsFile = parsed->value("settings");
+  line.mSettingsFile = parsed->value("config");
   const auto overrides = parsed->mOptions.find("set");
   if (overrides != parsed->mOptions.end()) {
     line.mOverrides = overrides->second;
@@ -41,7 +41,7 @@
   line.mHelp = parsed->has("help");
   line.mVersion = parsed->has("version");
   if (line.mSettingsFile.empty() && !line.mHelp && !line.mVersion) {
-    return tl::unexpected(std::string("--settings FILE is missing"));
+    return tl::unexpected(std::string("--config FILE is missing"));
   }
   return line;
 }
@@ -49,7 +49,7 @@
 std::string
 CommandLineHelp()
 {
-  return "Usage: ibisshedd --settings FILE [--set SECTION.KEY=VALUE]... [--check]\n\nOptions:\n" +
+  return "Usage: ibisshedd --config FILE [--set SECTION.KEY=VALUE]... [--check]\n\nOptions:\n" +
          Common::OptionsText(Options());
 }
 
--- a/Source/Ibisshedd/Main.cpp
+++ b/Source/Ibisshedd/Main.cpp
@@ -1,4 +1,3 @@
-#include <array>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -7,71 +6,17 @@
 #include <sstream>
 #include <string>
 #include <thread>
-#include <vector>
 
-#include <getopt.h>
 #include <malloc.h>
 
+#include "Config/CommandLine.h"
 #include "Config/Settings.h"
 #include "Daemon/Process.h"
 #include "Observability/Log.h"
 
 namespace {
 
-constexpr const char* kVersion = "0.1.0";
-constexpr const char* kUsage =
-  "usage: ibisshedd --config FILE [--set key=value]... [--check] [--help] [--version]\n"
-  "  --config FILE    settings (TOML); docs/settings.md describes the keys\n"
-  "  --set key=value  overrides one key, for example log.level=debug\n"
-  "  --check          reads the settings, reports what is wrong, and ends\n";
-
-struct Arguments
-{
-  std::string mConfig;
-  std::vector<std::string> mOverrides;
-  bool mCheck = false;
-};
-
-/// Returns the exit status if the program should end at once.
-int
-ParseArguments(int aCount, char** aArguments, Arguments& aResult)
-{
-  const std::array<option, 6> options = { { { "config", required_argument, nullptr, 'c' },
-                                            { "set", required_argument, nullptr, 's' },
-                                            { "check", no_argument, nullptr, 'k' },
-                                            { "help", no_argument, nullptr, 'h' },
-                                            { "version", no_argument, nullptr, 'v' },
-                                            { nullptr, 0, nullptr, 0 } } };
-  int found = 0;
-  while ((found = ::getopt_long(aCount, aArguments, "", options.data(), nullptr)) != -1) {
-    switch (found) {
-      case 'c':
-        aResult.mConfig = optarg;
-        break;
-      case 's':
-        aResult.mOverrides.emplace_back(optarg);
-        break;
-      case 'k':
-        aResult.mCheck = true;
-        break;
-      case 'h':
-        std::cout << kUsage;
-        return 0;
-      case 'v':
-        std::cout << "ibisshedd " << kVersion << '\n';
-        return 0;
-      default:
-        std::cerr << kUsage;
-        return 2;
-    }
-  }
-  if (aResult.mConfig.empty() || optind != aCount) {
-    std::cerr << kUsage;
-    return 2;
-  }
-  return -1;
-}
-
+constexpr const char* kVersion = "ibisshedd 0.1.0\n";
 Observability::LogSettings
 LogSettingsOf(const Config::Settings& aSettings)
 {
@@ -129,25 +74,29 @@
   // glibc gives each thread an arena of its own by default, which costs an agent with many
   // connections several times the memory that it uses.
   ::mallopt(M_ARENA_MAX, 2);
-  Arguments arguments;
-  const int status = ParseArguments(aCount, aArguments, arguments);
-  if (status >= 0) {
-    return status;
+  const auto line = Config::ParseCommandLine({ aArguments + 1, aArguments + aCount });
+  if (!line) {
+    std::cerr << "ibisshedd: " << line.error() << '\n' << Config::CommandLineHelp();
+    return 2;
+  }
+  if (line->mHelp || line->mVersion) {
+    std::cout << (line->mHelp ? Config::CommandLineHelp() : kVersion);
+    return 0;
   }
-  std::ifstream file(arguments.mConfig);
+  std::ifstream file(line->mSettingsFile);
   if (!file) {
-    std::cerr << "ibisshedd: cannot read " << arguments.mConfig << '\n';
+    std::cerr << "ibisshedd: cannot read " << line->mSettingsFile << '\n';
     return 2;
   }
   std::stringstream text;
   text << file.rdbuf();
-  const auto settings = Config::LoadSettings(text.str(), arguments.mConfig, arguments.mOverrides);
+  const auto settings = Config::LoadSettings(text.str(), line->mSettingsFile, line->mOverrides);
   if (!settings) {
     std::cerr << settings.error().text();
     return 2;
   }
-  if (arguments.mCheck) {
-    std::cout << arguments.mConfig << ": no errors\n";
+  if (line->mCheck) {
+    std::cout << line->mSettingsFile << ": no errors\n";
     return 0;
   }
   // Before any thread exists, so that all of them leave the signals to this one.
