--- a/Source/Core/Admission/Admission.cpp
+++ b/Source/Core/Admission/Admission.cpp
@@ -12,7 +12,13 @@
 
 constexpr Duration kMinRetry = std::chrono::milliseconds(20);
 constexpr Duration kMaxRetry = std::chrono::seconds(5);
+// A sweep looks at every waiting request; requests that start are checked anyway.
+constexpr Duration kSweepEvery = std::chrono::milliseconds(10);
 constexpr Duration kDrainRetry = std::chrono::milliseconds(50);
+// Mean deviations of the service time that must fit before the deadline, beside the mean, when a
+// request joins a queue and when it starts ahead of others.
+constexpr double kOfferMargin = 2;
+constexpr double kStartMargin = 1;
 // Cost of a request whose service time is not yet known, so that the fair queue still alternates.
 constexpr double kUnknownCostMicros = 1000;
 
@@ -27,8 +33,10 @@
 bool
 CanStart(const Gate& aGate, const WorkerLedger& aWorker)
 {
-  const std::int64_t connections = ConnectionsInUse(aGate) - aGate.mIdleConnections.value();
-  return SlotsInUse(aGate) < SlotLimit(aGate) && connections < aGate.mLimits.mConnections.value() &&
+  // A kept connection is used again; without one a new connection is opened.
+  const std::int64_t opened = aGate.mIdleConnections > Common::Connections(0) ? 0 : 1;
+  return SlotsInUse(aGate) < SlotLimit(aGate) &&
+         ConnectionsInUse(aGate) + opened <= aGate.mLimits.mConnections.value() &&
          SlotFits(aWorker);
 }
 
@@ -45,14 +53,14 @@
   aOut.push_back({ ActionKind::Start, std::move(aRequest), Common::Refusal::None, Duration(0) });
 }
 
-/// Service time that a request must still have before its deadline. With no wait the mean is
-/// enough; a request that waits takes a slot from others and so must be likely to finish in time.
+/// Service time that a request must still have before its deadline: the mean, and aMargin mean
+/// deviations more if it would take a slot from requests that are likelier to finish in time.
 Duration
-TimeNeeded(const Gate& aGate, const Request& aRequest, bool aWaits, Timestamp aNow)
+TimeNeeded(const Gate& aGate, const Request& aRequest, double aMargin, Timestamp aNow)
 {
   const ServiceTime time =
     EstimateOf(aGate.mServiceTimes, aRequest.mRoute, aRequest.mUrgency, aNow);
-  return Duration(static_cast<std::int64_t>(time.mMean + (aWaits ? time.mDeviation : 0)));
+  return Duration(static_cast<std::int64_t>(time.mMean + aMargin * time.mDeviation));
 }
 
 void
@@ -66,7 +74,8 @@
     }
     FairQueue& queue = aGate.mQueues[*next];
     const Request& request = PeekNext(queue)->mRequest;
-    const Duration needed = TimeNeeded(aGate, request, false, aNow);
+    const bool othersWait = queue.mQueued > 1;
+    const Duration needed = TimeNeeded(aGate, request, othersWait ? kStartMargin : 0, aNow);
     if (aNow + needed > request.mDeadline) {
       Request late = PopNext(queue, 0)->mRequest;
       aOut.push_back(Refuse(std::move(late), Common::Refusal::DeadlineTooClose, needed));
@@ -100,7 +109,7 @@
     return out;
   }
   const Duration wait = PredictWait(aGate, aRequest, aNow);
-  const Duration needed = TimeNeeded(aGate, aRequest, wait.count() > 0, aNow);
+  const Duration needed = TimeNeeded(aGate, aRequest, wait.count() > 0 ? kOfferMargin : 0, aNow);
   if (aNow + wait + needed > aRequest.mDeadline) {
     const Duration excess = aNow + wait + needed - aRequest.mDeadline;
     out.push_back(Refuse(std::move(aRequest), Common::Refusal::DeadlineTooClose, excess));
@@ -139,7 +148,7 @@
     const Request& request = running.mRequest;
     const Duration took = aNow - running.mStarted;
     AddServiceTime(aGate.mServiceTimes, request.mRoute, request.mUrgency, took, aNow);
-    AddLatency(aGate.mLimiter, request.mRoute, took, SlotsInUse(aGate));
+    AddLatency(aGate.mLimiter, request.mRoute, took, SlotsInUse(aGate), aNow);
   }
   --aGate.mUse[IndexOf(running.mRequest.mUrgency)].mInUse;
   aGate.mRunning.erase(found);
@@ -157,15 +166,17 @@
 {
   Actions out;
   AdjustLimit(aGate, aNow);
+  const bool sweep = aNow - aGate.mSweptAt >= kSweepEvery;
+  aGate.mSweptAt = sweep ? aNow : aGate.mSweptAt;
   for (FairQueue& queue : aGate.mQueues) {
-    if (queue.mQueued == 0) {
+    if (queue.mQueued == 0 || !sweep) {
       continue;
     }
     auto late = TakeIf(queue, [&](const QueuedRequest& aItem) {
-      return aNow + TimeNeeded(aGate, aItem.mRequest, false, aNow) > aItem.mRequest.mDeadline;
+      return aNow + TimeNeeded(aGate, aItem.mRequest, 0, aNow) > aItem.mRequest.mDeadline;
     });
     for (QueuedRequest& item : late) {
-      const Duration needed = TimeNeeded(aGate, item.mRequest, false, aNow);
+      const Duration needed = TimeNeeded(aGate, item.mRequest, 0, aNow);
       out.push_back(Refuse(std::move(item.mRequest), Common::Refusal::DeadlineTooClose, needed));
     }
   }
@@ -218,6 +229,14 @@
   }
 }
 
+Common::Connections
+ExcessIdleConnections(const Gate& aGate)
+{
+  const Common::Connections excess =
+    Common::Connections(ConnectionsInUse(aGate)) - aGate.mLimits.mConnections;
+  return std::clamp(excess, Common::Connections(0), aGate.mIdleConnections);
+}
+
 Actions
 StartDrain(Gate& aGate, Timestamp aNow)
 {
--- a/Source/Core/Rpc/Generated/Control.h
+++ b/Source/Core/Rpc/Generated/Control.h
@@ -26,7 +26,7 @@
   virtual void queryOutcome(ExecuteReply& _return, const std::string& requestId, const int64_t targetIncarnation) = 0;
   virtual void heartbeat(HeartbeatReply& _return, const HeartbeatRequest& request) = 0;
   virtual void gossip(GossipMessage& _return, const GossipMessage& message) = 0;
-  virtual void fetchRevision(RevisionReply& _return, const int64_t revision) = 0;
+  virtual void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) = 0;
   virtual void join(JoinReply& _return, const JoinRequest& request) = 0;
   virtual void claimKey(ClaimKeyReply& _return, const ClaimKeyRequest& request) = 0;
   virtual bool settleKey(const SettleKeyRequest& request) = 0;
@@ -37,6 +37,7 @@
   virtual void usage(std::vector<UsageRecord> & _return) = 0;
   virtual bool drain(const std::string& instance, const bool on) = 0;
   virtual bool declareLost(const std::string& cell) = 0;
+  virtual bool offerCell(const std::string& cell) = 0;
   virtual void trace(std::vector<std::string> & _return, const std::string& traceId) = 0;
 };
 
@@ -79,7 +80,7 @@
   void gossip(GossipMessage& /* _return */, const GossipMessage& /* message */) override {
     return;
   }
-  void fetchRevision(RevisionReply& /* _return */, const int64_t /* revision */) override {
+  void fetchRevision(RevisionReply& /* _return */, const int64_t /* heldRevision */, const std::string& /* heldHash */) override {
     return;
   }
   void join(JoinReply& /* _return */, const JoinRequest& /* request */) override {
@@ -115,6 +116,10 @@
     bool _return = false;
     return _return;
   }
+  bool offerCell(const std::string& /* cell */) override {
+    bool _return = false;
+    return _return;
+  }
   void trace(std::vector<std::string> & /* _return */, const std::string& /* traceId */) override {
     return;
   }
@@ -129,7 +134,9 @@
  public:
 
   Control_execute_args(const Control_execute_args&);
+  Control_execute_args(Control_execute_args&&) noexcept;
   Control_execute_args& operator=(const Control_execute_args&);
+  Control_execute_args& operator=(Control_execute_args&&) noexcept;
   Control_execute_args() noexcept {
   }
 
@@ -178,7 +185,9 @@
  public:
 
   Control_execute_result(const Control_execute_result&);
+  Control_execute_result(Control_execute_result&&) noexcept;
   Control_execute_result& operator=(const Control_execute_result&);
+  Control_execute_result& operator=(Control_execute_result&&) noexcept;
   Control_execute_result() noexcept {
   }
 
@@ -234,7 +243,9 @@
  public:
 
   Control_queryOutcome_args(const Control_queryOutcome_args&);
+  Control_queryOutcome_args(Control_queryOutcome_args&&) noexcept;
   Control_queryOutcome_args& operator=(const Control_queryOutcome_args&);
+  Control_queryOutcome_args& operator=(Control_queryOutcome_args&&) noexcept;
   Control_queryOutcome_args() noexcept
                             : requestId(),
                               targetIncarnation(0) {
@@ -291,7 +302,9 @@
  public:
 
   Control_queryOutcome_result(const Control_queryOutcome_result&);
+  Control_queryOutcome_result(Control_queryOutcome_result&&) noexcept;
   Control_queryOutcome_result& operator=(const Control_queryOutcome_result&);
+  Control_queryOutcome_result& operator=(Control_queryOutcome_result&&) noexcept;
   Control_queryOutcome_result() noexcept {
   }
 
@@ -346,7 +359,9 @@
  public:
 
   Control_heartbeat_args(const Control_heartbeat_args&);
+  Control_heartbeat_args(Control_heartbeat_args&&) noexcept;
   Control_heartbeat_args& operator=(const Control_heartbeat_args&);
+  Control_heartbeat_args& operator=(Control_heartbeat_args&&) noexcept;
   Control_heartbeat_args() noexcept {
   }
 
@@ -395,7 +410,9 @@
  public:
 
   Control_heartbeat_result(const Control_heartbeat_result&);
+  Control_heartbeat_result(Control_heartbeat_result&&) noexcept;
   Control_heartbeat_result& operator=(const Control_heartbeat_result&);
+  Control_heartbeat_result& operator=(Control_heartbeat_result&&) noexcept;
   Control_heartbeat_result() noexcept {
   }
 
@@ -450,7 +467,9 @@
  public:
 
   Control_gossip_args(const Control_gossip_args&);
+  Control_gossip_args(Control_gossip_args&&) noexcept;
   Control_gossip_args& operator=(const Control_gossip_args&);
+  Control_gossip_args& operator=(Control_gossip_args&&) noexcept;
   Control_gossip_args() noexcept {
   }
 
@@ -499,7 +518,9 @@
  public:
 
   Control_gossip_result(const Control_gossip_result&);
+  Control_gossip_result(Control_gossip_result&&) noexcept;
   Control_gossip_result& operator=(const Control_gossip_result&);
+  Control_gossip_result& operator=(Control_gossip_result&&) noexcept;
   Control_gossip_result() noexcept {
   }
 
@@ -546,29 +567,38 @@
 };
 
 typedef struct _Control_fetchRevision_args__isset {
-  _Control_fetchRevision_args__isset() : revision(false) {}
-  bool revision :1;
+  _Control_fetchRevision_args__isset() : heldRevision(false), heldHash(false) {}
+  bool heldRevision :1;
+  bool heldHash :1;
 } _Control_fetchRevision_args__isset;
 
 class Control_fetchRevision_args {
  public:
 
-  Control_fetchRevision_args(const Control_fetchRevision_args&) noexcept;
-  Control_fetchRevision_args& operator=(const Control_fetchRevision_args&) noexcept;
+  Control_fetchRevision_args(const Control_fetchRevision_args&);
+  Control_fetchRevision_args(Control_fetchRevision_args&&) noexcept;
+  Control_fetchRevision_args& operator=(const Control_fetchRevision_args&);
+  Control_fetchRevision_args& operator=(Control_fetchRevision_args&&) noexcept;
   Control_fetchRevision_args() noexcept
-                             : revision(0) {
+                             : heldRevision(0),
+                               heldHash() {
   }
 
   virtual ~Control_fetchRevision_args() noexcept;
-  int64_t revision;
+  int64_t heldRevision;
+  std::string heldHash;
 
   _Control_fetchRevision_args__isset __isset;
 
-  void __set_revision(const int64_t val);
+  void __set_heldRevision(const int64_t val);
+
+  void __set_heldHash(const std::string& val);
 
   bool operator == (const Control_fetchRevision_args & rhs) const
   {
-    if (!(revision == rhs.revision))
+    if (!(heldRevision == rhs.heldRevision))
+      return false;
+    if (!(heldHash == rhs.heldHash))
       return false;
     return true;
   }
@@ -589,7 +619,8 @@
 
 
   virtual ~Control_fetchRevision_pargs() noexcept;
-  const int64_t* revision;
+  const int64_t* heldRevision;
+  const std::string* heldHash;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -604,7 +635,9 @@
  public:
 
   Control_fetchRevision_result(const Control_fetchRevision_result&);
+  Control_fetchRevision_result(Control_fetchRevision_result&&) noexcept;
   Control_fetchRevision_result& operator=(const Control_fetchRevision_result&);
+  Control_fetchRevision_result& operator=(Control_fetchRevision_result&&) noexcept;
   Control_fetchRevision_result() noexcept {
   }
 
@@ -659,7 +692,9 @@
  public:
 
   Control_join_args(const Control_join_args&);
+  Control_join_args(Control_join_args&&) noexcept;
   Control_join_args& operator=(const Control_join_args&);
+  Control_join_args& operator=(Control_join_args&&) noexcept;
   Control_join_args() noexcept {
   }
 
@@ -708,7 +743,9 @@
  public:
 
   Control_join_result(const Control_join_result&);
+  Control_join_result(Control_join_result&&) noexcept;
   Control_join_result& operator=(const Control_join_result&);
+  Control_join_result& operator=(Control_join_result&&) noexcept;
   Control_join_result() noexcept {
   }
 
@@ -763,7 +800,9 @@
  public:
 
   Control_claimKey_args(const Control_claimKey_args&);
+  Control_claimKey_args(Control_claimKey_args&&) noexcept;
   Control_claimKey_args& operator=(const Control_claimKey_args&);
+  Control_claimKey_args& operator=(Control_claimKey_args&&) noexcept;
   Control_claimKey_args() noexcept {
   }
 
@@ -812,7 +851,9 @@
  public:
 
   Control_claimKey_result(const Control_claimKey_result&);
+  Control_claimKey_result(Control_claimKey_result&&) noexcept;
   Control_claimKey_result& operator=(const Control_claimKey_result&);
+  Control_claimKey_result& operator=(Control_claimKey_result&&) noexcept;
   Control_claimKey_result() noexcept {
   }
 
@@ -867,7 +908,9 @@
  public:
 
   Control_settleKey_args(const Control_settleKey_args&);
+  Control_settleKey_args(Control_settleKey_args&&) noexcept;
   Control_settleKey_args& operator=(const Control_settleKey_args&);
+  Control_settleKey_args& operator=(Control_settleKey_args&&) noexcept;
   Control_settleKey_args() noexcept {
   }
 
@@ -916,7 +959,9 @@
  public:
 
   Control_settleKey_result(const Control_settleKey_result&) noexcept;
+  Control_settleKey_result(Control_settleKey_result&&) noexcept;
   Control_settleKey_result& operator=(const Control_settleKey_result&) noexcept;
+  Control_settleKey_result& operator=(Control_settleKey_result&&) noexcept;
   Control_settleKey_result() noexcept
                            : success(0) {
   }
@@ -973,7 +1018,9 @@
  public:
 
   Control_submitJob_args(const Control_submitJob_args&);
+  Control_submitJob_args(Control_submitJob_args&&) noexcept;
   Control_submitJob_args& operator=(const Control_submitJob_args&);
+  Control_submitJob_args& operator=(Control_submitJob_args&&) noexcept;
   Control_submitJob_args() noexcept {
   }
 
@@ -1028,7 +1075,9 @@
  public:
 
   Control_submitJob_result(const Control_submitJob_result&);
+  Control_submitJob_result(Control_submitJob_result&&) noexcept;
   Control_submitJob_result& operator=(const Control_submitJob_result&);
+  Control_submitJob_result& operator=(Control_submitJob_result&&) noexcept;
   Control_submitJob_result() noexcept {
   }
 
@@ -1083,7 +1132,9 @@
  public:
 
   Control_cancelJob_args(const Control_cancelJob_args&);
+  Control_cancelJob_args(Control_cancelJob_args&&) noexcept;
   Control_cancelJob_args& operator=(const Control_cancelJob_args&);
+  Control_cancelJob_args& operator=(Control_cancelJob_args&&) noexcept;
   Control_cancelJob_args() noexcept
                          : jobId() {
   }
@@ -1133,7 +1184,9 @@
  public:
 
   Control_cancelJob_result(const Control_cancelJob_result&);
+  Control_cancelJob_result(Control_cancelJob_result&&) noexcept;
   Control_cancelJob_result& operator=(const Control_cancelJob_result&);
+  Control_cancelJob_result& operator=(Control_cancelJob_result&&) noexcept;
   Control_cancelJob_result() noexcept {
   }
 
@@ -1189,7 +1242,9 @@
  public:
 
   Control_showJobs_args(const Control_showJobs_args&);
+  Control_showJobs_args(Control_showJobs_args&&) noexcept;
   Control_showJobs_args& operator=(const Control_showJobs_args&);
+  Control_showJobs_args& operator=(Control_showJobs_args&&) noexcept;
   Control_showJobs_args() noexcept
                         : jobId(),
                           limit(0) {
@@ -1246,7 +1301,9 @@
  public:
 
   Control_showJobs_result(const Control_showJobs_result&);
+  Control_showJobs_result(Control_showJobs_result&&) noexcept;
   Control_showJobs_result& operator=(const Control_showJobs_result&);
+  Control_showJobs_result& operator=(Control_showJobs_result&&) noexcept;
   Control_showJobs_result() noexcept {
   }
 
@@ -1303,7 +1360,9 @@
  public:
 
   Control_members_args(const Control_members_args&);
+  Control_members_args(Control_members_args&&) noexcept;
   Control_members_args& operator=(const Control_members_args&);
+  Control_members_args& operator=(Control_members_args&&) noexcept;
   Control_members_args() noexcept
                        : knownVersion(0),
                          pool(),
@@ -1367,7 +1426,9 @@
  public:
 
   Control_members_result(const Control_members_result&);
+  Control_members_result(Control_members_result&&) noexcept;
   Control_members_result& operator=(const Control_members_result&);
+  Control_members_result& operator=(Control_members_result&&) noexcept;
   Control_members_result() noexcept {
   }
 
@@ -1418,7 +1479,9 @@
  public:
 
   Control_usage_args(const Control_usage_args&) noexcept;
+  Control_usage_args(Control_usage_args&&) noexcept;
   Control_usage_args& operator=(const Control_usage_args&) noexcept;
+  Control_usage_args& operator=(Control_usage_args&&) noexcept;
   Control_usage_args() noexcept {
   }
 
@@ -1459,7 +1522,9 @@
  public:
 
   Control_usage_result(const Control_usage_result&);
+  Control_usage_result(Control_usage_result&&) noexcept;
   Control_usage_result& operator=(const Control_usage_result&);
+  Control_usage_result& operator=(Control_usage_result&&) noexcept;
   Control_usage_result() noexcept {
   }
 
@@ -1515,7 +1580,9 @@
  public:
 
   Control_drain_args(const Control_drain_args&);
+  Control_drain_args(Control_drain_args&&) noexcept;
   Control_drain_args& operator=(const Control_drain_args&);
+  Control_drain_args& operator=(Control_drain_args&&) noexcept;
   Control_drain_args() noexcept
                      : instance(),
                        on(0) {
@@ -1572,7 +1639,9 @@
  public:
 
   Control_drain_result(const Control_drain_result&) noexcept;
+  Control_drain_result(Control_drain_result&&) noexcept;
   Control_drain_result& operator=(const Control_drain_result&) noexcept;
+  Control_drain_result& operator=(Control_drain_result&&) noexcept;
   Control_drain_result() noexcept
                        : success(0) {
   }
@@ -1628,7 +1697,9 @@
  public:
 
   Control_declareLost_args(const Control_declareLost_args&);
+  Control_declareLost_args(Control_declareLost_args&&) noexcept;
   Control_declareLost_args& operator=(const Control_declareLost_args&);
+  Control_declareLost_args& operator=(Control_declareLost_args&&) noexcept;
   Control_declareLost_args() noexcept
                            : cell() {
   }
@@ -1678,7 +1749,9 @@
  public:
 
   Control_declareLost_result(const Control_declareLost_result&) noexcept;
+  Control_declareLost_result(Control_declareLost_result&&) noexcept;
   Control_declareLost_result& operator=(const Control_declareLost_result&) noexcept;
+  Control_declareLost_result& operator=(Control_declareLost_result&&) noexcept;
   Control_declareLost_result() noexcept
                              : success(0) {
   }
@@ -1725,6 +1798,116 @@
 
 };
 
+typedef struct _Control_offerCell_args__isset {
+  _Control_offerCell_args__isset() : cell(false) {}
+  bool cell :1;
+} _Control_offerCell_args__isset;
+
+class Control_offerCell_args {
+ public:
+
+  Control_offerCell_args(const Control_offerCell_args&);
+  Control_offerCell_args(Control_offerCell_args&&) noexcept;
+  Control_offerCell_args& operator=(const Control_offerCell_args&);
+  Control_offerCell_args& operator=(Control_offerCell_args&&) noexcept;
+  Control_offerCell_args() noexcept
+                         : cell() {
+  }
+
+  virtual ~Control_offerCell_args() noexcept;
+  std::string cell;
+
+  _Control_offerCell_args__isset __isset;
+
+  void __set_cell(const std::string& val);
+
+  bool operator == (const Control_offerCell_args & rhs) const
+  {
+    if (!(cell == rhs.cell))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_offerCell_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_offerCell_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Control_offerCell_pargs {
+ public:
+
+
+  virtual ~Control_offerCell_pargs() noexcept;
+  const std::string* cell;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_offerCell_result__isset {
+  _Control_offerCell_result__isset() : success(false) {}
+  bool success :1;
+} _Control_offerCell_result__isset;
+
+class Control_offerCell_result {
+ public:
+
+  Control_offerCell_result(const Control_offerCell_result&) noexcept;
+  Control_offerCell_result(Control_offerCell_result&&) noexcept;
+  Control_offerCell_result& operator=(const Control_offerCell_result&) noexcept;
+  Control_offerCell_result& operator=(Control_offerCell_result&&) noexcept;
+  Control_offerCell_result() noexcept
+                           : success(0) {
+  }
+
+  virtual ~Control_offerCell_result() noexcept;
+  bool success;
+
+  _Control_offerCell_result__isset __isset;
+
+  void __set_success(const bool val);
+
+  bool operator == (const Control_offerCell_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_offerCell_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_offerCell_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_offerCell_presult__isset {
+  _Control_offerCell_presult__isset() : success(false) {}
+  bool success :1;
+} _Control_offerCell_presult__isset;
+
+class Control_offerCell_presult {
+ public:
+
+
+  virtual ~Control_offerCell_presult() noexcept;
+  bool* success;
+
+  _Control_offerCell_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _Control_trace_args__isset {
   _Control_trace_args__isset() : traceId(false) {}
   bool traceId :1;
@@ -1734,7 +1917,9 @@
  public:
 
   Control_trace_args(const Control_trace_args&);
+  Control_trace_args(Control_trace_args&&) noexcept;
   Control_trace_args& operator=(const Control_trace_args&);
+  Control_trace_args& operator=(Control_trace_args&&) noexcept;
   Control_trace_args() noexcept
                      : traceId() {
   }
@@ -1784,7 +1969,9 @@
  public:
 
   Control_trace_result(const Control_trace_result&);
+  Control_trace_result(Control_trace_result&&) noexcept;
   Control_trace_result& operator=(const Control_trace_result&);
+  Control_trace_result& operator=(Control_trace_result&&) noexcept;
   Control_trace_result() noexcept {
   }
 
@@ -1867,8 +2054,8 @@
   void gossip(GossipMessage& _return, const GossipMessage& message) override;
   void send_gossip(const GossipMessage& message);
   void recv_gossip(GossipMessage& _return);
-  void fetchRevision(RevisionReply& _return, const int64_t revision) override;
-  void send_fetchRevision(const int64_t revision);
+  void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) override;
+  void send_fetchRevision(const int64_t heldRevision, const std::string& heldHash);
   void recv_fetchRevision(RevisionReply& _return);
   void join(JoinReply& _return, const JoinRequest& request) override;
   void send_join(const JoinRequest& request);
@@ -1900,6 +2087,9 @@
   bool declareLost(const std::string& cell) override;
   void send_declareLost(const std::string& cell);
   bool recv_declareLost();
+  bool offerCell(const std::string& cell) override;
+  void send_offerCell(const std::string& cell);
+  bool recv_offerCell();
   void trace(std::vector<std::string> & _return, const std::string& traceId) override;
   void send_trace(const std::string& traceId);
   void recv_trace(std::vector<std::string> & _return);
@@ -1933,6 +2123,7 @@
   void process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_declareLost(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_offerCell(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_trace(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   ControlProcessor(::std::shared_ptr<ControlIf> iface) :
@@ -1952,6 +2143,7 @@
     processMap_["usage"] = &ControlProcessor::process_usage;
     processMap_["drain"] = &ControlProcessor::process_drain;
     processMap_["declareLost"] = &ControlProcessor::process_declareLost;
+    processMap_["offerCell"] = &ControlProcessor::process_offerCell;
     processMap_["trace"] = &ControlProcessor::process_trace;
   }
 
@@ -2021,13 +2213,13 @@
     return;
   }
 
-  void fetchRevision(RevisionReply& _return, const int64_t revision) override {
+  void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->fetchRevision(_return, revision);
+      ifaces_[i]->fetchRevision(_return, heldRevision, heldHash);
     }
-    ifaces_[i]->fetchRevision(_return, revision);
+    ifaces_[i]->fetchRevision(_return, heldRevision, heldHash);
     return;
   }
 
@@ -2128,6 +2320,15 @@
     return ifaces_[i]->declareLost(cell);
   }
 
+  bool offerCell(const std::string& cell) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->offerCell(cell);
+    }
+    return ifaces_[i]->offerCell(cell);
+  }
+
   void trace(std::vector<std::string> & _return, const std::string& traceId) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -2182,8 +2383,8 @@
   void gossip(GossipMessage& _return, const GossipMessage& message) override;
   int32_t send_gossip(const GossipMessage& message);
   void recv_gossip(GossipMessage& _return, const int32_t seqid);
-  void fetchRevision(RevisionReply& _return, const int64_t revision) override;
-  int32_t send_fetchRevision(const int64_t revision);
+  void fetchRevision(RevisionReply& _return, const int64_t heldRevision, const std::string& heldHash) override;
+  int32_t send_fetchRevision(const int64_t heldRevision, const std::string& heldHash);
   void recv_fetchRevision(RevisionReply& _return, const int32_t seqid);
   void join(JoinReply& _return, const JoinRequest& request) override;
   int32_t send_join(const JoinRequest& request);
@@ -2215,6 +2416,9 @@
   bool declareLost(const std::string& cell) override;
   int32_t send_declareLost(const std::string& cell);
   bool recv_declareLost(const int32_t seqid);
+  bool offerCell(const std::string& cell) override;
+  int32_t send_offerCell(const std::string& cell);
+  bool recv_offerCell(const int32_t seqid);
   void trace(std::vector<std::string> & _return, const std::string& traceId) override;
   int32_t send_trace(const std::string& traceId);
   void recv_trace(std::vector<std::string> & _return, const int32_t seqid);
--- a/Source/Core/Rpc/Generated/Ibisshed_types.h
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.h
@@ -146,6 +146,10 @@
 
 class UsageRecord;
 
+class CellView;
+
+class PeerView;
+
 class HeartbeatRequest;
 
 class HeartbeatReply;
@@ -154,14 +158,16 @@
 
 class JoinReply;
 
-class CellView;
-
 class MemberView;
 
 class MembersReply;
 
 class GossipMessage;
 
+class TextDelta;
+
+class RevisionDelta;
+
 class RevisionReply;
 
 typedef struct _Header__isset {
@@ -174,7 +180,9 @@
  public:
 
   Header(const Header&);
+  Header(Header&&) noexcept;
   Header& operator=(const Header&);
+  Header& operator=(Header&&) noexcept;
   Header() noexcept
          : name(),
            value() {
@@ -224,7 +232,9 @@
  public:
 
   TraceContext(const TraceContext&);
+  TraceContext(TraceContext&&) noexcept;
   TraceContext& operator=(const TraceContext&);
+  TraceContext& operator=(TraceContext&&) noexcept;
   TraceContext() noexcept
                : traceParent(),
                  traceState() {
@@ -279,7 +289,9 @@
  public:
 
   LoadReport(const LoadReport&) noexcept;
+  LoadReport(LoadReport&&) noexcept;
   LoadReport& operator=(const LoadReport&) noexcept;
+  LoadReport& operator=(LoadReport&&) noexcept;
   LoadReport() noexcept
              : slotsInUse(0),
                slotsLimit(0),
@@ -369,7 +381,9 @@
  public:
 
   ExecuteRequest(const ExecuteRequest&);
+  ExecuteRequest(ExecuteRequest&&) noexcept;
   ExecuteRequest& operator=(const ExecuteRequest&);
+  ExecuteRequest& operator=(ExecuteRequest&&) noexcept;
   ExecuteRequest() noexcept
                  : requestId(),
                    targetIncarnation(0),
@@ -468,7 +482,7 @@
 std::ostream& operator<<(std::ostream& out, const ExecuteRequest& obj);
 
 typedef struct _ExecuteReply__isset {
-  _ExecuteReply__isset() : outcome(false), reason(false), status(false), headers(false), body(false), load(false), incarnation(false), retryAfterMicros(false), detail(false) {}
+  _ExecuteReply__isset() : outcome(false), reason(false), status(false), headers(false), body(false), load(false), incarnation(false), retryAfterMicros(false), detail(false), inProgress(false) {}
   bool outcome :1;
   bool reason :1;
   bool status :1;
@@ -478,13 +492,16 @@
   bool incarnation :1;
   bool retryAfterMicros :1;
   bool detail :1;
+  bool inProgress :1;
 } _ExecuteReply__isset;
 
 class ExecuteReply : public virtual ::apache::thrift::TBase {
  public:
 
   ExecuteReply(const ExecuteReply&);
+  ExecuteReply(ExecuteReply&&) noexcept;
   ExecuteReply& operator=(const ExecuteReply&);
+  ExecuteReply& operator=(ExecuteReply&&) noexcept;
   ExecuteReply() noexcept
                : outcome(static_cast<Outcome::type>(0)),
                  reason(static_cast<RefusalReason::type>(0)),
@@ -492,7 +509,8 @@
                  body(),
                  incarnation(0),
                  retryAfterMicros(0),
-                 detail() {
+                 detail(),
+                 inProgress(0) {
   }
 
   virtual ~ExecuteReply() noexcept;
@@ -513,6 +531,7 @@
   int64_t incarnation;
   int64_t retryAfterMicros;
   std::string detail;
+  bool inProgress;
 
   _ExecuteReply__isset __isset;
 
@@ -534,6 +553,8 @@
 
   void __set_detail(const std::string& val);
 
+  void __set_inProgress(const bool val);
+
   bool operator == (const ExecuteReply & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -554,6 +575,8 @@
       return false;
     if (!(detail == rhs.detail))
       return false;
+    if (!(inProgress == rhs.inProgress))
+      return false;
     return true;
   }
   bool operator != (const ExecuteReply &rhs) const {
@@ -573,26 +596,30 @@
 std::ostream& operator<<(std::ostream& out, const ExecuteReply& obj);
 
 typedef struct _ClaimKeyRequest__isset {
-  _ClaimKeyRequest__isset() : client(false), key(false), keyTimeUnixMillis(false), requestId(false), fingerprint(false), trace(false) {}
+  _ClaimKeyRequest__isset() : client(false), key(false), keyTimeUnixMillis(false), requestId(false), fingerprint(false), trace(false), remainingMicros(false) {}
   bool client :1;
   bool key :1;
   bool keyTimeUnixMillis :1;
   bool requestId :1;
   bool fingerprint :1;
   bool trace :1;
+  bool remainingMicros :1;
 } _ClaimKeyRequest__isset;
 
 class ClaimKeyRequest : public virtual ::apache::thrift::TBase {
  public:
 
   ClaimKeyRequest(const ClaimKeyRequest&);
+  ClaimKeyRequest(ClaimKeyRequest&&) noexcept;
   ClaimKeyRequest& operator=(const ClaimKeyRequest&);
+  ClaimKeyRequest& operator=(ClaimKeyRequest&&) noexcept;
   ClaimKeyRequest() noexcept
                   : client(),
                     key(),
                     keyTimeUnixMillis(0),
                     requestId(),
-                    fingerprint() {
+                    fingerprint(),
+                    remainingMicros(0) {
   }
 
   virtual ~ClaimKeyRequest() noexcept;
@@ -602,6 +629,7 @@
   std::string requestId;
   std::string fingerprint;
   TraceContext trace;
+  int64_t remainingMicros;
 
   _ClaimKeyRequest__isset __isset;
 
@@ -617,6 +645,8 @@
 
   void __set_trace(const TraceContext& val);
 
+  void __set_remainingMicros(const int64_t val);
+
   bool operator == (const ClaimKeyRequest & rhs) const
   {
     if (!(client == rhs.client))
@@ -631,6 +661,8 @@
       return false;
     if (!(trace == rhs.trace))
       return false;
+    if (!(remainingMicros == rhs.remainingMicros))
+      return false;
     return true;
   }
   bool operator != (const ClaimKeyRequest &rhs) const {
@@ -663,7 +695,9 @@
  public:
 
   ClaimKeyReply(const ClaimKeyReply&);
+  ClaimKeyReply(ClaimKeyReply&&) noexcept;
   ClaimKeyReply& operator=(const ClaimKeyReply&);
+  ClaimKeyReply& operator=(ClaimKeyReply&&) noexcept;
   ClaimKeyReply() noexcept
                 : state(static_cast<KeyState::type>(0)),
                   reason(static_cast<RefusalReason::type>(0)),
@@ -749,7 +783,9 @@
  public:
 
   SettleKeyRequest(const SettleKeyRequest&);
+  SettleKeyRequest(SettleKeyRequest&&) noexcept;
   SettleKeyRequest& operator=(const SettleKeyRequest&);
+  SettleKeyRequest& operator=(SettleKeyRequest&&) noexcept;
   SettleKeyRequest() noexcept
                    : client(),
                      key(),
@@ -817,7 +853,9 @@
  public:
 
   ResourceAmounts(const ResourceAmounts&) noexcept;
+  ResourceAmounts(ResourceAmounts&&) noexcept;
   ResourceAmounts& operator=(const ResourceAmounts&) noexcept;
+  ResourceAmounts& operator=(ResourceAmounts&&) noexcept;
   ResourceAmounts() noexcept
                   : milliCores(0),
                     memoryBytes(0),
@@ -881,7 +919,9 @@
  public:
 
   JobSpec(const JobSpec&);
+  JobSpec(JobSpec&&) noexcept;
   JobSpec& operator=(const JobSpec&);
+  JobSpec& operator=(JobSpec&&) noexcept;
   JobSpec() noexcept
           : client(),
             team(),
@@ -981,7 +1021,9 @@
  public:
 
   SubmitReply(const SubmitReply&);
+  SubmitReply(SubmitReply&&) noexcept;
   SubmitReply& operator=(const SubmitReply&);
+  SubmitReply& operator=(SubmitReply&&) noexcept;
   SubmitReply() noexcept
               : accepted(0),
                 jobId(),
@@ -1063,7 +1105,9 @@
  public:
 
   JobView(const JobView&);
+  JobView(JobView&&) noexcept;
   JobView& operator=(const JobView&);
+  JobView& operator=(JobView&&) noexcept;
   JobView() noexcept
           : jobId(),
             state(),
@@ -1181,7 +1225,9 @@
  public:
 
   TaskStart(const TaskStart&);
+  TaskStart(TaskStart&&) noexcept;
   TaskStart& operator=(const TaskStart&);
+  TaskStart& operator=(TaskStart&&) noexcept;
   TaskStart() noexcept
             : taskId(),
               jobId(),
@@ -1287,7 +1333,9 @@
  public:
 
   TaskAction(const TaskAction&);
+  TaskAction(TaskAction&&) noexcept;
   TaskAction& operator=(const TaskAction&);
+  TaskAction& operator=(TaskAction&&) noexcept;
   TaskAction() noexcept
              : kind(static_cast<TaskActionKind::type>(0)),
                taskId(),
@@ -1372,7 +1420,9 @@
  public:
 
   TaskReport(const TaskReport&);
+  TaskReport(TaskReport&&) noexcept;
   TaskReport& operator=(const TaskReport&);
+  TaskReport& operator=(TaskReport&&) noexcept;
   TaskReport() noexcept
              : taskId(),
                jobId(),
@@ -1502,7 +1552,9 @@
  public:
 
   EndpointReport(const EndpointReport&);
+  EndpointReport(EndpointReport&&) noexcept;
   EndpointReport& operator=(const EndpointReport&);
+  EndpointReport& operator=(EndpointReport&&) noexcept;
   EndpointReport() noexcept
                  : endpointId(),
                    route(),
@@ -1587,7 +1639,9 @@
  public:
 
   AgentInfo(const AgentInfo&);
+  AgentInfo(AgentInfo&&) noexcept;
   AgentInfo& operator=(const AgentInfo&);
+  AgentInfo& operator=(AgentInfo&&) noexcept;
   AgentInfo() noexcept
             : instance(),
               incarnation(0),
@@ -1671,7 +1725,9 @@
  public:
 
   UsageRecord(const UsageRecord&);
+  UsageRecord(UsageRecord&&) noexcept;
   UsageRecord& operator=(const UsageRecord&);
+  UsageRecord& operator=(UsageRecord&&) noexcept;
   UsageRecord() noexcept
               : team(),
                 client(),
@@ -1741,8 +1797,140 @@
 
 std::ostream& operator<<(std::ostream& out, const UsageRecord& obj);
 
+typedef struct _CellView__isset {
+  _CellView__isset() : cell(false), epoch(false), ownerAddress(false), ownerInstance(false) {}
+  bool cell :1;
+  bool epoch :1;
+  bool ownerAddress :1;
+  bool ownerInstance :1;
+} _CellView__isset;
+
+class CellView : public virtual ::apache::thrift::TBase {
+ public:
+
+  CellView(const CellView&);
+  CellView(CellView&&) noexcept;
+  CellView& operator=(const CellView&);
+  CellView& operator=(CellView&&) noexcept;
+  CellView() noexcept
+           : cell(),
+             epoch(0),
+             ownerAddress(),
+             ownerInstance() {
+  }
+
+  virtual ~CellView() noexcept;
+  std::string cell;
+  int64_t epoch;
+  std::string ownerAddress;
+  std::string ownerInstance;
+
+  _CellView__isset __isset;
+
+  void __set_cell(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_ownerAddress(const std::string& val);
+
+  void __set_ownerInstance(const std::string& val);
+
+  bool operator == (const CellView & rhs) const
+  {
+    if (!(cell == rhs.cell))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(ownerAddress == rhs.ownerAddress))
+      return false;
+    if (!(ownerInstance == rhs.ownerInstance))
+      return false;
+    return true;
+  }
+  bool operator != (const CellView &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CellView & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CellView &a, CellView &b);
+
+std::ostream& operator<<(std::ostream& out, const CellView& obj);
+
+typedef struct _PeerView__isset {
+  _PeerView__isset() : instance(false), address(false), dataCentre(false), role(false) {}
+  bool instance :1;
+  bool address :1;
+  bool dataCentre :1;
+  bool role :1;
+} _PeerView__isset;
+
+class PeerView : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerView(const PeerView&);
+  PeerView(PeerView&&) noexcept;
+  PeerView& operator=(const PeerView&);
+  PeerView& operator=(PeerView&&) noexcept;
+  PeerView() noexcept
+           : instance(),
+             address(),
+             dataCentre(),
+             role() {
+  }
+
+  virtual ~PeerView() noexcept;
+  std::string instance;
+  std::string address;
+  std::string dataCentre;
+  std::string role;
+
+  _PeerView__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_role(const std::string& val);
+
+  bool operator == (const PeerView & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerView &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerView & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerView &a, PeerView &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerView& obj);
+
 typedef struct _HeartbeatRequest__isset {
-  _HeartbeatRequest__isset() : cell(false), epoch(false), tenureMicros(false), revision(false), revisionHash(false), actions(false), durableTasks(false), ownerAddress(false), wantInventory(false) {}
+  _HeartbeatRequest__isset() : cell(false), epoch(false), tenureMicros(false), revision(false), revisionHash(false), actions(false), durableTasks(false), ownerAddress(false), wantInventory(false), peers(false), relay(false), cells(false), drain(false), echoMicros(false), knownUsageVersion(false) {}
   bool cell :1;
   bool epoch :1;
   bool tenureMicros :1;
@@ -1752,13 +1940,21 @@
   bool durableTasks :1;
   bool ownerAddress :1;
   bool wantInventory :1;
+  bool peers :1;
+  bool relay :1;
+  bool cells :1;
+  bool drain :1;
+  bool echoMicros :1;
+  bool knownUsageVersion :1;
 } _HeartbeatRequest__isset;
 
 class HeartbeatRequest : public virtual ::apache::thrift::TBase {
  public:
 
   HeartbeatRequest(const HeartbeatRequest&);
+  HeartbeatRequest(HeartbeatRequest&&) noexcept;
   HeartbeatRequest& operator=(const HeartbeatRequest&);
+  HeartbeatRequest& operator=(HeartbeatRequest&&) noexcept;
   HeartbeatRequest() noexcept
                    : cell(),
                      epoch(0),
@@ -1766,7 +1962,11 @@
                      revision(0),
                      revisionHash(),
                      ownerAddress(),
-                     wantInventory(0) {
+                     wantInventory(0),
+                     relay(0),
+                     drain(0),
+                     echoMicros(0),
+                     knownUsageVersion(0) {
   }
 
   virtual ~HeartbeatRequest() noexcept;
@@ -1779,6 +1979,12 @@
   std::vector<std::string>  durableTasks;
   std::string ownerAddress;
   bool wantInventory;
+  std::vector<PeerView>  peers;
+  bool relay;
+  std::vector<CellView>  cells;
+  bool drain;
+  int64_t echoMicros;
+  int64_t knownUsageVersion;
 
   _HeartbeatRequest__isset __isset;
 
@@ -1800,6 +2006,18 @@
 
   void __set_wantInventory(const bool val);
 
+  void __set_peers(const std::vector<PeerView> & val);
+
+  void __set_relay(const bool val);
+
+  void __set_cells(const std::vector<CellView> & val);
+
+  void __set_drain(const bool val);
+
+  void __set_echoMicros(const int64_t val);
+
+  void __set_knownUsageVersion(const int64_t val);
+
   bool operator == (const HeartbeatRequest & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -1820,6 +2038,18 @@
       return false;
     if (!(wantInventory == rhs.wantInventory))
       return false;
+    if (!(peers == rhs.peers))
+      return false;
+    if (!(relay == rhs.relay))
+      return false;
+    if (!(cells == rhs.cells))
+      return false;
+    if (!(drain == rhs.drain))
+      return false;
+    if (!(echoMicros == rhs.echoMicros))
+      return false;
+    if (!(knownUsageVersion == rhs.knownUsageVersion))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatRequest &rhs) const {
@@ -1839,7 +2069,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : accepted(false), highestEpoch(false), info(false), free(false), total(false), tasks(false), endpoints(false), load(false), revision(false), usage(false), leaving(false), fullInventory(false) {}
+  _HeartbeatReply__isset() : accepted(false), highestEpoch(false), info(false), free(false), total(false), tasks(false), endpoints(false), load(false), revision(false), usage(false), leaving(false), fullInventory(false), usageVersion(false), agentClockMicros(false) {}
   bool accepted :1;
   bool highestEpoch :1;
   bool info :1;
@@ -1852,19 +2082,25 @@
   bool usage :1;
   bool leaving :1;
   bool fullInventory :1;
+  bool usageVersion :1;
+  bool agentClockMicros :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
  public:
 
   HeartbeatReply(const HeartbeatReply&);
+  HeartbeatReply(HeartbeatReply&&) noexcept;
   HeartbeatReply& operator=(const HeartbeatReply&);
+  HeartbeatReply& operator=(HeartbeatReply&&) noexcept;
   HeartbeatReply() noexcept
                  : accepted(0),
                    highestEpoch(0),
                    revision(0),
                    leaving(0),
-                   fullInventory(0) {
+                   fullInventory(0),
+                   usageVersion(0),
+                   agentClockMicros(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -1880,6 +2116,8 @@
   std::vector<UsageRecord>  usage;
   bool leaving;
   bool fullInventory;
+  int64_t usageVersion;
+  int64_t agentClockMicros;
 
   _HeartbeatReply__isset __isset;
 
@@ -1907,6 +2145,10 @@
 
   void __set_fullInventory(const bool val);
 
+  void __set_usageVersion(const int64_t val);
+
+  void __set_agentClockMicros(const int64_t val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(accepted == rhs.accepted))
@@ -1933,6 +2175,10 @@
       return false;
     if (!(fullInventory == rhs.fullInventory))
       return false;
+    if (!(usageVersion == rhs.usageVersion))
+      return false;
+    if (!(agentClockMicros == rhs.agentClockMicros))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -1961,7 +2207,9 @@
  public:
 
   JoinRequest(const JoinRequest&);
+  JoinRequest(JoinRequest&&) noexcept;
   JoinRequest& operator=(const JoinRequest&);
+  JoinRequest& operator=(JoinRequest&&) noexcept;
   JoinRequest() noexcept
               : revision(0) {
   }
@@ -2012,7 +2260,9 @@
  public:
 
   JoinReply(const JoinReply&);
+  JoinReply(JoinReply&&) noexcept;
   JoinReply& operator=(const JoinReply&);
+  JoinReply& operator=(JoinReply&&) noexcept;
   JoinReply() noexcept
             : accepted(0),
               reason(static_cast<RefusalReason::type>(0)),
@@ -2068,70 +2318,6 @@
 
 std::ostream& operator<<(std::ostream& out, const JoinReply& obj);
 
-typedef struct _CellView__isset {
-  _CellView__isset() : cell(false), epoch(false), ownerAddress(false), ownerInstance(false) {}
-  bool cell :1;
-  bool epoch :1;
-  bool ownerAddress :1;
-  bool ownerInstance :1;
-} _CellView__isset;
-
-class CellView : public virtual ::apache::thrift::TBase {
- public:
-
-  CellView(const CellView&);
-  CellView& operator=(const CellView&);
-  CellView() noexcept
-           : cell(),
-             epoch(0),
-             ownerAddress(),
-             ownerInstance() {
-  }
-
-  virtual ~CellView() noexcept;
-  std::string cell;
-  int64_t epoch;
-  std::string ownerAddress;
-  std::string ownerInstance;
-
-  _CellView__isset __isset;
-
-  void __set_cell(const std::string& val);
-
-  void __set_epoch(const int64_t val);
-
-  void __set_ownerAddress(const std::string& val);
-
-  void __set_ownerInstance(const std::string& val);
-
-  bool operator == (const CellView & rhs) const
-  {
-    if (!(cell == rhs.cell))
-      return false;
-    if (!(epoch == rhs.epoch))
-      return false;
-    if (!(ownerAddress == rhs.ownerAddress))
-      return false;
-    if (!(ownerInstance == rhs.ownerInstance))
-      return false;
-    return true;
-  }
-  bool operator != (const CellView &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const CellView & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(CellView &a, CellView &b);
-
-std::ostream& operator<<(std::ostream& out, const CellView& obj);
-
 typedef struct _MemberView__isset {
   _MemberView__isset() : info(false), endpoints(false), load(false), suspect(false), leaving(false), revision(false), free(false), total(false), runningTasks(false), quarantined(false), ageMicros(false), role(false) {}
   bool info :1;
@@ -2152,7 +2338,9 @@
  public:
 
   MemberView(const MemberView&);
+  MemberView(MemberView&&) noexcept;
   MemberView& operator=(const MemberView&);
+  MemberView& operator=(MemberView&&) noexcept;
   MemberView() noexcept
              : suspect(0),
                leaving(0),
@@ -2248,21 +2436,28 @@
 std::ostream& operator<<(std::ostream& out, const MemberView& obj);
 
 typedef struct _MembersReply__isset {
-  _MembersReply__isset() : cell(false), members(false), version(false), changed(false) {}
+  _MembersReply__isset() : cell(false), members(false), version(false), changed(false), fromStart(false), more(false), gone(false) {}
   bool cell :1;
   bool members :1;
   bool version :1;
   bool changed :1;
+  bool fromStart :1;
+  bool more :1;
+  bool gone :1;
 } _MembersReply__isset;
 
 class MembersReply : public virtual ::apache::thrift::TBase {
  public:
 
   MembersReply(const MembersReply&);
+  MembersReply(MembersReply&&) noexcept;
   MembersReply& operator=(const MembersReply&);
+  MembersReply& operator=(MembersReply&&) noexcept;
   MembersReply() noexcept
                : version(0),
-                 changed(0) {
+                 changed(0),
+                 fromStart(0),
+                 more(0) {
   }
 
   virtual ~MembersReply() noexcept;
@@ -2270,6 +2465,9 @@
   std::vector<MemberView>  members;
   int64_t version;
   bool changed;
+  bool fromStart;
+  bool more;
+  std::vector<std::string>  gone;
 
   _MembersReply__isset __isset;
 
@@ -2281,6 +2479,12 @@
 
   void __set_changed(const bool val);
 
+  void __set_fromStart(const bool val);
+
+  void __set_more(const bool val);
+
+  void __set_gone(const std::vector<std::string> & val);
+
   bool operator == (const MembersReply & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -2291,6 +2495,12 @@
       return false;
     if (!(changed == rhs.changed))
       return false;
+    if (!(fromStart == rhs.fromStart))
+      return false;
+    if (!(more == rhs.more))
+      return false;
+    if (!(gone == rhs.gone))
+      return false;
     return true;
   }
   bool operator != (const MembersReply &rhs) const {
@@ -2325,7 +2535,9 @@
  public:
 
   GossipMessage(const GossipMessage&);
+  GossipMessage(GossipMessage&&) noexcept;
   GossipMessage& operator=(const GossipMessage&);
+  GossipMessage& operator=(GossipMessage&&) noexcept;
   GossipMessage() noexcept
                 : instance(),
                   dataCentre(),
@@ -2400,31 +2612,178 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipMessage& obj);
 
+typedef struct _TextDelta__isset {
+  _TextDelta__isset() : keptPrefix(false), keptSuffix(false), middle(false) {}
+  bool keptPrefix :1;
+  bool keptSuffix :1;
+  bool middle :1;
+} _TextDelta__isset;
+
+class TextDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  TextDelta(const TextDelta&);
+  TextDelta(TextDelta&&) noexcept;
+  TextDelta& operator=(const TextDelta&);
+  TextDelta& operator=(TextDelta&&) noexcept;
+  TextDelta() noexcept
+            : keptPrefix(0),
+              keptSuffix(0),
+              middle() {
+  }
+
+  virtual ~TextDelta() noexcept;
+  int64_t keptPrefix;
+  int64_t keptSuffix;
+  std::string middle;
+
+  _TextDelta__isset __isset;
+
+  void __set_keptPrefix(const int64_t val);
+
+  void __set_keptSuffix(const int64_t val);
+
+  void __set_middle(const std::string& val);
+
+  bool operator == (const TextDelta & rhs) const
+  {
+    if (!(keptPrefix == rhs.keptPrefix))
+      return false;
+    if (!(keptSuffix == rhs.keptSuffix))
+      return false;
+    if (!(middle == rhs.middle))
+      return false;
+    return true;
+  }
+  bool operator != (const TextDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TextDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TextDelta &a, TextDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const TextDelta& obj);
+
+typedef struct _RevisionDelta__isset {
+  _RevisionDelta__isset() : fromRevision(false), fromHash(false), toRevision(false), toHash(false), routes(false), pools(false) {}
+  bool fromRevision :1;
+  bool fromHash :1;
+  bool toRevision :1;
+  bool toHash :1;
+  bool routes :1;
+  bool pools :1;
+} _RevisionDelta__isset;
+
+class RevisionDelta : public virtual ::apache::thrift::TBase {
+ public:
+
+  RevisionDelta(const RevisionDelta&);
+  RevisionDelta(RevisionDelta&&) noexcept;
+  RevisionDelta& operator=(const RevisionDelta&);
+  RevisionDelta& operator=(RevisionDelta&&) noexcept;
+  RevisionDelta() noexcept
+                : fromRevision(0),
+                  fromHash(),
+                  toRevision(0),
+                  toHash() {
+  }
+
+  virtual ~RevisionDelta() noexcept;
+  int64_t fromRevision;
+  std::string fromHash;
+  int64_t toRevision;
+  std::string toHash;
+  TextDelta routes;
+  TextDelta pools;
+
+  _RevisionDelta__isset __isset;
+
+  void __set_fromRevision(const int64_t val);
+
+  void __set_fromHash(const std::string& val);
+
+  void __set_toRevision(const int64_t val);
+
+  void __set_toHash(const std::string& val);
+
+  void __set_routes(const TextDelta& val);
+
+  void __set_pools(const TextDelta& val);
+
+  bool operator == (const RevisionDelta & rhs) const
+  {
+    if (!(fromRevision == rhs.fromRevision))
+      return false;
+    if (!(fromHash == rhs.fromHash))
+      return false;
+    if (!(toRevision == rhs.toRevision))
+      return false;
+    if (!(toHash == rhs.toHash))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(pools == rhs.pools))
+      return false;
+    return true;
+  }
+  bool operator != (const RevisionDelta &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RevisionDelta & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RevisionDelta &a, RevisionDelta &b);
+
+std::ostream& operator<<(std::ostream& out, const RevisionDelta& obj);
+
 typedef struct _RevisionReply__isset {
-  _RevisionReply__isset() : found(false), revision(false), hash(false), tables(false) {}
+  _RevisionReply__isset() : found(false), revision(false), hash(false), chain(false), whole(false), routes(false), pools(false) {}
   bool found :1;
   bool revision :1;
   bool hash :1;
-  bool tables :1;
+  bool chain :1;
+  bool whole :1;
+  bool routes :1;
+  bool pools :1;
 } _RevisionReply__isset;
 
 class RevisionReply : public virtual ::apache::thrift::TBase {
  public:
 
   RevisionReply(const RevisionReply&);
+  RevisionReply(RevisionReply&&) noexcept;
   RevisionReply& operator=(const RevisionReply&);
+  RevisionReply& operator=(RevisionReply&&) noexcept;
   RevisionReply() noexcept
                 : found(0),
                   revision(0),
                   hash(),
-                  tables() {
+                  whole(0),
+                  routes(),
+                  pools() {
   }
 
   virtual ~RevisionReply() noexcept;
   bool found;
   int64_t revision;
   std::string hash;
-  std::string tables;
+  std::vector<RevisionDelta>  chain;
+  bool whole;
+  std::string routes;
+  std::string pools;
 
   _RevisionReply__isset __isset;
 
@@ -2434,7 +2793,13 @@
 
   void __set_hash(const std::string& val);
 
-  void __set_tables(const std::string& val);
+  void __set_chain(const std::vector<RevisionDelta> & val);
+
+  void __set_whole(const bool val);
+
+  void __set_routes(const std::string& val);
+
+  void __set_pools(const std::string& val);
 
   bool operator == (const RevisionReply & rhs) const
   {
@@ -2444,7 +2809,13 @@
       return false;
     if (!(hash == rhs.hash))
       return false;
-    if (!(tables == rhs.tables))
+    if (!(chain == rhs.chain))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(pools == rhs.pools))
       return false;
     return true;
   }
