--- a/Source/Core/Placement/Index.cpp
+++ b/Source/Core/Placement/Index.cpp
@@ -209,7 +209,7 @@
     aIndex.mCold[number] = {};
     aIndex.mHot[number] = {};
     aIndex.mHot[number].mGate = Gate::Open;
-    aIndex.mCold[number].mReported = aInfo.mTotal;
+    aIndex.mCold[number].mFree = aInfo.mTotal;
   }
   Unlist(aIndex, number);
   HotWorker& hot = aIndex.mHot[number];
@@ -269,18 +269,23 @@
            const std::vector<Ticket>& aOutstanding)
 {
   ColdWorker& cold = aIndex.mCold[aWorker];
-  cold.mReported = aFree;
   std::erase_if(cold.mReservations, [&](const Reservation& aReservation) {
     return std::find(aOutstanding.begin(), aOutstanding.end(), aReservation.mTicket) ==
            aOutstanding.end();
   });
+  cold.mFree = aFree;
+  for (const Reservation& reservation : cold.mReservations) {
+    cold.mFree = cold.mFree - reservation.mNeed;
+  }
   Refresh(aIndex, aWorker);
 }
 
 void
 Reserve(Index& aIndex, WorkerNumber aWorker, Ticket aTicket, const Resources& aNeed)
 {
-  aIndex.mCold[aWorker].mReservations.push_back({ aTicket, aNeed });
+  ColdWorker& cold = aIndex.mCold[aWorker];
+  cold.mReservations.push_back({ aTicket, aNeed });
+  cold.mFree = cold.mFree - aNeed;
   if (aIndex.mHot[aWorker].mGate == Gate::Probe) {
     SetGate(aIndex, aWorker, Gate::Closed);
   }
@@ -290,20 +295,22 @@
 void
 Release(Index& aIndex, WorkerNumber aWorker, Ticket aTicket)
 {
-  std::erase_if(aIndex.mCold[aWorker].mReservations,
-                [&](const Reservation& aReservation) { return aReservation.mTicket == aTicket; });
+  ColdWorker& cold = aIndex.mCold[aWorker];
+  for (std::size_t i = 0; i < cold.mReservations.size(); ++i) {
+    if (cold.mReservations[i].mTicket == aTicket) {
+      cold.mFree = cold.mFree + cold.mReservations[i].mNeed;
+      cold.mReservations[i] = cold.mReservations.back();
+      cold.mReservations.pop_back();
+      break;
+    }
+  }
   Refresh(aIndex, aWorker);
 }
 
 Resources
 FreeOf(const Index& aIndex, WorkerNumber aWorker)
 {
-  const ColdWorker& cold = aIndex.mCold[aWorker];
-  Resources free = cold.mReported;
-  for (const Reservation& reservation : cold.mReservations) {
-    free = free - reservation.mNeed;
-  }
-  return free;
+  return aIndex.mCold[aWorker].mFree;
 }
 
 std::uint16_t
--- a/Source/Core/Placement/Index.h
+++ b/Source/Core/Placement/Index.h
@@ -65,13 +65,14 @@
   bool mListed = false;
 };
 
-struct ColdWorker
+/// The rest of a worker. What a reservation changes comes first and shares one cache line.
+struct alignas(64) ColdWorker
 {
-  WorkerInfo mInfo;
-  /// Free room as last reported by the agent, before reservations.
-  Resources mReported;
+  /// Free room as reported, less the reservations.
+  Resources mFree;
   std::vector<Reservation> mReservations;
   std::uint32_t mPlaceInClass = 0;
+  WorkerInfo mInfo;
 };
 
 constexpr std::uint32_t kCoreLevels = 24;
--- a/Source/Core/Placement/Place.cpp
+++ b/Source/Core/Placement/Place.cpp
@@ -1,6 +1,7 @@
 #include "Placement/Place.h"
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <cmath>
 
@@ -8,6 +9,9 @@
 
 namespace {
 
+/// Most candidates that are drawn at once.
+constexpr std::uint32_t kMaxDraws = 16;
+
 /// The need in the units of HotWorker, rounded up.
 struct Need
 {
@@ -89,6 +93,8 @@
   /// Candidates that had room.
   std::uint32_t seen() const { return mSeen; }
 
+  void prefetch(WorkerNumber aWorker) const { __builtin_prefetch(&mIndex.mHot[aWorker]); }
+
   /// False if the worker has no room.
   bool consider(WorkerNumber aWorker)
   {
@@ -100,6 +106,8 @@
     if (mWorker == kNoWorker || cost < mCost) {
       mWorker = aWorker;
       mCost = cost;
+      // The reservation follows; in a large fleet its line is not in the cache.
+      __builtin_prefetch(&mIndex.mCold[aWorker], 1);
     }
     return true;
   }
@@ -152,9 +160,14 @@
         const auto memory = static_cast<std::uint32_t>(std::countr_zero(filled));
         filled &= filled - 1;
         const auto& bucket = aClass.mBuckets[BucketOf(a, c, memory)];
-        const std::size_t draws = std::min<std::size_t>(aWanted, bucket.size());
+        const std::size_t draws = std::min<std::size_t>({ aWanted, bucket.size(), kMaxDraws });
+        std::array<WorkerNumber, kMaxDraws> drawn{};
+        for (std::size_t i = 0; i < draws; ++i) {
+          drawn[i] = bucket[aRandom.below(bucket.size())];
+          aBest.prefetch(drawn[i]);
+        }
         for (std::size_t i = 0; i < draws; ++i) {
-          aWanted -= aBest.consider(bucket[aRandom.below(bucket.size())]) ? 1 : 0;
+          aWanted -= aBest.consider(drawn[i]) ? 1 : 0;
         }
         if (aWanted == 0) {
           return;
@@ -173,8 +186,20 @@
   if (aClass.mMembers.empty()) {
     return;
   }
-  for (std::uint32_t i = 0; i < aWanted; ++i) {
-    aBest.consider(aClass.mMembers[aRandom.below(aClass.mMembers.size())]);
+  // All draws come before the first look, so that their cache misses overlap.
+  std::array<WorkerNumber, kMaxDraws> drawn{};
+  const std::uint32_t draws = std::min(aWanted, kMaxDraws);
+  for (std::uint32_t i = 0; i < draws; ++i) {
+    const std::size_t place = aRandom.below(aClass.mMembers.size());
+    __builtin_prefetch(&aClass.mMembers[place]);
+    drawn[i] = static_cast<WorkerNumber>(place);
+  }
+  for (std::uint32_t i = 0; i < draws; ++i) {
+    drawn[i] = aClass.mMembers[drawn[i]];
+    aBest.prefetch(drawn[i]);
+  }
+  for (std::uint32_t i = 0; i < draws; ++i) {
+    aBest.consider(drawn[i]);
   }
 }
 
