--- a/Source/Core/Interference/Model.cpp
+++ b/Source/Core/Interference/Model.cpp
@@ -42,19 +42,24 @@
   return sum;
 }
 
-/// The free rate follows samples of lone tasks. Beside neighbours it follows the rate that the
-/// estimates say the task would have alone, slowly, because these estimates lean on it in turn.
+/// The free rate follows samples of lone tasks. Beside neighbours it follows an upper quantile of
+/// the measured rates. It must not lean on the estimates: a rate corrected by the predicted
+/// slow-down feeds back into the prediction, and kinds that are never alone then grow without
+/// bound.
 void
-LearnFreeRate(KindRecord& aRecord, float aRate, float aPredicted, bool aAlone)
+LearnFreeRate(KindRecord& aRecord, float aRate, bool aAlone)
 {
-  const float alone = aRate * (1.0F + aPredicted);
+  constexpr float kQuantile = 0.8F;
+  constexpr float kStep = 0.01F;
   ++aRecord.mSamples;
   if (aRecord.mFreeRate == 0) {
-    aRecord.mFreeRate = alone;
-    return;
+    aRecord.mFreeRate = aRate;
+  } else if (aAlone) {
+    aRecord.mFreeRate += 0.1F * (aRate - aRecord.mFreeRate);
+  } else {
+    const float direction = aRate > aRecord.mFreeRate ? kQuantile : kQuantile - 1.0F;
+    aRecord.mFreeRate *= 1.0F + kStep * direction;
   }
-  const float weight = aAlone ? 0.1F : (alone > aRecord.mFreeRate ? 0.02F : 0.002F);
-  aRecord.mFreeRate += weight * (alone - aRecord.mFreeRate);
 }
 
 /// Shares the error of the prediction out among the neighbours, more to pairs seen less.
@@ -117,7 +122,7 @@
     const std::vector<KindCount> others = CountOthers(aSample, i);
     const float predicted = Predict(aModel, task.mKind, others);
     KindRecord& record = aModel.mRecords[task.mKind];
-    LearnFreeRate(record, task.mRate, predicted, others.empty());
+    LearnFreeRate(record, task.mRate, others.empty());
     if (!others.empty()) {
       LearnPairs(aModel, task.mKind, others, record.mFreeRate / task.mRate - 1.0F - predicted);
     }
--- a/Source/UnitTests/Interference/InterferenceTests.cpp
+++ b/Source/UnitTests/Interference/InterferenceTests.cpp
@@ -79,6 +79,19 @@
     REQUIRE(bench.mModel.mRecords[bench.mService].mSamples == 0);
   }
 
+  SECTION("kinds that are never alone keep a bounded free rate")
+  {
+    for (int i = 0; i < 20'000; ++i) {
+      UpdateEstimate(bench.mModel,
+                     { { { bench.mNoisy, 4.0F * bench.noise(), false },
+                         { bench.mQuiet, 2.0F * bench.noise(), false } },
+                       kStart + 10s,
+                       kStart });
+    }
+    REQUIRE(bench.mModel.mRecords[bench.mNoisy].mFreeRate < 4.5F);
+    REQUIRE(PairSlowdown(bench.mModel, bench.mNoisy, bench.mQuiet) < 0.2F);
+  }
+
   SECTION("kinds beyond the bound share one number")
   {
     for (int i = 0; i < 300; ++i) {
