Jobs: test the faults that schedules found, and quotas, health and sizes

Cause: each fault found by the random schedules needs a test that names it, and the policies had none. Change: single-path tests for ten faults, for borrowing and reclaim, order and age, jobs that can never run, blame of workers and jobs, and corrected sizes.

--- /dev/null
+++ b/Source/UnitTests/Jobs/FaultTests.cpp
@@ -0,0 +1,123 @@
+#include "UnitTests/Jobs/Fixture.h"
+
+using namespace std::chrono_literals;
+using namespace Fixture;
+
+namespace {
+
+const Common::WorkerId kFirst("w1");
+
+Inventory
+Reply(std::uint64_t aSequence, std::int64_t aIncarnation, std::vector<TaskReport> aReports)
+{
+  return { kFirst, aSequence, true, std::move(aReports), Common::Incarnation(aIncarnation) };
+}
+
+} // namespace
+
+TEST_CASE("Faults that random schedules found stay corrected", "[Jobs]")
+{
+  JobsState state = Cell();
+  std::vector<std::string> store;
+  const Common::JobId job = Accept(state, Spec(1, "k"), &store);
+  const TaskStart start = NextTasks(state, At(0s), 10, OnWorker("w1")).at(0);
+
+  SECTION("a checkpoint that comes after the worker's release is used by the next start")
+  {
+    ReleaseWorker(state, kFirst, At(60s));
+    Tell(state, start, TaskState::Evicted, "late");
+    REQUIRE(NextTasks(state, At(61s), 10, OnWorker("w2")).at(0).mCheckpoint == "late");
+  }
+
+  SECTION("a reply that the agent made earlier does not make a running task look gone")
+  {
+    ApplyInventory(state, Reply(2, 1, { Report(start, TaskState::Running) }), At(1s));
+    ApplyInventory(state, Reply(1, 1, {}), At(2s));
+    REQUIRE(NextTasks(state, At(2s), 10, OnWorker("w2")).empty());
+  }
+
+  SECTION("a reply of an earlier incarnation is dropped whatever its number")
+  {
+    ApplyInventory(state, Reply(1, 1, { Report(start, TaskState::Running) }), At(1s));
+    ApplyInventory(state, Reply(1, 2, {}), At(2s));
+    REQUIRE(IsStale(state, Reply(9, 1, { Report(start, TaskState::Running) })));
+    REQUIRE(ShowJob(state, job)->mWaiting == 1);
+  }
+
+  SECTION("no start is sent to a silent worker, because it could arrive after the release")
+  {
+    REQUIRE(PendingCommands(state, kFirst).mStarts.size() == 1);
+    MarkSilent(state, kFirst, At(1s));
+    REQUIRE(PendingCommands(state, kFirst).mStarts.empty());
+    ApplyInventory(state, Reply(1, 1, {}), At(2s));
+    REQUIRE(PendingCommands(state, kFirst).mStarts.size() == 1);
+  }
+
+  SECTION("the room of a start that is stopped before it was confirmed stays reserved")
+  {
+    std::vector<TaskAction> actions;
+    CancelJob(state, job, At(1s), actions);
+    REQUIRE(PendingCommands(state, kFirst).mStarts.empty());
+    REQUIRE(UnconfirmedStarts(state, kFirst).size() == 1);
+  }
+
+  SECTION("after a takeover one worker's report of an end starts nothing while others are silent")
+  {
+    std::vector<TaskAction> actions;
+    auto rebuilt = Rebuild(Cell(2), store, {}, At(10s), actions);
+    ApplyInventory(*rebuilt, Reply(1, 1, { Report(start, TaskState::Refused) }), At(11s));
+    REQUIRE(NextTasks(*rebuilt, At(11s), 10, OnWorker("w2")).empty());
+    ReleaseHeld(*rebuilt, true, At(12s));
+    REQUIRE(NextTasks(*rebuilt, At(12s), 10, OnWorker("w2")).at(0).mAttempt == Common::Attempt(2));
+  }
+
+  SECTION("a snapshot after a takeover keeps the attempt and the checkpoint of an uncertain task")
+  {
+    Tell(state, start, TaskState::Running, "c1");
+    store.push_back(EncodeSegment(TakeProgressBatch(state, 10)->mSegment));
+    std::vector<TaskAction> actions;
+    const auto second = Rebuild(Cell(2), store, {}, At(10s), actions);
+    std::vector<std::string> values;
+    for (const Segment& segment : TakeSnapshot(*second, 1000)) {
+      values.push_back(EncodeSegment(segment));
+    }
+    auto third = Rebuild(Cell(3), values, {}, At(20s), actions);
+    ReleaseHeld(*third, true, At(21s));
+    const TaskStart again = NextTasks(*third, At(21s), 10, OnWorker("w2")).at(0);
+    REQUIRE(again.mAttempt == Common::Attempt(2));
+    REQUIRE(again.mCheckpoint == "c1");
+  }
+
+  SECTION("of two checkpoints of one attempt in a segment the later one counts")
+  {
+    Tell(state, start, TaskState::Running, "c1");
+    Tell(state, start, TaskState::Evicted, "c2");
+    store.push_back(EncodeSegment(TakeProgressBatch(state, 10)->mSegment));
+    std::vector<TaskAction> actions;
+    auto rebuilt = Rebuild(Cell(2), store, {}, At(10s), actions);
+    ReleaseHeld(*rebuilt, true, At(11s));
+    REQUIRE(NextTasks(*rebuilt, At(11s), 10, OnWorker("w2")).at(0).mCheckpoint == "c2");
+  }
+
+  SECTION("a submission that reaches the store after a takeover does not double the job of its key")
+  {
+    std::vector<std::string> later = store;
+    JobsState second = Cell(2);
+    const Common::JobId accepted = Accept(second, Spec(1, "k"), &later);
+    std::vector<TaskAction> actions;
+    const auto third = Rebuild(Cell(3), later, {}, At(20s), actions);
+    REQUIRE(ShowJob(*third, accepted));
+    REQUIRE_FALSE(ShowJob(*third, job));
+  }
+
+  SECTION("two takeovers with silent workers never give an attempt number twice")
+  {
+    std::vector<TaskAction> actions;
+    auto second = Rebuild(Cell(2), store, {}, At(10s), actions);
+    ReleaseHeld(*second, false, At(60s));
+    const auto attempt = NextTasks(*second, At(60s), 10, OnWorker("w2")).at(0).mAttempt;
+    auto third = Rebuild(Cell(3), store, {}, At(70s), actions);
+    ReleaseHeld(*third, false, At(120s));
+    REQUIRE(NextTasks(*third, At(120s), 10, OnWorker("w3")).at(0).mAttempt > attempt);
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Jobs/PolicyTests.cpp
@@ -0,0 +1,206 @@
+#include "UnitTests/Jobs/Fixture.h"
+
+using namespace std::chrono_literals;
+using namespace Fixture;
+
+namespace {
+
+const Common::Resources kQuota{ Common::MilliCores(4000), Common::Bytes(1 << 30), {} };
+
+JobSpec
+Of(const std::string& aTeam,
+   std::uint32_t aTasks,
+   Tables::Urgency aUrgency = Tables::Urgency::Patient)
+{
+  JobSpec spec = Spec(aTasks);
+  spec.mTeam = Common::TeamId(aTeam);
+  spec.mUrgency = aUrgency;
+  return spec;
+}
+
+JobsState
+TwoTeams()
+{
+  JobsState state = MakeState(Common::CellId("dc-1"), Common::Epoch(1));
+  SetTeams(state,
+           { { Common::TeamId("a"), 1, kQuota, true }, { Common::TeamId("b"), 1, kQuota, false } });
+  SetShapes(state,
+            { { { "render" }, { Common::MilliCores(4000), Common::Bytes(1 << 30), {} }, 2 } });
+  return state;
+}
+
+TaskReport
+Ended(const TaskStart& aStart, TaskState aHow)
+{
+  TaskReport report = Report(aStart, aHow);
+  report.mRan = 10s;
+  report.mCoreMicros = 2'000'000;
+  report.mPeakMemory = Common::Bytes(1 << 18);
+  return report;
+}
+
+} // namespace
+
+TEST_CASE("Quotas and scores decide which tasks start", "[Jobs]")
+{
+  JobsState state = TwoTeams();
+
+  SECTION("idle quota is borrowed, and evictions give it back to its owner")
+  {
+    Accept(state, Of("a", 20));
+    const auto borrowed = NextTasks(state, At(1s), 100, OnWorker("w1"));
+    REQUIRE(borrowed.size() == 8);
+    for (const TaskStart& start : borrowed) {
+      Tell(state, start, TaskState::Running);
+    }
+    Accept(state, Of("b", 2));
+    const Placer full = [](const TaskNeed&) { return std::optional<Common::WorkerId>(); };
+    REQUIRE(NextTasks(state, At(2s), 100, full).empty());
+    const auto evicted = ReclaimQuota(state, At(2s), 10);
+    REQUIRE(evicted.size() == 1);
+    REQUIRE(ReclaimQuota(state, At(2s), 10).empty());
+  }
+
+  SECTION("a team that may not borrow stays within its quota")
+  {
+    Accept(state, Of("b", 20));
+    REQUIRE(NextTasks(state, At(1s), 100, OnWorker("w1")).size() == 4);
+  }
+
+  SECTION("urgent work goes first, but age outweighs any gain within a day")
+  {
+    const Common::UnixMillis now(1'700'000'000s);
+    const auto order = [&](Tables::Urgency aUrgency, Common::UnixMillis aAt) {
+      JobSpec spec = Of("a", 1, aUrgency);
+      spec.mPrice = Common::MicroPrice(aUrgency == Tables::Urgency::Patient ? 0 : 1'000'000'000);
+      const Common::JobId job = SubmitJob(state, spec, { Common::Timestamp(1h), aAt })->mJob;
+      return state.mJobs.at(ParseJobId(state.mCell, job.str())->value()).mOrder;
+    };
+    REQUIRE(order(Tables::Urgency::Interactive, now) < order(Tables::Urgency::Patient, now));
+    REQUIRE(order(Tables::Urgency::Patient, now - 24h) < order(Tables::Urgency::Interactive, now));
+  }
+
+  SECTION("a job without room does not hold up another, and is tried again")
+  {
+    JobSpec big = Of("a", 1, Tables::Urgency::Interactive);
+    big.mPerTask.mCores = Common::MilliCores(3000);
+    Accept(state, big);
+    Accept(state, Of("a", 1));
+    const Placer small = [](const TaskNeed& aNeed) {
+      return aNeed.mNeed.mCores.value() > 2000 ? std::nullopt
+                                               : std::optional(Common::WorkerId("w1"));
+    };
+    REQUIRE(NextTasks(state, At(1s), 10, small).size() == 1);
+    REQUIRE(NextTasks(state, At(5s), 10, OnWorker("w1")).size() == 1);
+  }
+}
+
+TEST_CASE("Jobs that can never run are named and moved aside", "[Jobs]")
+{
+  JobsState state = TwoTeams();
+  JobSpec spec = Of("a", 1);
+
+  SECTION("too big for any worker, until such a worker comes")
+  {
+    spec.mPerTask.mCores = Common::MilliCores(5000);
+    const Common::JobId job = Accept(state, spec);
+    REQUIRE(ShowJob(state, job)->mStatus == JobStatus::Aside);
+    REQUIRE_THAT(ShowJob(state, job)->mDetail, Catch::Contains("largest worker offers 4000"));
+    REQUIRE(NextTasks(state, At(1s), 10, OnWorker("w1")).empty());
+    SetShapes(state, { { {}, { Common::MilliCores(8000), Common::Bytes(1 << 30), {} }, 1 } });
+    REQUIRE(NextTasks(state, At(1s), 10, OnWorker("w1")).size() == 1);
+  }
+
+  SECTION("a label that no worker has")
+  {
+    spec.mLabels = { "foundry" };
+    REQUIRE_THAT(ShowJob(state, Accept(state, spec))->mDetail,
+                 Catch::Contains("label \"foundry\""));
+  }
+
+  SECTION("more than the quota of a team that may not borrow")
+  {
+    spec = Of("b", 1);
+    spec.mPerTask.mMemory = Common::Bytes(std::int64_t{ 1 } << 31);
+    REQUIRE_THAT(ShowJob(state, Accept(state, spec))->mDetail, Catch::Contains("whole quota"));
+  }
+}
+
+TEST_CASE("Failures are attributed to the worker or to the job", "[Jobs]")
+{
+  JobsState state = TwoTeams();
+  const auto run = [&](const Common::JobId&, const std::string& aWorker, TaskState aHow) {
+    std::vector<TaskAction> actions;
+    for (const TaskStart& start : NextTasks(state, At(1s), 1, OnWorker(aWorker))) {
+      ApplyReport(state, start.mWorker, Ended(start, TaskState::Running), At(1s), actions);
+      ApplyReport(state, start.mWorker, Ended(start, aHow), At(1s), actions);
+    }
+  };
+
+  SECTION("a worker on which different jobs fail is quarantined, probed, and freed by a success")
+  {
+    for (int i = 0; i < 3; ++i) {
+      Accept(state, Of("a", 1, i == 2 ? Tables::Urgency::Interactive : Tables::Urgency::Patient));
+    }
+    std::vector<TaskAction> actions;
+    const auto starts = NextTasks(state, At(1s), 3, OnWorker("bad"));
+    REQUIRE(starts.size() == 3);
+    for (const TaskStart& start : starts) {
+      ApplyReport(state, start.mWorker, Ended(start, TaskState::Failed), At(1s), actions);
+    }
+    REQUIRE(TakeHealthChanges(state, At(2s)).at(0).mHealth == WorkerHealth::Quarantined);
+    REQUIRE(TakeHealthChanges(state, At(30s)).empty());
+    REQUIRE(TakeHealthChanges(state, At(90s)).at(0).mHealth == WorkerHealth::Probing);
+    run({}, "bad", TaskState::Finished);
+    REQUIRE(TakeHealthChanges(state, At(91s)).at(0).mHealth == WorkerHealth::Good);
+  }
+
+  SECTION("a job that fails on three workers on which others finish is failed with the reason")
+  {
+    const Common::JobId good = Accept(state, Of("a", 3));
+    for (const char* worker : { "w1", "w2", "w3" }) {
+      run(good, worker, TaskState::Finished);
+    }
+    const Common::JobId bad = Accept(state, Of("a", 9));
+    for (const char* worker : { "w1", "w2", "w3" }) {
+      run(bad, worker, TaskState::Failed);
+    }
+    REQUIRE(ShowJob(state, bad)->mStatus == JobStatus::Failed);
+    REQUIRE_THAT(ShowJob(state, bad)->mDetail, Catch::Contains("3 workers"));
+    REQUIRE(TakeHealthChanges(state, At(2s)).empty());
+  }
+}
+
+TEST_CASE("Declared sizes are corrected by use", "[Jobs]")
+{
+  SizeModel model;
+  const Common::RouteId route("render");
+  const Common::ClientId client("c");
+  const DeclaredSize declared{ { Common::MilliCores(4000), Common::Bytes(1 << 30), {} }, 60s };
+  const auto use = [&](std::int64_t aMilliCores, std::int64_t aMemory, int aTimes) {
+    for (int i = 0; i < aTimes; ++i) {
+      RecordUse(
+        model, route, client, declared, { aMilliCores * 30'000, Common::Bytes(aMemory), 30s });
+    }
+  };
+
+  SECTION("little use lowers the size only after enough samples")
+  {
+    use(1000, 1 << 28, 7);
+    REQUIRE(CorrectSize(model, route, client, declared).mAmounts.mCores ==
+            declared.mAmounts.mCores);
+    use(1000, 1 << 28, 60);
+    const DeclaredSize size = CorrectSize(model, route, client, declared);
+    REQUIRE(size.mAmounts.mCores < Common::MilliCores(1600));
+    REQUIRE(size.mAmounts.mCores >= Common::MilliCores(1000));
+    REQUIRE(size.mAmounts.mMemory >= Common::Bytes(1 << 28));
+    REQUIRE(size.mRunTime < 45s);
+  }
+
+  SECTION("use above the declaration raises the size at once")
+  {
+    use(4000, std::int64_t{ 1 } << 31, 1);
+    REQUIRE(CorrectSize(model, route, client, declared).mAmounts.mMemory >=
+            Common::Bytes(std::int64_t{ 1 } << 31));
+  }
+}
