Bound the tenure of an owner that lost its majority

Cause: an owner granted the full tenure of 30 s up to 10 s after the last acknowledgement of its majority. Change: the tenure is shortened by the age of the majority's acknowledgement, and a silent agent's tasks are released only with a majority of the last 2 s. Ruled out: a longer fence, which would make every takeover slower. The new test fails with the full tenure (grant at 9.5 s ends at 49.5 s of 45 s).

--- a/Source/Core/Daemon/OwnerMembers.cpp
+++ b/Source/Core/Daemon/OwnerMembers.cpp
@@ -161,11 +161,10 @@
   // Only agents of the roster may have tenure, since only they count for the majority.
   const bool inRoster =
     std::find(mTerm.mRoster.begin(), mTerm.mRoster.end(), aAgent.mEntry) != mTerm.mRoster.end();
-  const bool grant =
-    inRoster && !aAgent.mReleased && MayGrantTenure(mTerm, mRuntime.mSettings.mTimes, aNow);
+  const bool grant = inRoster && !aAgent.mReleased;
   request.echoMicros = aAgent.mEcho;
   request.knownUsageVersion = aAgent.mUsageVersion;
-  request.tenureMicros = grant ? mRuntime.mSettings.mTimes.mTenure.count() : 0;
+  request.tenureMicros = grant ? TenureToGrant(mTerm, mRuntime.mSettings.mTimes, aNow).count() : 0;
   request.wantInventory = aAgent.mWantFull;
   request.drain = aAgent.mDrain;
   request.relay = !mTerm.mRoster.empty() && [&] {
@@ -442,7 +441,8 @@
         silent.push_back(agent.mInfo.worker);
         touch(agent);
       }
-      const bool fenced = mDeclaredLost || FencePassed(mTerm, times, agent.mLastSent, now);
+      const bool fenced = mDeclaredLost || (MayRestart(mTerm, now) &&
+                                            FencePassed(mTerm, times, agent.mLastSent, now));
       if (agent.mSilent && !agent.mReleased && mayRelease && fenced) {
         agent.mReleased = true;
         released.push_back(agent.mInfo.worker);
--- a/Source/Core/Daemon/Term.cpp
+++ b/Source/Core/Daemon/Term.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/Term.h"
 
 #include <algorithm>
+#include <functional>
 
 #include <nlohmann/json.hpp>
 
@@ -10,6 +11,10 @@
 
 using Json = nlohmann::json;
 
+// Must be clearly below the restart margin: a later owner needs a majority and the whole fence
+// first.
+constexpr Common::Duration kRestartWindow = std::chrono::seconds(2);
+
 std::size_t
 CountSince(const Term& aTerm, const std::vector<RosterEntry>& aRoster, Common::Timestamp aSince)
 {
@@ -20,6 +25,26 @@
   return static_cast<std::size_t>(count);
 }
 
+/// The newest time such that a majority of the roster acknowledged heartbeats sent since; aNow for
+/// an empty roster. The roster must have a majority of acknowledgements.
+Common::Timestamp
+MajoritySent(const Term& aTerm, const std::vector<RosterEntry>& aRoster, Common::Timestamp aNow)
+{
+  std::vector<Common::Timestamp> times;
+  for (const RosterEntry& entry : aRoster) {
+    const auto found = aTerm.mAcknowledged.find({ entry.mInstance, entry.mIncarnation });
+    if (found != aTerm.mAcknowledged.end()) {
+      times.push_back(found->second);
+    }
+  }
+  if (times.empty()) {
+    return aNow;
+  }
+  const auto last = times.begin() + static_cast<std::ptrdiff_t>(aRoster.size() / 2);
+  std::nth_element(times.begin(), last, times.end(), std::greater<>());
+  return *last;
+}
+
 bool
 IsMajority(std::size_t aCount, std::size_t aOf)
 {
@@ -113,6 +138,25 @@
   return HasMajority(aTerm, aNow - aTimes.mTenureMajority);
 }
 
+Common::Duration
+TenureToGrant(const Term& aTerm, const Config::TimeSettings& aTimes, Common::Timestamp aNow)
+{
+  if (!MayGrantTenure(aTerm, aTimes, aNow)) {
+    return {};
+  }
+  Common::Timestamp sent = MajoritySent(aTerm, aTerm.mRoster, aNow);
+  if (aTerm.mProposed) {
+    sent = std::min(sent, MajoritySent(aTerm, *aTerm.mProposed, aNow));
+  }
+  return std::max(Common::Duration(), aTimes.mTenure - (aNow - sent));
+}
+
+bool
+MayRestart(const Term& aTerm, Common::Timestamp aNow)
+{
+  return HasMajority(aTerm, aNow - kRestartWindow);
+}
+
 bool
 MayAnswerClaims(Term& aTerm,
                 const Config::TimeSettings& aTimes,
--- a/Source/Core/Daemon/Term.h
+++ b/Source/Core/Daemon/Term.h
@@ -76,6 +76,18 @@
 bool
 MayGrantTenure(const Term& aTerm, const Config::TimeSettings& aTimes, Common::Timestamp aNow);
 
+/// Tenure that a heartbeat sent now may grant; 0 without a majority. It is shortened by the age of
+/// the majority's acknowledgement, so whatever an owner grants ends at most mTenure after the
+/// majority left it. With the full time, a cut off owner could keep a task alive after its
+/// successor started it again.
+Common::Duration
+TenureToGrant(const Term& aTerm, const Config::TimeSettings& aTimes, Common::Timestamp aNow);
+
+/// True if a majority acknowledged heartbeats of the last two seconds, so that no later owner can
+/// have waited out the fence and started the tasks of a silent agent elsewhere.
+bool
+MayRestart(const Term& aTerm, Common::Timestamp aNow);
+
 /// Key claims may be answered. Sets the takeover time when that becomes true for the first time.
 bool
 MayAnswerClaims(Term& aTerm,
--- a/Source/UnitTests/Daemon/TermTests.cpp
+++ b/Source/UnitTests/Daemon/TermTests.cpp
@@ -114,3 +114,33 @@
     REQUIRE(term.mTakeoverUnix == first);
   }
 }
+
+TEST_CASE("An owner that lost its majority cannot outlast its successor's fence", "[Daemon]")
+{
+  // With the full tenure up to 10 s after the last acknowledgement, an agent that heard only the
+  // old owner renewed its tasks until 40 s after the majority left, and its platform leases ended
+  // 50 s after it; the successor started the tasks again after 45 s.
+  const Config::TimeSettings times;
+  const Common::Timestamp left = Common::ManualClock().now();
+  Daemon::Term old = Daemon::MakeTerm(RecordOf(3, 1), 1, left);
+  Daemon::NoteAcknowledged(old, "a0", 7, left, left);
+  Daemon::NoteAcknowledged(old, "a1", 7, left - 1s, left);
+  Daemon::NoteAcknowledged(old, "a2", 7, left + 8s, left + 8s);
+
+  SECTION("whatever it grants ends in time")
+  {
+    for (auto now = left; now < left + 20s; now += 500ms) {
+      const Common::Duration tenure = Daemon::TenureToGrant(old, times, now);
+      const bool granted = tenure > Common::Duration();
+      REQUIRE((!granted || now + tenure + times.mPlatformLease <
+                             left + times.mTenure + times.mPlatformLease + times.mRestartMargin));
+    }
+    REQUIRE(Daemon::TenureToGrant(old, times, left) >= times.mTenure - 1s);
+  }
+
+  SECTION("and it restarts nothing itself once its majority is older than two seconds")
+  {
+    REQUIRE(Daemon::MayRestart(old, left + 1s));
+    REQUIRE_FALSE(Daemon::MayRestart(old, left + 3s));
+  }
+}
