Bound the demo's wait for all jobs together

Each job had a bound of its own, so a cell that cannot go on (a trial killed the owner of a cell with two agents, of which no majority was left) kept the demo waiting for more than three minutes. One bound for all keeps it under two.

--- a/Source/Demo/Traffic.cpp
+++ b/Source/Demo/Traffic.cpp
@@ -19,7 +19,8 @@
 constexpr auto kRequestTimeout = 5s;
 // A caller repeats a request for this long before it counts as lost.
 constexpr auto kPatience = 20s;
-constexpr auto kJobPatience = 60s;
+// Time for all jobs together after the last was accepted.
+constexpr auto kJobPatience = 50s;
 
 struct Shared
 {
@@ -151,9 +152,9 @@
   for (int i = 0; i < aShared.mOptions.mJobs; ++i) {
     jobs.push_back(SubmitJob(aShared, "demo-job-" + std::to_string(i)));
   }
+  const Common::Timestamp end = aShared.mClock.now() + kJobPatience;
   for (const std::string& job : jobs) {
     std::string state;
-    const Common::Timestamp end = aShared.mClock.now() + kJobPatience;
     while (!job.empty() && state != "finished" && aShared.mClock.now() < end) {
       state = StateOfJob(aShared, job);
       std::this_thread::sleep_for(200ms);
