Order heartbeat replies and connect worker health to placement

Cause: the owner numbered replies by its own heartbeats, so a reply that arrived late could look newer than one that the agent had sent after it, and a running task could look gone. Commands did not name the agent incarnation that they are for. Two heartbeats could be handled at once, so that commands of an earlier owner could be applied after a later owner's heartbeat was answered. Quarantine decisions had no effect. Change: an agent handles one heartbeat at a time, numbers its replies and ignores commands for another incarnation; stale replies are dropped whole; the planner closes, probes and opens workers as TakeHealthChanges says; room for unconfirmed starts is taken off what the agent reports as free. Not covered by a test of its own yet.

--- a/Source/Core/Daemon/AgentNode.cpp
+++ b/Source/Core/Daemon/AgentNode.cpp
@@ -139,12 +139,18 @@
       mTasks.evictAll();
     }
   }
-  mTasks.apply(aRequest.actions);
+  // Commands to an earlier incarnation are void; the owner learns the present one from the reply.
+  if (aRequest.targetIncarnation == info().incarnation) {
+    mTasks.apply(aRequest.actions);
+  }
 }
 
 Wire::HeartbeatReply
 AgentNode::heartbeat(const Wire::HeartbeatRequest& aRequest)
 {
+  // One heartbeat at a time: a thread that had passed the epoch check must not apply commands of an
+  // owner after a later owner's heartbeat was answered.
+  const std::lock_guard<std::mutex> heartbeat(mHeartbeatMutex);
   Wire::HeartbeatReply reply;
   reply.info = info();
   {
@@ -174,6 +180,7 @@
     reply.usage = ToWire(use.mTotals);
     reply.usageVersion = static_cast<std::int64_t>(use.mVersion);
   }
+  reply.replySequence = ++mReplySequence;
   reply.agentClockMicros = mRuntime.mClock.now().time_since_epoch().count();
   ++mHeartbeats;
   return reply;
--- a/Source/Core/Daemon/AgentNode.h
+++ b/Source/Core/Daemon/AgentNode.h
@@ -48,6 +48,8 @@
   CellOwner& mOwner;
   AgentRequests mRequests;
   AgentTasks mTasks;
+  std::mutex mHeartbeatMutex;
+  std::int64_t mReplySequence = 0;
   std::mutex mMutex;
   std::int64_t mHighestEpoch = 0;
   Common::Timestamp mOwnerHeard;
--- a/Source/Core/Daemon/OwnerJobs.cpp
+++ b/Source/Core/Daemon/OwnerJobs.cpp
@@ -4,6 +4,7 @@
 
 #include "Common/Hash.h"
 #include "Daemon/Convert.h"
+#include "Jobs/Health.h"
 #include "Jobs/Records.h"
 #include "Observability/Log.h"
 #include "Tables/Fleet.h"
@@ -312,12 +313,16 @@
   inventory.mWorker = Common::WorkerId(aNews.mInfo.worker);
   inventory.mSequence = aNews.mSequence;
   inventory.mFull = aNews.mFull;
+  inventory.mIncarnation = Common::Incarnation(aNews.mInfo.incarnation);
   for (const Wire::TaskReport& report : aNews.mTasks) {
     inventory.mReports.push_back(FromWire(report));
   }
   bool ended = false;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
+    if (Jobs::IsStale(mState, inventory)) {
+      return;
+    }
     refreshTables();
     const bool isNew = !mWorkers.contains(aNews.mInfo.worker);
     mWorkers[aNews.mInfo.worker] = aNews;
@@ -342,6 +347,13 @@
   worker.mDataCentre = Common::DataCentreId(aNews.mInfo.dataCentre);
   worker.mLabels = aNews.mInfo.labels;
   const Common::Resources charged = Jobs::ChargedOn(mState, worker.mWorker);
+  const Common::Resources unseen = Jobs::UnconfirmedOn(mState, worker.mWorker);
+  const auto health = mHealthGates.find(aNews.mInfo.worker);
+  auto gate = health == mHealthGates.end() ? Placement::Gate::Open : health->second;
+  if (gate == Placement::Gate::Probe && charged != Common::Resources{}) {
+    // The outcome of one task decides, so a probed worker gets the next only when it is idle.
+    gate = Placement::Gate::Closed;
+  }
   for (const Tables::Pool& pool : mTables->mTables.mPools) {
     if (!Tables::BelongsToPool(worker, pool)) {
       continue;
@@ -354,11 +366,11 @@
                                                                   worker.mDataCentre,
                                                                   worker.mLabels,
                                                                   part });
-    // What the state charges counts as used, so that starts that are under way are not forgotten.
-    const Common::Resources free = Least(aNews.mFree, Least(part, aNews.mTotal) - charged);
+    // The agent does not count starts that it has not confirmed, and it alone knows what requests
+    // use.
+    const Common::Resources free = Least(aNews.mFree - unseen, Least(part, aNews.mTotal) - charged);
     Placement::ReportFree(index, number, free, {});
-    Placement::SetGate(
-      index, number, aNews.mTakesTasks ? Placement::Gate::Open : Placement::Gate::Closed);
+    Placement::SetGate(index, number, aNews.mTakesTasks ? gate : Placement::Gate::Closed);
   }
 }
 
@@ -418,6 +430,30 @@
   }
 }
 
+void
+OwnerJobs::applyHealth()
+{
+  for (const Jobs::HealthChange& change : Jobs::TakeHealthChanges(mState, now())) {
+    const std::string& worker = change.mWorker.str();
+    const bool quarantined = change.mHealth == Jobs::WorkerHealth::Quarantined;
+    const bool probing = change.mHealth == Jobs::WorkerHealth::Probing;
+    if (change.mHealth == Jobs::WorkerHealth::Good) {
+      mHealthGates.erase(worker);
+    } else {
+      mHealthGates[worker] = quarantined ? Placement::Gate::Closed : Placement::Gate::Probe;
+    }
+    Observability::Log(quarantined ? Observability::Level::Warning : Observability::Level::Info,
+                       "owner",
+                       quarantined ? "a worker is quarantined"
+                                   : (probing ? "a worker is probed" : "a worker is good again"),
+                       { { "worker", worker } });
+    const auto news = mWorkers.find(worker);
+    if (news != mWorkers.end()) {
+      placeWorker(news->second);
+    }
+  }
+}
+
 Common::Duration
 OwnerJobs::plan()
 {
@@ -434,6 +470,7 @@
     if (shapes.size() != mState.mShapes.size()) {
       Jobs::SetShapes(mState, std::move(shapes));
     }
+    applyHealth();
     const auto starts = Jobs::NextTasks(
       mState, now(), kStartsPerPlan, [this](const Jobs::TaskNeed& aNeed) { return place(aNeed); });
     for (const Jobs::TaskStart& start : starts) {
--- a/Source/Core/Daemon/OwnerJobs.h
+++ b/Source/Core/Daemon/OwnerJobs.h
@@ -81,6 +81,8 @@
   void compact();
   void refreshTables();
   void placeWorker(const WorkerNews& aNews);
+  /// Closes, probes and opens workers as their failures say.
+  void applyHealth();
   std::optional<Common::WorkerId> place(const Jobs::TaskNeed& aNeed);
   void queueActions(const std::vector<Jobs::TaskAction>& aActions);
   tl::expected<Jobs::JobSpec, std::string> specOf(const Rpc::Generated::JobSpec& aJob) const;
@@ -98,6 +100,8 @@
   /// One index of workers for each pool, since a pool may use a part of a worker only.
   std::map<Common::PoolId, Placement::Index> mPools;
   std::map<std::string, WorkerNews> mWorkers;
+  /// Workers that are quarantined or probed.
+  std::map<std::string, Placement::Gate> mHealthGates;
   std::map<std::string, std::vector<Jobs::TaskAction>> mOutbox;
   /// Submissions whose job is not durable yet.
   std::map<Common::JobId, std::shared_ptr<Waiting>> mWaiting;
--- a/Source/Core/Daemon/OwnerMembers.cpp
+++ b/Source/Core/Daemon/OwnerMembers.cpp
@@ -163,6 +163,7 @@
     std::find(mTerm.mRoster.begin(), mTerm.mRoster.end(), aAgent.mEntry) != mTerm.mRoster.end();
   const bool grant = inRoster && !aAgent.mReleased;
   request.echoMicros = aAgent.mEcho;
+  request.targetIncarnation = aAgent.mInfo.incarnation;
   request.knownUsageVersion = aAgent.mUsageVersion;
   request.tenureMicros = grant ? TenureToGrant(mTerm, mRuntime.mSettings.mTimes, aNow).count() : 0;
   request.wantInventory = aAgent.mWantFull;
@@ -193,7 +194,6 @@
   Wire::HeartbeatRequest request;
   std::string address;
   std::string worker;
-  std::uint64_t sequence = 0;
   const Common::Timestamp sent = mRuntime.mClock.now();
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -205,7 +205,6 @@
     request = requestFor(agent, sent);
     address = agent.mInfo.address;
     worker = agent.mInfo.worker;
-    sequence = ++agent.mSequence;
   }
   const auto message = mSpread.ownMessage();
   request.revision = message.revision;
@@ -214,7 +213,7 @@
   request.actions = mJobs->commandsFor(worker);
   auto reply = mRuntime.mControl.heartbeat(address, request, kHeartbeatTimeout);
   if (reply) {
-    applyReply(aInstance, sent, sequence, request, std::move(*reply));
+    applyReply(aInstance, sent, request, std::move(*reply));
   } else {
     noteLost(aInstance, reply.error().mMayHaveBeenDelivered, sent);
   }
@@ -240,7 +239,6 @@
 void
 OwnerMembers::applyReply(const std::string& aInstance,
                          Common::Timestamp aSent,
-                         std::uint64_t aSequence,
                          const Wire::HeartbeatRequest& aRequest,
                          Wire::HeartbeatReply aReply)
 {
@@ -278,7 +276,7 @@
       agent.mUsageVersion = aReply.usageVersion;
     }
     news.mInfo = aReply.info;
-    news.mSequence = aSequence;
+    news.mSequence = static_cast<std::uint64_t>(aReply.replySequence);
     news.mFull = aRequest.wantInventory && aReply.fullInventory;
     // Without tenure the agent refuses starts.
     const bool tenure = aRequest.tenureMicros > 0 && aRequest.echoMicros > 0;
--- a/Source/Core/Daemon/OwnerMembers.h
+++ b/Source/Core/Daemon/OwnerMembers.h
@@ -74,7 +74,6 @@
     Common::Timestamp mHeard;
     /// Last heartbeat that may have reached it.
     std::optional<Common::Timestamp> mLastSent;
-    std::uint64_t mSequence = 0;
     std::int64_t mEcho = 0;
     std::int64_t mUsageVersion = 0;
     bool mHeardInTerm = false;
@@ -93,7 +92,6 @@
   Rpc::Generated::HeartbeatRequest requestFor(Agent& aAgent, Common::Timestamp aNow);
   void applyReply(const std::string& aInstance,
                   Common::Timestamp aSent,
-                  std::uint64_t aSequence,
                   const Rpc::Generated::HeartbeatRequest& aRequest,
                   Rpc::Generated::HeartbeatReply aReply);
   void noteLost(const std::string& aInstance, bool aMayHaveBeenDelivered, Common::Timestamp aSent);
--- a/Source/Core/Jobs/Jobs.h
+++ b/Source/Core/Jobs/Jobs.h
@@ -173,6 +173,10 @@
 Common::Resources
 ChargedOn(const JobsState& aState, const Common::WorkerId& aWorker);
 
+/// The part of it that no report has confirmed.
+Common::Resources
+UnconfirmedOn(const JobsState& aState, const Common::WorkerId& aWorker);
+
 struct RebuildError
 {
   /// Which of the values given is damaged.
--- a/Source/Core/Jobs/Start.cpp
+++ b/Source/Core/Jobs/Start.cpp
@@ -262,4 +262,21 @@
   return found == aState.mWorkerIndex.end() ? Resources{} : aState.mWorkers[found->second].mCharged;
 }
 
+Common::Resources
+UnconfirmedOn(const JobsState& aState, const Common::WorkerId& aWorker)
+{
+  Common::Resources sum;
+  const auto found = aState.mWorkerIndex.find(aWorker);
+  if (found == aState.mWorkerIndex.end()) {
+    return sum;
+  }
+  for (const std::uint32_t slot : aState.mWorkers[found->second].mTasks) {
+    const LiveTask& task = aState.mTasks[slot];
+    if (!task.mSeen) {
+      sum = sum + task.mNeed;
+    }
+  }
+  return sum;
+}
+
 } // namespace Jobs
--- a/Source/Core/Rpc/Generated/Ibisshed_types.cpp
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.cpp
@@ -5008,6 +5008,10 @@
 void HeartbeatRequest::__set_knownUsageVersion(const int64_t val) {
   this->knownUsageVersion = val;
 }
+
+void HeartbeatRequest::__set_targetIncarnation(const int64_t val) {
+  this->targetIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj)
 {
   obj.printTo(out);
@@ -5204,6 +5208,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetIncarnation);
+          this->__isset.targetIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5313,6 +5325,10 @@
   xfer += oprot->writeI64(this->knownUsageVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetIncarnation", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->targetIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5335,6 +5351,7 @@
   swap(a.drain, b.drain);
   swap(a.echoMicros, b.echoMicros);
   swap(a.knownUsageVersion, b.knownUsageVersion);
+  swap(a.targetIncarnation, b.targetIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -5354,6 +5371,7 @@
   drain = other129.drain;
   echoMicros = other129.echoMicros;
   knownUsageVersion = other129.knownUsageVersion;
+  targetIncarnation = other129.targetIncarnation;
   __isset = other129.__isset;
 }
 HeartbeatRequest::HeartbeatRequest(HeartbeatRequest&& other130) noexcept {
@@ -5372,6 +5390,7 @@
   drain = other130.drain;
   echoMicros = other130.echoMicros;
   knownUsageVersion = other130.knownUsageVersion;
+  targetIncarnation = other130.targetIncarnation;
   __isset = other130.__isset;
 }
 HeartbeatRequest& HeartbeatRequest::operator=(const HeartbeatRequest& other131) {
@@ -5390,6 +5409,7 @@
   drain = other131.drain;
   echoMicros = other131.echoMicros;
   knownUsageVersion = other131.knownUsageVersion;
+  targetIncarnation = other131.targetIncarnation;
   __isset = other131.__isset;
   return *this;
 }
@@ -5409,6 +5429,7 @@
   drain = other132.drain;
   echoMicros = other132.echoMicros;
   knownUsageVersion = other132.knownUsageVersion;
+  targetIncarnation = other132.targetIncarnation;
   __isset = other132.__isset;
   return *this;
 }
@@ -5430,6 +5451,7 @@
   out << ", " << "drain=" << to_string(drain);
   out << ", " << "echoMicros=" << to_string(echoMicros);
   out << ", " << "knownUsageVersion=" << to_string(knownUsageVersion);
+  out << ", " << "targetIncarnation=" << to_string(targetIncarnation);
   out << ")";
 }
 
@@ -5493,6 +5515,10 @@
 void HeartbeatReply::__set_agentClockMicros(const int64_t val) {
   this->agentClockMicros = val;
 }
+
+void HeartbeatReply::__set_replySequence(const int64_t val) {
+  this->replySequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -5669,6 +5695,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replySequence);
+          this->__isset.replySequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5766,6 +5800,10 @@
   xfer += oprot->writeI64(this->agentClockMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("replySequence", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->replySequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5787,6 +5825,7 @@
   swap(a.fullInventory, b.fullInventory);
   swap(a.usageVersion, b.usageVersion);
   swap(a.agentClockMicros, b.agentClockMicros);
+  swap(a.replySequence, b.replySequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -5805,6 +5844,7 @@
   fullInventory = other151.fullInventory;
   usageVersion = other151.usageVersion;
   agentClockMicros = other151.agentClockMicros;
+  replySequence = other151.replySequence;
   __isset = other151.__isset;
 }
 HeartbeatReply::HeartbeatReply(HeartbeatReply&& other152) noexcept {
@@ -5822,6 +5862,7 @@
   fullInventory = other152.fullInventory;
   usageVersion = other152.usageVersion;
   agentClockMicros = other152.agentClockMicros;
+  replySequence = other152.replySequence;
   __isset = other152.__isset;
 }
 HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other153) {
@@ -5839,6 +5880,7 @@
   fullInventory = other153.fullInventory;
   usageVersion = other153.usageVersion;
   agentClockMicros = other153.agentClockMicros;
+  replySequence = other153.replySequence;
   __isset = other153.__isset;
   return *this;
 }
@@ -5857,6 +5899,7 @@
   fullInventory = other154.fullInventory;
   usageVersion = other154.usageVersion;
   agentClockMicros = other154.agentClockMicros;
+  replySequence = other154.replySequence;
   __isset = other154.__isset;
   return *this;
 }
@@ -5877,6 +5920,7 @@
   out << ", " << "fullInventory=" << to_string(fullInventory);
   out << ", " << "usageVersion=" << to_string(usageVersion);
   out << ", " << "agentClockMicros=" << to_string(agentClockMicros);
+  out << ", " << "replySequence=" << to_string(replySequence);
   out << ")";
 }
 
--- a/Source/Core/Rpc/Generated/Ibisshed_types.h
+++ b/Source/Core/Rpc/Generated/Ibisshed_types.h
@@ -1930,7 +1930,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerView& obj);
 
 typedef struct _HeartbeatRequest__isset {
-  _HeartbeatRequest__isset() : cell(false), epoch(false), tenureMicros(false), revision(false), revisionHash(false), actions(false), durableTasks(false), ownerAddress(false), wantInventory(false), peers(false), relay(false), cells(false), drain(false), echoMicros(false), knownUsageVersion(false) {}
+  _HeartbeatRequest__isset() : cell(false), epoch(false), tenureMicros(false), revision(false), revisionHash(false), actions(false), durableTasks(false), ownerAddress(false), wantInventory(false), peers(false), relay(false), cells(false), drain(false), echoMicros(false), knownUsageVersion(false), targetIncarnation(false) {}
   bool cell :1;
   bool epoch :1;
   bool tenureMicros :1;
@@ -1946,6 +1946,7 @@
   bool drain :1;
   bool echoMicros :1;
   bool knownUsageVersion :1;
+  bool targetIncarnation :1;
 } _HeartbeatRequest__isset;
 
 class HeartbeatRequest : public virtual ::apache::thrift::TBase {
@@ -1966,7 +1967,8 @@
                      relay(0),
                      drain(0),
                      echoMicros(0),
-                     knownUsageVersion(0) {
+                     knownUsageVersion(0),
+                     targetIncarnation(0) {
   }
 
   virtual ~HeartbeatRequest() noexcept;
@@ -1985,6 +1987,7 @@
   bool drain;
   int64_t echoMicros;
   int64_t knownUsageVersion;
+  int64_t targetIncarnation;
 
   _HeartbeatRequest__isset __isset;
 
@@ -2018,6 +2021,8 @@
 
   void __set_knownUsageVersion(const int64_t val);
 
+  void __set_targetIncarnation(const int64_t val);
+
   bool operator == (const HeartbeatRequest & rhs) const
   {
     if (!(cell == rhs.cell))
@@ -2050,6 +2055,8 @@
       return false;
     if (!(knownUsageVersion == rhs.knownUsageVersion))
       return false;
+    if (!(targetIncarnation == rhs.targetIncarnation))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatRequest &rhs) const {
@@ -2069,7 +2076,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : accepted(false), highestEpoch(false), info(false), free(false), total(false), tasks(false), endpoints(false), load(false), revision(false), usage(false), leaving(false), fullInventory(false), usageVersion(false), agentClockMicros(false) {}
+  _HeartbeatReply__isset() : accepted(false), highestEpoch(false), info(false), free(false), total(false), tasks(false), endpoints(false), load(false), revision(false), usage(false), leaving(false), fullInventory(false), usageVersion(false), agentClockMicros(false), replySequence(false) {}
   bool accepted :1;
   bool highestEpoch :1;
   bool info :1;
@@ -2084,6 +2091,7 @@
   bool fullInventory :1;
   bool usageVersion :1;
   bool agentClockMicros :1;
+  bool replySequence :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -2100,7 +2108,8 @@
                    leaving(0),
                    fullInventory(0),
                    usageVersion(0),
-                   agentClockMicros(0) {
+                   agentClockMicros(0),
+                   replySequence(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -2118,6 +2127,7 @@
   bool fullInventory;
   int64_t usageVersion;
   int64_t agentClockMicros;
+  int64_t replySequence;
 
   _HeartbeatReply__isset __isset;
 
@@ -2149,6 +2159,8 @@
 
   void __set_agentClockMicros(const int64_t val);
 
+  void __set_replySequence(const int64_t val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(accepted == rhs.accepted))
@@ -2179,6 +2191,8 @@
       return false;
     if (!(agentClockMicros == rhs.agentClockMicros))
       return false;
+    if (!(replySequence == rhs.replySequence))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
--- a/Source/Core/Rpc/Ibisshed.thrift
+++ b/Source/Core/Rpc/Ibisshed.thrift
@@ -275,6 +275,8 @@
   // which is delivered late, as after a pause, grants no more than one in time.
   14: i64 echoMicros,
   15: i64 knownUsageVersion,
+  // The agent incarnation that the actions are meant for; another one ignores them.
+  16: i64 targetIncarnation,
 }
 
 struct HeartbeatReply {
@@ -295,6 +297,8 @@
   13: i64 usageVersion,
   // The agent's own clock when it replied; only the agent itself can read it.
   14: i64 agentClockMicros,
+  // Rises with each reply of one incarnation, so that the owner can drop replies that arrive late.
+  15: i64 replySequence,
 }
 
 struct JoinRequest {
