Measure the control bytes of a node and bring them under the target

Cause: the spread benchmark assumed 200 bytes a digest. Serialized messages (ibisbench control) showed that digests and heartbeats named all cells that the process knew: with 38 cells in a region a heartbeat grew by 3 KB, and 5.4 digests a second made about 17 KB/s, against a target of 6 KB/s a node. Change: a digest names one cell and a heartbeat four, changed ones first; a starting process still gets all.

--- a/Source/Core/Daemon/OwnerMembers.cpp
+++ b/Source/Core/Daemon/OwnerMembers.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kHeartbeatThreads = 16;
 constexpr std::size_t kPeersPerHeartbeat = 3;
+constexpr std::size_t kCellsPerHeartbeat = 4;
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 900 };
 
 /// True if entries should hear of the change.
@@ -209,7 +210,7 @@
   const auto message = mSpread.ownMessage();
   request.revision = message.revision;
   request.revisionHash = message.revisionHash;
-  request.cells = message.cells;
+  request.cells = mCells.news(kCellsPerHeartbeat, mRuntime.random());
   request.actions = mJobs->commandsFor(worker);
   auto reply = mRuntime.mControl.heartbeat(address, request, kHeartbeatTimeout);
   if (reply) {
--- a/Source/Core/Daemon/Peers.cpp
+++ b/Source/Core/Daemon/Peers.cpp
@@ -8,6 +8,10 @@
 
 constexpr std::size_t kMaxPeers = 256;
 
+// Messages that name a changed cell. Each of its hearers does the same, so a change reaches all
+// processes like an epidemic; the random cells in other messages reach those that it misses.
+constexpr std::uint32_t kTellings = 24;
+
 } // namespace
 
 void
@@ -90,9 +94,9 @@
     return;
   }
   const std::lock_guard<std::mutex> lock(mMutex);
-  auto& known = mCells[aCell.cell];
-  if (aCell.epoch > known.epoch) {
-    known = aCell;
+  Known& known = mCells[aCell.cell];
+  if (aCell.epoch > known.mView.epoch) {
+    known = { aCell, kTellings };
   }
 }
 
@@ -101,7 +105,7 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   const auto found = mCells.find(aCell);
-  return found == mCells.end() ? std::nullopt : std::optional(found->second);
+  return found == mCells.end() ? std::nullopt : std::optional(found->second.mView);
 }
 
 std::vector<Rpc::Generated::CellView>
@@ -111,7 +115,29 @@
   std::vector<Rpc::Generated::CellView> cells;
   cells.reserve(mCells.size());
   for (const auto& [name, cell] : mCells) {
-    cells.push_back(cell);
+    cells.push_back(cell.mView);
+  }
+  return cells;
+}
+
+std::vector<Rpc::Generated::CellView>
+CellBook::news(std::size_t aLimit, Common::Random& aRandom)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::vector<Rpc::Generated::CellView> cells;
+  for (auto& [name, known] : mCells) {
+    if (known.mToTell > 0 && cells.size() < aLimit) {
+      --known.mToTell;
+      cells.push_back(known.mView);
+    }
+  }
+  std::size_t left = mCells.size();
+  for (const auto& [name, known] : mCells) {
+    const std::size_t wanted = aLimit - cells.size();
+    if (aRandom.below(left) < wanted) {
+      cells.push_back(known.mView);
+    }
+    --left;
   }
   return cells;
 }
--- a/Source/Core/Daemon/Peers.h
+++ b/Source/Core/Daemon/Peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -57,10 +58,21 @@
   void note(const Rpc::Generated::CellView& aCell);
   std::optional<Rpc::Generated::CellView> find(const std::string& aCell) const;
   std::vector<Rpc::Generated::CellView> all() const;
+  /// Cells to name in one message, at most aLimit: those that changed lately, and random others.
+  /// Naming all cells of a region in each message would use up the bytes that a node has for
+  /// control.
+  std::vector<Rpc::Generated::CellView> news(std::size_t aLimit, Common::Random& aRandom);
 
 private:
+  struct Known
+  {
+    Rpc::Generated::CellView mView;
+    /// Messages that are still to name the cell because it changed.
+    std::uint32_t mToTell = 0;
+  };
+
   mutable std::mutex mMutex;
-  std::map<std::string, Rpc::Generated::CellView> mCells;
+  std::map<std::string, Known> mCells;
 };
 
 } // namespace Daemon
--- a/Source/Core/Daemon/SpreadService.cpp
+++ b/Source/Core/Daemon/SpreadService.cpp
@@ -16,6 +16,8 @@
 using Observability::Log;
 
 constexpr std::size_t kLocalPeers = 8;
+// A digest is sent several times a second, so it names one cell only; heartbeats add a few.
+constexpr std::size_t kCellsPerDigest = 1;
 // A stop of the process waits for the watch in progress.
 constexpr std::chrono::seconds kWatchTime{ 4 };
 constexpr std::chrono::milliseconds kCallTimeout{ 500 };
@@ -194,7 +196,7 @@
   message.address = mRuntime.mRpcAddress;
   message.role = mRuntime.role();
   message.incarnation = mRuntime.mIncarnation.value();
-  message.cells = mCells.all();
+  message.cells = mCells.news(kCellsPerDigest, mRuntime.random());
   const std::lock_guard<std::mutex> lock(mMutex);
   message.revision = mState.mHeld.mRevision.value();
   message.revisionHash = Common::HashText(mState.mHeld.mHash);
@@ -207,7 +209,12 @@
   noteMessage(aMessage);
   // The reply to the call carries the digest back, so that no second call is needed for it.
   noteDigest(aMessage.instance, aMessage.revision, aMessage.revisionHash);
-  return ownMessage();
+  Rpc::Generated::GossipMessage answer = ownMessage();
+  if (aMessage.revision == 0) {
+    // The sender is starting and knows no cell yet.
+    answer.cells = mCells.all();
+  }
+  return answer;
 }
 
 Rpc::Generated::RevisionReply
--- a/Source/UnitTests/Support/SpreadNetwork.cpp
+++ b/Source/UnitTests/Support/SpreadNetwork.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-// A digest in a Thrift message: instance and data centre names, revision, hash, the epochs of a few
-// cells, and about 60 bytes of framing and TCP/IP headers.
-constexpr std::size_t kDigestBytes = 200;
+// A digest that names one cell, with framing and TCP/IP headers; ibisbench control measures it.
+constexpr std::size_t kDigestBytes = 330;
 constexpr std::size_t kFetchBytes = 160;
 
 constexpr Duration kWithinDataCentre = 300us;
