Exchange digests every 600 ms, and every 1.2 s by relays

Change: 600 ms, and twice that for relays, which learn of revisions from the store and from other relays.

--- a/Source/Core/Spread/Spread.cpp
+++ b/Source/Core/Spread/Spread.cpp
@@ -169,7 +169,10 @@
     Announce(aState, aState.mLocalPeers, aState.mTiming.mFanOut, aRandom, aActions);
   }
   if (aNow >= aState.mNextExchange) {
-    aState.mNextExchange = aNow + Jittered(aState.mTiming.mExchangeEvery, aRandom);
+    // A relay learns of revisions from the store and from other relays, and its peers ask it
+    // anyway.
+    const Duration interval = aState.mTiming.mExchangeEvery * (aState.mRelay ? 2 : 1);
+    aState.mNextExchange = aNow + Jittered(interval, aRandom);
     ExchangeWithOne(aState, aState.mLocalPeers, aRandom, aActions);
   }
   if (aNow >= aState.mNextRemoteExchange) {
--- a/Source/Core/Spread/Spread.h
+++ b/Source/Core/Spread/Spread.h
@@ -22,9 +22,9 @@
 struct Timing
 {
   /// Interval of the digest exchange with one random peer of the data centre.
-  Duration mExchangeEvery = std::chrono::seconds(1);
+  Duration mExchangeEvery = std::chrono::milliseconds(600);
   /// Interval of a relay's exchange with one random relay of another data centre.
-  Duration mRemoteExchangeEvery = std::chrono::seconds(2);
+  Duration mRemoteExchangeEvery = std::chrono::seconds(1);
   Duration mFetchTimeout = std::chrono::milliseconds(500);
   /// Peers that are told at once of an adopted revision. With 3, an epidemic among n processes
   /// needs about log3(n) steps, and processes that it misses are reached by the exchange.
