Keep the slot of a request until its endpoint has ended it

The agent gave the call to an endpoint the deadline of the request as its timeout, closed the connection at that time and freed the slot.

The call now runs on a thread of its own, at most 512 of them, until the endpoint answers, its connection ends, or 60 s past the deadline have gone. The caller gets its answer at the deadline as before, `unknown` if none has come. Http::Client::cancel() ends the calls that remain when the process ends.

The new test fills the 4 slots of an endpoint with requests that outlast their deadline and asks again.

--- a/Source/Core/Daemon/AgentRequests.cpp
+++ b/Source/Core/Daemon/AgentRequests.cpp
@@ -10,6 +10,14 @@
 
 namespace {
 
+// An endpoint may work on a request after its deadline. Its slot stays taken until it answers or
+// its connection ends; after this time past the deadline it is taken for dead.
+constexpr std::chrono::seconds kMostOverrun{ 60 };
+// Calls to endpoints at one time, over all endpoints of the agent. Slots are the usual limit.
+constexpr std::size_t kMostEndpointCalls = 512;
+// Calls that wait for a thread that is just being made.
+constexpr std::size_t kMostWaitingCalls = 64;
+
 /// Counts a call in progress for as long as it exists.
 class InProgress
 {
@@ -70,14 +78,37 @@
 
 } // namespace
 
+/// A request at an endpoint. The thread of the caller and the one of the call share it, since the
+/// call may outlast the caller's deadline.
+struct AgentRequests::EndpointCall
+{
+  Http::Request mRequest;
+  std::string mEndpoint;
+  std::string mAddress;
+  Common::RequestId mId;
+  Common::Timestamp mDeadline;
+  Metering::UseKey mUse;
+  std::unique_ptr<opentracing::Span> mSpan;
+  std::mutex mMutex;
+  std::condition_variable mEnded;
+  std::optional<Wire::ExecuteReply> mReply;
+};
+
 AgentRequests::AgentRequests(Runtime& aRuntime)
   : mRuntime(aRuntime)
   , mGates(aRuntime.mClock)
   , mServiceTime(aRuntime.mCounters.distribution("endpoint_us"))
+  , mEndpointCalls(kMostEndpointCalls, kMostWaitingCalls)
 {
   mWindow.mLimits = WindowLimitsOf(aRuntime.mSettings);
 }
 
+AgentRequests::~AgentRequests()
+{
+  mRuntime.mHttp.cancel();
+  mEndpointCalls.stop();
+}
+
 void
 AgentRequests::announce(const Http::Announcement& aAnnouncement)
 {
@@ -300,34 +331,74 @@
 Wire::ExecuteReply
 AgentRequests::runAtEndpoint(const Call& aCall)
 {
-  auto span = mRuntime.mTracer.start("agent.execute", FromWire(aCall.mRequest.trace));
-  span->SetTag("route", aCall.mRequest.route);
-  span->SetTag("endpoint", aCall.mEndpoint);
+  const auto call = std::make_shared<EndpointCall>();
+  call->mSpan = mRuntime.mTracer.start("agent.execute", FromWire(aCall.mRequest.trace));
+  call->mSpan->SetTag("route", aCall.mRequest.route);
+  call->mSpan->SetTag("endpoint", aCall.mEndpoint);
+  call->mRequest = ForwardedRequest(aCall.mRequest, Observability::ContextOf(*call->mSpan));
+  call->mEndpoint = aCall.mEndpoint;
+  call->mAddress = aCall.mAddress;
+  call->mId = aCall.mAsked.mId;
+  call->mDeadline = aCall.mAsked.mDeadline;
+  call->mUse = {
+    aCall.mAsked.mTeam, aCall.mAsked.mClient, aCall.mRoute->mName, aCall.mRoute->mPrice
+  };
+  if (!mEndpointCalls.run([this, call] { callEndpoint(*call); })) {
+    mGates.leave(call->mEndpoint, call->mId, { false, false });
+    return RefusedReply(Common::Refusal::NoCapacity, "too many calls to endpoints");
+  }
+  std::unique_lock<std::mutex> lock(call->mMutex);
+  while (!call->mReply && mRuntime.mClock.now() < call->mDeadline) {
+    mRuntime.mClock.waitUntil(lock, call->mEnded, call->mDeadline);
+  }
+  if (call->mReply) {
+    return std::move(*call->mReply);
+  }
+  Wire::ExecuteReply reply;
+  reply.outcome = Wire::Outcome::Unknown;
+  reply.detail = "the endpoint has not answered by the deadline";
+  return reply;
+}
+
+void
+AgentRequests::callEndpoint(EndpointCall& aCall)
+{
+  const InProgress counted(mInProgress);
   const Common::Timestamp started = mRuntime.mClock.now();
-  auto result =
-    mRuntime.mHttp.send(aCall.mAddress,
-                        ForwardedRequest(aCall.mRequest, Observability::ContextOf(*span)),
-                        aCall.mAsked.mDeadline - started);
+  Http::ClientResult result =
+    tl::unexpected(Http::ClientError{ false, true, "the deadline has passed" });
+  if (started < aCall.mDeadline) {
+    result =
+      mRuntime.mHttp.send(aCall.mAddress, aCall.mRequest, aCall.mDeadline - started + kMostOverrun);
+  }
   const Common::Duration taken = mRuntime.mClock.now() - started;
-  const bool delivered = result || result.error().mMayHaveBeenDelivered;
-  mGates.leave(aCall.mEndpoint, aCall.mAsked.mId, { false, result.has_value() });
-  if (delivered) {
+  mGates.leave(aCall.mEndpoint, aCall.mId, { false, result.has_value() });
+  if (result || result.error().mMayHaveBeenDelivered) {
     mServiceTime.record(taken.count());
-    recordUse(
-      { aCall.mAsked.mTeam, aCall.mAsked.mClient, aCall.mRoute->mName, aCall.mRoute->mPrice },
-      { 1, taken.count(), 0 });
+    recordUse(aCall.mUse, { 1, taken.count(), 0 });
   }
-  if (result) {
-    span->SetTag("status", result->mStatus);
-    return RanReply(std::move(*result));
+  Wire::ExecuteReply reply = answerOf(aCall, std::move(result));
+  // Ends the span before the answer, so that who has the answer finds the span.
+  aCall.mSpan.reset();
+  const std::lock_guard<std::mutex> lock(aCall.mMutex);
+  aCall.mReply = std::move(reply);
+  aCall.mEnded.notify_all();
+}
+
+Wire::ExecuteReply
+AgentRequests::answerOf(EndpointCall& aCall, Http::ClientResult aResult)
+{
+  if (aResult) {
+    aCall.mSpan->SetTag("status", aResult->mStatus);
+    return RanReply(std::move(*aResult));
   }
-  span->SetTag("error", result.error().mText);
-  if (!delivered) {
-    return RefusedReply(Common::Refusal::NoCapacity, result.error().mText);
+  aCall.mSpan->SetTag("error", aResult.error().mText);
+  if (!aResult.error().mMayHaveBeenDelivered) {
+    return RefusedReply(Common::Refusal::NoCapacity, aResult.error().mText);
   }
   Wire::ExecuteReply reply;
   reply.outcome = Wire::Outcome::Unknown;
-  reply.detail = result.error().mText;
+  reply.detail = aResult.error().mText;
   return reply;
 }
 
--- a/Source/Core/Daemon/AgentRequests.h
+++ b/Source/Core/Daemon/AgentRequests.h
@@ -21,6 +21,10 @@
 {
 public:
   explicit AgentRequests(Runtime& aRuntime);
+  /// Cuts off what endpoints still work on.
+  ~AgentRequests();
+  AgentRequests(const AgentRequests&) = delete;
+  AgentRequests& operator=(const AgentRequests&) = delete;
 
   void announce(const Http::Announcement& aAnnouncement);
   /// Runs the request at an endpoint; blocks until it has ended or is refused.
@@ -56,8 +60,12 @@
     std::string mAddress;
   };
 
+  struct EndpointCall;
+
   Rpc::Generated::ExecuteReply admitAndRun(const Rpc::Generated::ExecuteRequest& aRequest);
   Rpc::Generated::ExecuteReply runAtEndpoint(const Call& aCall);
+  void callEndpoint(EndpointCall& aCall);
+  Rpc::Generated::ExecuteReply answerOf(EndpointCall& aCall, Http::ClientResult aResult);
   bool chooseEndpoint(const Common::PoolId& aPool, Call& aCall) const;
   void configureGate(Endpoint& aEndpoint, const TablesInForce& aTables);
   void finish(const Common::RequestId& aId, const Rpc::Generated::ExecuteReply& aReply);
@@ -75,6 +83,7 @@
   mutable std::mutex mMeterMutex;
   Metering::Meter mMeter;
   Observability::Distribution& mServiceTime;
+  WorkerThreads mEndpointCalls;
 };
 
 } // namespace Daemon
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -1,9 +1,11 @@
 #include "Http/Client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <map>
 #include <mutex>
+#include <set>
 #include <vector>
 
 #include <httplib.h>
@@ -23,9 +25,22 @@
   using ClientImpl::ClientImpl;
   std::chrono::steady_clock::time_point mDeadline;
 
+  /// Ends the request in progress, or the next one if it has not begun.
+  void cancel()
+  {
+    mCancelled = true;
+    stop();
+  }
+
 private:
+  std::atomic<bool> mCancelled{ false };
+
   bool process_socket(const Socket& aSocket, std::function<bool(httplib::Stream&)> aUse) override
   {
+    // stop() only reaches a request that is counted as in flight, which it is from here on.
+    if (mCancelled) {
+      return false;
+    }
     SocketStream stream(aSocket.sock, { kLongWait, kLongWait, kLongWait });
     stream.setDeadline(mDeadline);
     stream.startMessage();
@@ -86,6 +101,8 @@
   const Common::Clock& mClock;
   std::mutex mMutex;
   std::map<std::string, Address> mAddresses;
+  std::set<PooledClient*> mInUse;
+  bool mCancelled = false;
 
   std::unique_ptr<PooledClient> make(const std::string& aAddress) const
   {
@@ -111,11 +128,15 @@
   {
     const Common::Timestamp now = mClock.now();
     const std::lock_guard<std::mutex> lock(mMutex);
+    if (mCancelled) {
+      return nullptr;
+    }
     Address& address = mAddresses[aAddress];
     while (!address.mIdle.empty()) {
       IdleClient idle = std::move(address.mIdle.back());
       address.mIdle.pop_back();
       if (now - idle.mSince <= mSettings.mMaxIdle) {
+        mInUse.insert(idle.mClient.get());
         return std::move(idle.mClient);
       }
       --address.mOpen;
@@ -124,7 +145,10 @@
       return nullptr;
     }
     auto client = make(aAddress);
-    address.mOpen += client ? 1 : 0;
+    if (client) {
+      ++address.mOpen;
+      mInUse.insert(client.get());
+    }
     return client;
   }
 
@@ -132,6 +156,7 @@
   {
     const Common::Timestamp now = mClock.now();
     const std::lock_guard<std::mutex> lock(mMutex);
+    mInUse.erase(aClient.get());
     Address& address = mAddresses[aAddress];
     if (aUsable) {
       address.mIdle.push_back({ std::move(aClient), now });
@@ -142,12 +167,22 @@
 };
 
 Client::Client(ClientSettings aSettings, const Common::Clock& aClock)
-  : mInner(new Inner{ aSettings, aClock, {}, {} })
+  : mInner(new Inner{ aSettings, aClock, {}, {}, {}, false })
 {
 }
 
 Client::~Client() = default;
 
+void
+Client::cancel()
+{
+  const std::lock_guard<std::mutex> lock(mInner->mMutex);
+  mInner->mCancelled = true;
+  for (PooledClient* client : mInner->mInUse) {
+    client->cancel();
+  }
+}
+
 ClientResult
 Client::send(const std::string& aAddress, const Request& aRequest, Common::Duration aTimeout)
 {
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -45,6 +45,9 @@
                     const Request& aRequest,
                     Common::Duration aTimeout);
 
+  /// Ends the requests in progress and refuses new ones, for the end of the process.
+  void cancel();
+
   /// Closes connections that are idle for too long.
   void prune();
 
--- a/Source/UnitTests/Daemon/Fleet.cpp
+++ b/Source/UnitTests/Daemon/Fleet.cpp
@@ -155,7 +155,10 @@
 Http::Response
 Fleet::serve(const Http::Request& aRequest)
 {
-  ++mRunning;
+  const int running = ++mRunning;
+  int most = mMostRunning;
+  while (most < running && !mMostRunning.compare_exchange_weak(most, running)) {
+  }
   ++mServed;
   while (mHold) {
     std::this_thread::sleep_for(1ms);
--- a/Source/UnitTests/Daemon/Fleet.h
+++ b/Source/UnitTests/Daemon/Fleet.h
@@ -29,6 +29,8 @@
   void stopEntry();
   void setHold(bool aHold) { mHold = aHold; }
   int running() const { return mRunning; }
+  /// Most requests that the endpoint worked on at one time.
+  int mostRunning() const { return mMostRunning; }
   int served() const { return mServed; }
   void announce(bool aLeaving);
 
@@ -45,6 +47,7 @@
   std::unique_ptr<Daemon::Process> mEntry;
   std::atomic<bool> mHold{ false };
   std::atomic<int> mRunning{ 0 };
+  std::atomic<int> mMostRunning{ 0 };
   std::atomic<int> mServed{ 0 };
   std::unique_ptr<class Announcer> mAnnouncer;
 };
--- a/Source/UnitTests/Daemon/FleetTests.cpp
+++ b/Source/UnitTests/Daemon/FleetTests.cpp
@@ -125,3 +125,33 @@
     CHECK(call.get().mBody == "echo:held");
   }
 }
+
+TEST_CASE("A request that outlasts its deadline keeps its slot at the endpoint", "[Daemon]")
+{
+  // Guards against slots that are free for the agent while the endpoint still works (I1).
+  DaemonTests::Fleet fleet;
+  REQUIRE(fleet.begin());
+  fleet.setHold(true);
+  const Http::Request request{ "POST", "/reserve", { { "Ibisshed-Deadline-Ms", "400" } }, "x" };
+  const auto askFour = [&] {
+    std::vector<std::future<Http::Response>> calls;
+    for (int i = 0; i < 4; ++i) {
+      calls.push_back(std::async(std::launch::async, [&] { return fleet.ask(request); }));
+    }
+    std::vector<std::string> outcomes;
+    for (auto& call : calls) {
+      outcomes.push_back(OutcomeOf(call.get()));
+    }
+    return outcomes;
+  };
+  CHECK(askFour() == std::vector<std::string>(4, "unknown"));
+  CHECK(fleet.running() == 4);
+
+  // The endpoint announces 4 slots, and it works on 4 requests.
+  CHECK(askFour() == std::vector<std::string>(4, "not-run"));
+  CHECK(fleet.mostRunning() == 4);
+
+  // The slots come back when the endpoint answers.
+  fleet.setHold(false);
+  CHECK(Eventually([&] { return fleet.ask({ "POST", "/reserve", {}, "y" }).mStatus == 207; }));
+}
