Test that a request is not sent again after its connection ended

A client that connects anew by itself when its connection closes would deliver a request twice (I6). Neither the HTTP client nor the Thrift client does: a server that reads the request and closes counts one delivery, over new and kept HTTP connections and for `execute`, and the agent answers `unknown`.

--- a/Source/UnitTests/Http/LoopbackTests.cpp
+++ b/Source/UnitTests/Http/LoopbackTests.cpp
@@ -9,6 +9,7 @@
 #include "Http/Client.h"
 #include "Http/PlatformWorker.h"
 #include "Http/Server.h"
+#include "UnitTests/Support/ClosingServer.h"
 
 namespace {
 
@@ -169,6 +170,35 @@
   }
 }
 
+TEST_CASE("A request that the server has read is never sent again", "[Http]")
+{
+  // Guards against a client that connects anew by itself when its connection ends (I6).
+  Common::SystemClock clock;
+  Http::Client client(Http::ClientSettings{}, clock);
+  const auto send = [&](const std::string& aAddress) {
+    return client.send(aAddress, { "POST", "/", {}, "x" }, 5s);
+  };
+
+  SECTION("over a new connection")
+  {
+    const Support::ClosingServer server;
+    const auto answer = send(server.address());
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().mMayHaveBeenDelivered);
+    CHECK(server.deliveries() == 1);
+  }
+
+  SECTION("over a kept connection")
+  {
+    const Support::ClosingServer server(1, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(send(server.address()));
+    const auto answer = send(server.address());
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().mMayHaveBeenDelivered);
+    CHECK(server.deliveries() == 2);
+  }
+}
+
 TEST_CASE("A stop answers the request in progress", "[Http]")
 {
   Echo echo;
--- a/Source/UnitTests/Rpc/LoopbackTests.cpp
+++ b/Source/UnitTests/Rpc/LoopbackTests.cpp
@@ -11,6 +11,7 @@
 
 #include "Rpc/ClientPool.h"
 #include "Rpc/Server.h"
+#include "UnitTests/Support/ClosingServer.h"
 
 namespace {
 
@@ -169,6 +170,15 @@
     REQUIRE(reply.error().mMayHaveBeenDelivered);
   }
 
+  SECTION("a peer that reads the request and closes has it once, and is not called again")
+  {
+    const Support::ClosingServer closing;
+    const auto reply = pool.execute(closing.address(), {}, 5s);
+    REQUIRE_FALSE(reply);
+    REQUIRE(reply.error().mMayHaveBeenDelivered);
+    REQUIRE(closing.deliveries() == 1);
+  }
+
   SECTION("nobody listens")
   {
     listener.close();
