Count what an endpoint runs beyond the agent's own requests

A restarted agent began with an empty gate, although its endpoint may still work on requests of the earlier run (I1). Nothing called SetForeignUse.

An announcement may now hold `in_progress`. The gate keeps bounds of its own running requests between two counts, and takes what exceeds them as foreign use. Foreign use is lowered only after three counts agree, since one may miss a request that is on its way. The endpoint stand-in announces the count.

The new test announces 4 of 4 slots in progress to a fresh agent. Before: the next request ran. After: it is `not-run` until the endpoint has ended the 4.

--- a/Source/Core/Admission/Admission.cpp
+++ b/Source/Core/Admission/Admission.cpp
@@ -50,6 +50,8 @@
     aGate.mIdleConnections -= Common::Connections(1);
   }
   aGate.mRunning.emplace(aRequest.mId, RunningRequest{ aRequest, aNow });
+  const auto running = static_cast<std::int64_t>(aGate.mRunning.size());
+  aGate.mWatch.mMostRunning = std::max(aGate.mWatch.mMostRunning, running);
   aOut.push_back({ ActionKind::Start, std::move(aRequest), Common::Refusal::None, Duration(0) });
 }
 
@@ -152,6 +154,8 @@
   }
   --aGate.mUse[IndexOf(running.mRequest.mUrgency)].mInUse;
   aGate.mRunning.erase(found);
+  const auto left = static_cast<std::int64_t>(aGate.mRunning.size());
+  aGate.mWatch.mLeastRunning = std::min(aGate.mWatch.mLeastRunning, left);
   ReleaseSlot(aWorker);
   if (aFinish.mKeepConnection) {
     aGate.mIdleConnections += Common::Connections(1);
@@ -221,6 +225,20 @@
   aGate.mForeignConnections = std::max(aConnections, Common::Connections(0));
 }
 
+void
+NoteInProgress(Gate& aGate, Common::Slots aInProgress)
+{
+  EndpointWatch& watch = aGate.mWatch;
+  const std::int64_t counted = aInProgress.value();
+  watch.mUpper[watch.mNext++ % watch.mUpper.size()] = counted - watch.mLeastRunning;
+  const std::int64_t lower = counted - watch.mMostRunning;
+  const std::int64_t upper = *std::max_element(watch.mUpper.begin(), watch.mUpper.end());
+  const std::int64_t foreign =
+    std::clamp(aGate.mForeignSlots.value(), lower, std::max(lower, upper));
+  watch.mMostRunning = watch.mLeastRunning = static_cast<std::int64_t>(aGate.mRunning.size());
+  SetForeignUse(aGate, Common::Slots(foreign), Common::Connections(foreign));
+}
+
 void
 CloseIdleConnection(Gate& aGate)
 {
--- a/Source/Core/Admission/Admission.h
+++ b/Source/Core/Admission/Admission.h
@@ -50,6 +50,18 @@
   double mDemand = 0;
 };
 
+/// What is needed to tell the gate's own requests from others in the counts of the endpoint.
+struct EndpointWatch
+{
+  /// Bounds of the number of running requests since the last count.
+  std::int64_t mMostRunning = 0;
+  std::int64_t mLeastRunning = 0;
+  /// Upper bounds of foreign use by the latest counts. A count may just miss a request that is on
+  /// its way, so a single one does not lower the foreign use.
+  std::array<std::int64_t, 3> mUpper{};
+  std::size_t mNext = 0;
+};
+
 /// Grantor of the slots and connections of one endpoint.
 struct Gate
 {
@@ -64,6 +76,7 @@
   /// In use at the endpoint by requests that this gate did not start (those of an earlier agent).
   Common::Slots mForeignSlots;
   Common::Connections mForeignConnections;
+  EndpointWatch mWatch;
   Timestamp mAccruedAt;
   Timestamp mSweptAt;
   bool mDraining = false;
@@ -134,6 +147,11 @@
 void
 SetForeignUse(Gate& aGate, Common::Slots aSlots, Common::Connections aConnections);
 
+/// Takes the number of requests that the endpoint counts in progress. What exceeds the gate's own
+/// requests becomes foreign use.
+void
+NoteInProgress(Gate& aGate, Common::Slots aInProgress);
+
 /// Kept connections to close after the limit was lowered or foreign use rose. Until they are closed
 /// nothing starts.
 Common::Connections
--- a/Source/Core/Daemon/AgentRequests.cpp
+++ b/Source/Core/Daemon/AgentRequests.cpp
@@ -126,6 +126,9 @@
   if (tables && (changed || endpoint.mRevision != tables->mDigest.mRevision)) {
     configureGate(endpoint, *tables);
   }
+  if (aAnnouncement.mInProgress) {
+    mGates.noteInProgress(aAnnouncement.mEndpoint, Common::Slots(*aAnnouncement.mInProgress));
+  }
   if (leaving) {
     mGates.drain(aAnnouncement.mEndpoint, true);
   }
@@ -144,7 +147,9 @@
     limits.mMinShares = pool->mMinShares;
   }
   aEndpoint.mRevision = aTables.mDigest.mRevision;
-  mGates.configure(announced.mEndpoint, limits);
+  if (mGates.configure(announced.mEndpoint, limits) && announced.mInProgress) {
+    mGates.noteInProgress(announced.mEndpoint, Common::Slots(*announced.mInProgress));
+  }
 }
 
 void
--- a/Source/Core/Daemon/Gates.cpp
+++ b/Source/Core/Daemon/Gates.cpp
@@ -21,7 +21,7 @@
   mPoller->stop();
 }
 
-void
+bool
 Gates::configure(const std::string& aGate, const Admission::GateLimits& aLimits)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
@@ -29,12 +29,13 @@
   const auto found = mGates.find(aGate);
   if (found == mGates.end()) {
     mGates.emplace(aGate, Admission::MakeGate(aLimits, now));
-  } else {
-    if (mRemoved.erase(aGate) > 0) {
-      Admission::StopDrain(found->second);
-    }
-    apply(Admission::SetLimits(found->second, mLedger, aLimits, now));
+    return true;
   }
+  if (mRemoved.erase(aGate) > 0) {
+    Admission::StopDrain(found->second);
+  }
+  apply(Admission::SetLimits(found->second, mLedger, aLimits, now));
+  return false;
 }
 
 void
@@ -69,6 +70,17 @@
   }
 }
 
+void
+Gates::noteInProgress(const std::string& aGate, Common::Slots aInProgress)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto found = mGates.find(aGate);
+  if (found != mGates.end()) {
+    Admission::NoteInProgress(found->second, aInProgress);
+    apply(Admission::Poll(found->second, mLedger, mClock.now()));
+  }
+}
+
 Admitted
 Gates::enter(const std::string& aGate, const Admission::Request& aRequest)
 {
--- a/Source/Core/Daemon/Gates.h
+++ b/Source/Core/Daemon/Gates.h
@@ -32,11 +32,13 @@
   Gates(const Gates&) = delete;
   Gates& operator=(const Gates&) = delete;
 
-  /// Adds a gate or changes its limits.
-  void configure(const std::string& aGate, const Admission::GateLimits& aLimits);
+  /// Adds a gate or changes its limits. True if the gate is new.
+  bool configure(const std::string& aGate, const Admission::GateLimits& aLimits);
   /// Refuses what waits at the gate and drops it when it is idle.
   void remove(const std::string& aGate);
   void drain(const std::string& aGate, bool aOn);
+  /// Takes the endpoint's own count of requests in progress.
+  void noteInProgress(const std::string& aGate, Common::Slots aInProgress);
 
   /// Blocks until the request starts or is refused, which its deadline bounds.
   Admitted enter(const std::string& aGate, const Admission::Request& aRequest);
--- a/Source/Core/Http/Announcement.cpp
+++ b/Source/Core/Http/Announcement.cpp
@@ -26,6 +26,10 @@
       return "\"slots\" or \"connections\" is out of range";
     }
   }
+  const std::int32_t inProgress = aAnnouncement.mInProgress.value_or(0);
+  if (inProgress < 0 || inProgress > kMostConnections) {
+    return "\"in_progress\" is out of range";
+  }
   return {};
 }
 
@@ -43,6 +47,9 @@
     announcement.mSlots = json.at("slots").get<std::int32_t>();
     announcement.mConnections = json.at("connections").get<std::int32_t>();
     announcement.mLeaving = json.value("leaving", false);
+    if (json.contains("in_progress")) {
+      announcement.mInProgress = json.at("in_progress").get<std::int32_t>();
+    }
     const std::string error = CheckAnnouncement(announcement);
     if (!error.empty()) {
       return tl::unexpected(error);
--- a/Source/Core/Http/Announcement.h
+++ b/Source/Core/Http/Announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,8 @@
   std::int32_t mSlots = 0;
   std::int32_t mConnections = 0;
   bool mLeaving = false;
+  /// Requests that it works on, if it counts them.
+  std::optional<std::int32_t> mInProgress;
 };
 
 /// Reads the body of POST /ibisshed/v1/announce; the error names the field.
--- a/Source/Standins/EndpointCommand.cpp
+++ b/Source/Standins/EndpointCommand.cpp
@@ -185,6 +185,7 @@
              { "address", "127.0.0.1:" + std::to_string(aPort) },
              { "slots", aEndpoint.mOptions.mSlots },
              { "connections", aEndpoint.mOptions.mConnections },
+             { "in_progress", aEndpoint.mPresent },
              { "leaving", aEndpoint.mLeaving } };
   }
   aAgent.Post("/ibisshed/v1/announce", body.dump(), "application/json");
--- a/Source/UnitTests/Admission/GateTests.cpp
+++ b/Source/UnitTests/Admission/GateTests.cpp
@@ -134,6 +134,50 @@
   }
 }
 
+TEST_CASE("The count of an endpoint is split into own and foreign requests", "[Admission]")
+{
+  WorkerLedger worker;
+  Gate gate = MakeGate(Limits(4), kStart);
+  const auto note = [&](std::int64_t aCount) {
+    NoteInProgress(gate, Common::Slots(aCount));
+    return gate.mForeignSlots.value();
+  };
+  REQUIRE(note(2) == 2);
+  REQUIRE(Offer(gate, worker, MakeRequest(1), kStart).size() == 1);
+  REQUIRE(note(3) == 2);
+
+  SECTION("a count that misses a request on its way lowers nothing")
+  {
+    REQUIRE(note(2) == 2);
+    REQUIRE(note(3) == 2);
+  }
+
+  SECTION("foreign requests that ended give their slots back while own ones run")
+  {
+    REQUIRE(note(1) == 2);
+    REQUIRE(note(1) == 2);
+    REQUIRE(note(1) == 0);
+  }
+
+  SECTION("a request that the gate gave up and the endpoint still runs is foreign")
+  {
+    Release(gate, worker, MakeRequest(1).mId, {}, kStart);
+    note(3);
+    REQUIRE(note(3) == 3);
+    REQUIRE(SlotsInUse(gate) == 3);
+  }
+
+  SECTION("own requests that come and go are never foreign")
+  {
+    for (int i = 0; i < 3; ++i) {
+      note(1);
+    }
+    Offer(gate, worker, MakeRequest(2), kStart);
+    Release(gate, worker, MakeRequest(2).mId, {}, kStart);
+    REQUIRE(note(2) == 0);
+  }
+}
+
 TEST_CASE("A request that cannot start in time is refused at once", "[Admission]")
 {
   WorkerLedger worker;
--- a/Source/UnitTests/Daemon/AgentRequestsTests.cpp
+++ b/Source/UnitTests/Daemon/AgentRequestsTests.cpp
@@ -1,6 +1,9 @@
+#include <atomic>
+
 #include <catch2/catch.hpp>
 
 #include "Daemon/AgentRequests.h"
+#include "Http/Server.h"
 #include "Tables/ParseTables.h"
 #include "UnitTests/Daemon/Fleet.h"
 #include "UnitTests/Support/ClosingServer.h"
@@ -62,8 +65,45 @@
   }
 };
 
+/// Answers at once and counts.
+struct Endpoint
+{
+  std::atomic<int> mServed{ 0 };
+  Http::Server mServer{ Http::ServerSettings{},
+                        { [this](const Http::Request&) {
+                           ++mServed;
+                           return Http::Response{ 200, {}, "" };
+                         },
+                          {} } };
+  std::string mAddress = "127.0.0.1:" + std::to_string(mServer.start().value());
+};
+
 } // namespace
 
+TEST_CASE("A restarted agent counts what its endpoint still runs", "[Daemon]")
+{
+  // Guards against a fresh gate that hands out slots which requests of the earlier run hold (I1).
+  Endpoint endpoint;
+  Agent agent;
+
+  SECTION("all slots are taken, until the endpoint has ended them")
+  {
+    agent.announce(endpoint.mAddress, R"("in_progress":4,)");
+    CHECK(agent.execute(200ms) == Outcome::NotRun);
+    CHECK(endpoint.mServed == 0);
+    for (int i = 0; i < 5; ++i) {
+      agent.announce(endpoint.mAddress, R"("in_progress":0,)");
+    }
+    CHECK(agent.execute() == Outcome::Ran);
+  }
+
+  SECTION("an endpoint that gives no count is taken as idle")
+  {
+    agent.announce(endpoint.mAddress);
+    CHECK(agent.execute() == Outcome::Ran);
+  }
+}
+
 TEST_CASE("A request whose connection ends is not sent again", "[Daemon]")
 {
   // Guards against a second delivery, and against `not-run` for a request that ran (I5, I6).
--- a/Source/UnitTests/Http/LoopbackTests.cpp
+++ b/Source/UnitTests/Http/LoopbackTests.cpp
@@ -199,6 +199,25 @@
   }
 }
 
+TEST_CASE("A cancelled client ends its request and takes no other", "[Http]")
+{
+  // Guards against a process that cannot end while an endpoint holds its answer back.
+  Echo echo;
+  echo.mHold = true;
+  auto held = std::async(std::launch::async, [&] {
+    return echo.send({ "GET", "/", {}, "" }, 60s);
+  });
+  std::this_thread::sleep_for(50ms);
+  echo.mClient.cancel();
+  const bool ended = held.wait_for(20s) == std::future_status::ready;
+  echo.mHold = false;
+  CHECK(ended);
+  CHECK_FALSE(held.get());
+  const auto later = echo.send({ "GET", "/", {}, "" });
+  REQUIRE_FALSE(later);
+  CHECK_FALSE(later.error().mMayHaveBeenDelivered);
+}
+
 TEST_CASE("A stop answers the request in progress", "[Http]")
 {
   Echo echo;
