Count requests and tasks on one worker together

The agent never set the slot's need and the reserved slots of its worker's ledger, so tasks and requests were each given the whole worker (I1).

They are now set from the pools of the announced endpoints: a slot takes the pool's resources per worker divided by its slots (the largest of several pools), and the slots that min_share guarantees are kept from tasks. While the capacity of the worker is not known, no task starts, and slots alone limit requests, so that agents without a platform worker serve as before.

The new tests fill the worker with a task. Before: a request ran beside it, and a task got the cores of guaranteed slots. After: the request is `not-run` until the task ends, and the task is refused.

--- a/Source/Core/Admission/WorkerLedger.cpp
+++ b/Source/Core/Admission/WorkerLedger.cpp
@@ -58,6 +58,11 @@
 bool
 SlotFits(const WorkerLedger& aLedger)
 {
+  // An agent without a platform worker, or whose worker has not told its capacity, starts no tasks;
+  // slots alone limit its requests.
+  if (aLedger.mTotal == Common::Resources{}) {
+    return true;
+  }
   const Common::Slots next = aLedger.mSlotsInUse + Common::Slots(1);
   return Common::Fits(ForSlots(aLedger, next) + aLedger.mTaskUse, aLedger.mTotal);
 }
--- a/Source/Core/Admission/WorkerLedger.h
+++ b/Source/Core/Admission/WorkerLedger.h
@@ -12,6 +12,7 @@
 /// grant goes through TakeForSlot or ReserveTask, which never let the sum exceed the total.
 struct WorkerLedger
 {
+  /// Zero while it is not known.
   Common::Resources mTotal;
   /// What one request in progress takes.
   Common::Resources mPerSlot;
--- a/Source/Core/Daemon/AgentRequests.cpp
+++ b/Source/Core/Daemon/AgentRequests.cpp
@@ -76,6 +76,22 @@
   return limits;
 }
 
+Common::Resources
+PartOf(const Common::Resources& aWhole, std::int64_t aParts)
+{
+  return { Common::MilliCores(aWhole.mCores.value() / aParts),
+           Common::Bytes(aWhole.mMemory.value() / aParts),
+           Common::Accelerators(aWhole.mAccelerators.value() / aParts) };
+}
+
+Common::Resources
+Largest(const Common::Resources& aLeft, const Common::Resources& aRight)
+{
+  return { std::max(aLeft.mCores, aRight.mCores),
+           std::max(aLeft.mMemory, aRight.mMemory),
+           std::max(aLeft.mAccelerators, aRight.mAccelerators) };
+}
+
 } // namespace
 
 /// A request at an endpoint. The thread of the caller and the one of the call share it, since the
@@ -125,6 +141,7 @@
   endpoint.mHeard = mRuntime.mClock.now();
   if (tables && (changed || endpoint.mRevision != tables->mDigest.mRevision)) {
     configureGate(endpoint, *tables);
+    shareWorker(*tables);
   }
   if (aAnnouncement.mInProgress) {
     mGates.noteInProgress(aAnnouncement.mEndpoint, Common::Slots(*aAnnouncement.mInProgress));
@@ -152,6 +169,33 @@
   }
 }
 
+// Requests of all pools draw on one ledger. It charges the largest slot of them for each request,
+// so that the sum holds whichever pool the request is of.
+void
+AgentRequests::shareWorker(const TablesInForce& aTables)
+{
+  Common::Resources perSlot;
+  std::int64_t guaranteed = 0;
+  for (const auto& [name, endpoint] : mEndpoints) {
+    const Http::Announcement& announced = endpoint.mAnnounced;
+    const Tables::Pool* pool = Tables::FindPool(aTables.mTables, Common::PoolId(announced.mPool));
+    if (pool == nullptr || pool->mPerWorker.mSlots <= Common::Slots(0)) {
+      continue;
+    }
+    const std::int64_t slots = pool->mPerWorker.mSlots.value();
+    perSlot = Largest(perSlot, PartOf(pool->mPerWorker.mResources, slots));
+    std::int64_t percent = 0;
+    for (const Tables::MinShare& share : pool->mMinShares) {
+      percent += share.mPercent;
+    }
+    guaranteed += (std::min<std::int64_t>(announced.mSlots, slots) * percent + 99) / 100;
+  }
+  mGates.withLedger([&](Admission::WorkerLedger& aLedger) {
+    aLedger.mPerSlot = perSlot;
+    aLedger.mReservedSlots = Common::Slots(guaranteed);
+  });
+}
+
 void
 AgentRequests::sweep()
 {
@@ -170,6 +214,9 @@
       }
       ++it;
     }
+    if (tables) {
+      shareWorker(*tables);
+    }
   }
   const std::lock_guard<std::mutex> lock(mWindowMutex);
   Admission::SweepWindow(mWindow, now);
--- a/Source/Core/Daemon/AgentRequests.h
+++ b/Source/Core/Daemon/AgentRequests.h
@@ -68,6 +68,7 @@
   Rpc::Generated::ExecuteReply answerOf(EndpointCall& aCall, Http::ClientResult aResult);
   bool chooseEndpoint(const Common::PoolId& aPool, Call& aCall) const;
   void configureGate(Endpoint& aEndpoint, const TablesInForce& aTables);
+  void shareWorker(const TablesInForce& aTables);
   void finish(const Common::RequestId& aId, const Rpc::Generated::ExecuteReply& aReply);
   Rpc::Generated::ExecuteReply fromWindow(const Admission::WindowAnswer& aAnswer) const;
   void stamp(Rpc::Generated::ExecuteReply& aReply) const;
--- a/Source/UnitTests/Daemon/AgentRequestsTests.cpp
+++ b/Source/UnitTests/Daemon/AgentRequestsTests.cpp
@@ -104,6 +104,51 @@
   }
 }
 
+TEST_CASE("Requests and tasks on a worker are counted together", "[Daemon]")
+{
+  // Guards against tasks on resources that requests use or are guaranteed (I1). A slot of the pool
+  // takes 250 milli-cores and 25 MiB.
+  Endpoint endpoint;
+  std::string pools = DaemonTests::kPools;
+  const auto withLedger = [](Agent& aAgent, const auto& aUse) {
+    bool result = false;
+    aAgent.mRequests.gates().withLedger(
+      [&](Admission::WorkerLedger& aLedger) { result = aUse(aLedger); });
+    return result;
+  };
+  const auto reserve = [](std::int64_t aMilliCores) {
+    return [aMilliCores](Admission::WorkerLedger& aLedger) {
+      aLedger.mTotal = { Common::MilliCores(1000), Common::Bytes(1 << 30), {} };
+      return Admission::ReserveTask(
+        aLedger, Common::TaskId("t"), { Common::MilliCores(aMilliCores), Common::Bytes(1), {} });
+    };
+  };
+
+  SECTION("a request waits for a task that takes the cores of all slots")
+  {
+    Agent agent(pools);
+    agent.announce(endpoint.mAddress);
+    REQUIRE(withLedger(agent, reserve(1000)));
+    CHECK(agent.execute(200ms) == Outcome::NotRun);
+    CHECK(endpoint.mServed == 0);
+    withLedger(agent, [](Admission::WorkerLedger& aLedger) {
+      return Admission::ReleaseTask(aLedger, Common::TaskId("t"));
+    });
+    CHECK(agent.execute() == Outcome::Ran);
+  }
+
+  SECTION("slots that the pool guarantees to requests are not handed to tasks")
+  {
+    const std::string shares = "min_share_percent = { interactive = 50, standard = 25 }\n";
+    pools.insert(pools.find("\n[[team]]"), shares);
+    Agent agent(pools);
+    agent.announce(endpoint.mAddress);
+    CHECK_FALSE(withLedger(agent, reserve(251)));
+    CHECK(withLedger(agent, reserve(250)));
+    CHECK(agent.execute() == Outcome::Ran);
+  }
+}
+
 TEST_CASE("A request whose connection ends is not sent again", "[Daemon]")
 {
   // Guards against a second delivery, and against `not-run` for a request that ran (I5, I6).
