Bench: measure real processes, and share the program with ibisbench

Cause: latency added by entry and agent, memory, processor share, floods and graceful stops were measured nowhere with real processes.

Change: ibisprocbench starts one entry, one agent, an endpoint and the store stand-in on loopback and ends them by pid. Option parsing and the table moved to the library BenchProgram.

--- /dev/null
+++ b/Source/ProcessBench/Main.cpp
@@ -0,0 +1,7 @@
+#include "Bench/Program.h"
+
+int
+main(int aCount, char** aValues)
+{
+  return Bench::RunProgram("ibisprocbench", aCount, aValues);
+}
