--- a/Source/UnitTests/Daemon/FleetTests.cpp
+++ b/Source/UnitTests/Daemon/FleetTests.cpp
@@ -135,10 +135,12 @@
   const Http::Request request{ "POST", "/reserve", { { "Ibisshed-Deadline-Ms", "400" } }, "x" };
   const auto askFour = [&] {
     std::vector<std::future<Http::Response>> calls;
+    calls.reserve(4);
     for (int i = 0; i < 4; ++i) {
       calls.push_back(std::async(std::launch::async, [&] { return fleet.ask(request); }));
     }
     std::vector<std::string> outcomes;
+    outcomes.reserve(calls.size());
     for (auto& call : calls) {
       outcomes.push_back(OutcomeOf(call.get()));
     }
