--- a/Source/Bench/VirtualServer.h
+++ b/Source/Bench/VirtualServer.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Admission/Admission.h"
+#include "Bench/Measure.h"
 #include "Common/Histogram.h"
 #include "Common/Random.h"
 
@@ -61,7 +62,8 @@
   std::vector<Tables::MinShare> mMinShares;
   PolicyKind mPolicy = PolicyKind::Gate;
   RetryKind mRetries = RetryKind::None;
-  Duration mRunTime{ std::chrono::seconds(120) };
+  /// A quick run plays a third of the time; the bounds are the same.
+  Duration mRunTime{ std::chrono::seconds(Quick() ? 40 : 120) };
   /// Not counted, for the policy to learn.
   Duration mWarmUp{ std::chrono::seconds(10) };
   std::uint64_t mSeed = 1;
