--- a/Source/Bench/Measure.h
+++ b/Source/Bench/Measure.h
@@ -43,7 +43,7 @@
 std::vector<Area>&
 Areas();
 
-/// True if the run should skip its longest parts, so that all areas take less than 50 s together.
+/// True if the run should skip its longest parts.
 bool
 Quick();
 
