Split four large files of the daemon

OwnerJobs, OwnerMembers, CellOwner and AgentRequests had 526 to 560 lines; the placing, the views, the calls of others and the endpoints have files of their own now. No change of behaviour; the Daemon tests pass.

--- a/Source/Core/Daemon/OwnerJobs.h
+++ b/Source/Core/Daemon/OwnerJobs.h
@@ -33,6 +33,11 @@
   std::vector<Rpc::Generated::TaskReport> mTasks;
 };
 
+/// Label that the shapes of a pool's workers and the jobs for it have, since a pool may use a part
+/// of a worker only.
+std::string
+PoolLabel(const Common::PoolId& aPool);
+
 /// The batch jobs of a cell during one term of ownership: state, log and placement.
 class OwnerJobs
 {
