Test that freeing a slot at the deadline breaks the slot limit

An agent that frees a slot when the request's deadline has passed, while the endpoint still works on it, gives the endpoint more than it has slots. Release now says when it must be called.

--- a/Source/Core/Admission/Admission.h
+++ b/Source/Core/Admission/Admission.h
@@ -105,7 +105,8 @@
 Offer(Gate& aGate, WorkerLedger& aWorker, Request aRequest, Timestamp aNow);
 
 /// Gives the slot and connection of a running request back and starts waiting ones. An unknown id
-/// changes nothing.
+/// changes nothing. Call it when the endpoint no longer works on the request, not when the caller's
+/// deadline has passed: an endpoint that still works would be given more than it has slots.
 Actions
 Release(Gate& aGate,
         WorkerLedger& aWorker,
--- a/Source/UnitTests/Dispatch/ScheduleTests.cpp
+++ b/Source/UnitTests/Dispatch/ScheduleTests.cpp
@@ -120,6 +120,7 @@
     { Planted::StandingIgnored, "I6" },
     { Planted::UnknownSettledAsNotRun, "I6" },
     { Planted::DrainIgnored, "I7" },
+    { Planted::SlotReleasedAtDeadline, "I1: more requests" },
   }));
   INFO("fault " << static_cast<int>(planted) << " found as " << finding);
   REQUIRE(SchedulesUntilFound(planted, finding, kMost) > 0);
--- a/Source/UnitTests/Dispatch/World.h
+++ b/Source/UnitTests/Dispatch/World.h
@@ -37,6 +37,8 @@
   StandingIgnored,
   UnknownSettledAsNotRun,
   DrainIgnored,
+  /// The agent gives up waiting for the endpoint and frees the slot while the endpoint still works.
+  SlotReleasedAtDeadline,
 };
 
 /// Shape of one schedule.
--- a/Source/UnitTests/Dispatch/WorldAgents.cpp
+++ b/Source/UnitTests/Dispatch/WorldAgents.cpp
@@ -179,6 +179,14 @@
     ++agent.mAtEndpoint;
     mChecker.connectionsAt(aAgent, agent.mGate.mIdleConnections.value());
     mChecker.startedAt(aAgent, agent.mBodies.at(id));
+    if (mPlan.mPlanted == Planted::SlotReleasedAtDeadline) {
+      at(action.mRequest.mDeadline - mNow, [this, aAgent, id, born = agent.mIncarnation] {
+        SimAgent& later = mAgents[aAgent];
+        if (later.mUp && later.mIncarnation == born) {
+          carryOut(aAgent, Admission::Release(later.mGate, later.mWorker, id, {}, mNow));
+        }
+      });
+    }
     at(someDelay(chance(10) ? 1500 : 100),
        [this, aAgent, id, born = agent.mIncarnation] { endpointDone(aAgent, born, id); });
   }
