Run the daemon with the exchange period that was measured

Cause: SpreadService replaced the periods of Spread::Timing by the setting times.gossip_ms, whose default was 1 s for both the exchange in a data centre and the one between relays. The figures in docs/CAPACITY.md were taken with 600 ms, so they were not those of the daemon. Found in the read-through. Change: the default is 600 ms, and the exchange between relays keeps its own period of 1 s.

--- a/Source/Core/Config/Settings.h
+++ b/Source/Core/Config/Settings.h
@@ -130,7 +130,7 @@
   Duration mAnnounce{ std::chrono::seconds(1) };
   Duration mSuspectAfter{ std::chrono::seconds(2) };
   Duration mGoneAfter{ std::chrono::seconds(3) };
-  Duration mGossip{ std::chrono::seconds(1) };
+  Duration mGossip{ std::chrono::milliseconds(600) };
   /// Submissions of this long are packed into one segment.
   Duration mSegmentWindow{ std::chrono::milliseconds(20) };
   Duration mProgressWrite{ std::chrono::seconds(1) };
--- a/Source/Core/Daemon/SpreadService.cpp
+++ b/Source/Core/Daemon/SpreadService.cpp
@@ -106,7 +106,6 @@
 {
   mState.mSelf = aRuntime.self();
   mState.mTiming.mExchangeEvery = aRuntime.mSettings.mTimes.mGossip;
-  mState.mTiming.mRemoteExchangeEvery = aRuntime.mSettings.mTimes.mGossip;
   for (const Config::Peer& peer : aRuntime.mSettings.mPeers) {
     if (peer.mName != aRuntime.self()) {
       mState.mLocalPeers.push_back(peer.mName);
