Use one piece of code where the logic stood twice

- Term counted majorities in two ways; HasMajority, TenureToGrant and the acceptance of an epoch now come from MajoritySent.
- IsName, LeaveList, the sub-bucket bits of Histogram and the loop over unconfirmed starts stand once.
- ControlBench uses neutral names of the same length.
Checked on the way by planting the faults: the test of the tenure bound fails with the full tenure, and the heartbeat test fails if commands for another incarnation are taken.

--- a/Source/Bench/ControlBench.cpp
+++ b/Source/Bench/ControlBench.cpp
@@ -58,9 +58,9 @@
   report.jobId = "dc07-c4/18233";
   report.attempt = 1;
   report.state = Wire::TaskState::Finished;
-  report.route = "pattern-renders";
-  report.client = "gilders-plzen";
-  report.team = "renders";
+  report.route = "batch-analytics";
+  report.client = "client-dc0741";
+  report.team = "team-07";
   return report;
 }
 
@@ -71,9 +71,9 @@
   start.taskId = "dc07-c4/18233/741";
   start.jobId = "dc07-c4/18233";
   start.payload = std::string(200, 'x');
-  start.route = "pattern-renders";
-  start.client = "gilders-plzen";
-  start.team = "renders";
+  start.route = "batch-analytics";
+  start.client = "client-dc0741";
+  start.team = "team-07";
   Wire::TaskAction action;
   action.kind = Wire::TaskActionKind::Start;
   action.taskId = start.taskId;
@@ -115,9 +115,9 @@
   Wire::HeartbeatReply reply;
   reply.info = Agent();
   Wire::EndpointReport endpoint;
-  endpoint.endpointId = "quotes-3041";
+  endpoint.endpointId = "front1-3041";
   endpoint.address = "10.117.203.41:8080";
-  endpoint.pool = "quotes";
+  endpoint.pool = "front1";
   reply.endpoints = { endpoint };
   return reply;
 }
--- a/Source/Core/Common/Histogram.cpp
+++ b/Source/Core/Common/Histogram.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int kSubBits = 4;
+constexpr int kSubBits = Histogram::kSubBits;
 constexpr std::uint64_t kSubCount = 1U << kSubBits;
 
 std::size_t
--- a/Source/Core/Common/Histogram.h
+++ b/Source/Core/Common/Histogram.h
@@ -20,8 +20,10 @@
   /// The upper bound of the bucket that holds the given quantile (0 to 1); 0 if empty.
   std::int64_t quantile(double aQuantile) const;
 
-private:
+  /// Each doubling of the value has 2^kSubBits buckets.
   static constexpr int kSubBits = 4;
+
+private:
   static constexpr int kBuckets = (64 - kSubBits) << kSubBits;
 
   std::array<std::uint64_t, kBuckets> mBuckets{};
--- a/Source/Core/Config/Addresses.cpp
+++ b/Source/Core/Config/Addresses.cpp
@@ -1,24 +1,9 @@
-#include <algorithm>
-
 #include <arpa/inet.h>
 
 #include "Config/Keys.h"
 
 namespace Config {
 
-bool
-IsName(const std::string& aText)
-{
-  constexpr std::size_t kLongest = 64;
-  return !aText.empty() && aText.size() <= kLongest &&
-         std::all_of(aText.begin(), aText.end(), [](char aCharacter) {
-           return (aCharacter >= 'a' && aCharacter <= 'z') ||
-                  (aCharacter >= 'A' && aCharacter <= 'Z') ||
-                  (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '.' ||
-                  aCharacter == '_' || aCharacter == '-';
-         });
-}
-
 bool
 IsIpAddress(const std::string& aText)
 {
--- a/Source/Core/Config/Keys.cpp
+++ b/Source/Core/Config/Keys.cpp
@@ -2,6 +2,7 @@
 
 #include <iterator>
 
+#include "Common/Names.h"
 #include "Config/KeyTypes.h"
 
 namespace Config {
@@ -37,27 +38,30 @@
         return aIn.mRole;
       }),
     TextKey<InstanceId>(
-      instance, "name", kName, "required", &IsName, [](Settings & aIn) -> auto& {
+      instance, "name", kName, "required", &Common::IsName, [](Settings & aIn) -> auto& {
         return aIn.mInstance.mName;
       }),
     TextKey<DataCentreId>(
-      instance, "data_centre", kName, "required", &IsName, [](Settings & aIn) -> auto& {
+      instance, "data_centre", kName, "required", &Common::IsName, [](Settings & aIn) -> auto& {
         return aIn.mInstance.mDataCentre;
       }),
     TextKey<RegionId>(
-      instance, "region", kName, "required", &IsName, [](Settings & aIn) -> auto& {
+      instance, "region", kName, "required", &Common::IsName, [](Settings & aIn) -> auto& {
         return aIn.mInstance.mRegion;
       }),
     TextKey<RackId>(
-      instance, "rack", kName, "none", &IsName, [](Settings & aIn) -> auto& {
+      instance, "rack", kName, "none", &Common::IsName, [](Settings & aIn) -> auto& {
         return aIn.mInstance.mRack;
       }),
     TextKey<WorkerId>(
-      instance, "worker", kName, "required for agents", &IsName, [](Settings & aIn) -> auto& {
-        return aIn.mInstance.mWorker;
-      }),
+      instance,
+      "worker",
+      kName,
+      "required for agents",
+      &Common::IsName,
+      [](Settings & aIn) -> auto& { return aIn.mInstance.mWorker; }),
     TextList(
-      instance, "labels", kName, "[]", 0, &IsName, [](Settings & aIn) -> auto& {
+      instance, "labels", kName, "[]", 0, &Common::IsName, [](Settings & aIn) -> auto& {
         return aIn.mInstance.mLabels;
       }),
   };
--- a/Source/Core/Config/Keys.h
+++ b/Source/Core/Config/Keys.h
@@ -42,10 +42,6 @@
               const std::string& aFile,
               Common::Findings& aFindings);
 
-/// Names that stand in URLs, headers and store keys: 1 to 64 letters, digits, '.', '_' and '-'.
-bool
-IsName(const std::string& aText);
-
 /// A numeric IPv4 or IPv6 address.
 bool
 IsIpAddress(const std::string& aText);
--- a/Source/Core/Config/Settings.cpp
+++ b/Source/Core/Config/Settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "Common/Names.h"
 #include "Config/Keys.h"
 
 namespace Config {
@@ -43,7 +44,7 @@
 {
   const auto text = aReader.text(aKey);
   aReader.missing(aKey);
-  if (text && !IsName(*text)) {
+  if (text && !Common::IsName(*text)) {
     aReader.error(aKey, "key \"" + aKey + "\" must be 1 to 64 letters, digits, '.', '_' and '-'");
   }
   return text.value_or("");
--- a/Source/Core/Daemon/BudgetedStore.h
+++ b/Source/Core/Daemon/BudgetedStore.h
@@ -10,7 +10,7 @@
 
 /// The store of the settings behind a token bucket: calls above the process' rate are refused as
 /// Unavailable before they are sent. Only the first address is used.
-std::unique_ptr<Store::StorePort>
-MakeBudgetedStore(const Config::Settings& aSettings, const Common::Clock& aClock);
+std::shared_ptr<Store::StorePort>
+MakeBudgetedStore(const Config::Settings& aSettings, Common::Clock& aClock);
 
 } // namespace Daemon
--- a/Source/Core/Daemon/Runtime.h
+++ b/Source/Core/Daemon/Runtime.h
@@ -73,7 +73,7 @@
   Rpc::ClientPool mControl;
   Rpc::ClientPool mRequests;
   Http::Client mHttp;
-  std::unique_ptr<Store::StorePort> mStore;
+  std::shared_ptr<Store::StorePort> mStore;
   /// "ip:port" under which other processes reach this one.
   std::string mRpcAddress;
   std::string mHttpAddress;
--- a/Source/Core/Daemon/Term.cpp
+++ b/Source/Core/Daemon/Term.cpp
@@ -15,21 +15,14 @@
 // first.
 constexpr Common::Duration kRestartWindow = std::chrono::seconds(2);
 
-std::size_t
-CountSince(const Term& aTerm, const std::vector<RosterEntry>& aRoster, Common::Timestamp aSince)
-{
-  const auto count = std::count_if(aRoster.begin(), aRoster.end(), [&](const RosterEntry& aEntry) {
-    const auto found = aTerm.mAcknowledged.find({ aEntry.mInstance, aEntry.mIncarnation });
-    return found != aTerm.mAcknowledged.end() && found->second >= aSince;
-  });
-  return static_cast<std::size_t>(count);
-}
-
-/// The newest time such that a majority of the roster acknowledged heartbeats sent since; aNow for
-/// an empty roster. The roster must have a majority of acknowledgements.
-Common::Timestamp
-MajoritySent(const Term& aTerm, const std::vector<RosterEntry>& aRoster, Common::Timestamp aNow)
+/// The newest time such that a majority of the roster acknowledged heartbeats sent since; nothing
+/// without a majority. An empty roster has nobody to disagree.
+std::optional<Common::Timestamp>
+MajoritySent(const Term& aTerm, const std::vector<RosterEntry>& aRoster)
 {
+  if (aRoster.empty()) {
+    return Common::Timestamp::max();
+  }
   std::vector<Common::Timestamp> times;
   for (const RosterEntry& entry : aRoster) {
     const auto found = aTerm.mAcknowledged.find({ entry.mInstance, entry.mIncarnation });
@@ -37,26 +30,31 @@
       times.push_back(found->second);
     }
   }
-  if (times.empty()) {
-    return aNow;
+  const std::size_t needed = aRoster.size() / 2 + 1;
+  if (times.size() < needed) {
+    return std::nullopt;
   }
-  const auto last = times.begin() + static_cast<std::ptrdiff_t>(aRoster.size() / 2);
+  const auto last = times.begin() + static_cast<std::ptrdiff_t>(needed - 1);
   std::nth_element(times.begin(), last, times.end(), std::greater<>());
   return *last;
 }
 
-bool
-IsMajority(std::size_t aCount, std::size_t aOf)
+/// The same for the roster in the store and the one that is being written together.
+std::optional<Common::Timestamp>
+MajoritySent(const Term& aTerm)
 {
-  return aOf == 0 || 2 * aCount > aOf;
+  const auto settled = MajoritySent(aTerm, aTerm.mRoster);
+  if (!aTerm.mProposed || !settled) {
+    return settled;
+  }
+  const auto proposed = MajoritySent(aTerm, *aTerm.mProposed);
+  return proposed ? std::optional(std::min(*settled, *proposed)) : std::nullopt;
 }
 
 void
 NoteAcceptance(Term& aTerm, Common::Timestamp aNow)
 {
-  const Common::Timestamp ever = Common::Timestamp::min();
-  if (!aTerm.mAcceptedAt &&
-      IsMajority(CountSince(aTerm, aTerm.mTakenOver, ever), aTerm.mTakenOver.size())) {
+  if (!aTerm.mAcceptedAt && MajoritySent(aTerm, aTerm.mTakenOver)) {
     aTerm.mAcceptedAt = aNow;
   }
 }
@@ -126,10 +124,8 @@
 bool
 HasMajority(const Term& aTerm, Common::Timestamp aSince)
 {
-  const auto agrees = [&](const std::vector<RosterEntry>& aRoster) {
-    return IsMajority(CountSince(aTerm, aRoster, aSince), aRoster.size());
-  };
-  return agrees(aTerm.mRoster) && (!aTerm.mProposed || agrees(*aTerm.mProposed));
+  const auto sent = MajoritySent(aTerm);
+  return sent && *sent >= aSince;
 }
 
 bool
@@ -141,14 +137,12 @@
 Common::Duration
 TenureToGrant(const Term& aTerm, const Config::TimeSettings& aTimes, Common::Timestamp aNow)
 {
-  if (!MayGrantTenure(aTerm, aTimes, aNow)) {
+  const auto sent = MajoritySent(aTerm);
+  if (!sent || *sent < aNow - aTimes.mTenureMajority) {
     return {};
   }
-  Common::Timestamp sent = MajoritySent(aTerm, aTerm.mRoster, aNow);
-  if (aTerm.mProposed) {
-    sent = std::min(sent, MajoritySent(aTerm, *aTerm.mProposed, aNow));
-  }
-  return std::max(Common::Duration(), aTimes.mTenure - (aNow - sent));
+  const Common::Duration age = aNow - std::min(*sent, aNow);
+  return std::max(Common::Duration(), aTimes.mTenure - age);
 }
 
 bool
--- a/Source/Core/Jobs/Ends.cpp
+++ b/Source/Core/Jobs/Ends.cpp
@@ -4,17 +4,6 @@
 
 namespace {
 
-void
-LeaveList(JobsState& aState,
-          std::vector<std::uint32_t>& aList,
-          std::uint32_t aPlace,
-          std::uint32_t LiveTask::*aMember)
-{
-  aList[aPlace] = aList.back();
-  aState.mTasks[aList[aPlace]].*aMember = aPlace;
-  aList.pop_back();
-}
-
 void
 RemoveLive(JobsState& aState, Job& aJob, std::uint32_t aSlot)
 {
--- a/Source/Core/Jobs/Jobs.h
+++ b/Source/Core/Jobs/Jobs.h
@@ -89,6 +89,7 @@
 {
   TaskKey mKey;
   Common::Attempt mAttempt;
+  Common::Resources mNeed;
 };
 std::vector<UnconfirmedStart>
 UnconfirmedStarts(const JobsState& aState, const Common::WorkerId& aWorker);
--- a/Source/Core/Jobs/Start.cpp
+++ b/Source/Core/Jobs/Start.cpp
@@ -249,7 +249,7 @@
   for (const std::uint32_t slot : aState.mWorkers[found->second].mTasks) {
     const LiveTask& task = aState.mTasks[slot];
     if (!task.mSeen) {
-      starts.push_back({ task.mKey, Common::Attempt(task.mAttempt) });
+      starts.push_back({ task.mKey, Common::Attempt(task.mAttempt), task.mNeed });
     }
   }
   return starts;
@@ -266,15 +266,8 @@
 UnconfirmedOn(const JobsState& aState, const Common::WorkerId& aWorker)
 {
   Common::Resources sum;
-  const auto found = aState.mWorkerIndex.find(aWorker);
-  if (found == aState.mWorkerIndex.end()) {
-    return sum;
-  }
-  for (const std::uint32_t slot : aState.mWorkers[found->second].mTasks) {
-    const LiveTask& task = aState.mTasks[slot];
-    if (!task.mSeen) {
-      sum = sum + task.mNeed;
-    }
+  for (const UnconfirmedStart& start : UnconfirmedStarts(aState, aWorker)) {
+    sum = sum + start.mNeed;
   }
   return sum;
 }
--- a/Source/Core/Jobs/Transitions.cpp
+++ b/Source/Core/Jobs/Transitions.cpp
@@ -9,6 +9,8 @@
 
 using Common::Resources;
 
+} // namespace
+
 void
 LeaveList(JobsState& aState,
           std::vector<std::uint32_t>& aList,
@@ -20,8 +22,6 @@
   aList.pop_back();
 }
 
-} // namespace
-
 Job*
 FindJob(JobsState& aState, JobNumber aJob)
 {
--- a/Source/Core/Jobs/Transitions.h
+++ b/Source/Core/Jobs/Transitions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "Jobs/State.h"
 
@@ -76,6 +77,14 @@
 void
 Vacate(JobsState& aState, std::uint32_t aSlot, const Now& aNow);
 
+/// Takes the entry at aPlace out of a list of slots; the last entry moves there. aMember is the
+/// place that each task keeps for this list.
+void
+LeaveList(JobsState& aState,
+          std::vector<std::uint32_t>& aList,
+          std::uint32_t aPlace,
+          std::uint32_t LiveTask::*aMember);
+
 /// Ends the task, live or not, and records it (unless the record of the whole job covers it).
 void
 EndTask(JobsState& aState,
--- a/Source/Core/Tables/ParseTables.cpp
+++ b/Source/Core/Tables/ParseTables.cpp
@@ -1,9 +1,9 @@
 #include "Tables/ParseTables.h"
 
-#include <algorithm>
 #include <tuple>
 
 #include "Common/Hash.h"
+#include "Common/Names.h"
 #include "Tables/Reading.h"
 #include "Toml/Document.h"
 
@@ -45,19 +45,6 @@
 
 } // namespace
 
-bool
-IsName(std::string_view aText)
-{
-  constexpr std::size_t kLongest = 64;
-  return !aText.empty() && aText.size() <= kLongest &&
-         std::all_of(aText.begin(), aText.end(), [](char aCharacter) {
-           return (aCharacter >= 'a' && aCharacter <= 'z') ||
-                  (aCharacter >= 'A' && aCharacter <= 'Z') ||
-                  (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '.' ||
-                  aCharacter == '_' || aCharacter == '-';
-         });
-}
-
 std::string
 ReadName(Toml::TableReader& aReader, const std::string& aKind)
 {
@@ -66,7 +53,7 @@
     aReader.missing("name");
     return "";
   }
-  if (!IsName(*name)) {
+  if (!Common::IsName(*name)) {
     aReader.error("name", "key \"name\" must have 1 to 64 letters, digits, '.', '_' and '-' only");
     return "";
   }
--- a/Source/Core/Tables/ReadPools.cpp
+++ b/Source/Core/Tables/ReadPools.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Common/Names.h"
 #include "Tables/Reading.h"
 
 namespace Tables {
@@ -56,7 +57,7 @@
     return {};
   }
   for (std::size_t i = 0; i < names.size(); ++i) {
-    if (!IsName(names[i])) {
+    if (!Common::IsName(names[i])) {
       aReader.error(aKey,
                     "each item of \"" + aKey +
                       "\" must have 1 to 64 letters, digits, '.', '_' and '-' only");
--- a/Source/Core/Tables/Reading.h
+++ b/Source/Core/Tables/Reading.h
@@ -26,8 +26,4 @@
 std::string
 ReadName(Toml::TableReader& aReader, const std::string& aKind);
 
-/// True for 1 to 64 letters, digits, '.', '_' and '-'; names stand in URLs, headers and store keys.
-bool
-IsName(std::string_view aText);
-
 } // namespace Tables
