--- a/Source/Core/StoreHttp/Base64.cpp
+++ b/Source/Core/Common/Base64.cpp
@@ -1,14 +1,27 @@
-#include "StoreHttp/Base64.h"
+#include "Common/Base64.h"
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 
-namespace StoreHttp {
+namespace Common {
 
 namespace {
 
 constexpr std::string_view kAlphabet =
   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
+constexpr std::uint8_t kNoValue = 255;
+
+constexpr std::array<std::uint8_t, 256> kValues = [] {
+  std::array<std::uint8_t, 256> values{};
+  values.fill(kNoValue);
+  for (std::size_t i = 0; i < kAlphabet.size(); ++i) {
+    values[static_cast<unsigned char>(kAlphabet[i])] = static_cast<std::uint8_t>(i);
+  }
+  return values;
+}();
+
 } // namespace
 
 std::string
@@ -45,11 +58,11 @@
       ++padding;
       continue;
     }
-    const std::size_t value = kAlphabet.find(letter);
-    if (value == std::string_view::npos || padding > 0) {
+    const std::uint8_t value = kValues[static_cast<unsigned char>(letter)];
+    if (value == kNoValue || padding > 0) {
       return std::nullopt;
     }
-    bits = bits << 6 | static_cast<std::uint32_t>(value);
+    bits = bits << 6 | value;
     bitCount += 6;
     if (bitCount >= 8) {
       bitCount -= 8;
@@ -59,4 +72,4 @@
   return padding <= 2 ? std::optional<std::string>(std::move(bytes)) : std::nullopt;
 }
 
-} // namespace StoreHttp
+} // namespace Common
--- a/Source/Core/StoreHttp/Base64.h
+++ b/Source/Core/Common/Base64.h
@@ -5,7 +5,7 @@
 #include <string_view>
 
 /// Base64 of RFC 4648 with padding, for binary values inside JSON.
-namespace StoreHttp {
+namespace Common {
 
 std::string
 EncodeBase64(std::string_view aBytes);
@@ -14,4 +14,4 @@
 std::optional<std::string>
 DecodeBase64(std::string_view aText);
 
-} // namespace StoreHttp
+} // namespace Common
--- a/Source/Core/Config/CommandLine.cpp
+++ b/Source/Core/Config/CommandLine.cpp
@@ -13,6 +13,7 @@
     { "config", "FILE", "read the settings from FILE" },
     { "set", "SECTION.KEY=VALUE", "replace one setting; may be repeated" },
     { "check", "", "check the settings and exit" },
+    { "platform", "", "run with the settings file that the users' platform names" },
     { "help", "", "print this help" },
     { "version", "", "print the version" },
   };
@@ -38,9 +39,13 @@
     line.mOverrides = overrides->second;
   }
   line.mCheck = parsed->has("check");
+  line.mPlatform = parsed->has("platform");
   line.mHelp = parsed->has("help");
   line.mVersion = parsed->has("version");
-  if (line.mSettingsFile.empty() && !line.mHelp && !line.mVersion) {
+  if (line.mPlatform && (!line.mSettingsFile.empty() || !line.mOverrides.empty())) {
+    return tl::unexpected(std::string("--platform takes no other settings"));
+  }
+  if (line.mSettingsFile.empty() && !line.mPlatform && !line.mHelp && !line.mVersion) {
     return tl::unexpected(std::string("--config FILE is missing"));
   }
   return line;
@@ -49,7 +54,7 @@
 std::string
 CommandLineHelp()
 {
-  return "Usage: ibisshedd --config FILE [--set SECTION.KEY=VALUE]... [--check]\n\nOptions:\n" +
+  return "Usage: ibisshedd --config FILE [--set SECTION.KEY=VALUE]... [--check]\n       ibisshedd --platform\n\nOptions:\n" +
          Common::OptionsText(Options());
 }
 
--- a/Source/Core/Config/CommandLine.h
+++ b/Source/Core/Config/CommandLine.h
@@ -15,6 +15,8 @@
   std::vector<std::string> mOverrides;
   /// Only check the settings.
   bool mCheck = false;
+  /// Take the settings from the file that the users' platform names.
+  bool mPlatform = false;
   bool mHelp = false;
   bool mVersion = false;
 };
--- /dev/null
+++ b/Source/Core/Net/Address.cpp
@@ -0,0 +1,47 @@
+#include "Net/Address.h"
+
+#include <charconv>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Net {
+
+std::optional<Tcp::endpoint>
+ParseAddress(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto address = Asio::ip::make_address(std::string(aText.substr(0, colon)), error);
+  std::uint16_t port = 0;
+  const std::string_view digits = aText.substr(colon + 1);
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error || parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  return Tcp::endpoint(address, port);
+}
+
+std::string
+AddressText(const Tcp::endpoint& aEndpoint)
+{
+  return aEndpoint.address().to_string() + ':' + std::to_string(aEndpoint.port());
+}
+
+void
+SetSocketOptions(Tcp::socket& aSocket, int aUnansweredMs)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(Tcp::no_delay(true), ignored);
+  // Failing to set it only delays the detection of a lost peer; deadlines still hold.
+  ::setsockopt(aSocket.native_handle(),
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &aUnansweredMs,
+               sizeof(aUnansweredMs));
+}
+
+} // namespace Net
--- /dev/null
+++ b/Source/Core/Net/Address.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+
+/// Event-driven HTTP and message connections on one thread.
+namespace Net {
+
+namespace Asio = boost::asio;
+using Tcp = Asio::ip::tcp;
+
+/// "IP:PORT" as an endpoint; nothing if the text is not of this form.
+std::optional<Tcp::endpoint>
+ParseAddress(std::string_view aText);
+
+std::string
+AddressText(const Tcp::endpoint& aEndpoint);
+
+/// Sets what every connection needs here: no delay of small writes, and an error within
+/// aUnansweredMs if the peer's machine does not acknowledge them.
+void
+SetSocketOptions(Tcp::socket& aSocket, int aUnansweredMs);
+
+} // namespace Net
--- /dev/null
+++ b/Source/Core/Net/HttpClient.cpp
@@ -0,0 +1,176 @@
+#include "Net/HttpClient.h"
+
+#include <optional>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Net {
+
+namespace Beast = boost::beast;
+namespace Http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+/// Answers above this size are an error of the server; its pages are bounded by about 1 MB.
+constexpr std::uint64_t kMaxAnswerBytes = 8 << 20;
+/// A server whose machine does not acknowledge data for this long is taken as lost.
+constexpr int kUnansweredMs = 5'000;
+/// Idle connections kept to one server. More calls at one time open connections of their own.
+constexpr std::size_t kMaxIdle = 4;
+
+class Call;
+
+} // namespace
+
+struct HttpClient::Core
+{
+  Core(Asio::io_context& aContext, const std::string& aAddress)
+    : mContext(aContext)
+    , mEndpoint(ParseAddress(aAddress))
+    , mHost(aAddress)
+  {
+  }
+
+  Asio::io_context& mContext;
+  std::optional<Tcp::endpoint> mEndpoint;
+  std::string mHost;
+  std::vector<std::unique_ptr<Beast::tcp_stream>> mIdle;
+  bool mClosed = false;
+};
+
+namespace {
+
+class Call : public std::enable_shared_from_this<Call>
+{
+public:
+  Call(std::shared_ptr<HttpClient::Core> aCore,
+       ClientRequest aRequest,
+       Common::Duration aTimeout,
+       CallDone aDone)
+    : mCore(std::move(aCore))
+    , mTimeout(aTimeout)
+    , mDone(std::move(aDone))
+    , mRequest(Http::string_to_verb(aRequest.mMethod), aRequest.mTarget, 11)
+  {
+    mRequest.set(Http::field::host, mCore->mHost);
+    for (const auto& [name, value] : aRequest.mHeaders) {
+      mRequest.set(name, value);
+    }
+    if (!aRequest.mBody.empty()) {
+      mRequest.set(Http::field::content_type, "application/json");
+    }
+    mRequest.body() = std::move(aRequest.mBody);
+    if (!mRequest.body().empty() || mRequest.method() == Http::verb::post) {
+      mRequest.prepare_payload();
+    }
+  }
+
+  void start()
+  {
+    if (!mCore->mEndpoint) {
+      Asio::post(mCore->mContext, [self = shared_from_this()] {
+        self->finish(tl::unexpected(CallError::NotSent));
+      });
+      return;
+    }
+    if (!mCore->mIdle.empty()) {
+      mStream = std::move(mCore->mIdle.back());
+      mCore->mIdle.pop_back();
+      mStream->expires_after(mTimeout);
+      write();
+      return;
+    }
+    mStream = std::make_unique<Beast::tcp_stream>(mCore->mContext);
+    mStream->expires_after(mTimeout);
+    mStream->async_connect(*mCore->mEndpoint, [self = shared_from_this()](ErrorCode aError) {
+      if (aError) {
+        self->finish(tl::unexpected(aError == Asio::error::connection_refused ? CallError::Refused
+                                                                              : CallError::NotSent));
+        return;
+      }
+      SetSocketOptions(self->mStream->socket(), kUnansweredMs);
+      self->write();
+    });
+  }
+
+private:
+  void write()
+  {
+    Http::async_write(*mStream, mRequest, [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      if (aError) {
+        self->finish(tl::unexpected(CallError::NoAnswer));
+        return;
+      }
+      self->read();
+    });
+  }
+
+  void read()
+  {
+    mParser.body_limit(kMaxAnswerBytes);
+    Http::async_read(
+      *mStream, mBuffer, mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
+        if (aError) {
+          self->finish(tl::unexpected(CallError::NoAnswer));
+          return;
+        }
+        self->takeAnswer();
+      });
+  }
+
+  void takeAnswer()
+  {
+    auto message = mParser.release();
+    if (message.keep_alive() && mCore->mIdle.size() < kMaxIdle && !mCore->mClosed &&
+        mBuffer.size() == 0) {
+      mStream->expires_never();
+      mCore->mIdle.push_back(std::move(mStream));
+    }
+    finish(ClientResponse{ message.result_int(), std::move(message.body()) });
+  }
+
+  void finish(CallResult aResult)
+  {
+    mStream.reset();
+    const CallDone done = std::move(mDone);
+    done(std::move(aResult));
+  }
+
+  std::shared_ptr<HttpClient::Core> mCore;
+  Common::Duration mTimeout;
+  CallDone mDone;
+  std::unique_ptr<Beast::tcp_stream> mStream;
+  Beast::flat_buffer mBuffer;
+  Http::request<Http::string_body> mRequest;
+  Http::response_parser<Http::string_body> mParser;
+};
+
+} // namespace
+
+HttpClient::HttpClient(Asio::io_context& aContext, const std::string& aAddress)
+  : mCore(std::make_shared<Core>(aContext, aAddress))
+{
+}
+
+HttpClient::~HttpClient()
+{
+  mCore->mClosed = true;
+  mCore->mIdle.clear();
+}
+
+void
+HttpClient::call(ClientRequest aRequest, Common::Duration aTimeout, CallDone aDone)
+{
+  std::make_shared<Call>(mCore, std::move(aRequest), aTimeout, std::move(aDone))->start();
+}
+
+void
+HttpClient::dropIdle()
+{
+  mCore->mIdle.clear();
+}
+
+} // namespace Net
--- /dev/null
+++ b/Source/Core/Node/Convert.cpp
@@ -0,0 +1,267 @@
+#include "Node/Convert.h"
+
+namespace Node {
+
+namespace {
+
+constexpr std::int64_t kBytesPerMb = 1 << 20;
+
+std::int64_t
+Millis(Common::Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
+Wire::StepSpec
+ToWire(const Scheduling::StepSpec& aStep)
+{
+  Wire::StepSpec step;
+  step.tasks = static_cast<std::int32_t>(aStep.mTasks);
+  step.milliCores = aStep.mNeed.mCores.value();
+  step.memoryMb = aStep.mNeed.mMemory.value() / kBytesPerMb;
+  step.accelerators = static_cast<std::int32_t>(aStep.mNeed.mAccelerators.value());
+  step.estimateMs = Millis(aStep.mEstimate);
+  step.after.assign(aStep.mAfter.begin(), aStep.mAfter.end());
+  step.checkpoints = aStep.mCheckpoints;
+  step.gang = aStep.mGang;
+  step.sameRack = aStep.mSameRack;
+  step.label = aStep.mLabel;
+  step.dataRack = aStep.mDataRack;
+  step.maxPerWorker = static_cast<std::int32_t>(aStep.mMaxPerWorker);
+  step.speculative = aStep.mSpeculative;
+  step.lasting = aStep.mLasting;
+  step.image = aStep.mImage;
+  step.tailTargetMs = Millis(aStep.mTailTarget);
+  step.fills = aStep.mFills;
+  step.mayMiss = static_cast<std::int32_t>(aStep.mMayMiss);
+  return step;
+}
+
+Scheduling::StepSpec
+FromWire(const Wire::StepSpec& aStep)
+{
+  Scheduling::StepSpec step;
+  step.mTasks = static_cast<std::uint32_t>(aStep.tasks);
+  step.mNeed.mCores = Common::MilliCores{ aStep.milliCores };
+  step.mNeed.mMemory = Common::Bytes{ aStep.memoryMb * kBytesPerMb };
+  step.mNeed.mAccelerators = Common::Accelerators{ aStep.accelerators };
+  step.mEstimate = std::chrono::milliseconds(aStep.estimateMs);
+  step.mAfter.assign(aStep.after.begin(), aStep.after.end());
+  step.mCheckpoints = aStep.checkpoints;
+  step.mGang = aStep.gang;
+  step.mSameRack = aStep.sameRack;
+  step.mLabel = aStep.label;
+  step.mDataRack = aStep.dataRack;
+  step.mMaxPerWorker = static_cast<std::uint32_t>(aStep.maxPerWorker);
+  step.mSpeculative = aStep.speculative;
+  step.mLasting = aStep.lasting;
+  step.mImage = aStep.image;
+  step.mTailTarget = std::chrono::milliseconds(aStep.tailTargetMs);
+  step.mFills = aStep.fills;
+  step.mMayMiss = static_cast<std::uint32_t>(aStep.mayMiss);
+  return step;
+}
+
+} // namespace
+
+Wire::JobRecord
+ToRecord(const Scheduling::JobSpec& aJob)
+{
+  Wire::JobRecord record;
+  record.job = aJob.mJob.str();
+  record.queue = aJob.mQueue.str();
+  record.payload = aJob.mPayload;
+  for (const auto& step : aJob.mSteps) {
+    record.steps.push_back(ToWire(step));
+  }
+  record.repeats = static_cast<std::int32_t>(aJob.mRepeats);
+  record.firstRunUnixMs = aJob.mFirstRun.count();
+  record.intervalMs = aJob.mInterval.count();
+  record.acceptedUnixMs = aJob.mAccepted.count();
+  return record;
+}
+
+Scheduling::JobSpec
+FromRecord(const Wire::JobRecord& aRecord)
+{
+  Scheduling::JobSpec job;
+  job.mJob = Common::JobId(aRecord.job);
+  job.mQueue = Common::RouteId(aRecord.queue);
+  job.mPayload = aRecord.payload;
+  for (const auto& step : aRecord.steps) {
+    job.mSteps.push_back(FromWire(step));
+  }
+  job.mRepeats = static_cast<std::uint32_t>(aRecord.repeats);
+  job.mFirstRun = Common::UnixMillis{ aRecord.firstRunUnixMs };
+  job.mInterval = Common::UnixMillis{ aRecord.intervalMs };
+  job.mAccepted = Common::UnixMillis{ aRecord.acceptedUnixMs };
+  return job;
+}
+
+Wire::ProgressRecord
+ToRecord(const Scheduling::Progress& aProgress)
+{
+  Wire::ProgressRecord record;
+  record.state = static_cast<std::int32_t>(aProgress.mState);
+  record.endedUnixMs = aProgress.mEnded.count();
+  for (const auto& step : aProgress.mSteps) {
+    Wire::StepProgress row;
+    row.occurrence = static_cast<std::int32_t>(step.mOccurrence);
+    row.step = static_cast<std::int32_t>(step.mStep);
+    row.done = step.mDone;
+    for (const auto& task : step.mTasks) {
+      Wire::TaskProgress item;
+      item.index = static_cast<std::int32_t>(task.mIndex);
+      item.done = task.mDone;
+      item.failures = static_cast<std::int32_t>(task.mFailures);
+      item.checkpoint = task.mCheckpoint;
+      row.tasks.push_back(std::move(item));
+    }
+    record.steps.push_back(std::move(row));
+  }
+  return record;
+}
+
+Scheduling::Progress
+FromRecord(const Wire::ProgressRecord& aRecord)
+{
+  Scheduling::Progress progress;
+  progress.mState = static_cast<Scheduling::JobState>(aRecord.state);
+  progress.mEnded = Common::UnixMillis{ aRecord.endedUnixMs };
+  for (const auto& row : aRecord.steps) {
+    Scheduling::StepProgress step;
+    step.mOccurrence = static_cast<std::uint32_t>(row.occurrence);
+    step.mStep = static_cast<std::uint32_t>(row.step);
+    step.mDone = row.done;
+    for (const auto& item : row.tasks) {
+      step.mTasks.push_back({ static_cast<std::uint32_t>(item.index),
+                              item.done,
+                              static_cast<std::uint32_t>(item.failures),
+                              item.checkpoint });
+    }
+    progress.mSteps.push_back(std::move(step));
+  }
+  return progress;
+}
+
+Wire::TaskName
+ToWire(const Scheduling::TaskName& aTask)
+{
+  Wire::TaskName name;
+  name.job = aTask.mJob.str();
+  name.occurrence = static_cast<std::int32_t>(aTask.mOccurrence);
+  name.step = static_cast<std::int32_t>(aTask.mStep);
+  name.index = static_cast<std::int32_t>(aTask.mIndex);
+  return name;
+}
+
+Scheduling::TaskName
+FromWire(const Wire::TaskName& aTask)
+{
+  return { Common::JobId(aTask.job),
+           static_cast<std::uint32_t>(aTask.occurrence),
+           static_cast<std::uint32_t>(aTask.step),
+           static_cast<std::uint32_t>(aTask.index) };
+}
+
+Wire::WorkerView
+ToWire(const Scheduling::WorkerView& aView)
+{
+  Wire::WorkerView view;
+  view.worker = aView.mLife.mWorker.str();
+  view.born = aView.mLife.mBorn.value();
+  view.pool = aView.mPool.str();
+  view.rack = aView.mRack.str();
+  view.labels = aView.mLabels;
+  view.milliCores = aView.mCapacity.mCores.value();
+  view.memoryMb = aView.mCapacity.mMemory.value() / kBytesPerMb;
+  view.accelerators = static_cast<std::int32_t>(aView.mCapacity.mAccelerators.value());
+  view.leaving = aView.mLeaving;
+  view.remainingMs = Millis(aView.mRemaining);
+  view.responding = aView.mResponding;
+  view.listed = aView.mListed;
+  for (const auto& row : aView.mRunning) {
+    Wire::RunningTask task;
+    task.task = ToWire(row.mTask);
+    task.run = static_cast<std::int32_t>(row.mRun.value());
+    task.checkpoint = row.mCheckpoint;
+    task.percent = static_cast<std::int32_t>(row.mPercent.value());
+    task.usage = row.mUsage;
+    view.running.push_back(std::move(task));
+  }
+  for (const auto& row : aView.mEnded) {
+    Wire::EndedTask task;
+    task.number = row.mNumber.value();
+    task.task = ToWire(row.mTask);
+    task.run = static_cast<std::int32_t>(row.mRun.value());
+    task.how = static_cast<std::int32_t>(row.mKind);
+    task.checkpoint = row.mCheckpoint;
+    view.ended.push_back(std::move(task));
+  }
+  return view;
+}
+
+Scheduling::WorkerView
+FromWire(const Wire::WorkerView& aView, const Common::DataCentreId& aDataCentre)
+{
+  Scheduling::WorkerView view;
+  view.mLife = { Common::WorkerId(aView.worker), Scheduling::Born{ aView.born } };
+  view.mPool = Common::PoolId(aView.pool);
+  view.mDataCentre = aDataCentre;
+  view.mRack = Common::RackId(aView.rack);
+  view.mLabels = aView.labels;
+  view.mCapacity.mCores = Common::MilliCores{ aView.milliCores };
+  view.mCapacity.mMemory = Common::Bytes{ aView.memoryMb * kBytesPerMb };
+  view.mCapacity.mAccelerators = Common::Accelerators{ aView.accelerators };
+  view.mLeaving = aView.leaving;
+  view.mRemaining = std::chrono::milliseconds(aView.remainingMs);
+  view.mResponding = aView.responding;
+  view.mListed = aView.listed;
+  for (const auto& task : aView.running) {
+    view.mRunning.push_back({ FromWire(task.task),
+                              Scheduling::RunNumber{ task.run },
+                              task.checkpoint,
+                              Scheduling::Percent{ task.percent },
+                              task.usage });
+  }
+  for (const auto& task : aView.ended) {
+    view.mEnded.push_back({ Scheduling::EndNumber{ task.number },
+                            FromWire(task.task),
+                            Scheduling::RunNumber{ task.run },
+                            static_cast<Scheduling::EndKind>(task.how),
+                            task.checkpoint });
+  }
+  return view;
+}
+
+Wire::Order
+ToWire(const Scheduling::Order& aOrder, const std::string& aPayload)
+{
+  Wire::Order order;
+  order.number = aOrder.mNumber;
+  order.kind = static_cast<std::int32_t>(aOrder.mKind);
+  order.worker = aOrder.mLife.mWorker.str();
+  order.born = aOrder.mLife.mBorn.value();
+  order.task = ToWire(aOrder.mTask);
+  order.run = static_cast<std::int32_t>(aOrder.mRun.value());
+  order.payload = aPayload;
+  order.checkpoint = aOrder.mCheckpoint;
+  order.percent = static_cast<std::int32_t>(aOrder.mPercent.value());
+  return order;
+}
+
+Scheduling::Order
+FromWire(const Wire::Order& aOrder)
+{
+  Scheduling::Order order;
+  order.mNumber = aOrder.number;
+  order.mKind = static_cast<Scheduling::OrderKind>(aOrder.kind);
+  order.mLife = { Common::WorkerId(aOrder.worker), Scheduling::Born{ aOrder.born } };
+  order.mTask = FromWire(aOrder.task);
+  order.mRun = Scheduling::RunNumber{ aOrder.run };
+  order.mCheckpoint = aOrder.checkpoint;
+  order.mPercent = Scheduling::Percent{ aOrder.percent };
+  return order;
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/Convert.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Scheduling/Model.h"
+#include "Wire/Codec.h"
+
+/// Between the types of the decisions and those of the records and messages.
+namespace Node {
+
+Wire::JobRecord
+ToRecord(const Scheduling::JobSpec& aJob);
+Scheduling::JobSpec
+FromRecord(const Wire::JobRecord& aRecord);
+Wire::ProgressRecord
+ToRecord(const Scheduling::Progress& aProgress);
+Scheduling::Progress
+FromRecord(const Wire::ProgressRecord& aRecord);
+Wire::TaskName
+ToWire(const Scheduling::TaskName& aTask);
+Scheduling::TaskName
+FromWire(const Wire::TaskName& aTask);
+Wire::WorkerView
+ToWire(const Scheduling::WorkerView& aView);
+Scheduling::WorkerView
+FromWire(const Wire::WorkerView& aView, const Common::DataCentreId& aDataCentre);
+Wire::Order
+ToWire(const Scheduling::Order& aOrder, const std::string& aPayload);
+Scheduling::Order
+FromWire(const Wire::Order& aOrder);
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/Coordinator.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Net/Link.h"
+#include "Node/Election.h"
+#include "Node/Watcher.h"
+#include "Scheduling/Schedule.h"
+
+namespace Node {
+
+/// The duty of the process that won the election: it knows all jobs and workers, decides what runs
+/// where, and writes down what has ended.
+class Coordinator
+{
+public:
+  Coordinator(Context& aContext, Election& aElection);
+  ~Coordinator();
+  Coordinator(const Coordinator&) = delete;
+  Coordinator& operator=(const Coordinator&) = delete;
+
+  /// Begins a term: reads what the store holds, then takes reports.
+  void begin(Common::Epoch aTerm);
+  /// Goes on with the state of the term after a pause.
+  void resume();
+  /// No orders, grants or answers until resume() or begin().
+  void pause();
+  /// Drops the state; another process has a higher term.
+  void end();
+  /// Writes what is not written yet; aDone comes in any case.
+  void flushAll(std::function<void()> aDone);
+
+  void takeTables(const QueueTables& aTables);
+  /// A process connected to this one.
+  void takeLink(const std::shared_ptr<Net::Link>& aLink);
+
+private:
+  struct Peer
+  {
+    std::shared_ptr<Net::Link> mLink;
+    /// Set once it has reported as an agent.
+    Common::InstanceId mAgent;
+    std::int64_t mEcho = 0;
+  };
+  struct EarlyReport
+  {
+    Wire::Report mReport;
+    Timestamp mTaken;
+  };
+
+  enum class Phase
+  {
+    Idle,
+    Reading,
+    Working,
+    Paused,
+  };
+
+  bool works() const { return mPhase == Phase::Working; }
+  void takeMessage(Net::Link* aLink, const std::string& aBytes);
+  void takeReport(Peer& aPeer, Wire::Report aReport);
+  void apply(const Wire::Report& aReport, Timestamp aTaken);
+  void answerOffer(Peer& aPeer, const Wire::Offer& aOffer);
+  void answerStatus(Peer& aPeer, const Wire::StatusQuery& aQuery);
+  void dropPeer(Net::Link* aLink);
+
+  void readWorkers();
+  void readProgress();
+  void watchJobs();
+  void takeJobSnapshot(const std::vector<Store::Entry>& aEntries);
+  void takeJobEntry(const Store::Entry& aEntry, bool aRecovered);
+  void beginWork();
+
+  void planSoon();
+  void plan();
+  void sendOrders();
+  void sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders);
+  void repeatOrders(Peer& aPeer);
+  Peer* peerOf(const Common::InstanceId& aAgent);
+  void everyTick();
+  void logNotes();
+
+  void flushSoon();
+  void flush();
+  void takeFlush(const std::vector<std::pair<Common::JobId, Scheduling::JobState>>& aJobs,
+                 const std::vector<Scheduling::Life>& aRecorded,
+                 bool aAllWritten,
+                 const tl::expected<Store::Version, Store::WriteFailure>& aResult);
+  void collectGarbage();
+  Duration maxGrant() const;
+
+  Context& mContext;
+  Election& mElection;
+  Phase mPhase = Phase::Idle;
+  Common::Epoch mTerm;
+  Timestamp mBegan;
+  /// Answers to calls of an earlier term are dropped.
+  int mRound = 0;
+  Scheduling::State mState;
+  std::unordered_map<Common::JobId, Scheduling::Progress> mRecovered;
+  /// Last key of the progress pages read so far.
+  std::string mReadAfter;
+  std::unordered_set<Common::JobId> mCancelledEarly;
+  /// Jobs that were offered and admitted, and are not seen in the store yet.
+  std::unordered_map<Common::JobId, Timestamp> mAdmitted;
+  std::unique_ptr<Watcher> mJobs;
+  std::map<Net::Link*, Peer> mPeers;
+  std::map<Common::InstanceId, EarlyReport> mEarly;
+  std::optional<QueueTables> mTables;
+  boost::asio::steady_timer mTick;
+  boost::asio::steady_timer mFlushTimer;
+  boost::asio::steady_timer mReadTimer;
+  bool mPlanPending = false;
+  bool mFlushing = false;
+  bool mFlushArmed = false;
+  bool mFlushArmedNow = false;
+  Timestamp mNextCollection;
+  std::function<void()> mFlushed;
+  /// Ends up to these are in the records of the flush on its way.
+  std::map<Scheduling::Life, Scheduling::EndNumber> mFlushEnds;
+};
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/CoordinatorFinder.cpp
@@ -0,0 +1,47 @@
+#include "Node/CoordinatorFinder.h"
+
+#include <algorithm>
+
+#include "Node/Keys.h"
+#include "Observability/Log.h"
+
+namespace Node {
+
+CoordinatorFinder::CoordinatorFinder(Context& aContext, Duration aWait, Changed aChanged)
+  : mChanged(std::move(aChanged))
+  , mWatcher(aContext,
+             kCoordinatorKey,
+             aWait,
+             { [this](const std::vector<Store::Entry>& aEntries, Store::Version aAt) {
+                mRecord.reset();
+                take(aEntries);
+                mChanged(mRecord, aAt);
+              },
+               [this](const Store::WatchResult& aResult) {
+                 // Within one batch a key that was erased and written again is in both lists; the
+                 // later one decides, and a coordinator's key is only written if it does not exist.
+                 if (std::find(aResult.mErased.begin(), aResult.mErased.end(), kCoordinatorKey) !=
+                     aResult.mErased.end()) {
+                   mRecord.reset();
+                 }
+                 take(aResult.mChanged);
+                 mChanged(mRecord, aResult.mUpTo);
+               } })
+{
+}
+
+void
+CoordinatorFinder::take(const std::vector<Store::Entry>& aEntries)
+{
+  for (const Store::Entry& entry : aEntries) {
+    if (entry.mKey != kCoordinatorKey) {
+      continue;
+    }
+    mRecord = Wire::Decode<Wire::CoordinatorRecord>(entry.mValue);
+    if (!mRecord) {
+      Observability::Log(Observability::Level::Warning, "election", "the coordinator's record cannot be read");
+    }
+  }
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/CoordinatorLink.cpp
@@ -0,0 +1,202 @@
+#include "Node/CoordinatorLink.h"
+
+#include <boost/asio/post.hpp>
+
+#include "Node/Convert.h"
+#include "Observability/Log.h"
+
+namespace Node {
+
+namespace {
+
+/// Precision with which unanswered questions end.
+constexpr std::chrono::milliseconds kCheck{ 100 };
+/// An empty question keeps an idle link from looking silent.
+constexpr std::chrono::milliseconds kKeepAlive{ 500 };
+
+} // namespace
+
+CoordinatorLink::CoordinatorLink(Context& aContext)
+  : mContext(aContext)
+  , mConnectTimer(aContext.mIo)
+  , mCheckTimer(aContext.mIo)
+{
+  everyCheck();
+}
+
+CoordinatorLink::~CoordinatorLink()
+{
+  if (mLink) {
+    mLink->close();
+  }
+}
+
+void
+CoordinatorLink::follow(const std::string& aAddress)
+{
+  if (aAddress == mAddress) {
+    return;
+  }
+  mAddress = aAddress;
+  if (mLink) {
+    mLink->close();
+    mLink.reset();
+  }
+  failAll();
+  connect();
+}
+
+void
+CoordinatorLink::connect()
+{
+  if (mAddress.empty() || mConnecting || mLink) {
+    return;
+  }
+  mConnecting = true;
+  Net::Link::connect(mContext.mIo,
+                     mAddress,
+                     mContext.mTimes.mConnect,
+                     mContext.mTimes.mPeerSilence,
+                     [this, address = mAddress](std::shared_ptr<Net::Link> aLink) {
+                       mConnecting = false;
+                       if (!aLink || address != mAddress) {
+                         if (aLink) {
+                           aLink->close();
+                         }
+                         scheduleConnect();
+                         return;
+                       }
+                       mLink = std::move(aLink);
+                       mLink->start({ [this](const std::string& aBytes) { takeMessage(aBytes); },
+                                      [this] {
+                                        mLink.reset();
+                                        failAll();
+                                        scheduleConnect();
+                                      } });
+                       keepAlive();
+                     });
+}
+
+void
+CoordinatorLink::scheduleConnect()
+{
+  mConnectTimer.expires_after(mContext.mTimes.mReconnect);
+  mConnectTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      connect();
+    }
+  });
+}
+
+void
+CoordinatorLink::send(Wire::Message& aMessage)
+{
+  mLastSent = mContext.now();
+  mLink->send(Wire::Encode(aMessage));
+}
+
+void
+CoordinatorLink::offer(const Wire::JobRecord& aJob, std::function<void(std::optional<Wire::Verdict>)> aDone)
+{
+  if (!mLink) {
+    boost::asio::post(mContext.mIo, [done = std::move(aDone)] { done(std::nullopt); });
+    return;
+  }
+  Wire::Offer offer;
+  offer.number = mNext++;
+  offer.job = aJob;
+  // The payload does not matter for the verdict.
+  offer.job.payload.clear();
+  mOffers[offer.number] = { std::move(aDone), mContext.now() + mContext.mTimes.mAsk };
+  Wire::Message message;
+  message.__set_offer(std::move(offer));
+  send(message);
+}
+
+void
+CoordinatorLink::ask(const Common::JobId& aJob,
+                     const Common::RouteId& aQueue,
+                     std::function<void(std::optional<Wire::StatusReply>)> aDone)
+{
+  if (!mLink) {
+    boost::asio::post(mContext.mIo, [done = std::move(aDone)] { done(std::nullopt); });
+    return;
+  }
+  Wire::StatusQuery query;
+  query.number = mNext++;
+  query.job = aJob.str();
+  query.queue = aQueue.str();
+  mQuestions[query.number] = { std::move(aDone), mContext.now() + mContext.mTimes.mAsk };
+  Wire::Message message;
+  message.__set_statusQuery(std::move(query));
+  send(message);
+}
+
+void
+CoordinatorLink::takeMessage(const std::string& aBytes)
+{
+  const auto message = Wire::Decode<Wire::Message>(aBytes);
+  if (!message) {
+    Observability::Log(Observability::Level::Warning, "entry", "dropped a message that cannot be read");
+    return;
+  }
+  if (message->__isset.verdict) {
+    if (auto node = mOffers.extract(message->verdict.number)) {
+      node.mapped().mDone(message->verdict);
+    }
+  }
+  if (message->__isset.statusReply) {
+    if (auto node = mQuestions.extract(message->statusReply.number)) {
+      node.mapped().mDone(message->statusReply);
+    }
+  }
+}
+
+void
+CoordinatorLink::keepAlive()
+{
+  Wire::StatusQuery query;
+  query.number = 0;
+  Wire::Message message;
+  message.__set_statusQuery(query);
+  send(message);
+}
+
+void
+CoordinatorLink::everyCheck()
+{
+  mCheckTimer.expires_after(kCheck);
+  mCheckTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    const Timestamp now = mContext.now();
+    if (mLink && now - mLastSent >= kKeepAlive) {
+      keepAlive();
+    }
+    while (!mOffers.empty() && mOffers.begin()->second.mUntil <= now) {
+      mOffers.extract(mOffers.begin()).mapped().mDone(std::nullopt);
+    }
+    while (!mQuestions.empty() && mQuestions.begin()->second.mUntil <= now) {
+      mQuestions.extract(mQuestions.begin()).mapped().mDone(std::nullopt);
+    }
+    everyCheck();
+  });
+}
+
+void
+CoordinatorLink::failAll()
+{
+  auto offers = std::move(mOffers);
+  auto questions = std::move(mQuestions);
+  mOffers.clear();
+  mQuestions.clear();
+  for (auto& [number, waiting] : offers) {
+    waiting.mDone(std::nullopt);
+  }
+  for (auto& [number, waiting] : questions) {
+    waiting.mDone(std::nullopt);
+  }
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/CoordinatorLink.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Net/Link.h"
+#include "Node/Context.h"
+#include "Wire/Codec.h"
+
+namespace Node {
+
+/// An entry's questions to the coordinator.
+class CoordinatorLink
+{
+public:
+  explicit CoordinatorLink(Context& aContext);
+  ~CoordinatorLink();
+  CoordinatorLink(const CoordinatorLink&) = delete;
+  CoordinatorLink& operator=(const CoordinatorLink&) = delete;
+
+  /// "" if there is no coordinator now.
+  void follow(const std::string& aAddress);
+  /// Nothing if no coordinator answered within the time that a caller may be kept waiting for it.
+  void offer(const Wire::JobRecord& aJob, std::function<void(std::optional<Wire::Verdict>)> aDone);
+  void ask(const Common::JobId& aJob,
+           const Common::RouteId& aQueue,
+           std::function<void(std::optional<Wire::StatusReply>)> aDone);
+
+private:
+  template<typename Reply>
+  struct Waiting
+  {
+    std::function<void(std::optional<Reply>)> mDone;
+    Timestamp mUntil;
+  };
+
+  void connect();
+  void scheduleConnect();
+  void takeMessage(const std::string& aBytes);
+  void send(Wire::Message& aMessage);
+  void everyCheck();
+  void keepAlive();
+  void failAll();
+
+  Context& mContext;
+  std::string mAddress;
+  std::shared_ptr<Net::Link> mLink;
+  bool mConnecting = false;
+  std::int64_t mNext = 1;
+  std::map<std::int64_t, Waiting<Wire::Verdict>> mOffers;
+  std::map<std::int64_t, Waiting<Wire::StatusReply>> mQuestions;
+  boost::asio::steady_timer mConnectTimer;
+  boost::asio::steady_timer mCheckTimer;
+  Timestamp mLastSent;
+};
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/Election.cpp
@@ -0,0 +1,385 @@
+#include "Node/Election.h"
+
+#include <random>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Node/Keys.h"
+#include "Observability/Log.h"
+
+namespace Node {
+
+namespace {
+
+/// Delay of a candidacy for each unit of the way to the store. Processes in the store's region
+/// answer each other's claims well within it.
+constexpr int kDelayPerRoundTrip = 6;
+constexpr Duration kMaxDelay{ std::chrono::milliseconds(500) };
+
+std::int64_t
+RandomNonce()
+{
+  std::random_device device;
+  return static_cast<std::int64_t>((static_cast<std::uint64_t>(device()) << 31U) ^ device());
+}
+
+} // namespace
+
+struct Election::Core : public std::enable_shared_from_this<Core>
+{
+  enum class Role
+  {
+    Follower,
+    Claiming,
+    Leader,
+    Retired,
+  };
+
+  Core(Context& aContext, std::string aAddress, Events aEvents)
+    : mContext(aContext)
+    , mAddress(std::move(aAddress))
+    , mEvents(std::move(aEvents))
+    , mTimer(aContext.mIo)
+    , mRenewTimer(aContext.mIo)
+    , mNonce(RandomNonce())
+  {
+  }
+
+  bool mayAct() const { return mRole == Role::Leader && mContext.now() < mValidUntil; }
+
+  void observe(const std::optional<Wire::CoordinatorRecord>& aRecord, Store::Version aAt, Duration aRoundTrip)
+  {
+    if (mRole == Role::Leader && aAt < mFence) {
+      // Read before the claim.
+      return;
+    }
+    mRoundTrip = aRoundTrip;
+    mKeyThere = aRecord.has_value();
+    if (mStopped || mRole == Role::Retired) {
+      return;
+    }
+    if (aRecord && aRecord->nonce != mNonce) {
+      if (aRecord->term > mTerm.value()) {
+        stepDown(true);
+      }
+      return;
+    }
+    if (!aRecord) {
+      if (mRole == Role::Leader) {
+        log("the coordinator's key is gone");
+        stepDown(false);
+      }
+      scheduleClaim();
+    }
+  }
+
+  void scheduleClaim()
+  {
+    if (mRole != Role::Follower || mStopped) {
+      return;
+    }
+    // A coordinator that lost its key takes it again before others try.
+    const Duration delay = mTerm.value() > 0 && mHadTerm
+                             ? Duration{ 0 }
+                             : std::min<Duration>(mRoundTrip * kDelayPerRoundTrip, kMaxDelay);
+    after(mTimer, delay, [](Core& aCore) {
+      if (aCore.mRole == Role::Follower && !aCore.mKeyThere) {
+        aCore.claim();
+      }
+    });
+  }
+
+  void claim()
+  {
+    mRole = Role::Claiming;
+    mContext.mStore.read(kTermKey,
+                         mContext.mTimes.mStoreCall,
+                         [self = shared_from_this()](Store::Result<std::optional<Store::Entry>> aTerm) {
+                           self->takeTerm(std::move(aTerm));
+                         });
+  }
+
+  void takeTerm(Store::Result<std::optional<Store::Entry>> aTerm)
+  {
+    if (mRole != Role::Claiming || mStopped) {
+      return;
+    }
+    if (!aTerm) {
+      backOff();
+      return;
+    }
+    std::int64_t last = 0;
+    mTermVersion = Store::Version{ 0 };
+    if (*aTerm) {
+      mTermVersion = (*aTerm)->mVersion;
+      const auto record = Wire::Decode<Wire::CoordinatorRecord>((*aTerm)->mValue);
+      if (!record) {
+        log("the record of the term cannot be read");
+      }
+      last = record ? record->term : mTermVersion.value();
+      mLastNonce = record ? record->nonce : 0;
+    }
+    mResumed = mHadTerm && last == mTerm.value() && mLastNonce == mNonce;
+    if (!mResumed && mHadTerm) {
+      mHadTerm = false;
+      mEvents.mLost();
+    }
+    mTerm = mResumed ? mTerm : Common::Epoch{ last + 1 };
+    const Timestamp sent = mContext.now();
+    mContext.mStore.grantLease(std::max(mContext.mTimes.mTerm, mContext.mSettings.mMinLease),
+                               mContext.mTimes.mStoreCall,
+                               [self = shared_from_this(), sent](Store::Result<Store::GrantedLease> aLease) {
+                                 self->takeLease(aLease, sent);
+                               });
+  }
+
+  void takeLease(const Store::Result<Store::GrantedLease>& aLease, Timestamp aSent)
+  {
+    if (mRole != Role::Claiming || mStopped) {
+      return;
+    }
+    if (!aLease) {
+      backOff();
+      return;
+    }
+    mLease = aLease->mLease;
+    mTimeToLive = aLease->mTimeToLive;
+    mValidUntil = aSent + mTimeToLive - mContext.mTimes.mTermMargin;
+    Wire::CoordinatorRecord record;
+    record.term = mTerm.value();
+    record.instance = mContext.mSettings.mInstance.str();
+    record.address = mAddress;
+    record.nonce = mNonce;
+    const std::string value = Wire::Encode(record);
+    Store::Transaction transaction;
+    transaction.mExpected = { { kCoordinatorKey, Store::Version{ 0 } }, { kTermKey, mTermVersion } };
+    transaction.mPuts = { { kCoordinatorKey, value, mLease }, { kTermKey, value, std::nullopt } };
+    mContext.mStore.write(transaction,
+                          mContext.mTimes.mStoreCall,
+                          [self = shared_from_this()](tl::expected<Store::Version, Store::WriteFailure> aResult) {
+                            self->takeClaim(aResult);
+                          });
+  }
+
+  void takeClaim(const tl::expected<Store::Version, Store::WriteFailure>& aResult)
+  {
+    if (mRole != Role::Claiming || mStopped) {
+      return;
+    }
+    if (!aResult) {
+      if (aResult.error().mError == Store::StoreError::Unknown) {
+        settleClaim();
+      } else {
+        backOff();
+      }
+      return;
+    }
+    lead(*aResult);
+  }
+
+  /// The claim may have taken effect, or may still do so; the key tells.
+  void settleClaim()
+  {
+    mContext.mStore.read(kCoordinatorKey,
+                         mContext.mTimes.mStoreCall,
+                         [self = shared_from_this()](Store::Result<std::optional<Store::Entry>> aEntry) {
+                           if (self->mRole != Role::Claiming || self->mStopped) {
+                             return;
+                           }
+                           if (aEntry && *aEntry) {
+                             const auto record = Wire::Decode<Wire::CoordinatorRecord>((*aEntry)->mValue);
+                             if (record && record->nonce == self->mNonce &&
+                                 record->term == self->mTerm.value() &&
+                                 self->mContext.now() < self->mValidUntil) {
+                               self->lead((*aEntry)->mVersion);
+                               return;
+                             }
+                           }
+                           self->backOff();
+                         });
+  }
+
+  void lead(Store::Version aVersion)
+  {
+    mRole = Role::Leader;
+    mHadTerm = true;
+    mFence = aVersion;
+    mKeyThere = true;
+    Observability::Log(Observability::Level::Info,
+                       "election",
+                       mResumed ? "coordinator again in the same term" : "coordinator",
+                       { { "term", std::to_string(mTerm.value()) } });
+    scheduleRenewal();
+    mEvents.mLead(mTerm, mResumed);
+  }
+
+  void scheduleRenewal()
+  {
+    after(mRenewTimer, mContext.mTimes.mRenewal, [](Core& aCore) { aCore.renew(); });
+  }
+
+  void renew()
+  {
+    if (mRole != Role::Leader) {
+      return;
+    }
+    if (mContext.now() >= mValidUntil) {
+      log("the lease could not be renewed in time");
+      stepDown(false);
+      scheduleClaim();
+      return;
+    }
+    const Timestamp sent = mContext.now();
+    mContext.mStore.renewLease(
+      mLease, mContext.mTimes.mRenewal, [self = shared_from_this(), sent](Store::Result<void> aResult) {
+        if (self->mRole != Role::Leader || self->mStopped) {
+          return;
+        }
+        if (aResult) {
+          self->mValidUntil = sent + self->mTimeToLive - self->mContext.mTimes.mTermMargin;
+        } else if (aResult.error() == Store::StoreError::LeaseLapsed) {
+          self->log("the lease has lapsed");
+          self->stepDown(false);
+          self->mKeyThere = false;
+          self->scheduleClaim();
+          return;
+        }
+        self->scheduleRenewal();
+      });
+  }
+
+  void stepDown(bool aSuperseded)
+  {
+    const bool led = mRole == Role::Leader;
+    if (mRole != Role::Retired) {
+      mRole = Role::Follower;
+    }
+    if (led) {
+      mEvents.mPause();
+    }
+    if (aSuperseded && mHadTerm) {
+      mHadTerm = false;
+      mEvents.mLost();
+    }
+  }
+
+  void backOff()
+  {
+    mRole = Role::Follower;
+    // Whoever claimed meanwhile shows in the watch; otherwise the next try decides.
+    after(mTimer, mContext.mTimes.mStoreRetry, [](Core& aCore) {
+      if (!aCore.mKeyThere) {
+        aCore.scheduleClaim();
+      }
+    });
+  }
+
+  void resign(std::function<void()> aDone)
+  {
+    const bool led = mRole == Role::Leader;
+    stepDown(true);
+    mRole = Role::Retired;
+    if (!led) {
+      boost::asio::post(mContext.mIo, std::move(aDone));
+      return;
+    }
+    mContext.mStore.endLease(mLease, mContext.mTimes.mStoreCall, [done = std::move(aDone)](Store::Result<void>) {
+      // If the call was lost, the lease lapses by itself.
+      done();
+    });
+  }
+
+  void after(boost::asio::steady_timer& aTimer, Duration aDelay, void (*aStep)(Core&))
+  {
+    aTimer.expires_after(aDelay);
+    aTimer.async_wait([self = shared_from_this(), aStep](boost::system::error_code aError) {
+      if (!aError && !self->mStopped) {
+        aStep(*self);
+      }
+    });
+  }
+
+  void log(std::string_view aMessage) const
+  {
+    Observability::Log(Observability::Level::Warning,
+                       "election",
+                       aMessage,
+                       { { "term", std::to_string(mTerm.value()) } });
+  }
+
+  Context& mContext;
+  std::string mAddress;
+  Events mEvents;
+  boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mRenewTimer;
+  std::int64_t mNonce;
+  std::int64_t mLastNonce = 0;
+  Role mRole = Role::Follower;
+  Common::Epoch mTerm;
+  /// mTerm was this process's own and its state still stands.
+  bool mHadTerm = false;
+  bool mResumed = false;
+  bool mKeyThere = true;
+  bool mStopped = false;
+  Store::Version mTermVersion;
+  Store::Version mFence;
+  Store::LeaseId mLease;
+  Duration mTimeToLive{ 0 };
+  Duration mRoundTrip{ 0 };
+  Timestamp mValidUntil;
+};
+
+Election::Election(Context& aContext, std::string aAddress, Events aEvents)
+  : mCore(std::make_shared<Core>(aContext, std::move(aAddress), std::move(aEvents)))
+{
+}
+
+Election::~Election()
+{
+  mCore->mStopped = true;
+  mCore->mTimer.cancel();
+  mCore->mRenewTimer.cancel();
+}
+
+void
+Election::observe(const std::optional<Wire::CoordinatorRecord>& aRecord, Store::Version aAt, Duration aRoundTrip)
+{
+  mCore->observe(aRecord, aAt, aRoundTrip);
+}
+
+bool
+Election::mayAct() const
+{
+  return mCore->mayAct();
+}
+
+Common::Epoch
+Election::term() const
+{
+  return mCore->mTerm;
+}
+
+Store::Expectation
+Election::fence() const
+{
+  return { kCoordinatorKey, mCore->mFence };
+}
+
+void
+Election::doubt()
+{
+  if (mCore->mRole == Core::Role::Leader) {
+    mCore->log("a write found another holder of the coordinator's key");
+    mCore->stepDown(false);
+    mCore->scheduleClaim();
+  }
+}
+
+void
+Election::resign(std::function<void()> aDone)
+{
+  mCore->resign(std::move(aDone));
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/Entry.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Net/HttpServer.h"
+#include "Net/Link.h"
+#include "Node/CallerDesk.h"
+#include "Node/Coordinator.h"
+#include "Node/CoordinatorFinder.h"
+#include "Node/Election.h"
+
+namespace Node {
+
+/// The process that callers connect to. One of the entries is the coordinator as well.
+class Entry
+{
+public:
+  explicit Entry(Context& aContext);
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  tl::expected<void, std::string> start();
+  /// Reports not ready, hands the coordinator's duty over and answers callers until the grace ends
+  /// or no connection is left. aDone comes then.
+  void stop(std::function<void()> aDone);
+
+private:
+  bool isReady() const;
+  void takeTables(const std::vector<Store::Entry>& aEntries);
+  void takeCoordinator(const std::optional<Wire::CoordinatorRecord>& aRecord, Store::Version aAt);
+  void everyCheck();
+  void checkStopped();
+
+  Context& mContext;
+  CoordinatorLink mLink;
+  CallerDesk mDesk;
+  Election mElection;
+  Coordinator mCoordinator;
+  Net::HttpServer mCallers;
+  Net::HttpServer mReadiness;
+  Net::LinkServer mPeers;
+  Watcher mTablesWatcher;
+  CoordinatorFinder mFinder;
+  boost::asio::steady_timer mCheckTimer;
+  std::shared_ptr<const QueueTables> mTables;
+  bool mReadyLogged = false;
+  bool mStopping = false;
+  Timestamp mStopAsked;
+  std::function<void()> mStopped;
+};
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/Process.cpp
@@ -0,0 +1,115 @@
+#include "Node/Process.h"
+
+#include <csignal>
+#include <ctime>
+#include <iostream>
+#include <optional>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "Node/Agent.h"
+#include "Node/Entry.h"
+#include "Observability/Log.h"
+
+namespace Node {
+
+namespace {
+
+using Observability::Level;
+using Observability::Log;
+
+/// Monotonic time that goes on while the machine is suspended. The steady clock stands still then,
+/// and a lease would look valid after it lapsed.
+class BootClock final : public Common::Clock
+{
+public:
+  Timestamp now() const override
+  {
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return Timestamp(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
+                                                          std::chrono::nanoseconds(time.tv_nsec)));
+  }
+  Common::UnixMillis unixNow() const override
+  {
+    return std::chrono::duration_cast<Common::UnixMillis>(std::chrono::system_clock::now().time_since_epoch());
+  }
+  bool waitUntil(std::unique_lock<std::mutex>& aLock,
+                 std::condition_variable& aCondition,
+                 Timestamp aDeadline) override
+  {
+    return aCondition.wait_for(aLock, aDeadline - now()) == std::cv_status::no_timeout;
+  }
+};
+
+} // namespace
+
+int
+RunProcess(const Settings& aSettings, const Adapters& aAdapters)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context io(1);
+  BootClock clock;
+  const Times times;
+  Observability::Counters counters;
+  const auto store = aAdapters.mMakeStore(io, aSettings.mStore);
+  Context context{ io, clock, aSettings, times, aAdapters.mFormats, *store, counters };
+
+  std::optional<Entry> entry;
+  std::optional<Agent> agent;
+  tl::expected<void, std::string> started;
+  if (aSettings.mEntry) {
+    entry.emplace(context);
+    started = entry->start();
+  } else {
+    agent.emplace(context, [&](const std::string& aAddress, const Common::WorkerId& aWorker) {
+      return aAdapters.mMakeWorker(io, aAddress, aWorker);
+    });
+    started = agent->start();
+  }
+  if (!started) {
+    Log(Level::Error, "process", started.error());
+    return 1;
+  }
+  Log(Level::Info, "process", "started", { { "role", aSettings.mEntry ? "entry" : "agent" } });
+
+  Net::HttpServer metrics(io, {}, [&counters](const Net::HttpRequest&, const Net::Responder& aRespond) {
+    aRespond({ 200, counters.text(), { { "Content-Type", "text/plain" } } });
+  });
+  if (!aSettings.mMetrics.empty()) {
+    if (const auto listening = metrics.listen(aSettings.mMetrics); !listening) {
+      Log(Level::Warning, "process", "counters are not served", { { "reason", listening.error() } });
+    }
+  }
+
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  bool stopping = false;
+  std::function<void()> awaitSignal = [&] {
+    signals.async_wait([&](boost::system::error_code aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        // None of the settings that may change while a process runs is used here.
+        Log(Level::Info, "process", "reload: the settings in use stay as they are");
+        awaitSignal();
+        return;
+      }
+      if (stopping) {
+        io.stop();
+        return;
+      }
+      stopping = true;
+      Log(Level::Info, "process", "stopping");
+      const auto done = [&io] { io.stop(); };
+      entry ? entry->stop(done) : agent->stop(done);
+      awaitSignal();
+    });
+  };
+  awaitSignal();
+  io.run();
+  Log(Level::Info, "process", "stopped");
+  return 0;
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/Tables.cpp
@@ -0,0 +1,39 @@
+#include "Node/Tables.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace Node {
+
+namespace {
+
+/// Host names compare without case and without the port.
+bool
+SameHost(const std::string& aConfigured, const std::string& aSent)
+{
+  const std::string sent = aSent.substr(0, aSent.find(':'));
+  return std::equal(aConfigured.begin(),
+                    aConfigured.end(),
+                    sent.begin(),
+                    sent.end(),
+                    [](unsigned char aLeft, unsigned char aRight) {
+                      return std::tolower(aLeft) == std::tolower(aRight);
+                    });
+}
+
+} // namespace
+
+const QueueRoute*
+MatchRoute(const QueueTables& aTables, const std::string& aHost, const std::string& aPath)
+{
+  const QueueRoute* best = nullptr;
+  for (const QueueRoute& route : aTables.mRoutes) {
+    if (aPath.starts_with(route.mPrefix) && SameHost(route.mHost, aHost) &&
+        (best == nullptr || route.mPrefix.size() > best->mPrefix.size())) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+} // namespace Node
--- /dev/null
+++ b/Source/Core/Node/Watcher.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Node/Context.h"
+
+namespace Node {
+
+/// Follows all entries under a prefix of the store: a snapshot first, then each change, and a new
+/// snapshot when the store no longer has the changes in between.
+class Watcher
+{
+public:
+  struct Events
+  {
+    /// All entries that exist as of a version. What was known before and is not among them is gone.
+    std::function<void(const std::vector<Store::Entry>&, Store::Version)> mSnapshot;
+    std::function<void(const Store::WatchResult&)> mChange;
+  };
+
+  Watcher(Context& aContext, std::string aPrefix, Duration aWait, Events aEvents);
+  ~Watcher();
+  Watcher(const Watcher&) = delete;
+  Watcher& operator=(const Watcher&) = delete;
+
+  void start();
+  /// Takes a new snapshot at once; to be called when a change may have been missed.
+  void refresh();
+  /// True if the store answered the last call, or within the last second.
+  bool isConnected() const;
+  /// How long the store took to answer the last read.
+  Duration roundTrip() const;
+
+private:
+  struct Core;
+  std::shared_ptr<Core> mCore;
+};
+
+} // namespace Node
--- a/Source/Core/Observability/Log.cpp
+++ b/Source/Core/Observability/Log.cpp
@@ -1,6 +1,7 @@
 #include "Observability/Log.h"
 
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -11,6 +12,8 @@
 #include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -27,6 +30,40 @@
 using Backend = BoostLog::sinks::text_ostream_backend;
 using Sink = BoostLog::sinks::synchronous_sink<Backend>;
 
+/// Lines that wait for the writing thread; at about 200 bytes each they take under 1 MB.
+constexpr std::size_t kQueuedLines = 4'000;
+
+std::atomic<std::uint64_t>&
+DroppedCount()
+{
+  static std::atomic<std::uint64_t> sDropped{ 0 };
+  return sDropped;
+}
+
+/// What the queue does when it is full.
+struct CountDropped
+{
+  template<typename Lock>
+  static bool on_overflow(const BoostLog::record_view&, Lock&)
+  {
+    DroppedCount().fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using QueuedSink =
+  BoostLog::sinks::asynchronous_sink<Backend,
+                                     BoostLog::sinks::bounded_fifo_queue<kQueuedLines, CountDropped>>;
+
+boost::shared_ptr<QueuedSink>&
+RunningSink()
+{
+  static boost::shared_ptr<QueuedSink> sSink;
+  return sSink;
+}
+
 Logger&
 SharedLogger()
 {
@@ -123,17 +160,26 @@
 {
   JsonLines() = aSettings.mJson;
   const auto backend = boost::make_shared<Backend>();
-  if (aSettings.mFile.empty()) {
+  if (aSettings.mStandardOutput) {
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream*) {}));
+  } else if (aSettings.mFile.empty()) {
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
   } else {
     backend->add_stream(boost::make_shared<std::ofstream>(aSettings.mFile, std::ios::app));
   }
   backend->auto_flush(true);
-  const auto sink = boost::make_shared<Sink>(backend);
-  sink->set_formatter(aSettings.mJson ? &FormatJson : &FormatText);
   const auto core = BoostLog::core::get();
   core->remove_all_sinks();
-  core->add_sink(sink);
+  if (aSettings.mStandardOutput) {
+    const auto sink = boost::make_shared<QueuedSink>(backend);
+    sink->set_formatter(aSettings.mJson ? &FormatJson : &FormatText);
+    RunningSink() = sink;
+    core->add_sink(sink);
+  } else {
+    const auto sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(aSettings.mJson ? &FormatJson : &FormatText);
+    core->add_sink(sink);
+  }
   const Level least = aSettings.mLevel;
   core->set_filter([least](const BoostLog::attribute_value_set& aValues) {
     return BoostLog::extract_or_default<Level>("Severity", aValues, Level::Info) >= least;
@@ -143,6 +189,23 @@
                              BoostLog::attributes::constant<std::string>(aSettings.mInstance));
 }
 
+void
+StopLog()
+{
+  const auto sink = std::move(RunningSink());
+  if (sink) {
+    BoostLog::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
+  }
+}
+
+std::uint64_t
+DroppedLines()
+{
+  return DroppedCount().load(std::memory_order_relaxed);
+}
+
 void
 Log(Level aLevel,
     std::string_view aCategory,
--- a/Source/Core/Observability/Log.h
+++ b/Source/Core/Observability/Log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -24,6 +25,9 @@
   std::string mFile;
   /// Written with each line.
   std::string mInstance;
+  /// Lines go to standard output through a bounded queue and a thread of its own. A line that finds
+  /// the queue full is dropped and counted, so that a reader that stops never blocks the process.
+  bool mStandardOutput = false;
 };
 
 /// A named value of a log line.
@@ -41,6 +45,14 @@
 void
 StartLog(const LogSettings& aSettings);
 
+/// Writes out what is queued. No line may be logged after it.
+void
+StopLog();
+
+/// Lines that were dropped because the queue was full.
+std::uint64_t
+DroppedLines();
+
 /// Writes one line. aCategory is the subsystem, for instance "entry", "owner" or "store".
 void
 Log(Level aLevel,
--- /dev/null
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -0,0 +1,333 @@
+#include <algorithm>
+
+#include "Scheduling/Schedule.h"
+
+namespace Scheduling {
+
+namespace {
+
+Occurrence
+MakeOccurrence(const JobSpec& aSpec, std::uint32_t aNumber, const Now& aNow)
+{
+  Occurrence occurrence;
+  occurrence.mNumber = aNumber;
+  occurrence.mSteps.resize(aSpec.mSteps.size());
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    Step& step = occurrence.mSteps[i];
+    step.mTasks.resize(aSpec.mSteps[i].mTasks);
+    step.mWaiting = aSpec.mSteps[i].mTasks;
+    for (Task& task : step.mTasks) {
+      task.mSince = aNow.mTime;
+    }
+  }
+  return occurrence;
+}
+
+void
+RestoreTask(Step& aStep, const TaskProgress& aProgress)
+{
+  if (aProgress.mIndex >= aStep.mTasks.size()) {
+    return;
+  }
+  Task& task = aStep.mTasks[aProgress.mIndex];
+  task.mFailures = aProgress.mFailures;
+  task.mCheckpoint = aProgress.mCheckpoint;
+  if (aProgress.mDone && task.mPhase != TaskPhase::Done) {
+    task.mPhase = TaskPhase::Done;
+    ++aStep.mDone;
+    --aStep.mWaiting;
+  }
+}
+
+void
+Restore(Job& aJob, const Progress& aProgress, const Now& aNow)
+{
+  aJob.mState = aProgress.mState;
+  aJob.mDurableState = aProgress.mState;
+  aJob.mEnded = aProgress.mEnded;
+  aJob.mStarted = aProgress.mState != JobState::Queued;
+  for (const StepProgress& record : aProgress.mSteps) {
+    if (record.mStep >= aJob.mSpec.mSteps.size()) {
+      continue;
+    }
+    auto& occurrence =
+      aJob.mOccurrences
+        .try_emplace(record.mOccurrence, MakeOccurrence(aJob.mSpec, record.mOccurrence, aNow))
+        .first->second;
+    Step& step = occurrence.mSteps[record.mStep];
+    for (const TaskProgress& task : record.mTasks) {
+      RestoreTask(step, task);
+    }
+    if (record.mDone) {
+      for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+        RestoreTask(step, { .mIndex = i, .mDone = true, .mFailures = 0, .mCheckpoint = {} });
+      }
+    }
+    if (step.mDone == step.mTasks.size() && !step.mEnded) {
+      step.mEnded = true;
+      if (++occurrence.mStepsEnded == occurrence.mSteps.size()) {
+        ++aJob.mOccurrencesEnded;
+      }
+    }
+  }
+}
+
+} // namespace
+
+std::optional<std::string>
+ProblemOf(const JobSpec& aSpec)
+{
+  if (aSpec.mSteps.empty()) {
+    return "the job has no steps";
+  }
+  if (aSpec.mSteps.size() > kMaxSteps) {
+    return "the job has more than " + std::to_string(kMaxSteps) + " steps";
+  }
+  if (aSpec.mPayload.size() > kMaxPayloadBytes) {
+    return "the payload exceeds " + std::to_string(kMaxPayloadBytes) + " bytes";
+  }
+  std::uint64_t tasks = 0;
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    const StepSpec& step = aSpec.mSteps[i];
+    const std::string place = "step " + std::to_string(i);
+    tasks += step.mTasks;
+    if (step.mTasks == 0) {
+      return place + " has no tasks";
+    }
+    if (step.mNeed.mCores.value() < 0 || step.mNeed.mMemory.value() < 0 ||
+        step.mNeed.mAccelerators.value() < 0 || step.mEstimate < Duration::zero()) {
+      return place + " has a negative size";
+    }
+    for (const std::uint32_t after : step.mAfter) {
+      if (after >= i) {
+        return place + " follows step " + std::to_string(after) + ", which is not an earlier one";
+      }
+    }
+  }
+  if (tasks > kMaxTasksPerJob) {
+    return "the job has more than " + std::to_string(kMaxTasksPerJob) + " tasks";
+  }
+  return std::nullopt;
+}
+
+Duration
+LongestChain(const JobSpec& aSpec)
+{
+  std::vector<Duration> ends(aSpec.mSteps.size());
+  Duration longest{ 0 };
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    Duration start{ 0 };
+    for (const std::uint32_t after : aSpec.mSteps[i].mAfter) {
+      start = std::max(start, ends[after]);
+    }
+    ends[i] = start + aSpec.mSteps[i].mEstimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+Job&
+AddJob(State& aState,
+       JobSpec aSpec,
+       const Progress* aProgress,
+       bool aMayRunElsewhere,
+       const Now& aNow)
+{
+  auto& slot = aState.mJobs[aSpec.mJob];
+  if (slot) {
+    return *slot;
+  }
+  slot = std::make_unique<Job>();
+  Job& job = *slot;
+  job.mSpec = std::move(aSpec);
+  // A recovered job arrived before this coordinator did; its age is known from the wall clock.
+  const auto age =
+    std::clamp(aNow.mUnix - job.mSpec.mAccepted, Common::UnixMillis{ 0 }, Common::UnixMillis{ 600'000 });
+  job.mArrived = aMayRunElsewhere ? aNow.mTime - age : aNow.mTime;
+  job.mChain = LongestChain(job.mSpec);
+  job.mHeldUntil = aMayRunElsewhere ? Timestamp::max() : Timestamp::min();
+  if (aProgress != nullptr) {
+    Restore(job, *aProgress, aNow);
+  }
+  if (HasEnded(job.mState)) {
+    return job;
+  }
+  aState.mOpen.insert(&job);
+  if (job.mSpec.mRepeats == 0) {
+    job.mOccurrences.try_emplace(0, MakeOccurrence(job.mSpec, 0, aNow));
+  }
+  if (job.mOccurrencesEnded == std::max(job.mSpec.mRepeats, 1U)) {
+    job.mState = JobState::Completed;
+    job.mEnded = aNow.mUnix;
+    MarkDirty(aState, job, true);
+  }
+  return job;
+}
+
+void
+CancelJob(State& aState, Job& aJob, const Now& aNow)
+{
+  if (HasEnded(aJob.mState)) {
+    return;
+  }
+  aJob.mState = JobState::Cancelled;
+  aJob.mEnded = aNow.mUnix;
+  MarkDirty(aState, aJob, true);
+  StopRuns(aState, aJob, aNow);
+}
+
+void
+RemoveJob(State& aState, const Common::JobId& aJob)
+{
+  const auto found = aState.mJobs.find(aJob);
+  if (found == aState.mJobs.end()) {
+    return;
+  }
+  Job* const job = found->second.get();
+  for (auto& [number, occurrence] : job->mOccurrences) {
+    for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+      for (std::uint32_t i = 0; i < occurrence.mSteps[s].mTasks.size(); ++i) {
+        LeaveWorker(aState, { job, number, s, i });
+      }
+    }
+  }
+  std::erase_if(aState.mOutstanding,
+                [&](const auto& aEntry) { return aEntry.second.mTask.mJob == aJob; });
+  aState.mOpen.erase(job);
+  aState.mDirty.erase(job);
+  aState.mJobs.erase(found);
+}
+
+void
+StopRuns(State& aState, Job& aJob, const Now& aNow)
+{
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+      for (std::uint32_t i = 0; i < occurrence.mSteps[s].mTasks.size(); ++i) {
+        Task& task = occurrence.mSteps[s].mTasks[i];
+        if (task.mPhase == TaskPhase::Starting || task.mPhase == TaskPhase::Running) {
+          task.mPhase = TaskPhase::Stopping;
+          task.mStopOrdered = aNow.mTime;
+          const TaskRef ref{ &aJob, number, s, i };
+          OrderStop(aState, aState.mWorkers[task.mWorker].mLife, NameOf(ref), task.mRun);
+        }
+      }
+    }
+  }
+}
+
+void
+MarkDirty(State& aState, Job& aJob, bool aNow)
+{
+  aJob.mDirty = true;
+  aJob.mDirtyNow = aJob.mDirtyNow || aNow;
+  aState.mDirty.insert(&aJob);
+}
+
+void
+SetDone(State& aState, const TaskRef& aRef, const Now& aNow)
+{
+  Task& task = TaskAt(aRef);
+  if (task.mPhase == TaskPhase::Done) {
+    return;
+  }
+  Job& job = *aRef.mJob;
+  Occurrence& occurrence = job.mOccurrences.at(aRef.mOccurrence);
+  Step& step = occurrence.mSteps[aRef.mStep];
+  if (task.mPhase == TaskPhase::Waiting) {
+    --step.mWaiting;
+  }
+  LeaveWorker(aState, aRef);
+  task.mPhase = TaskPhase::Done;
+  task.mCheckpoint.clear();
+  ++step.mDone;
+  if (step.mDone == step.mTasks.size() && !step.mEnded) {
+    step.mEnded = true;
+    ++occurrence.mStepsEnded;
+    if (occurrence.mStepsEnded == occurrence.mSteps.size()) {
+      ++job.mOccurrencesEnded;
+    }
+  }
+  const bool finished =
+    !HasEnded(job.mState) && job.mOccurrencesEnded == std::max(job.mSpec.mRepeats, 1U);
+  if (finished) {
+    job.mState = JobState::Completed;
+    job.mEnded = aNow.mUnix;
+  }
+  MarkDirty(aState, job, finished);
+}
+
+Progress
+ProgressOf(const Job& aJob)
+{
+  Progress progress;
+  progress.mState = aJob.mState;
+  progress.mEnded = aJob.mEnded;
+  if (HasEnded(aJob.mState)) {
+    return progress;
+  }
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+      const Step& step = occurrence.mSteps[s];
+      StepProgress record{ .mOccurrence = number, .mStep = s, .mDone = step.mEnded, .mTasks = {} };
+      for (std::uint32_t i = 0; i < step.mTasks.size() && !step.mEnded; ++i) {
+        const Task& task = step.mTasks[i];
+        const bool done = task.mPhase == TaskPhase::Done;
+        if (done || task.mFailures > 0 || !task.mCheckpoint.empty()) {
+          record.mTasks.push_back({ i, done, task.mFailures, task.mCheckpoint });
+        }
+      }
+      if (record.mDone || !record.mTasks.empty()) {
+        progress.mSteps.push_back(std::move(record));
+      }
+    }
+  }
+  return progress;
+}
+
+std::int64_t
+PendingJobs(const State& aState, const Common::RouteId& aQueue)
+{
+  return std::count_if(aState.mOpen.begin(), aState.mOpen.end(), [&](const Job* aJob) {
+    return aJob->mSpec.mQueue == aQueue && !aJob->mStarted && !HasEnded(aJob->mState);
+  });
+}
+
+Task&
+TaskAt(const TaskRef& aRef)
+{
+  return aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mTasks[aRef.mIndex];
+}
+
+const StepSpec&
+StepOf(const TaskRef& aRef)
+{
+  return aRef.mJob->mSpec.mSteps[aRef.mStep];
+}
+
+std::optional<TaskRef>
+FindTask(State& aState, const TaskName& aName)
+{
+  const auto found = aState.mJobs.find(aName.mJob);
+  if (found == aState.mJobs.end()) {
+    return std::nullopt;
+  }
+  Job& job = *found->second;
+  if (aName.mStep >= job.mSpec.mSteps.size() ||
+      aName.mIndex >= job.mSpec.mSteps[aName.mStep].mTasks ||
+      aName.mOccurrence >= std::max(job.mSpec.mRepeats, 1U)) {
+    return std::nullopt;
+  }
+  // A worker may run an occurrence that no record names, because it has neither ends nor failures.
+  job.mOccurrences.try_emplace(aName.mOccurrence,
+                               MakeOccurrence(job.mSpec, aName.mOccurrence, Now{}));
+  return TaskRef{ &job, aName.mOccurrence, aName.mStep, aName.mIndex };
+}
+
+TaskName
+NameOf(const TaskRef& aRef)
+{
+  return { aRef.mJob->mSpec.mJob, aRef.mOccurrence, aRef.mStep, aRef.mIndex };
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/Model.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "Common/Clock.h"
+#include "Common/Ids.h"
+#include "Common/Units.h"
+
+/// Jobs made of steps, placed on the workers of a pool by one coordinator.
+namespace Scheduling {
+
+using Common::Duration;
+using Common::Timestamp;
+
+/// Number of one start of a task. It rises across coordinators, so that a worker can tell a late
+/// start from a new one.
+using RunNumber = Common::Quantity<struct RunTag>;
+/// Number of an end in the list of one lifetime of a worker.
+using EndNumber = Common::Quantity<struct EndTag>;
+/// Unix milliseconds of the start of a worker's lifetime.
+using Born = Common::Quantity<struct BornTag>;
+using Percent = Common::Quantity<struct PercentTag>;
+
+struct TaskName
+{
+  Common::JobId mJob;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+  auto operator<=>(const TaskName&) const = default;
+};
+
+/// One lifetime of a worker.
+struct Life
+{
+  Common::WorkerId mWorker;
+  Born mBorn;
+  auto operator<=>(const Life&) const = default;
+};
+
+/// Tasks of a job that start together once the steps that they follow are done.
+struct StepSpec
+{
+  std::uint32_t mTasks = 1;
+  Common::Resources mNeed;
+  /// Rough run time of one task; 0 if not declared.
+  Duration mEstimate{ 0 };
+  std::vector<std::uint32_t> mAfter;
+  bool mCheckpoints = false;
+  /// The tasks only work while all of them are there.
+  bool mGang = false;
+  bool mSameRack = false;
+  /// Label that the worker must have; "" for none.
+  std::string mLabel;
+  /// Rack that holds the input; "" for none.
+  std::string mDataRack;
+  /// 0 means no limit.
+  std::uint32_t mMaxPerWorker = 0;
+  /// Copies of a task may run side by side.
+  bool mSpeculative = false;
+  /// The tasks run until the job is cancelled.
+  bool mLasting = false;
+  std::string mImage;
+  /// Upper bound of the tail latency that the task's own users may see; 0 for none.
+  Duration mTailTarget{ 0 };
+  /// The processor need is not reserved; the tasks use what others leave.
+  bool mFills = false;
+  /// Tasks of a lasting step that the scheduler itself may keep away at one time.
+  std::uint32_t mMayMiss = 0;
+};
+
+struct JobSpec
+{
+  Common::JobId mJob;
+  Common::RouteId mQueue;
+  std::string mPayload;
+  std::vector<StepSpec> mSteps;
+  /// Number of times that the steps run; 0 for a job without due times, which runs once.
+  std::uint32_t mRepeats = 0;
+  Common::UnixMillis mFirstRun{ 0 };
+  Common::UnixMillis mInterval{ 0 };
+  Common::UnixMillis mAccepted{ 0 };
+};
+
+/// What the routes table says about the jobs of one queue.
+struct QueueSpec
+{
+  Common::RouteId mName;
+  Common::PoolId mPool;
+  /// 0 comes first.
+  std::int32_t mPriority = 0;
+  std::uint32_t mMaxAttempts = 1;
+  /// A job should end within its longest chain times this, plus mSlack.
+  double mStretch = 1.0;
+  Duration mSlack{ 0 };
+};
+
+enum class JobState : std::uint8_t
+{
+  Queued = 0,
+  Running = 1,
+  Completed = 2,
+  Failed = 3,
+  Cancelled = 4,
+};
+
+constexpr bool
+HasEnded(JobState aState)
+{
+  return aState >= JobState::Completed;
+}
+
+enum class EndKind : std::uint8_t
+{
+  Done = 1,
+  /// Through its own fault or the worker's.
+  Failed = 2,
+  Stopped = 3,
+  /// Its lease ran out.
+  Lapsed = 4,
+  /// Another member of its gang ended.
+  Broken = 5,
+  /// The other members of its gang did not come.
+  Alone = 6,
+  /// An end that this version does not know.
+  Other = 7,
+};
+
+struct RunningRow
+{
+  TaskName mTask;
+  RunNumber mRun;
+  std::string mCheckpoint;
+  Percent mPercent;
+  /// Tail latency in ms of a task with a tail target, else millicores in use.
+  std::int64_t mUsage = 0;
+};
+
+struct EndedRow
+{
+  EndNumber mNumber;
+  TaskName mTask;
+  RunNumber mRun;
+  EndKind mKind = EndKind::Other;
+  std::string mCheckpoint;
+};
+
+/// What an agent says of one worker.
+struct WorkerView
+{
+  Life mLife;
+  Common::PoolId mPool;
+  Common::DataCentreId mDataCentre;
+  Common::RackId mRack;
+  std::vector<std::string> mLabels;
+  Common::Resources mCapacity;
+  bool mLeaving = false;
+  Duration mRemaining{ 0 };
+  bool mResponding = true;
+  /// The worker has answered with its lists in this lifetime.
+  bool mListed = false;
+  std::vector<RunningRow> mRunning;
+  std::vector<EndedRow> mEnded;
+};
+
+enum class OrderKind : std::uint8_t
+{
+  Start = 1,
+  Stop = 2,
+  Pace = 3,
+};
+
+enum class OrderResult : std::uint8_t
+{
+  Done = 1,
+  /// The worker has no room.
+  Room = 2,
+  /// The run is not higher than one that ended or was stopped there.
+  Old = 3,
+  /// The lease would have ended already.
+  Late = 4,
+  /// A coordinator with a higher term gave orders.
+  Fenced = 5,
+  /// The worker turned the call away without acting on it.
+  Unhealthy = 6,
+  /// The worker does not accept the order's contents.
+  Invalid = 7,
+  /// No answer; it may have been or may still be carried out.
+  Unknown = 8,
+  /// That lifetime has ended.
+  Gone = 9,
+  /// The worker is leaving, or the agent has no valid lease for it; nothing was sent.
+  NotSent = 10,
+  /// The ticket is missing or has expired.
+  Ticket = 11,
+};
+
+struct Order
+{
+  std::int64_t mNumber = 0;
+  OrderKind mKind = OrderKind::Stop;
+  Life mLife;
+  TaskName mTask;
+  RunNumber mRun;
+  std::string mCheckpoint;
+  Percent mPercent;
+};
+
+/// One step of one occurrence in a progress record; tasks that are not named neither ended nor
+/// failed.
+struct TaskProgress
+{
+  std::uint32_t mIndex = 0;
+  bool mDone = false;
+  std::uint32_t mFailures = 0;
+  std::string mCheckpoint;
+};
+
+struct StepProgress
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  bool mDone = false;
+  std::vector<TaskProgress> mTasks;
+};
+
+/// What must survive the coordinator about one job.
+struct Progress
+{
+  JobState mState = JobState::Queued;
+  std::vector<StepProgress> mSteps;
+  Common::UnixMillis mEnded{ 0 };
+};
+
+} // namespace Scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/Place.cpp
@@ -0,0 +1,458 @@
+#include <algorithm>
+#include <tuple>
+
+#include "Scheduling/Schedule.h"
+
+namespace Scheduling {
+
+namespace {
+
+/// Room that the task reserves; a task that fills reserves no processor.
+Common::Resources
+ReservedBy(const StepSpec& aStep)
+{
+  Common::Resources need = aStep.mNeed;
+  if (aStep.mFills) {
+    need.mCores = Common::MilliCores{ 0 };
+  }
+  return need;
+}
+
+struct Ready
+{
+  Job* mJob = nullptr;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::tuple<int, int, double> mOrder;
+};
+
+Duration
+RemainingChain(const State& aState, const Job& aJob, const Occurrence& aOccurrence)
+{
+  std::vector<Duration> ends(aJob.mSpec.mSteps.size());
+  Duration longest{ 0 };
+  for (std::uint32_t i = 0; i < ends.size(); ++i) {
+    Duration start{ 0 };
+    for (const std::uint32_t after : aJob.mSpec.mSteps[i].mAfter) {
+      start = std::max(start, ends[after]);
+    }
+    const bool ended = aOccurrence.mSteps[i].mEnded;
+    ends[i] = start + (ended ? Duration{ 0 } : ExpectedRunTime(aState, aJob, i));
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+/// Core-seconds that the occurrence still takes.
+double
+RemainingWork(const State& aState, const Job& aJob, const Occurrence& aOccurrence)
+{
+  double work = 0;
+  for (std::uint32_t i = 0; i < aOccurrence.mSteps.size(); ++i) {
+    const Step& step = aOccurrence.mSteps[i];
+    const double tasks = static_cast<double>(step.mTasks.size() - step.mDone);
+    work += tasks * static_cast<double>(aJob.mSpec.mSteps[i].mNeed.mCores.value()) / 1000.0 *
+            std::chrono::duration<double>(ExpectedRunTime(aState, aJob, i)).count();
+  }
+  return work;
+}
+
+double
+TotalWork(const State& aState, const Job& aJob)
+{
+  double work = 0;
+  for (std::uint32_t i = 0; i < aJob.mSpec.mSteps.size(); ++i) {
+    work += static_cast<double>(aJob.mSpec.mSteps[i].mTasks) *
+            static_cast<double>(aJob.mSpec.mSteps[i].mNeed.mCores.value()) / 1000.0 *
+            std::chrono::duration<double>(ExpectedRunTime(aState, aJob, i)).count();
+  }
+  return work;
+}
+
+std::tuple<int, int, double>
+OrderOf(const State& aState, const Job& aJob, const QueueSpec& aQueue, const Occurrence& aOccurrence, const Now& aNow)
+{
+  const bool lasting = aJob.mSpec.mSteps.front().mLasting;
+  if (lasting) {
+    return { aQueue.mPriority, 0, 0.0 };
+  }
+  Duration chain{ 0 };
+  {
+    std::vector<Duration> ends(aJob.mSpec.mSteps.size());
+    for (std::uint32_t i = 0; i < ends.size(); ++i) {
+      Duration start{ 0 };
+      for (const std::uint32_t after : aJob.mSpec.mSteps[i].mAfter) {
+        start = std::max(start, ends[after]);
+      }
+      ends[i] = start + ExpectedRunTime(aState, aJob, i);
+      chain = std::max(chain, ends[i]);
+    }
+  }
+  const auto goal = std::chrono::duration_cast<Duration>(chain * aQueue.mStretch) + aQueue.mSlack;
+  const Duration slack =
+    aJob.mArrived + goal - aNow.mTime - RemainingChain(aState, aJob, aOccurrence);
+  const int hopeless = slack < -goal / 4 ? 1 : 0;
+  const double remaining = std::max(RemainingWork(aState, aJob, aOccurrence), 0.01);
+  // A job is worth a fixed part and a part that grows with its work, so that what is nearly done
+  // and what is small earns most for a core-second.
+  const double density = (0.3 * 40 + 0.7 * TotalWork(aState, aJob)) / remaining;
+  return { aQueue.mPriority, hopeless, -density };
+}
+
+bool
+StepMayStart(const Job& aJob, const Occurrence& aOccurrence, std::uint32_t aStep)
+{
+  const Step& step = aOccurrence.mSteps[aStep];
+  return step.mWaiting > 0 && std::all_of(aJob.mSpec.mSteps[aStep].mAfter.begin(),
+                                          aJob.mSpec.mSteps[aStep].mAfter.end(),
+                                          [&](std::uint32_t aAfter) {
+                                            return aOccurrence.mSteps[aAfter].mEnded;
+                                          });
+}
+
+bool
+IsDue(const Job& aJob, std::uint32_t aOccurrence, const Now& aNow)
+{
+  return aJob.mSpec.mRepeats == 0 ||
+         aNow.mUnix >= aJob.mSpec.mFirstRun + aJob.mSpec.mInterval * aOccurrence;
+}
+
+/// Creates the occurrences whose time has come.
+void
+OpenOccurrences(State& aState, Job& aJob, const Now& aNow)
+{
+  for (std::uint32_t k = 0; k < aJob.mSpec.mRepeats && IsDue(aJob, k, aNow); ++k) {
+    if (!aJob.mOccurrences.contains(k)) {
+      FindTask(aState, { aJob.mSpec.mJob, k, 0, 0 });
+    }
+  }
+}
+
+std::vector<Ready>
+ReadySteps(State& aState, const Now& aNow)
+{
+  std::vector<Ready> ready;
+  const bool awaits = AwaitsWorkers(aState, aNow);
+  for (Job* job : aState.mOpen) {
+    if (HasEnded(job->mState) || (awaits && job->mHeldUntil > aNow.mTime)) {
+      continue;
+    }
+    const auto queue = aState.mQueues.find(job->mSpec.mQueue);
+    if (queue == aState.mQueues.end()) {
+      continue;
+    }
+    OpenOccurrences(aState, *job, aNow);
+    for (const auto& [number, occurrence] : job->mOccurrences) {
+      if (occurrence.mStepsEnded == occurrence.mSteps.size() || !IsDue(*job, number, aNow)) {
+        continue;
+      }
+      std::optional<std::tuple<int, int, double>> order;
+      for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+        if (StepMayStart(*job, occurrence, s)) {
+          if (!order) {
+            order = OrderOf(aState, *job, queue->second, occurrence, aNow);
+          }
+          ready.push_back({ job, number, s, *order });
+        }
+      }
+    }
+  }
+  std::sort(ready.begin(), ready.end(), [](const Ready& aLeft, const Ready& aRight) {
+    if (aLeft.mOrder != aRight.mOrder) {
+      return aLeft.mOrder < aRight.mOrder;
+    }
+    return std::tie(aLeft.mJob->mArrived, aLeft.mJob->mSpec.mJob) <
+           std::tie(aRight.mJob->mArrived, aRight.mJob->mSpec.mJob);
+  });
+  return ready;
+}
+
+std::uint32_t
+TasksOfStepOn(const Worker& aWorker, const Job* aJob, std::uint32_t aOccurrence, std::uint32_t aStep)
+{
+  const auto from = aWorker.mTasks.lower_bound({ const_cast<Job*>(aJob), aOccurrence, aStep, 0 });
+  const auto to = aWorker.mTasks.upper_bound({ const_cast<Job*>(aJob), aOccurrence, aStep, UINT32_MAX });
+  return static_cast<std::uint32_t>(std::distance(from, to));
+}
+
+/// Processor that the tasks on the worker leave to fills.
+std::int64_t
+RoomForFills(const State& aState, const Worker& aWorker)
+{
+  const auto capacity = aWorker.mCapacity.mCores.value();
+  const auto used = aWorker.mUsed.mCores.value();
+  return capacity - used +
+         static_cast<std::int64_t>(aState.mPolicy.mIdleShare * static_cast<double>(used)) -
+         aWorker.mFilling.value();
+}
+
+bool
+MayHost(const State& aState, const Worker& aWorker, const Ready& aReady, const QueueSpec& aQueue, const Now& aNow)
+{
+  const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
+  if (!aWorker.mConnected || !aWorker.mListed || !aWorker.mRecorded || !aWorker.mResponding ||
+      aWorker.mLeaving || aWorker.mPool != aQueue.mPool || aNow.mTime < aWorker.mNoRoomUntil ||
+      aNow.mTime < aWorker.mHealth.mClosedUntil || aNow.mTime >= aWorker.mLeaseEnd) {
+    return false;
+  }
+  // After a penalty the worker is probed with one task at a time.
+  if (aWorker.mHealth.mPenalty > Duration{ 0 } && !aWorker.mTasks.empty()) {
+    return false;
+  }
+  if (!step.mLabel.empty() && std::find(aWorker.mLabels.begin(), aWorker.mLabels.end(), step.mLabel) ==
+                                aWorker.mLabels.end()) {
+    return false;
+  }
+  if (!Fits(ReservedBy(step), aWorker.mCapacity - aWorker.mUsed)) {
+    return false;
+  }
+  if (step.mFills && RoomForFills(aState, aWorker) < step.mNeed.mCores.value()) {
+    return false;
+  }
+  return step.mMaxPerWorker == 0 ||
+         TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) < step.mMaxPerWorker;
+}
+
+/// Lower is better.
+double
+CostOf(const State& aState, const Worker& aWorker, const Ready& aReady, const Task& aTask, WorkerNumber aNumber)
+{
+  const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
+  const auto capacity = static_cast<double>(std::max<std::int64_t>(aWorker.mCapacity.mCores.value(), 1));
+  double cost = aTask.mAvoid == aNumber ? 100.0 : 0.0;
+  if (!step.mDataRack.empty() && step.mDataRack != aWorker.mRack.str()) {
+    cost += 10.0;
+  }
+  const double lastingCores = static_cast<double>(aWorker.mUsed.mCores.value()) / capacity;
+  if (step.mLasting) {
+    cost += 2.0 * TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) + lastingCores;
+  } else if (step.mFills) {
+    cost -= static_cast<double>(RoomForFills(aState, aWorker)) / capacity;
+  } else {
+    cost += lastingCores + 0.3 * static_cast<double>(aWorker.mFilling.value()) / capacity;
+  }
+  return cost;
+}
+
+WorkerNumber
+BestWorker(const State& aState, const Ready& aReady, const QueueSpec& aQueue, const Task& aTask, const std::string& aRack, const Now& aNow)
+{
+  WorkerNumber best = kNoWorker;
+  double bestCost = 0;
+  for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
+    const Worker& worker = aState.mWorkers[number];
+    if ((!aRack.empty() && worker.mRack.str() != aRack) ||
+        !MayHost(aState, worker, aReady, aQueue, aNow)) {
+      continue;
+    }
+    const double cost = CostOf(aState, worker, aReady, aTask, number);
+    if (best == kNoWorker || cost < bestCost) {
+      best = number;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void
+OrderStart(State& aState, const TaskRef& aRef, RunNumber aRun, const Now& aNow)
+{
+  Task& task = TaskAt(aRef);
+  task.mRun = aRun;
+  task.mSince = aNow.mTime;
+  Order order;
+  order.mNumber = aState.mNextOrder++;
+  order.mKind = OrderKind::Start;
+  order.mLife = aState.mWorkers[task.mWorker].mLife;
+  order.mTask = NameOf(aRef);
+  order.mRun = aRun;
+  order.mCheckpoint = task.mCheckpoint;
+  aState.mOutstanding.emplace(order.mNumber, order);
+  aState.mOrders.push_back(std::move(order));
+  ++aState.mCounts.mStarts;
+  Job& job = *aRef.mJob;
+  job.mStarted = true;
+  if (job.mState == JobState::Queued) {
+    job.mState = JobState::Running;
+    MarkDirty(aState, job, false);
+  }
+}
+
+RunNumber
+NextRun(const State& aState, const Task& aTask)
+{
+  return std::max(aTask.mRun, aState.mRunBase) + RunNumber{ 1 };
+}
+
+/// Places all tasks of a gang or none.
+void
+PlaceGang(State& aState, const Ready& aReady, const QueueSpec& aQueue, const Now& aNow)
+{
+  Step& step = aReady.mJob->mOccurrences.at(aReady.mOccurrence).mSteps[aReady.mStep];
+  if (step.mWaiting != step.mTasks.size()) {
+    // Members of the last run have not all ended.
+    return;
+  }
+  std::set<std::string> racks{ "" };
+  if (aReady.mJob->mSpec.mSteps[aReady.mStep].mSameRack) {
+    for (const Worker& worker : aState.mWorkers) {
+      racks.insert(worker.mRack.str());
+    }
+    // The empty text places anywhere and comes last, because tasks on several racks take longer.
+    racks.erase("");
+  }
+  std::vector<std::string> choices(racks.begin(), racks.end());
+  if (choices.empty() || !choices.front().empty()) {
+    choices.emplace_back();
+  }
+  RunNumber run = aState.mRunBase;
+  for (const Task& task : step.mTasks) {
+    run = std::max(run, task.mRun);
+  }
+  run = run + RunNumber{ 1 };
+  // The checkpoint of any member is valid for the gang, and all members must carry the same one.
+  const auto saved = std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
+    return !aTask.mCheckpoint.empty();
+  });
+  if (saved != step.mTasks.end()) {
+    const std::string checkpoint = saved->mCheckpoint;
+    for (Task& task : step.mTasks) {
+      task.mCheckpoint = checkpoint;
+    }
+  }
+  for (const std::string& rack : choices) {
+    std::uint32_t placed = 0;
+    for (; placed < step.mTasks.size(); ++placed) {
+      const WorkerNumber worker =
+        BestWorker(aState, aReady, aQueue, step.mTasks[placed], rack, aNow);
+      if (worker == kNoWorker) {
+        break;
+      }
+      SetOnWorker(aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, placed }, worker, TaskPhase::Starting, aNow);
+    }
+    if (placed == step.mTasks.size()) {
+      for (std::uint32_t i = 0; i < placed; ++i) {
+        OrderStart(aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, i }, run, aNow);
+      }
+      return;
+    }
+    for (std::uint32_t i = 0; i < placed; ++i) {
+      SetWaiting(aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, i }, aNow);
+    }
+  }
+}
+
+} // namespace
+
+Duration
+ExpectedRunTime(const State& aState, const Job& aJob, std::uint32_t aStep)
+{
+  const StepSpec& step = aJob.mSpec.mSteps[aStep];
+  const auto found = aState.mRunTimes.find({ aJob.mSpec.mQueue, step.mImage });
+  const double ratio = found == aState.mRunTimes.end() ? 1.0 : found->second.mRatio;
+  return std::chrono::duration_cast<Duration>(step.mEstimate * ratio);
+}
+
+void
+LeaveWorker(State& aState, const TaskRef& aRef)
+{
+  Task& task = TaskAt(aRef);
+  if (task.mWorker == kNoWorker) {
+    return;
+  }
+  Worker& worker = aState.mWorkers[task.mWorker];
+  if (worker.mTasks.erase(aRef) > 0) {
+    const StepSpec& step = StepOf(aRef);
+    worker.mUsed = worker.mUsed - ReservedBy(step);
+    if (step.mFills) {
+      worker.mFilling -= step.mNeed.mCores;
+    }
+  }
+  task.mWorker = kNoWorker;
+}
+
+void
+SetWaiting(State& aState, const TaskRef& aRef, const Now& aNow)
+{
+  Task& task = TaskAt(aRef);
+  if (task.mPhase == TaskPhase::Waiting || task.mPhase == TaskPhase::Done) {
+    return;
+  }
+  LeaveWorker(aState, aRef);
+  task.mPhase = TaskPhase::Waiting;
+  task.mSince = aNow.mTime;
+  task.mSeen = false;
+  task.mPercent = Percent{ 0 };
+  task.mMissingSince = Timestamp{};
+  task.mStopAnswered = Timestamp{};
+  ++aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mWaiting;
+}
+
+void
+SetOnWorker(State& aState, const TaskRef& aRef, WorkerNumber aWorker, TaskPhase aPhase, const Now& aNow)
+{
+  Task& task = TaskAt(aRef);
+  if (task.mPhase == TaskPhase::Waiting) {
+    --aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mWaiting;
+  }
+  LeaveWorker(aState, aRef);
+  task.mPhase = aPhase;
+  task.mWorker = aWorker;
+  task.mSince = aNow.mTime;
+  task.mProgressed = aNow.mTime;
+  task.mSeen = false;
+  task.mPace = Percent{ 100 };
+  task.mPaceOrdered = Percent{ 100 };
+  task.mOverSince = Timestamp{};
+  task.mMissingSince = Timestamp{};
+  task.mStopAnswered = Timestamp{};
+  Worker& worker = aState.mWorkers[aWorker];
+  worker.mTasks.insert(aRef);
+  const StepSpec& step = StepOf(aRef);
+  worker.mUsed = worker.mUsed + ReservedBy(step);
+  if (step.mFills) {
+    worker.mFilling += step.mNeed.mCores;
+  }
+}
+
+void
+OrderStop(State& aState, const Life& aLife, const TaskName& aTask, RunNumber aRun)
+{
+  Order order;
+  order.mNumber = aState.mNextOrder++;
+  order.mKind = OrderKind::Stop;
+  order.mLife = aLife;
+  order.mTask = aTask;
+  order.mRun = aRun;
+  aState.mOutstanding.emplace(order.mNumber, order);
+  aState.mOrders.push_back(std::move(order));
+}
+
+void
+PlaceTasks(State& aState, const Now& aNow)
+{
+  for (const Ready& ready : ReadySteps(aState, aNow)) {
+    const QueueSpec& queue = aState.mQueues.at(ready.mJob->mSpec.mQueue);
+    if (ready.mJob->mSpec.mSteps[ready.mStep].mGang) {
+      PlaceGang(aState, ready, queue, aNow);
+      continue;
+    }
+    Step& step = ready.mJob->mOccurrences.at(ready.mOccurrence).mSteps[ready.mStep];
+    for (std::uint32_t i = 0; i < step.mTasks.size() && step.mWaiting > 0; ++i) {
+      if (step.mTasks[i].mPhase != TaskPhase::Waiting) {
+        continue;
+      }
+      const WorkerNumber worker = BestWorker(aState, ready, queue, step.mTasks[i], "", aNow);
+      if (worker == kNoWorker) {
+        // All tasks of a step have the same need.
+        break;
+      }
+      const TaskRef ref{ ready.mJob, ready.mOccurrence, ready.mStep, i };
+      const RunNumber run = NextRun(aState, step.mTasks[i]);
+      SetOnWorker(aState, ref, worker, TaskPhase::Starting, aNow);
+      OrderStart(aState, ref, run, aNow);
+    }
+  }
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -0,0 +1,488 @@
+#include <algorithm>
+
+#include "Scheduling/Schedule.h"
+
+namespace Scheduling {
+
+namespace {
+
+WorkerNumber
+EnsureWorker(State& aState, const Life& aLife)
+{
+  const auto [entry, added] =
+    aState.mWorkerIndex.try_emplace(aLife, static_cast<WorkerNumber>(aState.mWorkers.size()));
+  if (added) {
+    aState.mWorkers.emplace_back().mLife = aLife;
+  }
+  return entry->second;
+}
+
+/// Everything on the worker has ended.
+void
+EndRuns(State& aState, WorkerNumber aWorker, std::string_view aWhy, const Now& aNow)
+{
+  Worker& worker = aState.mWorkers[aWorker];
+  if (!worker.mTasks.empty()) {
+    aState.mNotes.push_back({ "runs of a worker ended", {}, worker.mLife.mWorker.str() + ": " + std::string(aWhy) });
+  }
+  const std::set<TaskRef> tasks = worker.mTasks;
+  for (const TaskRef& ref : tasks) {
+    ++aState.mCounts.mLost;
+    SetWaiting(aState, ref, aNow);
+  }
+}
+
+void
+LearnRunTime(State& aState, const TaskRef& aRef, const Now& aNow)
+{
+  const Task& task = TaskAt(aRef);
+  const StepSpec& step = StepOf(aRef);
+  if (step.mLasting || step.mEstimate <= Duration::zero() || task.mPace.value() != 100 ||
+      !task.mCheckpoint.empty()) {
+    return;
+  }
+  RunTimes& times = aState.mRunTimes[{ aRef.mJob->mSpec.mQueue, step.mImage }];
+  const double ratio =
+    std::clamp(static_cast<double>((aNow.mTime - task.mSince).count()) /
+                 static_cast<double>(step.mEstimate.count()),
+               0.2,
+               5.0);
+  // The mean of the first samples, then an average over about the last twenty.
+  constexpr std::uint32_t kWindow = 20;
+  times.mSamples = std::min(times.mSamples + 1, kWindow);
+  times.mRatio += (ratio - times.mRatio) / times.mSamples;
+}
+
+void
+FailJob(State& aState, Job& aJob, const Now& aNow)
+{
+  if (HasEnded(aJob.mState)) {
+    return;
+  }
+  aJob.mState = JobState::Failed;
+  aJob.mEnded = aNow.mUnix;
+  aState.mNotes.push_back({ "job failed: a task used up its attempts", aJob.mSpec.mJob, "" });
+  MarkDirty(aState, aJob, true);
+  StopRuns(aState, aJob, aNow);
+}
+
+/// Tasks of a gang end together; one end stands for all of them.
+void
+SetGangDone(State& aState, const TaskRef& aRef, const Now& aNow)
+{
+  const auto count = StepOf(aRef).mTasks;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    SetDone(aState, { aRef.mJob, aRef.mOccurrence, aRef.mStep, i }, aNow);
+  }
+}
+
+/// Failed runs of the task, or of its gang.
+std::uint32_t
+FailuresOf(const TaskRef& aRef)
+{
+  if (!StepOf(aRef).mGang) {
+    return TaskAt(aRef).mFailures;
+  }
+  std::uint32_t failures = 0;
+  for (const Task& task : aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mTasks) {
+    failures += task.mFailures;
+  }
+  return failures;
+}
+
+void
+TakeEnd(State& aState, WorkerNumber aWorker, const EndedRow& aEnd, const Now& aNow)
+{
+  const auto ref = FindTask(aState, aEnd.mTask);
+  if (!ref) {
+    return;
+  }
+  Job& job = *ref->mJob;
+  Task& task = TaskAt(*ref);
+  const StepSpec& step = StepOf(*ref);
+  const bool current = task.mRun == aEnd.mRun && task.mWorker == aWorker;
+  if (task.mPhase == TaskPhase::Done) {
+    return;
+  }
+  if (aEnd.mKind == EndKind::Done && !step.mLasting) {
+    if (current) {
+      LearnRunTime(aState, *ref, aNow);
+    } else if (task.mWorker != kNoWorker) {
+      OrderStop(aState, aState.mWorkers[task.mWorker].mLife, aEnd.mTask, task.mRun);
+    }
+    JudgeWorker(aState, aState.mWorkers[aWorker], job.mSpec.mJob, false, aNow);
+    step.mGang ? SetGangDone(aState, *ref, aNow) : SetDone(aState, *ref, aNow);
+    return;
+  }
+  const bool failed = aEnd.mKind == EndKind::Failed;
+  if (failed) {
+    ++aState.mCounts.mFailedRuns;
+    JudgeWorker(aState, aState.mWorkers[aWorker], job.mSpec.mJob, true, aNow);
+  }
+  if (failed && !step.mLasting) {
+    ++task.mFailures;
+    task.mAvoid = aWorker;
+    MarkDirty(aState, job, false);
+  }
+  if (!current && task.mPhase != TaskPhase::Waiting) {
+    return;
+  }
+  if (!aEnd.mCheckpoint.empty()) {
+    task.mCheckpoint = aEnd.mCheckpoint;
+  }
+  task.mRun = std::max(task.mRun, aEnd.mRun);
+  if (current) {
+    SetWaiting(aState, *ref, aNow);
+  }
+  // The end must be durable before the worker may forget it, also where the record stays the same.
+  MarkDirty(aState, job, false);
+  const auto queue = aState.mQueues.find(job.mSpec.mQueue);
+  if (failed && !step.mLasting && queue != aState.mQueues.end() &&
+      FailuresOf(*ref) >= queue->second.mMaxAttempts) {
+    FailJob(aState, job, aNow);
+  }
+}
+
+void
+Adopt(State& aState, WorkerNumber aWorker, const TaskRef& aRef, const RunningRow& aRow, const Now& aNow)
+{
+  Task& task = TaskAt(aRef);
+  task.mRun = aRow.mRun;
+  SetOnWorker(aState, aRef, aWorker, TaskPhase::Running, aNow);
+  task.mSeen = true;
+  task.mPace = Percent{ 100 };
+  task.mPaceOrdered = Percent{ 100 };
+  aRef.mJob->mStarted = true;
+  if (aRef.mJob->mState == JobState::Queued) {
+    aRef.mJob->mState = JobState::Running;
+    MarkDirty(aState, *aRef.mJob, false);
+  }
+}
+
+void
+TakeRunning(State& aState, WorkerNumber aWorker, const RunningRow& aRow, const Now& aNow)
+{
+  const Life life = aState.mWorkers[aWorker].mLife;
+  const auto ref = FindTask(aState, aRow.mTask);
+  if (!ref) {
+    // The submission may not have reached this coordinator yet, so only an ended lease removes it.
+    return;
+  }
+  Task& task = TaskAt(*ref);
+  if (HasEnded(ref->mJob->mState) || task.mPhase == TaskPhase::Done) {
+    if (aNow.mTime - task.mStopOrdered >= aState.mPolicy.mStopRetry) {
+      task.mStopOrdered = aNow.mTime;
+      OrderStop(aState, life, aRow.mTask, aRow.mRun);
+    }
+    return;
+  }
+  if (task.mPhase == TaskPhase::Waiting && aRow.mRun >= task.mRun) {
+    Adopt(aState, aWorker, *ref, aRow, aNow);
+  }
+  if (task.mWorker != aWorker || task.mRun != aRow.mRun) {
+    // A run that was given up, on a worker that was out of reach.
+    OrderStop(aState, life, aRow.mTask, aRow.mRun);
+    return;
+  }
+  if (task.mPhase == TaskPhase::Starting) {
+    task.mPhase = TaskPhase::Running;
+  }
+  if (!task.mSeen || aRow.mPercent > task.mPercent) {
+    task.mProgressed = aNow.mTime;
+  }
+  task.mSeen = true;
+  task.mMissingSince = Timestamp{};
+  task.mPercent = aRow.mPercent;
+  task.mUsage = aRow.mUsage;
+  if (!aRow.mCheckpoint.empty()) {
+    task.mCheckpoint = aRow.mCheckpoint;
+  }
+}
+
+/// Notices runs that should be listed and are not, and stopped ones that are gone.
+void
+FindUnlisted(State& aState, WorkerNumber aWorker, const WorkerView& aView, const Now& aNow)
+{
+  std::set<std::pair<TaskName, RunNumber>> listed;
+  for (const RunningRow& row : aView.mRunning) {
+    listed.emplace(row.mTask, row.mRun);
+  }
+  const std::set<TaskRef> tasks = aState.mWorkers[aWorker].mTasks;
+  for (const TaskRef& ref : tasks) {
+    Task& task = TaskAt(ref);
+    if (listed.contains({ NameOf(ref), task.mRun })) {
+      continue;
+    }
+    if (task.mPhase == TaskPhase::Running && task.mMissingSince == Timestamp{}) {
+      task.mMissingSince = aNow.mTime;
+    }
+    if (task.mPhase == TaskPhase::Stopping && task.mStopAnswered != Timestamp{} &&
+        aNow.mTime - task.mStopAnswered >= aState.mPolicy.mStopSettle) {
+      SetWaiting(aState, ref, aNow);
+    }
+  }
+}
+
+void
+TakeView(State& aState,
+         const Common::InstanceId& aAgent,
+         const WorkerView& aView,
+         Timestamp aLeaseEnd,
+         const Now& aNow)
+{
+  // A newer lifetime of the same worker ends the older ones.
+  for (auto& [life, number] : aState.mWorkerIndex) {
+    if (life.mWorker == aView.mLife.mWorker && life.mBorn < aView.mLife.mBorn) {
+      EndRuns(aState, number, "the worker started again", aNow);
+      aState.mWorkers[number].mConnected = false;
+      aState.mWorkers[number].mLeaseEnd = aNow.mTime;
+    }
+  }
+  const WorkerNumber number = EnsureWorker(aState, aView.mLife);
+  Worker& worker = aState.mWorkers[number];
+  worker.mAgent = aAgent;
+  worker.mPool = aView.mPool;
+  worker.mDataCentre = aView.mDataCentre;
+  worker.mRack = aView.mRack;
+  worker.mLabels = aView.mLabels;
+  worker.mCapacity = aView.mCapacity;
+  if (aView.mLeaving && !worker.mLeaving) {
+    aState.mNotes.push_back({ "worker is leaving", {}, worker.mLife.mWorker.str() });
+  }
+  worker.mLeaving = aView.mLeaving;
+  worker.mResponding = aView.mResponding;
+  worker.mConnected = true;
+  worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
+  if (!aView.mListed) {
+    return;
+  }
+  worker.mListed = true;
+  for (const EndedRow& end : aView.mEnded) {
+    if (end.mNumber > worker.mHandled) {
+      TakeEnd(aState, number, end, aNow);
+      worker.mHandled = end.mNumber;
+    }
+  }
+  for (const RunningRow& row : aView.mRunning) {
+    TakeRunning(aState, number, row, aNow);
+  }
+  FindUnlisted(aState, number, aView, aNow);
+}
+
+} // namespace
+
+void
+AddRecordedWorker(State& aState,
+                  const Life& aLife,
+                  const Common::InstanceId& aAgent,
+                  Timestamp aLeaseEnd)
+{
+  Worker& worker = aState.mWorkers[EnsureWorker(aState, aLife)];
+  worker.mAgent = aAgent;
+  worker.mRecorded = true;
+  worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
+}
+
+void
+TakeReport(State& aState,
+           const Common::InstanceId& aAgent,
+           std::span<const WorkerView> aViews,
+           std::span<const Life> aEndedLives,
+           Timestamp aLeaseEnd,
+           const Now& aNow)
+{
+  for (const Life& life : aEndedLives) {
+    const auto found = aState.mWorkerIndex.find(life);
+    if (found != aState.mWorkerIndex.end()) {
+      Worker& worker = aState.mWorkers[found->second];
+      EndRuns(aState, found->second, "its lifetime ended", aNow);
+      worker.mConnected = false;
+      worker.mLeaseEnd = aNow.mTime;
+    }
+  }
+  for (const WorkerView& view : aViews) {
+    if (std::find(aEndedLives.begin(), aEndedLives.end(), view.mLife) == aEndedLives.end()) {
+      TakeView(aState, aAgent, view, aLeaseEnd, aNow);
+    }
+  }
+}
+
+void
+AgentLost(State& aState, const Common::InstanceId& aAgent)
+{
+  for (Worker& worker : aState.mWorkers) {
+    if (worker.mAgent == aAgent) {
+      worker.mConnected = false;
+    }
+  }
+}
+
+void
+TakeResult(State& aState, std::int64_t aOrder, OrderResult aResult, const Now& aNow)
+{
+  const auto found = aState.mOutstanding.find(aOrder);
+  if (found == aState.mOutstanding.end()) {
+    return;
+  }
+  const Order order = found->second;
+  aState.mOutstanding.erase(found);
+  const auto ref = FindTask(aState, order.mTask);
+  if (!ref) {
+    return;
+  }
+  Task& task = TaskAt(*ref);
+  const auto worker = aState.mWorkerIndex.find(order.mLife);
+  if (worker == aState.mWorkerIndex.end() || task.mWorker != worker->second ||
+      task.mRun != order.mRun) {
+    return;
+  }
+  Worker& host = aState.mWorkers[task.mWorker];
+  if (order.mKind == OrderKind::Pace) {
+    if (aResult == OrderResult::Done) {
+      task.mPace = order.mPercent;
+    } else {
+      task.mPaceOrdered = task.mPace;
+    }
+    return;
+  }
+  if (order.mKind == OrderKind::Stop) {
+    // A run that was there is listed as ended; one that never arrived is refused from now on, and
+    // FindUnlisted notices that no list names it.
+    if (aResult == OrderResult::Gone) {
+      SetWaiting(aState, *ref, aNow);
+    } else if (aResult == OrderResult::Done && task.mStopAnswered == Timestamp{}) {
+      task.mStopAnswered = aNow.mTime;
+    }
+    return;
+  }
+  switch (aResult) {
+    case OrderResult::Done:
+      if (task.mPhase == TaskPhase::Starting) {
+        task.mPhase = TaskPhase::Running;
+      }
+      return;
+    case OrderResult::Unknown:
+      if (task.mPhase == TaskPhase::Starting) {
+        task.mPhase = TaskPhase::Stopping;
+        task.mStopOrdered = aNow.mTime;
+        OrderStop(aState, order.mLife, order.mTask, order.mRun);
+      }
+      return;
+    case OrderResult::Room:
+      ++aState.mCounts.mRoomRejections;
+      host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
+      break;
+    case OrderResult::Unhealthy:
+      host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
+      JudgeWorker(aState, host, order.mTask.mJob, true, aNow);
+      break;
+    case OrderResult::Invalid:
+      // The worker will never take it; counting it as a failed attempt ends the job in time.
+      ++task.mFailures;
+      MarkDirty(aState, *ref->mJob, false);
+      host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
+      break;
+    case OrderResult::NotSent:
+    case OrderResult::Late:
+    case OrderResult::Fenced:
+    case OrderResult::Ticket:
+      host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
+      break;
+    case OrderResult::Old:
+    case OrderResult::Gone:
+      break;
+  }
+  SetWaiting(aState, *ref, aNow);
+}
+
+void
+CheckTimes(State& aState, const Now& aNow)
+{
+  for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
+    if (!aState.mWorkers[number].mTasks.empty() && aState.mWorkers[number].mLeaseEnd <= aNow.mTime) {
+      EndRuns(aState, number, "its lease ended", aNow);
+    }
+    const std::set<TaskRef> tasks = aState.mWorkers[number].mTasks;
+    for (const TaskRef& ref : tasks) {
+      Task& task = TaskAt(ref);
+      const Life& life = aState.mWorkers[number].mLife;
+      if (task.mPhase == TaskPhase::Stopping &&
+          aNow.mTime - task.mStopOrdered >= aState.mPolicy.mStopRetry) {
+        task.mStopOrdered = aNow.mTime;
+        OrderStop(aState, life, NameOf(ref), task.mRun);
+      }
+      if (task.mPhase != TaskPhase::Running) {
+        continue;
+      }
+      const bool missing = task.mMissingSince != Timestamp{} &&
+                           aNow.mTime - task.mMissingSince >= aState.mPolicy.mMissingAfter;
+      // Tasks that pace down or fill may stand still for good reason.
+      const StepSpec& step = StepOf(ref);
+      const Duration perPercent = ExpectedRunTime(aState, *ref.mJob, ref.mStep) / 100;
+      const bool stalled = task.mSeen && !step.mLasting && !step.mFills && !step.mGang &&
+                           aNow.mTime - task.mProgressed >= aState.mPolicy.mStallAfter + perPercent * 30;
+      if (!missing && !stalled) {
+        continue;
+      }
+      if (stalled) {
+        ++aState.mCounts.mStalls;
+        task.mAvoid = number;
+        JudgeWorker(aState, aState.mWorkers[number], ref.mJob->mSpec.mJob, true, aNow);
+      }
+      aState.mNotes.push_back({ missing ? "run is missing on its worker" : "run stands still",
+                                ref.mJob->mSpec.mJob,
+                                life.mWorker.str() });
+      task.mSeen = task.mSeen && !missing;
+      task.mPhase = TaskPhase::Stopping;
+      task.mStopOrdered = aNow.mTime;
+      OrderStop(aState, life, NameOf(ref), task.mRun);
+    }
+  }
+}
+
+bool
+AwaitsWorkers(const State& aState, const Now& aNow)
+{
+  return std::any_of(aState.mWorkers.begin(), aState.mWorkers.end(), [&](const Worker& aWorker) {
+    return aWorker.mRecorded && !aWorker.mListed && aWorker.mLeaseEnd > aNow.mTime;
+  });
+}
+
+void
+JudgeWorker(State& aState, Worker& aWorker, const Common::JobId& aJob, bool aFailed, const Now& aNow)
+{
+  WorkerHealth& health = aWorker.mHealth;
+  health.mEnds.emplace_back(aJob, aFailed);
+  if (health.mEnds.size() > aState.mPolicy.mHealthWindow) {
+    health.mEnds.pop_front();
+  }
+  if (!aFailed) {
+    if (aNow.mTime >= health.mClosedUntil) {
+      health.mPenalty = Duration{ 0 };
+    }
+    return;
+  }
+  std::set<Common::JobId> failedJobs;
+  std::size_t failures = 0;
+  for (const auto& [job, failed] : health.mEnds) {
+    failures += failed ? 1 : 0;
+    if (failed) {
+      failedJobs.insert(job);
+    }
+  }
+  // A bad task fails everywhere; a bad worker fails tasks of several jobs.
+  constexpr std::size_t kMinJobs = 3;
+  const bool bad = failedJobs.size() >= kMinJobs && failures * 3 >= health.mEnds.size() * 2;
+  const bool again = health.mPenalty > Duration{ 0 };
+  if (aNow.mTime < health.mClosedUntil || (!bad && !again)) {
+    return;
+  }
+  health.mPenalty = again ? std::min(health.mPenalty * 2, aState.mPolicy.mPenaltyMax)
+                          : aState.mPolicy.mPenaltyMin;
+  health.mClosedUntil = aNow.mTime + health.mPenalty;
+  health.mEnds.clear();
+  ++aState.mCounts.mQuarantines;
+  aState.mNotes.push_back({ "worker fails its tasks; it gets none for a while", aJob, aWorker.mLife.mWorker.str() });
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/Schedule.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+
+#include "Scheduling/State.h"
+
+/// The decisions of a coordinator: free functions that change State and leave orders in it. None of
+/// them does I/O; times are passed in.
+namespace Scheduling {
+
+struct Now
+{
+  Timestamp mTime;
+  Common::UnixMillis mUnix{ 0 };
+};
+
+/// Limits of what one job may ask for; beyond them it is refused as invalid.
+constexpr std::uint32_t kMaxSteps = 64;
+constexpr std::uint32_t kMaxTasksPerJob = 10'000;
+constexpr std::size_t kMaxPayloadBytes = 4'000;
+
+/// Why the job can never run, or nothing.
+std::optional<std::string>
+ProblemOf(const JobSpec& aSpec);
+
+/// Longest chain of estimates through the steps of one occurrence.
+Duration
+LongestChain(const JobSpec& aSpec);
+
+/// Adds a job. aProgress is what an earlier coordinator recorded; nullptr for a job that no earlier
+/// coordinator can have started. A job that is known already is left as it is.
+Job&
+AddJob(State& aState,
+       JobSpec aSpec,
+       const Progress* aProgress,
+       bool aMayRunElsewhere,
+       const Now& aNow);
+
+/// No task of the job starts from now on; its runs are stopped.
+void
+CancelJob(State& aState, Job& aJob, const Now& aNow);
+
+/// Forgets an ended job. Runs of it that a worker still lists are stopped.
+void
+RemoveJob(State& aState, const Common::JobId& aJob);
+
+/// A worker that an earlier coordinator recorded. Until it reports or its lease ends, tasks of
+/// recovered jobs may run there.
+void
+AddRecordedWorker(State& aState,
+                  const Life& aLife,
+                  const Common::InstanceId& aAgent,
+                  Timestamp aLeaseEnd);
+
+/// Takes the report of an agent on its workers. aLeaseEnd is the latest time at which leases end
+/// that the agent may extend after this report.
+void
+TakeReport(State& aState,
+           const Common::InstanceId& aAgent,
+           std::span<const WorkerView> aViews,
+           std::span<const Life> aEndedLives,
+           Timestamp aLeaseEnd,
+           const Now& aNow);
+
+/// The connection to the agent is gone; its workers keep running until their leases end.
+void
+AgentLost(State& aState, const Common::InstanceId& aAgent);
+
+void
+TakeResult(State& aState, std::int64_t aOrder, OrderResult aResult, const Now& aNow);
+
+/// Ends leases, retries stops and notices runs that are missing or stand still.
+void
+CheckTimes(State& aState, const Now& aNow);
+
+/// Starts what fits and is due.
+void
+PlaceTasks(State& aState, const Now& aNow);
+
+/// Slows tasks that fill where a lasting task nears its tail target, and speeds them up again.
+void
+PaceTasks(State& aState, const Now& aNow);
+
+/// The record of the job as of now.
+Progress
+ProgressOf(const Job& aJob);
+
+/// Accepted jobs of the queue without due times of which no task has started.
+std::int64_t
+PendingJobs(const State& aState, const Common::RouteId& aQueue);
+
+// Shared by the files of this library.
+
+Task&
+TaskAt(const TaskRef& aRef);
+const StepSpec&
+StepOf(const TaskRef& aRef);
+std::optional<TaskRef>
+FindTask(State& aState, const TaskName& aName);
+TaskName
+NameOf(const TaskRef& aRef);
+/// Gives the task the state Waiting and returns its room on the worker.
+void
+SetWaiting(State& aState, const TaskRef& aRef, const Now& aNow);
+void
+SetOnWorker(State& aState, const TaskRef& aRef, WorkerNumber aWorker, TaskPhase aPhase, const Now& aNow);
+/// Takes the task off its worker, without a change of phase.
+void
+LeaveWorker(State& aState, const TaskRef& aRef);
+void
+OrderStop(State& aState, const Life& aLife, const TaskName& aTask, RunNumber aRun);
+void
+MarkDirty(State& aState, Job& aJob, bool aNow);
+/// Marks the task done and what follows from it for step and job.
+void
+SetDone(State& aState, const TaskRef& aRef, const Now& aNow);
+/// Stops everything of the job that runs.
+void
+StopRuns(State& aState, Job& aJob, const Now& aNow);
+/// Records how a run on the worker ended.
+void
+JudgeWorker(State& aState, Worker& aWorker, const Common::JobId& aJob, bool aFailed, const Now& aNow);
+/// True while tasks of recovered jobs may run on a worker that did not report in this term.
+bool
+AwaitsWorkers(const State& aState, const Now& aNow);
+/// Run time that a task of the step is expected to take on a sound worker.
+Duration
+ExpectedRunTime(const State& aState, const Job& aJob, std::uint32_t aStep);
+
+} // namespace Scheduling
--- /dev/null
+++ b/Source/Core/Scheduling/State.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Scheduling/Model.h"
+
+namespace Scheduling {
+
+using WorkerNumber = std::uint32_t;
+constexpr WorkerNumber kNoWorker = UINT32_MAX;
+
+enum class TaskPhase : std::uint8_t
+{
+  Waiting,
+  /// A start was ordered and is not confirmed.
+  Starting,
+  Running,
+  /// A stop was ordered; the run ends when the worker lists its end or answers the stop.
+  Stopping,
+  Done,
+};
+
+struct Task
+{
+  TaskPhase mPhase = TaskPhase::Waiting;
+  /// Last run number used.
+  RunNumber mRun;
+  std::uint32_t mFailures = 0;
+  WorkerNumber mWorker = kNoWorker;
+  /// Worker of the last failed run; another one is preferred.
+  WorkerNumber mAvoid = kNoWorker;
+  std::string mCheckpoint;
+  Percent mPercent;
+  Percent mPace{ 100 };
+  Percent mPaceOrdered{ 100 };
+  std::int64_t mUsage = 0;
+  /// Time of the start order, or since when it waits.
+  Timestamp mSince;
+  /// Last time that mPercent rose.
+  Timestamp mProgressed;
+  /// First list of its worker that should have named the run and did not.
+  Timestamp mMissingSince;
+  Timestamp mStopOrdered;
+  /// When the worker answered the stop of a run that it did not list.
+  Timestamp mStopAnswered;
+  bool mSeen = false;
+  /// Since when its tail latency is over the target.
+  Timestamp mOverSince;
+};
+
+struct Step
+{
+  std::vector<Task> mTasks;
+  std::uint32_t mDone = 0;
+  bool mEnded = false;
+  /// Tasks in phase Waiting.
+  std::uint32_t mWaiting = 0;
+};
+
+struct Occurrence
+{
+  std::uint32_t mNumber = 0;
+  std::vector<Step> mSteps;
+  std::uint32_t mStepsEnded = 0;
+};
+
+struct Job
+{
+  JobSpec mSpec;
+  JobState mState = JobState::Queued;
+  /// The last state that is in the store; only this one is shown to callers.
+  JobState mDurableState = JobState::Queued;
+  std::map<std::uint32_t, Occurrence> mOccurrences;
+  std::uint32_t mOccurrencesEnded = 0;
+  Timestamp mArrived;
+  /// Tasks that may run on a worker that has not reported to this coordinator are held back until
+  /// every worker has reported or this time has passed.
+  Timestamp mHeldUntil;
+  Common::UnixMillis mEnded{ 0 };
+  bool mStarted = false;
+  bool mDirty = false;
+  /// An ended task changes the record, but nobody waits for it.
+  bool mDirtyNow = false;
+  /// Expected time along the longest chain of steps.
+  Duration mChain{ 0 };
+};
+
+struct TaskRef
+{
+  Job* mJob = nullptr;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+struct WorkerHealth
+{
+  /// Ends of the last runs, oldest first: the job and whether it failed.
+  std::deque<std::pair<Common::JobId, bool>> mEnds;
+  Timestamp mClosedUntil;
+  Duration mPenalty{ 0 };
+  std::uint32_t mProbes = 0;
+};
+
+struct Worker
+{
+  Life mLife;
+  Common::InstanceId mAgent;
+  Common::PoolId mPool;
+  Common::DataCentreId mDataCentre;
+  Common::RackId mRack;
+  std::vector<std::string> mLabels;
+  Common::Resources mCapacity;
+  bool mLeaving = false;
+  bool mResponding = true;
+  bool mListed = false;
+  /// The agent reports to this coordinator.
+  bool mConnected = false;
+  /// The record that names this lifetime is in the store, so that a later coordinator waits for it.
+  bool mRecorded = false;
+  /// Everything on the worker has ended by then, unless the lease is extended.
+  Timestamp mLeaseEnd;
+  Common::Resources mUsed;
+  /// Processor use that fills are expected to make.
+  Common::MilliCores mFilling;
+  std::set<TaskRef> mTasks;
+  EndNumber mHandled;
+  EndNumber mAcked;
+  WorkerHealth mHealth;
+  Timestamp mNoRoomUntil;
+  Timestamp mPaceChanged;
+};
+
+/// Learned run times of the tasks of one queue and image.
+struct RunTimes
+{
+  double mRatio = 1.0;
+  std::uint32_t mSamples = 0;
+};
+
+struct Policy
+{
+  /// A worker that lists no trace of a run for this long after its start was confirmed is asked to
+  /// stop it, after which the task may run elsewhere. Three report periods.
+  Duration mMissingAfter{ std::chrono::milliseconds(1500) };
+  /// An unanswered stop is ordered again after this time; agents retry within it.
+  Duration mStopRetry{ std::chrono::milliseconds(1000) };
+  /// Time after an answered stop in which lists may still be from before it: a report period, the
+  /// worker's time to stop and the way to the coordinator.
+  Duration mStopSettle{ std::chrono::milliseconds(1500) };
+  /// A run whose percent stands still this long beyond its expected time per percent is restarted.
+  Duration mStallAfter{ std::chrono::milliseconds(2500) };
+  /// Runs whose ends are kept to judge a worker.
+  std::size_t mHealthWindow = 8;
+  /// First time that a worker which fails everything gets no tasks; doubled up to the maximum.
+  Duration mPenaltyMin{ std::chrono::seconds(3) };
+  Duration mPenaltyMax{ std::chrono::seconds(20) };
+  /// A worker that rejected a start for room gets none for this time, in which the list that
+  /// explains it arrives.
+  Duration mRoomPause{ std::chrono::milliseconds(250) };
+  /// Part of a task's tail target at which the tasks that fill beside it are slowed.
+  double mTailHigh = 0.85;
+  /// Part of the target below which they are sped up again.
+  double mTailLow = 0.55;
+  /// Time between two changes of pace on one worker; the figures lag by half a second.
+  Duration mPacePeriod{ std::chrono::milliseconds(700) };
+  /// Cores that tasks beside their own need leave to fills, as part of their reservation.
+  double mIdleShare = 0.5;
+  /// Time after which a task that fills is moved if it stands at pace 0.
+  Duration mPacedOut{ std::chrono::milliseconds(2000) };
+};
+
+struct Counts
+{
+  std::uint64_t mStarts = 0;
+  std::uint64_t mRoomRejections = 0;
+  std::uint64_t mLost = 0;
+  std::uint64_t mFailedRuns = 0;
+  std::uint64_t mQuarantines = 0;
+  std::uint64_t mStalls = 0;
+  std::uint64_t mPaces = 0;
+};
+
+/// A belief that changed; the caller writes it to the log.
+struct Note
+{
+  std::string mText;
+  Common::JobId mJob;
+  std::string mDetail;
+};
+
+/// State of one term of a coordinator. Only the functions of Schedule.h change it.
+struct State
+{
+  Policy mPolicy;
+  /// Run numbers of this term lie above this.
+  RunNumber mRunBase;
+  std::unordered_map<Common::RouteId, QueueSpec> mQueues;
+  /// Jobs by id; addresses are stable, because TaskRef points to them.
+  std::unordered_map<Common::JobId, std::unique_ptr<Job>> mJobs;
+  std::vector<Worker> mWorkers;
+  std::map<Life, WorkerNumber> mWorkerIndex;
+  /// Jobs that are not ended.
+  std::set<Job*> mOpen;
+  /// Jobs whose record must be written.
+  std::set<Job*> mDirty;
+  std::vector<Order> mOrders;
+  std::vector<Note> mNotes;
+  std::int64_t mNextOrder = 1;
+  /// Orders that have no result yet.
+  std::unordered_map<std::int64_t, Order> mOutstanding;
+  std::map<std::pair<Common::RouteId, std::string>, RunTimes> mRunTimes;
+  Counts mCounts;
+};
+
+} // namespace Scheduling
--- a/Source/Core/StoreHttp/HttpStore.cpp
+++ b/Source/Core/StoreHttp/HttpStore.cpp
@@ -5,7 +5,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include "StoreHttp/Base64.h"
+#include "Common/Base64.h"
 #include "StoreHttp/Paths.h"
 
 namespace StoreHttp {
@@ -63,7 +63,7 @@
 std::optional<Store::Entry>
 EntryFrom(const json& aJson)
 {
-  auto value = DecodeBase64(aJson.at("value").get<std::string>());
+  auto value = Common::DecodeBase64(aJson.at("value").get<std::string>());
   if (!value) {
     return std::nullopt;
   }
--- a/Source/Core/StoreHttp/StoreServer.cpp
+++ b/Source/Core/StoreHttp/StoreServer.cpp
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Store/MemoryStore.h"
-#include "StoreHttp/Base64.h"
+#include "Common/Base64.h"
 #include "StoreHttp/Paths.h"
 
 namespace StoreHttp {
@@ -57,7 +57,7 @@
   json items = json::array();
   for (const Store::Entry& entry : aEntries) {
     items.push_back({ { "key", entry.mKey },
-                      { "value", EncodeBase64(entry.mValue) },
+                      { "value", Common::EncodeBase64(entry.mValue) },
                       { "version", entry.mVersion.value() } });
   }
   return items;
--- /dev/null
+++ b/Source/Core/Wire/Codec.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <Node_types.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+/// Thrift records and messages as bytes.
+namespace Wire {
+
+/// First byte of each encoded record. Entries of other writers in the store rarely begin with it.
+constexpr char kMagic = '\x8a';
+
+template<typename Record>
+std::string
+Encode(const Record& aRecord)
+{
+  using apache::thrift::transport::TMemoryBuffer;
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  aRecord.write(&protocol);
+  return kMagic + buffer->getBufferAsString();
+}
+
+/// Nothing if the bytes are not a record of this type.
+template<typename Record>
+std::optional<Record>
+Decode(std::string_view aBytes)
+{
+  using apache::thrift::transport::TMemoryBuffer;
+  if (aBytes.empty() || aBytes.front() != kMagic) {
+    return std::nullopt;
+  }
+  aBytes.remove_prefix(1);
+  // The buffer only observes the bytes, although its interface takes them as mutable.
+  const auto buffer = std::make_shared<TMemoryBuffer>(
+    reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data())),
+    static_cast<std::uint32_t>(aBytes.size()));
+  // Sizes that a damaged record claims are bounded by its own length.
+  const auto limit = static_cast<std::int32_t>(aBytes.size());
+  apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer, limit, limit);
+  try {
+    Record record;
+    record.read(&protocol);
+    return record;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace Wire
--- /dev/null
+++ b/Source/Core/Wire/Node.thrift
@@ -0,0 +1,202 @@
+// Records of the store and messages between ibisshedd processes that run against a platform store.
+// Regenerate with Tools/generate-thrift.sh. Monotonic times are only echoed to the process that sent them.
+
+namespace cpp Wire
+
+struct TaskName {
+  1: string job,
+  2: i32 occurrence,
+  3: i32 step,
+  4: i32 index,
+}
+
+struct StepSpec {
+  1: i32 tasks,
+  2: i64 milliCores,
+  3: i64 memoryMb,
+  4: i32 accelerators,
+  5: i64 estimateMs,
+  6: list<i32> after,
+  7: bool checkpoints,
+  8: bool gang,
+  9: bool sameRack,
+  10: string label,
+  11: string dataRack,
+  12: i32 maxPerWorker,
+  13: bool speculative,
+  14: bool lasting,
+  15: string image,
+  16: i64 tailTargetMs,
+  17: bool fills,
+  18: i32 mayMiss,
+}
+
+// Written once by the entry that accepted the job.
+struct JobRecord {
+  1: string job,
+  2: string queue,
+  3: string payload,
+  4: list<StepSpec> steps,
+  5: i32 repeats,
+  6: i64 firstRunUnixMs,
+  7: i64 intervalMs,
+  8: i64 acceptedUnixMs,
+  9: string entry,
+}
+
+struct CancelRecord {
+  1: i64 cancelledUnixMs,
+  2: string entry,
+}
+
+struct TaskProgress {
+  1: i32 index,
+  2: bool done,
+  3: i32 failures,
+  4: string checkpoint,
+}
+
+struct StepProgress {
+  1: i32 occurrence,
+  2: i32 step,
+  3: bool done,
+  4: list<TaskProgress> tasks,
+}
+
+// Written by the coordinator. Tasks that are not named have neither ended nor failed.
+struct ProgressRecord {
+  1: i32 state,
+  2: list<StepProgress> steps,
+  3: i64 endedUnixMs,
+}
+
+struct CoordinatorRecord {
+  1: i64 term,
+  2: string instance,
+  3: string address,
+  4: i64 nonce,
+}
+
+// A worker that may run tasks. Removed only after everything on it has ended.
+struct WorkerRecord {
+  1: string worker,
+  2: i64 born,
+  3: string instance,
+}
+
+struct RunningTask {
+  1: TaskName task,
+  2: i32 run,
+  3: string checkpoint,
+  4: i32 percent,
+  5: i64 usage,
+}
+
+struct EndedTask {
+  1: i64 number,
+  2: TaskName task,
+  3: i32 run,
+  4: i32 how,
+  5: string checkpoint,
+}
+
+struct WorkerView {
+  1: string worker,
+  2: i64 born,
+  3: string pool,
+  4: string rack,
+  5: list<string> labels,
+  6: i64 milliCores,
+  7: i64 memoryMb,
+  8: i32 accelerators,
+  9: bool leaving,
+  10: i64 remainingMs,
+  // False if the last call to the worker got no answer; the lists are then those of the last answer.
+  11: bool responding,
+  12: bool listed,
+  13: list<RunningTask> running,
+  14: list<EndedTask> ended,
+}
+
+struct Life {
+  1: string worker,
+  2: i64 born,
+}
+
+struct OrderResult {
+  1: i64 number,
+  2: i32 result,
+}
+
+struct Report {
+  1: i64 agentMicros,
+  2: string instance,
+  3: string dataCentre,
+  4: list<WorkerView> workers,
+  5: list<OrderResult> results,
+  6: list<Life> endedLives,
+  7: i64 term,
+}
+
+struct Order {
+  1: i64 number,
+  2: i32 kind,
+  3: string worker,
+  4: i64 born,
+  5: TaskName task,
+  6: i32 run,
+  7: string payload,
+  8: string checkpoint,
+  9: i32 percent,
+  10: string ticket,
+}
+
+struct WorkerAck {
+  1: string worker,
+  2: i64 born,
+  3: i64 number,
+}
+
+struct Directive {
+  1: i64 term,
+  // agentMicros of the last report; 0 while there was none. Leases may run until then plus holdMicros.
+  2: i64 echoMicros,
+  3: i64 holdMicros,
+  4: list<Order> orders,
+  5: list<WorkerAck> acks,
+}
+
+// Asks whether a job would be served in time.
+struct Offer {
+  1: i64 number,
+  2: JobRecord job,
+}
+
+struct Verdict {
+  1: i64 number,
+  2: bool admitted,
+  3: i64 retryAfterMs,
+}
+
+struct StatusQuery {
+  1: i64 number,
+  2: string job,
+  3: string queue,
+}
+
+struct StatusReply {
+  1: i64 number,
+  2: bool known,
+  3: i32 state,
+  4: i64 pending,
+}
+
+// Exactly one field is set.
+struct Message {
+  1: optional Report report,
+  2: optional Directive directive,
+  3: optional Offer offer,
+  4: optional Verdict verdict,
+  5: optional StatusQuery statusQuery,
+  6: optional StatusReply statusReply,
+}
--- a/Source/Ibisshedd/Main.cpp
+++ b/Source/Ibisshedd/Main.cpp
@@ -13,6 +13,7 @@
 #include "Config/Settings.h"
 #include "Daemon/Process.h"
 #include "Observability/Log.h"
+#include "platform/Run.h"
 
 namespace {
 
@@ -79,6 +80,9 @@
     std::cerr << "ibisshedd: " << line.error() << '\n' << Config::CommandLineHelp();
     return 2;
   }
+  if (line->mPlatform) {
+    return Platform::RunDaemon();
+  }
   if (line->mHelp || line->mVersion) {
     std::cout << (line->mHelp ? Config::CommandLineHelp() : kVersion);
     return 0;
--- a/Source/UnitTests/StoreHttp/HttpStoreTests.cpp
+++ b/Source/UnitTests/StoreHttp/HttpStoreTests.cpp
@@ -6,7 +6,7 @@
 #include <rapidcheck/catch.h>
 
 #include "Store/MemoryStore.h"
-#include "StoreHttp/Base64.h"
+#include "Common/Base64.h"
 #include "StoreHttp/HttpStore.h"
 #include "StoreHttp/StoreServer.h"
 
@@ -47,10 +47,10 @@
 TEST_CASE("Base64 gives back the bytes", "[StoreHttp]")
 {
   rc::prop("every byte string survives", [](const std::string& aBytes) {
-    RC_ASSERT(StoreHttp::DecodeBase64(StoreHttp::EncodeBase64(aBytes)) == aBytes);
+    RC_ASSERT(Common::DecodeBase64(Common::EncodeBase64(aBytes)) == aBytes);
   });
-  REQUIRE(StoreHttp::EncodeBase64("fooba") == "Zm9vYmE=");
-  REQUIRE_FALSE(StoreHttp::DecodeBase64("Zm9v=mE="));
+  REQUIRE(Common::EncodeBase64("fooba") == "Zm9vYmE=");
+  REQUIRE_FALSE(Common::DecodeBase64("Zm9v=mE="));
 }
 
 TEST_CASE("The HTTP store behaves as the store behind it", "[StoreHttp]")
