Scheduling: learn which images disturb which lasting tasks

Ruled out: the fleet's cores (57 of 126 reserved lasting cores in use) and memory. A dump of what ran beside what shows that few pairs of images disturb (f38727 beside ed933b: 265 ms) and most do not.

Change: tails are read as pressures of a queue; pressure for each core is learned by pair of images, the task's own load beside it. Placement and pace keep the sum under the target.

--- /dev/null
+++ b/Source/Core/Scheduling/Disturbance.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <utility>
+
+/// Estimates of how much tasks that fill disturb lasting tasks beside them, by image.
+///
+/// The tail latency of a lasting task behaves like that of a queue: it is its unloaded tail divided
+/// by one less the pressure, where the pressure is the task's own load and what its neighbours add.
+/// Pressures add up and latencies do not, so the estimates are kept as pressures.
+namespace Scheduling {
+
+struct DisturbancePolicy
+{
+  /// Pressure that a neighbour's core is taken to add before it was seen. Low, so that unknown pairs
+  /// are tried; pacing corrects a wrong guess within a second.
+  double mPrior = 0.02;
+  double mPairRate = 0.25;
+  double mLoadRate = 0.3;
+  /// Bounds of a task's own load: a task that is hardly used, and one that would miss its target
+  /// alone.
+  double mLeastLoad = 0.1;
+  double mMostLoad = 0.75;
+  double mMostPerCore = 1.0;
+};
+
+/// One neighbour: its image and the cores that it uses.
+struct Neighbour
+{
+  const std::string* mImage = nullptr;
+  double mCores = 0;
+};
+
+struct Disturbance
+{
+  DisturbancePolicy mPolicy;
+  /// Lowest tail latency seen for an image, in ms.
+  std::map<std::string, double> mUnloaded;
+  /// Pressure for each core, by image of the neighbour and of the lasting task.
+  std::map<std::pair<std::string, std::string>, double> mPairs;
+};
+
+/// Pressure that a tail latency in ms stands for; 0 to 1.
+double
+PressureOf(const Disturbance& aModel, const std::string& aImage, double aTailMs);
+
+/// Pressure that one core of the neighbour's image adds.
+double
+PairPressure(const Disturbance& aModel, const std::string& aNeighbour, const std::string& aImage);
+
+double
+SumPressure(const Disturbance& aModel, const std::string& aImage, std::span<const Neighbour> aNeighbours);
+
+/// Learns from one figure that was measured while the neighbours did not change. aLoad is the
+/// estimate of the task's own load and is updated.
+void
+LearnTail(Disturbance& aModel,
+          const std::string& aImage,
+          double aTailMs,
+          std::span<const Neighbour> aNeighbours,
+          double& aLoad);
+
+} // namespace Scheduling
--- a/Source/Core/Scheduling/Pace.cpp
+++ b/Source/Core/Scheduling/Pace.cpp
@@ -6,36 +6,43 @@
 
 namespace {
 
-/// Highest ratio of tail latency to target on the worker; 0 if no task there has a target.
+/// A pace below this lets the task do so little that it is stopped instead.
+constexpr std::int64_t kLeastPace = 20;
+/// A neighbour that adds less than this part of the pressure over the target is left alone.
+constexpr double kSmallPart = 0.1;
+
 double
-WorstTail(const Worker& aWorker)
+CoresInUse(const Task& aTask, const StepSpec& aStep)
 {
-  double worst = 0;
-  for (const TaskRef& ref : aWorker.mTasks) {
-    const Task& task = TaskAt(ref);
-    const StepSpec& step = StepOf(ref);
-    if (step.mLasting && step.mTailTarget > Duration{ 0 } && task.mSeen) {
-      const double target = std::chrono::duration<double, std::milli>(step.mTailTarget).count();
-      worst = std::max(worst, static_cast<double>(task.mUsage) / target);
-    }
-  }
-  return worst;
+  const double need = static_cast<double>(aStep.mNeed.mCores.value()) / 1000.0;
+  return aTask.mSeen ? std::min(static_cast<double>(aTask.mUsage) / 1000.0, need) : need;
+}
+
+double
+TargetMs(const StepSpec& aStep)
+{
+  return std::chrono::duration<double, std::milli>(aStep.mTailTarget).count();
 }
 
-Percent
-Slower(Percent aPace)
+bool
+HasTarget(const TaskRef& aRef)
 {
-  // Below a quarter the gain is not worth the disturbance that is left.
-  constexpr std::int64_t kLeast = 25;
-  const std::int64_t half = aPace.value() / 2;
-  return Percent{ half < kLeast ? 0 : half };
+  const StepSpec& step = StepOf(aRef);
+  return step.mLasting && step.mTailTarget > Duration{ 0 };
 }
 
-Percent
-Faster(Percent aPace)
+std::vector<Neighbour>
+FillsOn(const Worker& aWorker)
 {
-  constexpr std::int64_t kFirst = 25;
-  return Percent{ std::clamp<std::int64_t>(aPace.value() * 2, kFirst, 100) };
+  std::vector<Neighbour> fills;
+  for (const TaskRef& ref : aWorker.mTasks) {
+    const StepSpec& step = StepOf(ref);
+    const Task& task = TaskAt(ref);
+    if (step.mFills && task.mPace.value() > 0) {
+      fills.push_back({ &step.mImage, CoresInUse(task, step) });
+    }
+  }
+  return fills;
 }
 
 void
@@ -55,36 +62,137 @@
   ++aState.mCounts.mPaces;
 }
 
+bool
+CanPace(const Task& aTask, const StepSpec& aStep)
+{
+  return aStep.mFills && aTask.mPhase == TaskPhase::Running && aTask.mPaceOrdered == aTask.mPace;
+}
+
+/// Slows what presses most on tasks that are over their target, or near it.
+bool
+SlowDown(State& aState, Worker& aWorker)
+{
+  std::map<TaskRef, double> wanted;
+  for (const TaskRef& served : aWorker.mTasks) {
+    const Task& task = TaskAt(served);
+    if (!HasTarget(served) || !task.mSeen ||
+        static_cast<double>(task.mUsage) < aState.mPolicy.mTailHigh * TargetMs(StepOf(served))) {
+      continue;
+    }
+    const std::string& image = StepOf(served).mImage;
+    const double over =
+      PressureOf(aState.mDisturbance, image, static_cast<double>(task.mUsage)) -
+      PressureOf(aState.mDisturbance, image, aState.mPolicy.mTailGoal * TargetMs(StepOf(served)));
+    double sum = 0;
+    for (const Neighbour& fill : FillsOn(aWorker)) {
+      sum += fill.mCores * PairPressure(aState.mDisturbance, *fill.mImage, image);
+    }
+    for (const TaskRef& ref : aWorker.mTasks) {
+      const Task& fill = TaskAt(ref);
+      const StepSpec& step = StepOf(ref);
+      if (!CanPace(fill, step) || fill.mPace.value() == 0 || sum <= 0) {
+        continue;
+      }
+      const double part = CoresInUse(fill, step) * PairPressure(aState.mDisturbance, step.mImage, image);
+      if (part < kSmallPart * sum) {
+        continue;
+      }
+      // Each neighbour gives up the same part of what it adds.
+      const double keep = std::clamp(1.0 - std::max(over, 0.05) / sum, 0.0, 0.8);
+      const auto [entry, isNew] = wanted.try_emplace(ref, keep);
+      entry->second = std::min(entry->second, keep);
+    }
+  }
+  for (const auto& [ref, keep] : wanted) {
+    const auto pace = static_cast<std::int64_t>(static_cast<double>(TaskAt(ref).mPace.value()) * keep);
+    OrderPace(aState, aWorker.mLife, ref, Percent{ pace < kLeastPace ? 0 : pace });
+  }
+  return !wanted.empty();
+}
+
+/// Speeds up what the tasks with targets can bear.
+bool
+SpeedUp(State& aState, Worker& aWorker)
+{
+  bool changed = false;
+  for (const TaskRef& ref : aWorker.mTasks) {
+    const Task& fill = TaskAt(ref);
+    const StepSpec& step = StepOf(ref);
+    if (!CanPace(fill, step) || fill.mPace.value() == 100) {
+      continue;
+    }
+    const std::int64_t pace = std::clamp<std::int64_t>(fill.mPace.value() * 2, 2 * kLeastPace, 100);
+    const double more = static_cast<double>(pace - fill.mPace.value()) / 100.0 *
+                        static_cast<double>(step.mNeed.mCores.value()) / 1000.0;
+    if (AddedPressureFits(aState, aWorker, step.mImage, more)) {
+      OrderPace(aState, aWorker.mLife, ref, Percent{ pace });
+      changed = true;
+      // The next figures show what this one does.
+      break;
+    }
+  }
+  return changed;
+}
+
+void
+LearnFrom(State& aState, Worker& aWorker, const Now& aNow)
+{
+  if (aNow.mTime - aWorker.mNeighboursChanged < aState.mPolicy.mFigureLag) {
+    return;
+  }
+  const std::vector<Neighbour> fills = FillsOn(aWorker);
+  for (const TaskRef& ref : aWorker.mTasks) {
+    Task& task = TaskAt(ref);
+    if (HasTarget(ref) && task.mSeen && task.mPercent.value() == 100) {
+      LearnTail(aState.mDisturbance,
+                StepOf(ref).mImage,
+                static_cast<double>(task.mUsage),
+                fills,
+                task.mLoad);
+    }
+  }
+}
+
 } // namespace
 
+bool
+AddedPressureFits(const State& aState, const Worker& aWorker, const std::string& aImage, double aCores)
+{
+  for (const TaskRef& ref : aWorker.mTasks) {
+    const Task& task = TaskAt(ref);
+    if (!HasTarget(ref) || !task.mSeen) {
+      continue;
+    }
+    const std::string& image = StepOf(ref).mImage;
+    const double limit =
+      PressureOf(aState.mDisturbance, image, aState.mPolicy.mTailGoal * TargetMs(StepOf(ref)));
+    // The figure lags; starts that it does not show yet are in the estimate.
+    const double measured = PressureOf(aState.mDisturbance, image, static_cast<double>(task.mUsage));
+    const double estimated =
+      task.mLoad + SumPressure(aState.mDisturbance, image, FillsOn(aWorker));
+    const double added = aCores * PairPressure(aState.mDisturbance, aImage, image);
+    if (std::max(measured, estimated) + added > limit) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void
 PaceTasks(State& aState, const Now& aNow)
 {
   for (Worker& worker : aState.mWorkers) {
-    if (!worker.mConnected || worker.mFilling.value() == 0 ||
-        aNow.mTime - worker.mPaceChanged < aState.mPolicy.mPacePeriod) {
+    if (!worker.mConnected || !worker.mNewFigures) {
       continue;
     }
-    const double worst = WorstTail(worker);
-    const bool slower = worst > aState.mPolicy.mTailHigh;
-    const bool faster = worst < aState.mPolicy.mTailLow;
-    if (!slower && !faster) {
+    worker.mNewFigures = false;
+    LearnFrom(aState, worker, aNow);
+    if (worker.mFilling.value() == 0 || aNow.mTime - worker.mPaceChanged < aState.mPolicy.mPacePeriod) {
       continue;
     }
-    bool changed = false;
-    for (const TaskRef& ref : worker.mTasks) {
-      Task& task = TaskAt(ref);
-      if (!StepOf(ref).mFills || task.mPhase != TaskPhase::Running || task.mPaceOrdered != task.mPace) {
-        continue;
-      }
-      const Percent pace = slower ? Slower(task.mPace) : Faster(task.mPace);
-      if (pace != task.mPace) {
-        OrderPace(aState, worker.mLife, ref, pace);
-        changed = true;
-      }
-    }
-    if (changed) {
+    if (SlowDown(aState, worker) || SpeedUp(aState, worker)) {
       worker.mPaceChanged = aNow.mTime;
+      worker.mNeighboursChanged = aNow.mTime;
     }
   }
 }
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -206,7 +206,11 @@
   if (!Fits(ReservedBy(step), aWorker.mCapacity - aWorker.mUsed)) {
     return false;
   }
-  if (step.mFills && RoomForFills(aState, aWorker) < step.mNeed.mCores.value()) {
+  if (step.mFills && (RoomForFills(aState, aWorker) < step.mNeed.mCores.value() ||
+                      !AddedPressureFits(aState,
+                                         aWorker,
+                                         step.mImage,
+                                         static_cast<double>(step.mNeed.mCores.value()) / 1000.0))) {
     return false;
   }
   return step.mMaxPerWorker == 0 ||
@@ -366,6 +370,7 @@
     worker.mUsed = worker.mUsed - ReservedBy(step);
     if (step.mFills) {
       worker.mFilling -= step.mNeed.mCores;
+      worker.mNeighboursChanged = task.mSince;
     }
   }
   task.mWorker = kNoWorker;
@@ -403,7 +408,7 @@
   task.mSeen = false;
   task.mPace = Percent{ 100 };
   task.mPaceOrdered = Percent{ 100 };
-  task.mOverSince = Timestamp{};
+  task.mPacedOutSince = Timestamp{};
   task.mMissingSince = Timestamp{};
   task.mStopAnswered = Timestamp{};
   Worker& worker = aState.mWorkers[aWorker];
@@ -412,6 +417,7 @@
   worker.mUsed = worker.mUsed + ReservedBy(step);
   if (step.mFills) {
     worker.mFilling += step.mNeed.mCores;
+    worker.mNeighboursChanged = aNow.mTime;
   }
 }
 
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -267,6 +267,7 @@
     TakeRunning(aState, number, row, aNow);
   }
   FindUnlisted(aState, number, aView, aNow);
+  aState.mWorkers[number].mNewFigures = true;
 }
 
 } // namespace
@@ -340,6 +341,7 @@
   if (order.mKind == OrderKind::Pace) {
     if (aResult == OrderResult::Done) {
       task.mPace = order.mPercent;
+      task.mPacedOutSince = order.mPercent.value() == 0 ? aNow.mTime : Timestamp{};
     } else {
       task.mPaceOrdered = task.mPace;
     }
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -125,6 +125,9 @@
 /// True while tasks of recovered jobs may run on a worker that did not report in this term.
 bool
 AwaitsWorkers(const State& aState, const Now& aNow);
+/// True if the tasks with tail targets on the worker bear aCores more of work with this image.
+bool
+AddedPressureFits(const State& aState, const Worker& aWorker, const std::string& aImage, double aCores);
 /// Run time that a task of the step is expected to take on a sound worker.
 Duration
 ExpectedRunTime(const State& aState, const Job& aJob, std::uint32_t aStep);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Scheduling/Disturbance.h"
 #include "Scheduling/Model.h"
 
 namespace Scheduling {
@@ -50,8 +51,10 @@
   /// When the worker answered the stop of a run that it did not list.
   Timestamp mStopAnswered;
   bool mSeen = false;
-  /// Since when its tail latency is over the target.
-  Timestamp mOverSince;
+  /// Estimated pressure of its own users, for a task with a tail target.
+  double mLoad = 0.4;
+  /// Since when it stands at pace 0.
+  Timestamp mPacedOutSince;
 };
 
 struct Step
@@ -136,6 +139,10 @@
   WorkerHealth mHealth;
   Timestamp mNoRoomUntil;
   Timestamp mPaceChanged;
+  /// Last start, end or change of pace of a task that fills.
+  Timestamp mNeighboursChanged;
+  /// A list arrived since the last change of pace was considered.
+  bool mNewFigures = false;
 };
 
 /// Learned run times of the tasks of one queue and image.
@@ -166,11 +173,13 @@
   /// explains it arrives.
   Duration mRoomPause{ std::chrono::milliseconds(250) };
   /// Part of a task's tail target at which the tasks that fill beside it are slowed.
-  double mTailHigh = 0.85;
-  /// Part of the target below which they are sped up again.
-  double mTailLow = 0.55;
-  /// Time between two changes of pace on one worker; the figures lag by half a second.
-  Duration mPacePeriod{ std::chrono::milliseconds(700) };
+  double mTailHigh = 0.9;
+  /// Part of the target that placement and pace aim below.
+  double mTailGoal = 0.75;
+  /// Time between two changes of pace on one worker; the figures cover the last half second.
+  Duration mPacePeriod{ std::chrono::milliseconds(600) };
+  /// Time after a change from which the figures show it alone.
+  Duration mFigureLag{ std::chrono::milliseconds(600) };
   /// Cores that tasks beside their own need leave to fills, as part of their reservation.
   double mIdleShare = 0.5;
   /// Time after which a task that fills is moved if it stands at pace 0.
@@ -218,6 +227,7 @@
   std::unordered_map<std::int64_t, Order> mOutstanding;
   std::map<std::pair<Common::RouteId, std::string>, RunTimes> mRunTimes;
   Counts mCounts;
+  Disturbance mDisturbance;
 };
 
 } // namespace Scheduling
