--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -113,7 +113,9 @@
       Wire::TaskProgress item;
       item.index = static_cast<std::int32_t>(task.mIndex);
       item.done = task.mDone;
-      item.failures = static_cast<std::int32_t>(task.mFailures);
+      for (const Scheduling::RunNumber run : task.mFailedRuns) {
+        item.failedRuns.push_back(static_cast<std::int32_t>(run.value()));
+      }
       item.checkpoint = task.mCheckpoint;
       row.tasks.push_back(std::move(item));
     }
@@ -134,10 +136,11 @@
     step.mStep = static_cast<std::uint32_t>(row.step);
     step.mDone = row.done;
     for (const auto& item : row.tasks) {
-      step.mTasks.push_back({ static_cast<std::uint32_t>(item.index),
-                              item.done,
-                              static_cast<std::uint32_t>(item.failures),
-                              item.checkpoint });
+      Scheduling::TaskProgress task{ static_cast<std::uint32_t>(item.index), item.done, {}, item.checkpoint };
+      for (const std::int32_t run : item.failedRuns) {
+        task.mFailedRuns.emplace_back(run);
+      }
+      step.mTasks.push_back(std::move(task));
     }
     progress.mSteps.push_back(std::move(step));
   }
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -30,7 +30,7 @@
     return;
   }
   Task& task = aStep.mTasks[aProgress.mIndex];
-  task.mFailures = aProgress.mFailures;
+  task.mFailedRuns = aProgress.mFailedRuns;
   task.mCheckpoint = aProgress.mCheckpoint;
   if (aProgress.mDone && task.mPhase != TaskPhase::Done) {
     task.mPhase = TaskPhase::Done;
@@ -60,7 +60,7 @@
     }
     if (record.mDone) {
       for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
-        RestoreTask(step, { .mIndex = i, .mDone = true, .mFailures = 0, .mCheckpoint = {} });
+        RestoreTask(step, { .mIndex = i, .mDone = true, .mFailedRuns = {}, .mCheckpoint = {} });
       }
     }
     if (step.mDone == step.mTasks.size() && !step.mEnded) {
@@ -273,8 +273,8 @@
       for (std::uint32_t i = 0; i < step.mTasks.size() && !step.mEnded; ++i) {
         const Task& task = step.mTasks[i];
         const bool done = task.mPhase == TaskPhase::Done;
-        if (done || task.mFailures > 0 || !task.mCheckpoint.empty()) {
-          record.mTasks.push_back({ i, done, task.mFailures, task.mCheckpoint });
+        if (done || !task.mFailedRuns.empty() || !task.mCheckpoint.empty()) {
+          record.mTasks.push_back({ i, done, task.mFailedRuns, task.mCheckpoint });
         }
       }
       if (record.mDone || !record.mTasks.empty()) {
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -215,7 +215,7 @@
 {
   std::uint32_t mIndex = 0;
   bool mDone = false;
-  std::uint32_t mFailures = 0;
+  std::vector<RunNumber> mFailedRuns;
   std::string mCheckpoint;
 };
 
--- a/Source/Core/Scheduling/Pace.cpp
+++ b/Source/Core/Scheduling/Pace.cpp
@@ -70,7 +70,7 @@
 
 /// Slows what presses most on tasks that are over their target, or near it.
 bool
-SlowDown(State& aState, Worker& aWorker)
+SlowDown(State& aState, Worker& aWorker, const Now& aNow)
 {
   std::map<TaskRef, double> wanted;
   for (const TaskRef& served : aWorker.mTasks) {
@@ -83,6 +83,8 @@
     const double over =
       PressureOf(aState.mDisturbance, image, static_cast<double>(task.mUsage)) -
       PressureOf(aState.mDisturbance, image, aState.mPolicy.mTailGoal * TargetMs(StepOf(served)));
+    const bool tooLong =
+      task.mOverSince != Timestamp{} && aNow.mTime - task.mOverSince >= aState.mPolicy.mOverBound;
     double sum = 0;
     for (const Neighbour& fill : FillsOn(aWorker)) {
       sum += fill.mCores * PairPressure(aState.mDisturbance, *fill.mImage, image);
@@ -94,11 +96,11 @@
         continue;
       }
       const double part = CoresInUse(fill, step) * PairPressure(aState.mDisturbance, step.mImage, image);
-      if (part < kSmallPart * sum) {
+      if (part < kSmallPart * sum && !tooLong) {
         continue;
       }
       // Each neighbour gives up the same part of what it adds.
-      const double keep = std::clamp(1.0 - std::max(over, 0.05) / sum, 0.0, 0.8);
+      const double keep = tooLong ? 0.0 : std::clamp(1.0 - std::max(over, 0.05) / sum, 0.0, 0.8);
       const auto [entry, isNew] = wanted.try_emplace(ref, keep);
       entry->second = std::min(entry->second, keep);
     }
@@ -137,13 +139,18 @@
 void
 LearnFrom(State& aState, Worker& aWorker, const Now& aNow)
 {
-  if (aNow.mTime - aWorker.mNeighboursChanged < aState.mPolicy.mFigureLag) {
-    return;
-  }
+  const bool settled = aNow.mTime - aWorker.mNeighboursChanged >= aState.mPolicy.mFigureLag;
   const std::vector<Neighbour> fills = FillsOn(aWorker);
   for (const TaskRef& ref : aWorker.mTasks) {
     Task& task = TaskAt(ref);
-    if (HasTarget(ref) && task.mSeen && task.mPercent.value() == 100) {
+    const bool over = HasTarget(ref) && task.mSeen &&
+                      static_cast<double>(task.mUsage) > TargetMs(StepOf(ref));
+    if (!over) {
+      task.mOverSince = Timestamp{};
+    } else if (task.mOverSince == Timestamp{}) {
+      task.mOverSince = aNow.mTime;
+    }
+    if (settled && HasTarget(ref) && task.mSeen && task.mPercent.value() == 100) {
       LearnTail(aState.mDisturbance,
                 StepOf(ref).mImage,
                 static_cast<double>(task.mUsage),
@@ -155,6 +162,18 @@
 
 } // namespace
 
+double
+AddedPressure(const State& aState, const Worker& aWorker, const std::string& aImage, double aCores)
+{
+  double added = 0;
+  for (const TaskRef& ref : aWorker.mTasks) {
+    if (HasTarget(ref)) {
+      added += aCores * PairPressure(aState.mDisturbance, aImage, StepOf(ref).mImage);
+    }
+  }
+  return added;
+}
+
 bool
 AddedPressureFits(const State& aState, const Worker& aWorker, const std::string& aImage, double aCores)
 {
@@ -190,7 +209,7 @@
     if (worker.mFilling.value() == 0 || aNow.mTime - worker.mPaceChanged < aState.mPolicy.mPacePeriod) {
       continue;
     }
-    if (SlowDown(aState, worker) || SpeedUp(aState, worker)) {
+    if (SlowDown(aState, worker, aNow) || SpeedUp(aState, worker)) {
       worker.mPaceChanged = aNow.mTime;
       worker.mNeighboursChanged = aNow.mTime;
     }
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Cost of pressure on lasting tasks against that of a worker with no core left for fills.
+constexpr double kPressureWeight = 3.0;
+
 /// Room that the task reserves; a task that fills reserves no processor.
 Common::Resources
 ReservedBy(const StepSpec& aStep)
@@ -229,9 +232,11 @@
   }
   const double lastingCores = static_cast<double>(aWorker.mUsed.mCores.value()) / capacity;
   if (step.mLasting) {
-    cost += 2.0 * TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) + lastingCores;
+    cost += 2.0 * TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) - lastingCores;
   } else if (step.mFills) {
-    cost -= static_cast<double>(RoomForFills(aState, aWorker)) / capacity;
+    const double cores = static_cast<double>(step.mNeed.mCores.value()) / 1000.0;
+    cost += kPressureWeight * AddedPressure(aState, aWorker, step.mImage, cores) -
+            static_cast<double>(RoomForFills(aState, aWorker)) / capacity;
   } else {
     cost += lastingCores + 0.3 * static_cast<double>(aWorker.mFilling.value()) / capacity;
   }
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -76,16 +76,27 @@
   }
 }
 
+/// False if the run was counted before.
+bool
+AddFailure(Task& aTask, RunNumber aRun)
+{
+  if (std::find(aTask.mFailedRuns.begin(), aTask.mFailedRuns.end(), aRun) != aTask.mFailedRuns.end()) {
+    return false;
+  }
+  aTask.mFailedRuns.push_back(aRun);
+  return true;
+}
+
 /// Failed runs of the task, or of its gang.
 std::uint32_t
 FailuresOf(const TaskRef& aRef)
 {
   if (!StepOf(aRef).mGang) {
-    return TaskAt(aRef).mFailures;
+    return static_cast<std::uint32_t>(TaskAt(aRef).mFailedRuns.size());
   }
   std::uint32_t failures = 0;
   for (const Task& task : aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mTasks) {
-    failures += task.mFailures;
+    failures += static_cast<std::uint32_t>(task.mFailedRuns.size());
   }
   return failures;
 }
@@ -119,8 +130,12 @@
     ++aState.mCounts.mFailedRuns;
     JudgeWorker(aState, aState.mWorkers[aWorker], job.mSpec.mJob, true, aNow);
   }
+  if (failed && !step.mLasting && !AddFailure(task, aEnd.mRun)) {
+    // Counted before; the worker was not told to forget it in time.
+    task.mRun = std::max(task.mRun, aEnd.mRun);
+    return;
+  }
   if (failed && !step.mLasting) {
-    ++task.mFailures;
     task.mAvoid = aWorker;
     MarkDirty(aState, job, false);
   }
@@ -380,7 +395,7 @@
       break;
     case OrderResult::Invalid:
       // The worker will never take it; counting it as a failed attempt ends the job in time.
-      ++task.mFailures;
+      AddFailure(task, order.mRun);
       MarkDirty(aState, *ref->mJob, false);
       host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
       break;
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -128,6 +128,9 @@
 /// True if the tasks with tail targets on the worker bear aCores more of work with this image.
 bool
 AddedPressureFits(const State& aState, const Worker& aWorker, const std::string& aImage, double aCores);
+/// Sum of the pressures that aCores of work with this image add to the tasks with targets there.
+double
+AddedPressure(const State& aState, const Worker& aWorker, const std::string& aImage, double aCores);
 /// Run time that a task of the step is expected to take on a sound worker.
 Duration
 ExpectedRunTime(const State& aState, const Job& aJob, std::uint32_t aStep);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -32,7 +32,9 @@
   TaskPhase mPhase = TaskPhase::Waiting;
   /// Last run number used.
   RunNumber mRun;
-  std::uint32_t mFailures = 0;
+  /// Runs that ended failed. Their numbers tell an end that is reported again, to this or to the
+  /// next coordinator, from a new one.
+  std::vector<RunNumber> mFailedRuns;
   WorkerNumber mWorker = kNoWorker;
   /// Worker of the last failed run; another one is preferred.
   WorkerNumber mAvoid = kNoWorker;
@@ -53,6 +55,8 @@
   bool mSeen = false;
   /// Estimated pressure of its own users, for a task with a tail target.
   double mLoad = 0.4;
+  /// Since when its tail latency is over its target.
+  Timestamp mOverSince;
   /// Since when it stands at pace 0.
   Timestamp mPacedOutSince;
 };
@@ -173,15 +177,17 @@
   /// explains it arrives.
   Duration mRoomPause{ std::chrono::milliseconds(250) };
   /// Part of a task's tail target at which the tasks that fill beside it are slowed.
-  double mTailHigh = 0.9;
+  double mTailHigh = 1.0;
   /// Part of the target that placement and pace aim below.
-  double mTailGoal = 0.75;
+  double mTailGoal = 1.3;
   /// Time between two changes of pace on one worker; the figures cover the last half second.
   Duration mPacePeriod{ std::chrono::milliseconds(600) };
   /// Time after a change from which the figures show it alone.
   Duration mFigureLag{ std::chrono::milliseconds(600) };
+  /// Time over the target after which everything that fills on the worker is stopped from working.
+  Duration mOverBound{ std::chrono::milliseconds(1500) };
   /// Cores that tasks beside their own need leave to fills, as part of their reservation.
-  double mIdleShare = 0.5;
+  double mIdleShare = 0.6;
   /// Time after which a task that fills is moved if it stands at pace 0.
   Duration mPacedOut{ std::chrono::milliseconds(2000) };
 };
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -1108,8 +1108,8 @@
   this->done = val;
 }
 
-void TaskProgress::__set_failures(const int32_t val) {
-  this->failures = val;
+void TaskProgress::__set_failedRuns(const std::vector<int32_t> & val) {
+  this->failedRuns = val;
 }
 
 void TaskProgress::__set_checkpoint(const std::string& val) {
@@ -1160,9 +1160,21 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->failures);
-          this->__isset.failures = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failedRuns.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->failedRuns.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += iprot->readI32(this->failedRuns[_i32]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failedRuns = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1200,8 +1212,16 @@
   xfer += oprot->writeBool(this->done);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldBegin("failedRuns", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->failedRuns.size()));
+    std::vector<int32_t> ::const_iterator _iter33;
+    for (_iter33 = this->failedRuns.begin(); _iter33 != this->failedRuns.end(); ++_iter33)
+    {
+      xfer += oprot->writeI32((*_iter33));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 4);
@@ -1217,39 +1237,39 @@
   using ::std::swap;
   swap(a.index, b.index);
   swap(a.done, b.done);
-  swap(a.failures, b.failures);
+  swap(a.failedRuns, b.failedRuns);
   swap(a.checkpoint, b.checkpoint);
   swap(a.__isset, b.__isset);
 }
 
-TaskProgress::TaskProgress(const TaskProgress& other28) {
-  index = other28.index;
-  done = other28.done;
-  failures = other28.failures;
-  checkpoint = other28.checkpoint;
-  __isset = other28.__isset;
-}
-TaskProgress::TaskProgress(TaskProgress&& other29) noexcept {
-  index = other29.index;
-  done = other29.done;
-  failures = other29.failures;
-  checkpoint = std::move(other29.checkpoint);
-  __isset = other29.__isset;
-}
-TaskProgress& TaskProgress::operator=(const TaskProgress& other30) {
-  index = other30.index;
-  done = other30.done;
-  failures = other30.failures;
-  checkpoint = other30.checkpoint;
-  __isset = other30.__isset;
+TaskProgress::TaskProgress(const TaskProgress& other34) {
+  index = other34.index;
+  done = other34.done;
+  failedRuns = other34.failedRuns;
+  checkpoint = other34.checkpoint;
+  __isset = other34.__isset;
+}
+TaskProgress::TaskProgress(TaskProgress&& other35) noexcept {
+  index = other35.index;
+  done = other35.done;
+  failedRuns = std::move(other35.failedRuns);
+  checkpoint = std::move(other35.checkpoint);
+  __isset = other35.__isset;
+}
+TaskProgress& TaskProgress::operator=(const TaskProgress& other36) {
+  index = other36.index;
+  done = other36.done;
+  failedRuns = other36.failedRuns;
+  checkpoint = other36.checkpoint;
+  __isset = other36.__isset;
   return *this;
 }
-TaskProgress& TaskProgress::operator=(TaskProgress&& other31) noexcept {
-  index = other31.index;
-  done = other31.done;
-  failures = other31.failures;
-  checkpoint = std::move(other31.checkpoint);
-  __isset = other31.__isset;
+TaskProgress& TaskProgress::operator=(TaskProgress&& other37) noexcept {
+  index = other37.index;
+  done = other37.done;
+  failedRuns = std::move(other37.failedRuns);
+  checkpoint = std::move(other37.checkpoint);
+  __isset = other37.__isset;
   return *this;
 }
 void TaskProgress::printTo(std::ostream& out) const {
@@ -1257,7 +1277,7 @@
   out << "TaskProgress(";
   out << "index=" << to_string(index);
   out << ", " << "done=" << to_string(done);
-  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "failedRuns=" << to_string(failedRuns);
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ")";
 }
@@ -1338,14 +1358,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->tasks.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->tasks.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->tasks[_i36].read(iprot);
+              xfer += this->tasks[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1386,10 +1406,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskProgress> ::const_iterator _iter37;
-    for (_iter37 = this->tasks.begin(); _iter37 != this->tasks.end(); ++_iter37)
+    std::vector<TaskProgress> ::const_iterator _iter43;
+    for (_iter43 = this->tasks.begin(); _iter43 != this->tasks.end(); ++_iter43)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1409,34 +1429,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StepProgress::StepProgress(const StepProgress& other38) {
-  occurrence = other38.occurrence;
-  step = other38.step;
-  done = other38.done;
-  tasks = other38.tasks;
-  __isset = other38.__isset;
-}
-StepProgress::StepProgress(StepProgress&& other39) noexcept {
-  occurrence = other39.occurrence;
-  step = other39.step;
-  done = other39.done;
-  tasks = std::move(other39.tasks);
-  __isset = other39.__isset;
-}
-StepProgress& StepProgress::operator=(const StepProgress& other40) {
-  occurrence = other40.occurrence;
-  step = other40.step;
-  done = other40.done;
-  tasks = other40.tasks;
-  __isset = other40.__isset;
+StepProgress::StepProgress(const StepProgress& other44) {
+  occurrence = other44.occurrence;
+  step = other44.step;
+  done = other44.done;
+  tasks = other44.tasks;
+  __isset = other44.__isset;
+}
+StepProgress::StepProgress(StepProgress&& other45) noexcept {
+  occurrence = other45.occurrence;
+  step = other45.step;
+  done = other45.done;
+  tasks = std::move(other45.tasks);
+  __isset = other45.__isset;
+}
+StepProgress& StepProgress::operator=(const StepProgress& other46) {
+  occurrence = other46.occurrence;
+  step = other46.step;
+  done = other46.done;
+  tasks = other46.tasks;
+  __isset = other46.__isset;
   return *this;
 }
-StepProgress& StepProgress::operator=(StepProgress&& other41) noexcept {
-  occurrence = other41.occurrence;
-  step = other41.step;
-  done = other41.done;
-  tasks = std::move(other41.tasks);
-  __isset = other41.__isset;
+StepProgress& StepProgress::operator=(StepProgress&& other47) noexcept {
+  occurrence = other47.occurrence;
+  step = other47.step;
+  done = other47.done;
+  tasks = std::move(other47.tasks);
+  __isset = other47.__isset;
   return *this;
 }
 void StepProgress::printTo(std::ostream& out) const {
@@ -1505,14 +1525,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->steps.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->steps.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->steps[_i46].read(iprot);
+              xfer += this->steps[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1553,10 +1573,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepProgress> ::const_iterator _iter47;
-    for (_iter47 = this->steps.begin(); _iter47 != this->steps.end(); ++_iter47)
+    std::vector<StepProgress> ::const_iterator _iter53;
+    for (_iter53 = this->steps.begin(); _iter53 != this->steps.end(); ++_iter53)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1579,30 +1599,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ProgressRecord::ProgressRecord(const ProgressRecord& other48) {
-  state = other48.state;
-  steps = other48.steps;
-  endedUnixMs = other48.endedUnixMs;
-  __isset = other48.__isset;
+ProgressRecord::ProgressRecord(const ProgressRecord& other54) {
+  state = other54.state;
+  steps = other54.steps;
+  endedUnixMs = other54.endedUnixMs;
+  __isset = other54.__isset;
 }
-ProgressRecord::ProgressRecord(ProgressRecord&& other49) noexcept {
-  state = other49.state;
-  steps = std::move(other49.steps);
-  endedUnixMs = other49.endedUnixMs;
-  __isset = other49.__isset;
+ProgressRecord::ProgressRecord(ProgressRecord&& other55) noexcept {
+  state = other55.state;
+  steps = std::move(other55.steps);
+  endedUnixMs = other55.endedUnixMs;
+  __isset = other55.__isset;
 }
-ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other50) {
-  state = other50.state;
-  steps = other50.steps;
-  endedUnixMs = other50.endedUnixMs;
-  __isset = other50.__isset;
+ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other56) {
+  state = other56.state;
+  steps = other56.steps;
+  endedUnixMs = other56.endedUnixMs;
+  __isset = other56.__isset;
   return *this;
 }
-ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other51) noexcept {
-  state = other51.state;
-  steps = std::move(other51.steps);
-  endedUnixMs = other51.endedUnixMs;
-  __isset = other51.__isset;
+ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other57) noexcept {
+  state = other57.state;
+  steps = std::move(other57.steps);
+  endedUnixMs = other57.endedUnixMs;
+  __isset = other57.__isset;
   return *this;
 }
 void ProgressRecord::printTo(std::ostream& out) const {
@@ -1741,34 +1761,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CoordinatorRecord::CoordinatorRecord(const CoordinatorRecord& other52) {
-  term = other52.term;
-  instance = other52.instance;
-  address = other52.address;
-  nonce = other52.nonce;
-  __isset = other52.__isset;
-}
-CoordinatorRecord::CoordinatorRecord(CoordinatorRecord&& other53) noexcept {
-  term = other53.term;
-  instance = std::move(other53.instance);
-  address = std::move(other53.address);
-  nonce = other53.nonce;
-  __isset = other53.__isset;
-}
-CoordinatorRecord& CoordinatorRecord::operator=(const CoordinatorRecord& other54) {
-  term = other54.term;
-  instance = other54.instance;
-  address = other54.address;
-  nonce = other54.nonce;
-  __isset = other54.__isset;
+CoordinatorRecord::CoordinatorRecord(const CoordinatorRecord& other58) {
+  term = other58.term;
+  instance = other58.instance;
+  address = other58.address;
+  nonce = other58.nonce;
+  __isset = other58.__isset;
+}
+CoordinatorRecord::CoordinatorRecord(CoordinatorRecord&& other59) noexcept {
+  term = other59.term;
+  instance = std::move(other59.instance);
+  address = std::move(other59.address);
+  nonce = other59.nonce;
+  __isset = other59.__isset;
+}
+CoordinatorRecord& CoordinatorRecord::operator=(const CoordinatorRecord& other60) {
+  term = other60.term;
+  instance = other60.instance;
+  address = other60.address;
+  nonce = other60.nonce;
+  __isset = other60.__isset;
   return *this;
 }
-CoordinatorRecord& CoordinatorRecord::operator=(CoordinatorRecord&& other55) noexcept {
-  term = other55.term;
-  instance = std::move(other55.instance);
-  address = std::move(other55.address);
-  nonce = other55.nonce;
-  __isset = other55.__isset;
+CoordinatorRecord& CoordinatorRecord::operator=(CoordinatorRecord&& other61) noexcept {
+  term = other61.term;
+  instance = std::move(other61.instance);
+  address = std::move(other61.address);
+  nonce = other61.nonce;
+  __isset = other61.__isset;
   return *this;
 }
 void CoordinatorRecord::printTo(std::ostream& out) const {
@@ -1891,30 +1911,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerRecord::WorkerRecord(const WorkerRecord& other56) {
-  worker = other56.worker;
-  born = other56.born;
-  instance = other56.instance;
-  __isset = other56.__isset;
+WorkerRecord::WorkerRecord(const WorkerRecord& other62) {
+  worker = other62.worker;
+  born = other62.born;
+  instance = other62.instance;
+  __isset = other62.__isset;
 }
-WorkerRecord::WorkerRecord(WorkerRecord&& other57) noexcept {
-  worker = std::move(other57.worker);
-  born = other57.born;
-  instance = std::move(other57.instance);
-  __isset = other57.__isset;
+WorkerRecord::WorkerRecord(WorkerRecord&& other63) noexcept {
+  worker = std::move(other63.worker);
+  born = other63.born;
+  instance = std::move(other63.instance);
+  __isset = other63.__isset;
 }
-WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other58) {
-  worker = other58.worker;
-  born = other58.born;
-  instance = other58.instance;
-  __isset = other58.__isset;
+WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other64) {
+  worker = other64.worker;
+  born = other64.born;
+  instance = other64.instance;
+  __isset = other64.__isset;
   return *this;
 }
-WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other59) noexcept {
-  worker = std::move(other59.worker);
-  born = other59.born;
-  instance = std::move(other59.instance);
-  __isset = other59.__isset;
+WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other65) noexcept {
+  worker = std::move(other65.worker);
+  born = other65.born;
+  instance = std::move(other65.instance);
+  __isset = other65.__isset;
   return *this;
 }
 void WorkerRecord::printTo(std::ostream& out) const {
@@ -2070,38 +2090,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other60) {
-  task = other60.task;
-  run = other60.run;
-  checkpoint = other60.checkpoint;
-  percent = other60.percent;
-  usage = other60.usage;
-  __isset = other60.__isset;
+RunningTask::RunningTask(const RunningTask& other66) {
+  task = other66.task;
+  run = other66.run;
+  checkpoint = other66.checkpoint;
+  percent = other66.percent;
+  usage = other66.usage;
+  __isset = other66.__isset;
 }
-RunningTask::RunningTask(RunningTask&& other61) noexcept {
-  task = std::move(other61.task);
-  run = other61.run;
-  checkpoint = std::move(other61.checkpoint);
-  percent = other61.percent;
-  usage = other61.usage;
-  __isset = other61.__isset;
+RunningTask::RunningTask(RunningTask&& other67) noexcept {
+  task = std::move(other67.task);
+  run = other67.run;
+  checkpoint = std::move(other67.checkpoint);
+  percent = other67.percent;
+  usage = other67.usage;
+  __isset = other67.__isset;
 }
-RunningTask& RunningTask::operator=(const RunningTask& other62) {
-  task = other62.task;
-  run = other62.run;
-  checkpoint = other62.checkpoint;
-  percent = other62.percent;
-  usage = other62.usage;
-  __isset = other62.__isset;
+RunningTask& RunningTask::operator=(const RunningTask& other68) {
+  task = other68.task;
+  run = other68.run;
+  checkpoint = other68.checkpoint;
+  percent = other68.percent;
+  usage = other68.usage;
+  __isset = other68.__isset;
   return *this;
 }
-RunningTask& RunningTask::operator=(RunningTask&& other63) noexcept {
-  task = std::move(other63.task);
-  run = other63.run;
-  checkpoint = std::move(other63.checkpoint);
-  percent = other63.percent;
-  usage = other63.usage;
-  __isset = other63.__isset;
+RunningTask& RunningTask::operator=(RunningTask&& other69) noexcept {
+  task = std::move(other69.task);
+  run = other69.run;
+  checkpoint = std::move(other69.checkpoint);
+  percent = other69.percent;
+  usage = other69.usage;
+  __isset = other69.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -2259,38 +2279,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedTask::EndedTask(const EndedTask& other64) {
-  number = other64.number;
-  task = other64.task;
-  run = other64.run;
-  how = other64.how;
-  checkpoint = other64.checkpoint;
-  __isset = other64.__isset;
-}
-EndedTask::EndedTask(EndedTask&& other65) noexcept {
-  number = other65.number;
-  task = std::move(other65.task);
-  run = other65.run;
-  how = other65.how;
-  checkpoint = std::move(other65.checkpoint);
-  __isset = other65.__isset;
-}
-EndedTask& EndedTask::operator=(const EndedTask& other66) {
-  number = other66.number;
-  task = other66.task;
-  run = other66.run;
-  how = other66.how;
-  checkpoint = other66.checkpoint;
-  __isset = other66.__isset;
+EndedTask::EndedTask(const EndedTask& other70) {
+  number = other70.number;
+  task = other70.task;
+  run = other70.run;
+  how = other70.how;
+  checkpoint = other70.checkpoint;
+  __isset = other70.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other71) noexcept {
+  number = other71.number;
+  task = std::move(other71.task);
+  run = other71.run;
+  how = other71.how;
+  checkpoint = std::move(other71.checkpoint);
+  __isset = other71.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other72) {
+  number = other72.number;
+  task = other72.task;
+  run = other72.run;
+  how = other72.how;
+  checkpoint = other72.checkpoint;
+  __isset = other72.__isset;
   return *this;
 }
-EndedTask& EndedTask::operator=(EndedTask&& other67) noexcept {
-  number = other67.number;
-  task = std::move(other67.task);
-  run = other67.run;
-  how = other67.how;
-  checkpoint = std::move(other67.checkpoint);
-  __isset = other67.__isset;
+EndedTask& EndedTask::operator=(EndedTask&& other73) noexcept {
+  number = other73.number;
+  task = std::move(other73.task);
+  run = other73.run;
+  how = other73.how;
+  checkpoint = std::move(other73.checkpoint);
+  __isset = other73.__isset;
   return *this;
 }
 void EndedTask::printTo(std::ostream& out) const {
@@ -2428,14 +2448,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->labels.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->labels.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += iprot->readString(this->labels[_i72]);
+              xfer += iprot->readString(this->labels[_i78]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2504,14 +2524,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->running.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->running.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->running[_i77].read(iprot);
+              xfer += this->running[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2524,14 +2544,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->ended.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->ended.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->ended[_i82].read(iprot);
+              xfer += this->ended[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2576,10 +2596,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter83;
-    for (_iter83 = this->labels.begin(); _iter83 != this->labels.end(); ++_iter83)
+    std::vector<std::string> ::const_iterator _iter89;
+    for (_iter89 = this->labels.begin(); _iter89 != this->labels.end(); ++_iter89)
     {
-      xfer += oprot->writeString((*_iter83));
+      xfer += oprot->writeString((*_iter89));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2616,10 +2636,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter84;
-    for (_iter84 = this->running.begin(); _iter84 != this->running.end(); ++_iter84)
+    std::vector<RunningTask> ::const_iterator _iter90;
+    for (_iter90 = this->running.begin(); _iter90 != this->running.end(); ++_iter90)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2628,10 +2648,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter85;
-    for (_iter85 = this->ended.begin(); _iter85 != this->ended.end(); ++_iter85)
+    std::vector<EndedTask> ::const_iterator _iter91;
+    for (_iter91 = this->ended.begin(); _iter91 != this->ended.end(); ++_iter91)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2661,74 +2681,74 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerView::WorkerView(const WorkerView& other86) {
-  worker = other86.worker;
-  born = other86.born;
-  pool = other86.pool;
-  rack = other86.rack;
-  labels = other86.labels;
-  milliCores = other86.milliCores;
-  memoryMb = other86.memoryMb;
-  accelerators = other86.accelerators;
-  leaving = other86.leaving;
-  remainingMs = other86.remainingMs;
-  responding = other86.responding;
-  listed = other86.listed;
-  running = other86.running;
-  ended = other86.ended;
-  __isset = other86.__isset;
-}
-WorkerView::WorkerView(WorkerView&& other87) noexcept {
-  worker = std::move(other87.worker);
-  born = other87.born;
-  pool = std::move(other87.pool);
-  rack = std::move(other87.rack);
-  labels = std::move(other87.labels);
-  milliCores = other87.milliCores;
-  memoryMb = other87.memoryMb;
-  accelerators = other87.accelerators;
-  leaving = other87.leaving;
-  remainingMs = other87.remainingMs;
-  responding = other87.responding;
-  listed = other87.listed;
-  running = std::move(other87.running);
-  ended = std::move(other87.ended);
-  __isset = other87.__isset;
-}
-WorkerView& WorkerView::operator=(const WorkerView& other88) {
-  worker = other88.worker;
-  born = other88.born;
-  pool = other88.pool;
-  rack = other88.rack;
-  labels = other88.labels;
-  milliCores = other88.milliCores;
-  memoryMb = other88.memoryMb;
-  accelerators = other88.accelerators;
-  leaving = other88.leaving;
-  remainingMs = other88.remainingMs;
-  responding = other88.responding;
-  listed = other88.listed;
-  running = other88.running;
-  ended = other88.ended;
-  __isset = other88.__isset;
+WorkerView::WorkerView(const WorkerView& other92) {
+  worker = other92.worker;
+  born = other92.born;
+  pool = other92.pool;
+  rack = other92.rack;
+  labels = other92.labels;
+  milliCores = other92.milliCores;
+  memoryMb = other92.memoryMb;
+  accelerators = other92.accelerators;
+  leaving = other92.leaving;
+  remainingMs = other92.remainingMs;
+  responding = other92.responding;
+  listed = other92.listed;
+  running = other92.running;
+  ended = other92.ended;
+  __isset = other92.__isset;
+}
+WorkerView::WorkerView(WorkerView&& other93) noexcept {
+  worker = std::move(other93.worker);
+  born = other93.born;
+  pool = std::move(other93.pool);
+  rack = std::move(other93.rack);
+  labels = std::move(other93.labels);
+  milliCores = other93.milliCores;
+  memoryMb = other93.memoryMb;
+  accelerators = other93.accelerators;
+  leaving = other93.leaving;
+  remainingMs = other93.remainingMs;
+  responding = other93.responding;
+  listed = other93.listed;
+  running = std::move(other93.running);
+  ended = std::move(other93.ended);
+  __isset = other93.__isset;
+}
+WorkerView& WorkerView::operator=(const WorkerView& other94) {
+  worker = other94.worker;
+  born = other94.born;
+  pool = other94.pool;
+  rack = other94.rack;
+  labels = other94.labels;
+  milliCores = other94.milliCores;
+  memoryMb = other94.memoryMb;
+  accelerators = other94.accelerators;
+  leaving = other94.leaving;
+  remainingMs = other94.remainingMs;
+  responding = other94.responding;
+  listed = other94.listed;
+  running = other94.running;
+  ended = other94.ended;
+  __isset = other94.__isset;
   return *this;
 }
-WorkerView& WorkerView::operator=(WorkerView&& other89) noexcept {
-  worker = std::move(other89.worker);
-  born = other89.born;
-  pool = std::move(other89.pool);
-  rack = std::move(other89.rack);
-  labels = std::move(other89.labels);
-  milliCores = other89.milliCores;
-  memoryMb = other89.memoryMb;
-  accelerators = other89.accelerators;
-  leaving = other89.leaving;
-  remainingMs = other89.remainingMs;
-  responding = other89.responding;
-  listed = other89.listed;
-  running = std::move(other89.running);
-  ended = std::move(other89.ended);
-  __isset = other89.__isset;
+WorkerView& WorkerView::operator=(WorkerView&& other95) noexcept {
+  worker = std::move(other95.worker);
+  born = other95.born;
+  pool = std::move(other95.pool);
+  rack = std::move(other95.rack);
+  labels = std::move(other95.labels);
+  milliCores = other95.milliCores;
+  memoryMb = other95.memoryMb;
+  accelerators = other95.accelerators;
+  leaving = other95.leaving;
+  remainingMs = other95.remainingMs;
+  responding = other95.responding;
+  listed = other95.listed;
+  running = std::move(other95.running);
+  ended = std::move(other95.ended);
+  __isset = other95.__isset;
   return *this;
 }
 void WorkerView::printTo(std::ostream& out) const {
@@ -2844,26 +2864,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Life::Life(const Life& other90) {
-  worker = other90.worker;
-  born = other90.born;
-  __isset = other90.__isset;
+Life::Life(const Life& other96) {
+  worker = other96.worker;
+  born = other96.born;
+  __isset = other96.__isset;
 }
-Life::Life(Life&& other91) noexcept {
-  worker = std::move(other91.worker);
-  born = other91.born;
-  __isset = other91.__isset;
+Life::Life(Life&& other97) noexcept {
+  worker = std::move(other97.worker);
+  born = other97.born;
+  __isset = other97.__isset;
 }
-Life& Life::operator=(const Life& other92) {
-  worker = other92.worker;
-  born = other92.born;
-  __isset = other92.__isset;
+Life& Life::operator=(const Life& other98) {
+  worker = other98.worker;
+  born = other98.born;
+  __isset = other98.__isset;
   return *this;
 }
-Life& Life::operator=(Life&& other93) noexcept {
-  worker = std::move(other93.worker);
-  born = other93.born;
-  __isset = other93.__isset;
+Life& Life::operator=(Life&& other99) noexcept {
+  worker = std::move(other99.worker);
+  born = other99.born;
+  __isset = other99.__isset;
   return *this;
 }
 void Life::printTo(std::ostream& out) const {
@@ -2967,26 +2987,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderResult::OrderResult(const OrderResult& other94) noexcept {
-  number = other94.number;
-  result = other94.result;
-  __isset = other94.__isset;
+OrderResult::OrderResult(const OrderResult& other100) noexcept {
+  number = other100.number;
+  result = other100.result;
+  __isset = other100.__isset;
 }
-OrderResult::OrderResult(OrderResult&& other95) noexcept {
-  number = other95.number;
-  result = other95.result;
-  __isset = other95.__isset;
+OrderResult::OrderResult(OrderResult&& other101) noexcept {
+  number = other101.number;
+  result = other101.result;
+  __isset = other101.__isset;
 }
-OrderResult& OrderResult::operator=(const OrderResult& other96) noexcept {
-  number = other96.number;
-  result = other96.result;
-  __isset = other96.__isset;
+OrderResult& OrderResult::operator=(const OrderResult& other102) noexcept {
+  number = other102.number;
+  result = other102.result;
+  __isset = other102.__isset;
   return *this;
 }
-OrderResult& OrderResult::operator=(OrderResult&& other97) noexcept {
-  number = other97.number;
-  result = other97.result;
-  __isset = other97.__isset;
+OrderResult& OrderResult::operator=(OrderResult&& other103) noexcept {
+  number = other103.number;
+  result = other103.result;
+  __isset = other103.__isset;
   return *this;
 }
 void OrderResult::printTo(std::ostream& out) const {
@@ -3085,14 +3105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->workers.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->workers.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->workers[_i102].read(iprot);
+              xfer += this->workers[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3105,14 +3125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->results.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->results.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->results[_i107].read(iprot);
+              xfer += this->results[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3125,14 +3145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endedLives.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->endedLives.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->endedLives.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->endedLives[_i112].read(iprot);
+              xfer += this->endedLives[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3181,10 +3201,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerView> ::const_iterator _iter113;
-    for (_iter113 = this->workers.begin(); _iter113 != this->workers.end(); ++_iter113)
+    std::vector<WorkerView> ::const_iterator _iter119;
+    for (_iter119 = this->workers.begin(); _iter119 != this->workers.end(); ++_iter119)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3193,10 +3213,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter114;
-    for (_iter114 = this->results.begin(); _iter114 != this->results.end(); ++_iter114)
+    std::vector<OrderResult> ::const_iterator _iter120;
+    for (_iter120 = this->results.begin(); _iter120 != this->results.end(); ++_iter120)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3205,10 +3225,10 @@
   xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endedLives.size()));
-    std::vector<Life> ::const_iterator _iter115;
-    for (_iter115 = this->endedLives.begin(); _iter115 != this->endedLives.end(); ++_iter115)
+    std::vector<Life> ::const_iterator _iter121;
+    for (_iter121 = this->endedLives.begin(); _iter121 != this->endedLives.end(); ++_iter121)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3235,46 +3255,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other116) {
-  agentMicros = other116.agentMicros;
-  instance = other116.instance;
-  dataCentre = other116.dataCentre;
-  workers = other116.workers;
-  results = other116.results;
-  endedLives = other116.endedLives;
-  term = other116.term;
-  __isset = other116.__isset;
-}
-Report::Report(Report&& other117) noexcept {
-  agentMicros = other117.agentMicros;
-  instance = std::move(other117.instance);
-  dataCentre = std::move(other117.dataCentre);
-  workers = std::move(other117.workers);
-  results = std::move(other117.results);
-  endedLives = std::move(other117.endedLives);
-  term = other117.term;
-  __isset = other117.__isset;
-}
-Report& Report::operator=(const Report& other118) {
-  agentMicros = other118.agentMicros;
-  instance = other118.instance;
-  dataCentre = other118.dataCentre;
-  workers = other118.workers;
-  results = other118.results;
-  endedLives = other118.endedLives;
-  term = other118.term;
-  __isset = other118.__isset;
+Report::Report(const Report& other122) {
+  agentMicros = other122.agentMicros;
+  instance = other122.instance;
+  dataCentre = other122.dataCentre;
+  workers = other122.workers;
+  results = other122.results;
+  endedLives = other122.endedLives;
+  term = other122.term;
+  __isset = other122.__isset;
+}
+Report::Report(Report&& other123) noexcept {
+  agentMicros = other123.agentMicros;
+  instance = std::move(other123.instance);
+  dataCentre = std::move(other123.dataCentre);
+  workers = std::move(other123.workers);
+  results = std::move(other123.results);
+  endedLives = std::move(other123.endedLives);
+  term = other123.term;
+  __isset = other123.__isset;
+}
+Report& Report::operator=(const Report& other124) {
+  agentMicros = other124.agentMicros;
+  instance = other124.instance;
+  dataCentre = other124.dataCentre;
+  workers = other124.workers;
+  results = other124.results;
+  endedLives = other124.endedLives;
+  term = other124.term;
+  __isset = other124.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other119) noexcept {
-  agentMicros = other119.agentMicros;
-  instance = std::move(other119.instance);
-  dataCentre = std::move(other119.dataCentre);
-  workers = std::move(other119.workers);
-  results = std::move(other119.results);
-  endedLives = std::move(other119.endedLives);
-  term = other119.term;
-  __isset = other119.__isset;
+Report& Report::operator=(Report&& other125) noexcept {
+  agentMicros = other125.agentMicros;
+  instance = std::move(other125.instance);
+  dataCentre = std::move(other125.dataCentre);
+  workers = std::move(other125.workers);
+  results = std::move(other125.results);
+  endedLives = std::move(other125.endedLives);
+  term = other125.term;
+  __isset = other125.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -3519,58 +3539,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other120) {
-  number = other120.number;
-  kind = other120.kind;
-  worker = other120.worker;
-  born = other120.born;
-  task = other120.task;
-  run = other120.run;
-  payload = other120.payload;
-  checkpoint = other120.checkpoint;
-  percent = other120.percent;
-  ticket = other120.ticket;
-  __isset = other120.__isset;
-}
-Order::Order(Order&& other121) noexcept {
-  number = other121.number;
-  kind = other121.kind;
-  worker = std::move(other121.worker);
-  born = other121.born;
-  task = std::move(other121.task);
-  run = other121.run;
-  payload = std::move(other121.payload);
-  checkpoint = std::move(other121.checkpoint);
-  percent = other121.percent;
-  ticket = std::move(other121.ticket);
-  __isset = other121.__isset;
-}
-Order& Order::operator=(const Order& other122) {
-  number = other122.number;
-  kind = other122.kind;
-  worker = other122.worker;
-  born = other122.born;
-  task = other122.task;
-  run = other122.run;
-  payload = other122.payload;
-  checkpoint = other122.checkpoint;
-  percent = other122.percent;
-  ticket = other122.ticket;
-  __isset = other122.__isset;
+Order::Order(const Order& other126) {
+  number = other126.number;
+  kind = other126.kind;
+  worker = other126.worker;
+  born = other126.born;
+  task = other126.task;
+  run = other126.run;
+  payload = other126.payload;
+  checkpoint = other126.checkpoint;
+  percent = other126.percent;
+  ticket = other126.ticket;
+  __isset = other126.__isset;
+}
+Order::Order(Order&& other127) noexcept {
+  number = other127.number;
+  kind = other127.kind;
+  worker = std::move(other127.worker);
+  born = other127.born;
+  task = std::move(other127.task);
+  run = other127.run;
+  payload = std::move(other127.payload);
+  checkpoint = std::move(other127.checkpoint);
+  percent = other127.percent;
+  ticket = std::move(other127.ticket);
+  __isset = other127.__isset;
+}
+Order& Order::operator=(const Order& other128) {
+  number = other128.number;
+  kind = other128.kind;
+  worker = other128.worker;
+  born = other128.born;
+  task = other128.task;
+  run = other128.run;
+  payload = other128.payload;
+  checkpoint = other128.checkpoint;
+  percent = other128.percent;
+  ticket = other128.ticket;
+  __isset = other128.__isset;
   return *this;
 }
-Order& Order::operator=(Order&& other123) noexcept {
-  number = other123.number;
-  kind = other123.kind;
-  worker = std::move(other123.worker);
-  born = other123.born;
-  task = std::move(other123.task);
-  run = other123.run;
-  payload = std::move(other123.payload);
-  checkpoint = std::move(other123.checkpoint);
-  percent = other123.percent;
-  ticket = std::move(other123.ticket);
-  __isset = other123.__isset;
+Order& Order::operator=(Order&& other129) noexcept {
+  number = other129.number;
+  kind = other129.kind;
+  worker = std::move(other129.worker);
+  born = other129.born;
+  task = std::move(other129.task);
+  run = other129.run;
+  payload = std::move(other129.payload);
+  checkpoint = std::move(other129.checkpoint);
+  percent = other129.percent;
+  ticket = std::move(other129.ticket);
+  __isset = other129.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -3699,30 +3719,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAck::WorkerAck(const WorkerAck& other124) {
-  worker = other124.worker;
-  born = other124.born;
-  number = other124.number;
-  __isset = other124.__isset;
+WorkerAck::WorkerAck(const WorkerAck& other130) {
+  worker = other130.worker;
+  born = other130.born;
+  number = other130.number;
+  __isset = other130.__isset;
 }
-WorkerAck::WorkerAck(WorkerAck&& other125) noexcept {
-  worker = std::move(other125.worker);
-  born = other125.born;
-  number = other125.number;
-  __isset = other125.__isset;
+WorkerAck::WorkerAck(WorkerAck&& other131) noexcept {
+  worker = std::move(other131.worker);
+  born = other131.born;
+  number = other131.number;
+  __isset = other131.__isset;
 }
-WorkerAck& WorkerAck::operator=(const WorkerAck& other126) {
-  worker = other126.worker;
-  born = other126.born;
-  number = other126.number;
-  __isset = other126.__isset;
+WorkerAck& WorkerAck::operator=(const WorkerAck& other132) {
+  worker = other132.worker;
+  born = other132.born;
+  number = other132.number;
+  __isset = other132.__isset;
   return *this;
 }
-WorkerAck& WorkerAck::operator=(WorkerAck&& other127) noexcept {
-  worker = std::move(other127.worker);
-  born = other127.born;
-  number = other127.number;
-  __isset = other127.__isset;
+WorkerAck& WorkerAck::operator=(WorkerAck&& other133) noexcept {
+  worker = std::move(other133.worker);
+  born = other133.born;
+  number = other133.number;
+  __isset = other133.__isset;
   return *this;
 }
 void WorkerAck::printTo(std::ostream& out) const {
@@ -3814,14 +3834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->orders.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->orders.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->orders[_i132].read(iprot);
+              xfer += this->orders[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3834,14 +3854,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _etype136;
-            xfer += iprot->readListBegin(_etype136, _size133);
-            this->acks.resize(_size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->acks.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->acks[_i137].read(iprot);
+              xfer += this->acks[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3882,10 +3902,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter138;
-    for (_iter138 = this->orders.begin(); _iter138 != this->orders.end(); ++_iter138)
+    std::vector<Order> ::const_iterator _iter144;
+    for (_iter144 = this->orders.begin(); _iter144 != this->orders.end(); ++_iter144)
     {
-      xfer += (*_iter138).write(oprot);
+      xfer += (*_iter144).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3894,10 +3914,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<WorkerAck> ::const_iterator _iter139;
-    for (_iter139 = this->acks.begin(); _iter139 != this->acks.end(); ++_iter139)
+    std::vector<WorkerAck> ::const_iterator _iter145;
+    for (_iter145 = this->acks.begin(); _iter145 != this->acks.end(); ++_iter145)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3918,38 +3938,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Directive::Directive(const Directive& other140) {
-  term = other140.term;
-  echoMicros = other140.echoMicros;
-  holdMicros = other140.holdMicros;
-  orders = other140.orders;
-  acks = other140.acks;
-  __isset = other140.__isset;
-}
-Directive::Directive(Directive&& other141) noexcept {
-  term = other141.term;
-  echoMicros = other141.echoMicros;
-  holdMicros = other141.holdMicros;
-  orders = std::move(other141.orders);
-  acks = std::move(other141.acks);
-  __isset = other141.__isset;
-}
-Directive& Directive::operator=(const Directive& other142) {
-  term = other142.term;
-  echoMicros = other142.echoMicros;
-  holdMicros = other142.holdMicros;
-  orders = other142.orders;
-  acks = other142.acks;
-  __isset = other142.__isset;
+Directive::Directive(const Directive& other146) {
+  term = other146.term;
+  echoMicros = other146.echoMicros;
+  holdMicros = other146.holdMicros;
+  orders = other146.orders;
+  acks = other146.acks;
+  __isset = other146.__isset;
+}
+Directive::Directive(Directive&& other147) noexcept {
+  term = other147.term;
+  echoMicros = other147.echoMicros;
+  holdMicros = other147.holdMicros;
+  orders = std::move(other147.orders);
+  acks = std::move(other147.acks);
+  __isset = other147.__isset;
+}
+Directive& Directive::operator=(const Directive& other148) {
+  term = other148.term;
+  echoMicros = other148.echoMicros;
+  holdMicros = other148.holdMicros;
+  orders = other148.orders;
+  acks = other148.acks;
+  __isset = other148.__isset;
   return *this;
 }
-Directive& Directive::operator=(Directive&& other143) noexcept {
-  term = other143.term;
-  echoMicros = other143.echoMicros;
-  holdMicros = other143.holdMicros;
-  orders = std::move(other143.orders);
-  acks = std::move(other143.acks);
-  __isset = other143.__isset;
+Directive& Directive::operator=(Directive&& other149) noexcept {
+  term = other149.term;
+  echoMicros = other149.echoMicros;
+  holdMicros = other149.holdMicros;
+  orders = std::move(other149.orders);
+  acks = std::move(other149.acks);
+  __isset = other149.__isset;
   return *this;
 }
 void Directive::printTo(std::ostream& out) const {
@@ -4056,26 +4076,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Offer::Offer(const Offer& other144) {
-  number = other144.number;
-  job = other144.job;
-  __isset = other144.__isset;
+Offer::Offer(const Offer& other150) {
+  number = other150.number;
+  job = other150.job;
+  __isset = other150.__isset;
 }
-Offer::Offer(Offer&& other145) noexcept {
-  number = other145.number;
-  job = std::move(other145.job);
-  __isset = other145.__isset;
+Offer::Offer(Offer&& other151) noexcept {
+  number = other151.number;
+  job = std::move(other151.job);
+  __isset = other151.__isset;
 }
-Offer& Offer::operator=(const Offer& other146) {
-  number = other146.number;
-  job = other146.job;
-  __isset = other146.__isset;
+Offer& Offer::operator=(const Offer& other152) {
+  number = other152.number;
+  job = other152.job;
+  __isset = other152.__isset;
   return *this;
 }
-Offer& Offer::operator=(Offer&& other147) noexcept {
-  number = other147.number;
-  job = std::move(other147.job);
-  __isset = other147.__isset;
+Offer& Offer::operator=(Offer&& other153) noexcept {
+  number = other153.number;
+  job = std::move(other153.job);
+  __isset = other153.__isset;
   return *this;
 }
 void Offer::printTo(std::ostream& out) const {
@@ -4196,30 +4216,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Verdict::Verdict(const Verdict& other148) noexcept {
-  number = other148.number;
-  admitted = other148.admitted;
-  retryAfterMs = other148.retryAfterMs;
-  __isset = other148.__isset;
+Verdict::Verdict(const Verdict& other154) noexcept {
+  number = other154.number;
+  admitted = other154.admitted;
+  retryAfterMs = other154.retryAfterMs;
+  __isset = other154.__isset;
 }
-Verdict::Verdict(Verdict&& other149) noexcept {
-  number = other149.number;
-  admitted = other149.admitted;
-  retryAfterMs = other149.retryAfterMs;
-  __isset = other149.__isset;
+Verdict::Verdict(Verdict&& other155) noexcept {
+  number = other155.number;
+  admitted = other155.admitted;
+  retryAfterMs = other155.retryAfterMs;
+  __isset = other155.__isset;
 }
-Verdict& Verdict::operator=(const Verdict& other150) noexcept {
-  number = other150.number;
-  admitted = other150.admitted;
-  retryAfterMs = other150.retryAfterMs;
-  __isset = other150.__isset;
+Verdict& Verdict::operator=(const Verdict& other156) noexcept {
+  number = other156.number;
+  admitted = other156.admitted;
+  retryAfterMs = other156.retryAfterMs;
+  __isset = other156.__isset;
   return *this;
 }
-Verdict& Verdict::operator=(Verdict&& other151) noexcept {
-  number = other151.number;
-  admitted = other151.admitted;
-  retryAfterMs = other151.retryAfterMs;
-  __isset = other151.__isset;
+Verdict& Verdict::operator=(Verdict&& other157) noexcept {
+  number = other157.number;
+  admitted = other157.admitted;
+  retryAfterMs = other157.retryAfterMs;
+  __isset = other157.__isset;
   return *this;
 }
 void Verdict::printTo(std::ostream& out) const {
@@ -4341,30 +4361,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusQuery::StatusQuery(const StatusQuery& other152) {
-  number = other152.number;
-  job = other152.job;
-  queue = other152.queue;
-  __isset = other152.__isset;
+StatusQuery::StatusQuery(const StatusQuery& other158) {
+  number = other158.number;
+  job = other158.job;
+  queue = other158.queue;
+  __isset = other158.__isset;
 }
-StatusQuery::StatusQuery(StatusQuery&& other153) noexcept {
-  number = other153.number;
-  job = std::move(other153.job);
-  queue = std::move(other153.queue);
-  __isset = other153.__isset;
+StatusQuery::StatusQuery(StatusQuery&& other159) noexcept {
+  number = other159.number;
+  job = std::move(other159.job);
+  queue = std::move(other159.queue);
+  __isset = other159.__isset;
 }
-StatusQuery& StatusQuery::operator=(const StatusQuery& other154) {
-  number = other154.number;
-  job = other154.job;
-  queue = other154.queue;
-  __isset = other154.__isset;
+StatusQuery& StatusQuery::operator=(const StatusQuery& other160) {
+  number = other160.number;
+  job = other160.job;
+  queue = other160.queue;
+  __isset = other160.__isset;
   return *this;
 }
-StatusQuery& StatusQuery::operator=(StatusQuery&& other155) noexcept {
-  number = other155.number;
-  job = std::move(other155.job);
-  queue = std::move(other155.queue);
-  __isset = other155.__isset;
+StatusQuery& StatusQuery::operator=(StatusQuery&& other161) noexcept {
+  number = other161.number;
+  job = std::move(other161.job);
+  queue = std::move(other161.queue);
+  __isset = other161.__isset;
   return *this;
 }
 void StatusQuery::printTo(std::ostream& out) const {
@@ -4503,34 +4523,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other156) noexcept {
-  number = other156.number;
-  known = other156.known;
-  state = other156.state;
-  pending = other156.pending;
-  __isset = other156.__isset;
+StatusReply::StatusReply(const StatusReply& other162) noexcept {
+  number = other162.number;
+  known = other162.known;
+  state = other162.state;
+  pending = other162.pending;
+  __isset = other162.__isset;
 }
-StatusReply::StatusReply(StatusReply&& other157) noexcept {
-  number = other157.number;
-  known = other157.known;
-  state = other157.state;
-  pending = other157.pending;
-  __isset = other157.__isset;
+StatusReply::StatusReply(StatusReply&& other163) noexcept {
+  number = other163.number;
+  known = other163.known;
+  state = other163.state;
+  pending = other163.pending;
+  __isset = other163.__isset;
 }
-StatusReply& StatusReply::operator=(const StatusReply& other158) noexcept {
-  number = other158.number;
-  known = other158.known;
-  state = other158.state;
-  pending = other158.pending;
-  __isset = other158.__isset;
+StatusReply& StatusReply::operator=(const StatusReply& other164) noexcept {
+  number = other164.number;
+  known = other164.known;
+  state = other164.state;
+  pending = other164.pending;
+  __isset = other164.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other159) noexcept {
-  number = other159.number;
-  known = other159.known;
-  state = other159.state;
-  pending = other159.pending;
-  __isset = other159.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other165) noexcept {
+  number = other165.number;
+  known = other165.known;
+  state = other165.state;
+  pending = other165.pending;
+  __isset = other165.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -4716,42 +4736,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other160) {
-  report = other160.report;
-  directive = other160.directive;
-  offer = other160.offer;
-  verdict = other160.verdict;
-  statusQuery = other160.statusQuery;
-  statusReply = other160.statusReply;
-  __isset = other160.__isset;
-}
-Message::Message(Message&& other161) noexcept {
-  report = std::move(other161.report);
-  directive = std::move(other161.directive);
-  offer = std::move(other161.offer);
-  verdict = std::move(other161.verdict);
-  statusQuery = std::move(other161.statusQuery);
-  statusReply = std::move(other161.statusReply);
-  __isset = other161.__isset;
-}
-Message& Message::operator=(const Message& other162) {
-  report = other162.report;
-  directive = other162.directive;
-  offer = other162.offer;
-  verdict = other162.verdict;
-  statusQuery = other162.statusQuery;
-  statusReply = other162.statusReply;
-  __isset = other162.__isset;
+Message::Message(const Message& other166) {
+  report = other166.report;
+  directive = other166.directive;
+  offer = other166.offer;
+  verdict = other166.verdict;
+  statusQuery = other166.statusQuery;
+  statusReply = other166.statusReply;
+  __isset = other166.__isset;
+}
+Message::Message(Message&& other167) noexcept {
+  report = std::move(other167.report);
+  directive = std::move(other167.directive);
+  offer = std::move(other167.offer);
+  verdict = std::move(other167.verdict);
+  statusQuery = std::move(other167.statusQuery);
+  statusReply = std::move(other167.statusReply);
+  __isset = other167.__isset;
+}
+Message& Message::operator=(const Message& other168) {
+  report = other168.report;
+  directive = other168.directive;
+  offer = other168.offer;
+  verdict = other168.verdict;
+  statusQuery = other168.statusQuery;
+  statusReply = other168.statusReply;
+  __isset = other168.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other163) noexcept {
-  report = std::move(other163.report);
-  directive = std::move(other163.directive);
-  offer = std::move(other163.offer);
-  verdict = std::move(other163.verdict);
-  statusQuery = std::move(other163.statusQuery);
-  statusReply = std::move(other163.statusReply);
-  __isset = other163.__isset;
+Message& Message::operator=(Message&& other169) noexcept {
+  report = std::move(other169.report);
+  directive = std::move(other169.directive);
+  offer = std::move(other169.offer);
+  verdict = std::move(other169.verdict);
+  statusQuery = std::move(other169.statusQuery);
+  statusReply = std::move(other169.statusReply);
+  __isset = other169.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -449,10 +449,10 @@
 std::ostream& operator<<(std::ostream& out, const CancelRecord& obj);
 
 typedef struct _TaskProgress__isset {
-  _TaskProgress__isset() : index(false), done(false), failures(false), checkpoint(false) {}
+  _TaskProgress__isset() : index(false), done(false), failedRuns(false), checkpoint(false) {}
   bool index :1;
   bool done :1;
-  bool failures :1;
+  bool failedRuns :1;
   bool checkpoint :1;
 } _TaskProgress__isset;
 
@@ -466,14 +466,13 @@
   TaskProgress() noexcept
                : index(0),
                  done(0),
-                 failures(0),
                  checkpoint() {
   }
 
   virtual ~TaskProgress() noexcept;
   int32_t index;
   bool done;
-  int32_t failures;
+  std::vector<int32_t>  failedRuns;
   std::string checkpoint;
 
   _TaskProgress__isset __isset;
@@ -482,7 +481,7 @@
 
   void __set_done(const bool val);
 
-  void __set_failures(const int32_t val);
+  void __set_failedRuns(const std::vector<int32_t> & val);
 
   void __set_checkpoint(const std::string& val);
 
@@ -492,7 +491,7 @@
       return false;
     if (!(done == rhs.done))
       return false;
-    if (!(failures == rhs.failures))
+    if (!(failedRuns == rhs.failedRuns))
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -52,7 +52,7 @@
 struct TaskProgress {
   1: i32 index,
   2: bool done,
-  3: i32 failures,
+  3: list<i32> failedRuns,
   4: string checkpoint,
 }
 
