Scheduling: give starved jobs a task, move tasks that stand at pace 0

Change: a job with nothing running for 1.2 s gets one task anyway; a task at pace 0 for 2 s is stopped if another worker bears it.

--- a/Source/Core/Scheduling/Pace.cpp
+++ b/Source/Core/Scheduling/Pace.cpp
@@ -160,6 +160,33 @@
   }
 }
 
+/// Stops tasks that stand at pace 0 where another worker bears them; they resume there.
+void
+MovePacedOut(State& aState, WorkerNumber aWorker, const Now& aNow)
+{
+  for (const TaskRef& ref : aState.mWorkers[aWorker].mTasks) {
+    Task& task = TaskAt(ref);
+    const StepSpec& step = StepOf(ref);
+    if (!CanPace(task, step) || task.mPacedOutSince == Timestamp{} ||
+        aNow.mTime - task.mPacedOutSince < aState.mPolicy.mPacedOut) {
+      continue;
+    }
+    // Without a checkpoint the work is lost, which pays only early in the run.
+    constexpr std::int64_t kEarly = 30;
+    if (!step.mCheckpoints && task.mPercent.value() > kEarly) {
+      continue;
+    }
+    if (BearsElsewhere(aState, ref, aNow)) {
+      task.mPhase = TaskPhase::Stopping;
+      task.mStopOrdered = aNow.mTime;
+      ++aState.mCounts.mMoves;
+      OrderStop(aState, aState.mWorkers[aWorker].mLife, NameOf(ref), task.mRun);
+      // One at a time, because each takes room elsewhere.
+      return;
+    }
+  }
+}
+
 } // namespace
 
 double
@@ -200,11 +227,13 @@
 void
 PaceTasks(State& aState, const Now& aNow)
 {
-  for (Worker& worker : aState.mWorkers) {
+  for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
+    Worker& worker = aState.mWorkers[number];
     if (!worker.mConnected || !worker.mNewFigures) {
       continue;
     }
     worker.mNewFigures = false;
+    MovePacedOut(aState, number, aNow);
     LearnFrom(aState, worker, aNow);
     if (worker.mFilling.value() == 0 || aNow.mTime - worker.mPaceChanged < aState.mPolicy.mPacePeriod) {
       continue;
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -27,6 +27,8 @@
   std::uint32_t mOccurrence = 0;
   std::uint32_t mStep = 0;
   std::tuple<int, int, double> mOrder;
+  /// Nothing of the job runs.
+  bool mIdleJob = false;
 };
 
 Duration
@@ -150,12 +152,16 @@
         continue;
       }
       std::optional<std::tuple<int, int, double>> order;
+      const bool idle = std::none_of(
+        occurrence.mSteps.begin(), occurrence.mSteps.end(), [](const Step& aStep) {
+          return aStep.mWaiting + aStep.mDone < aStep.mTasks.size();
+        });
       for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
         if (StepMayStart(*job, occurrence, s)) {
           if (!order) {
             order = OrderOf(aState, *job, queue->second, occurrence, aNow);
           }
-          ready.push_back({ job, number, s, *order });
+          ready.push_back({ job, number, s, *order, idle });
         }
       }
     }
@@ -190,7 +196,12 @@
 }
 
 bool
-MayHost(const State& aState, const Worker& aWorker, const Ready& aReady, const QueueSpec& aQueue, const Now& aNow)
+MayHost(const State& aState,
+        const Worker& aWorker,
+        const Ready& aReady,
+        const QueueSpec& aQueue,
+        bool aStarved,
+        const Now& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
   if (!aWorker.mConnected || !aWorker.mListed || !aWorker.mRecorded || !aWorker.mResponding ||
@@ -209,8 +220,9 @@
   if (!Fits(ReservedBy(step), aWorker.mCapacity - aWorker.mUsed)) {
     return false;
   }
-  if (step.mFills && (RoomForFills(aState, aWorker) < step.mNeed.mCores.value() ||
-                      !AddedPressureFits(aState,
+  if (step.mFills && !aStarved &&
+      (RoomForFills(aState, aWorker) < step.mNeed.mCores.value() ||
+       !AddedPressureFits(aState,
                                          aWorker,
                                          step.mImage,
                                          static_cast<double>(step.mNeed.mCores.value()) / 1000.0))) {
@@ -244,14 +256,20 @@
 }
 
 WorkerNumber
-BestWorker(const State& aState, const Ready& aReady, const QueueSpec& aQueue, const Task& aTask, const std::string& aRack, const Now& aNow)
+BestWorker(const State& aState,
+           const Ready& aReady,
+           const QueueSpec& aQueue,
+           const Task& aTask,
+           const std::string& aRack,
+           const Now& aNow)
 {
+  const bool starved = aReady.mIdleJob && aNow.mTime - aTask.mSince >= aState.mPolicy.mStarved;
   WorkerNumber best = kNoWorker;
   double bestCost = 0;
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     const Worker& worker = aState.mWorkers[number];
     if ((!aRack.empty() && worker.mRack.str() != aRack) ||
-        !MayHost(aState, worker, aReady, aQueue, aNow)) {
+        !MayHost(aState, worker, aReady, aQueue, starved, aNow)) {
       continue;
     }
     const double cost = CostOf(aState, worker, aReady, aTask, number);
@@ -353,6 +371,23 @@
 
 } // namespace
 
+bool
+BearsElsewhere(const State& aState, const TaskRef& aTask, const Now& aNow)
+{
+  const auto queue = aState.mQueues.find(aTask.mJob->mSpec.mQueue);
+  if (queue == aState.mQueues.end()) {
+    return false;
+  }
+  const Ready ready{ aTask.mJob, aTask.mOccurrence, aTask.mStep, {}, false };
+  const WorkerNumber own = TaskAt(aTask).mWorker;
+  for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
+    if (number != own && MayHost(aState, aState.mWorkers[number], ready, queue->second, false, aNow)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 Duration
 ExpectedRunTime(const State& aState, const Job& aJob, std::uint32_t aStep)
 {
@@ -442,7 +477,8 @@
 void
 PlaceTasks(State& aState, const Now& aNow)
 {
-  for (const Ready& ready : ReadySteps(aState, aNow)) {
+  std::vector<Ready> steps = ReadySteps(aState, aNow);
+  for (Ready& ready : steps) {
     const QueueSpec& queue = aState.mQueues.at(ready.mJob->mSpec.mQueue);
     if (ready.mJob->mSpec.mSteps[ready.mStep].mGang) {
       PlaceGang(aState, ready, queue, aNow);
@@ -462,6 +498,7 @@
       const RunNumber run = NextRun(aState, step.mTasks[i]);
       SetOnWorker(aState, ref, worker, TaskPhase::Starting, aNow);
       OrderStart(aState, ref, run, aNow);
+      ready.mIdleJob = false;
     }
   }
 }
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -131,6 +131,9 @@
 /// Sum of the pressures that aCores of work with this image add to the tasks with targets there.
 double
 AddedPressure(const State& aState, const Worker& aWorker, const std::string& aImage, double aCores);
+/// True if a worker other than the task's own has room for it and bears its pressure.
+bool
+BearsElsewhere(const State& aState, const TaskRef& aTask, const Now& aNow);
 /// Run time that a task of the step is expected to take on a sound worker.
 Duration
 ExpectedRunTime(const State& aState, const Job& aJob, std::uint32_t aStep);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -188,6 +188,9 @@
   Duration mOverBound{ std::chrono::milliseconds(1500) };
   /// Cores that tasks beside their own need leave to fills, as part of their reservation.
   double mIdleShare = 0.6;
+  /// A job that fills and has nothing running for this long gets a task placed although lasting
+  /// tasks may not bear it; pace holds it back there.
+  Duration mStarved{ std::chrono::milliseconds(1200) };
   /// Time after which a task that fills is moved if it stands at pace 0.
   Duration mPacedOut{ std::chrono::milliseconds(2000) };
 };
@@ -201,6 +204,7 @@
   std::uint64_t mQuarantines = 0;
   std::uint64_t mStalls = 0;
   std::uint64_t mPaces = 0;
+  std::uint64_t mMoves = 0;
 };
 
 /// A belief that changed; the caller writes it to the log.
