--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -10,6 +10,10 @@
 /// Cost of pressure on lasting tasks against that of a worker with no core left for fills.
 constexpr double kPressureWeight = 3.0;
 
+/// Against the loss of several tasks of a step with one worker.
+constexpr double kSameStepWeight = 0.3;
+constexpr double kFirstLastingWeight = 1.5;
+
 /// Room that the task reserves; a task that fills reserves no processor.
 Common::Resources
 ReservedBy(const StepSpec& aStep)
@@ -191,7 +195,8 @@
   const auto capacity = aWorker.mCapacity.mCores.value();
   const auto used = aWorker.mUsed.mCores.value();
   return capacity - used +
-         static_cast<std::int64_t>(aState.mPolicy.mIdleShare * static_cast<double>(used)) -
+         static_cast<std::int64_t>(aState.mPolicy.mIdleShare *
+                                   static_cast<double>(aWorker.mLasting.value())) -
          aWorker.mFilling.value();
 }
 
@@ -244,7 +249,9 @@
   }
   const double lastingCores = static_cast<double>(aWorker.mUsed.mCores.value()) / capacity;
   if (step.mLasting) {
-    cost += 2.0 * TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) - lastingCores;
+    // A worker without lasting tasks takes any image that fills, so that few workers should have them.
+    cost += kSameStepWeight * TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) -
+            lastingCores + (aWorker.mLasting.value() == 0 ? kFirstLastingWeight : 0.0);
   } else if (step.mFills) {
     const double cores = static_cast<double>(step.mNeed.mCores.value()) / 1000.0;
     cost += kPressureWeight * AddedPressure(aState, aWorker, step.mImage, cores) -
@@ -408,6 +415,9 @@
   if (worker.mTasks.erase(aRef) > 0) {
     const StepSpec& step = StepOf(aRef);
     worker.mUsed = worker.mUsed - ReservedBy(step);
+    if (step.mLasting) {
+      worker.mLasting -= ReservedBy(step).mCores;
+    }
     if (step.mFills) {
       worker.mFilling -= step.mNeed.mCores;
       worker.mNeighboursChanged = task.mSince;
@@ -455,6 +465,9 @@
   worker.mTasks.insert(aRef);
   const StepSpec& step = StepOf(aRef);
   worker.mUsed = worker.mUsed + ReservedBy(step);
+  if (step.mLasting) {
+    worker.mLasting += ReservedBy(step).mCores;
+  }
   if (step.mFills) {
     worker.mFilling += step.mNeed.mCores;
     worker.mNeighboursChanged = aNow.mTime;
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -135,6 +135,8 @@
   /// Everything on the worker has ended by then, unless the lease is extended.
   Timestamp mLeaseEnd;
   Common::Resources mUsed;
+  /// Part of mUsed that lasting tasks reserve.
+  Common::MilliCores mLasting;
   /// Processor use that fills are expected to make.
   Common::MilliCores mFilling;
   std::set<TaskRef> mTasks;
@@ -186,7 +188,7 @@
   Duration mFigureLag{ std::chrono::milliseconds(600) };
   /// Time over the target after which everything that fills on the worker is stopped from working.
   Duration mOverBound{ std::chrono::milliseconds(1500) };
-  /// Cores that tasks beside their own need leave to fills, as part of their reservation.
+  /// Part of their reservation that lasting tasks leave to fills.
   double mIdleShare = 0.6;
   /// A job that fills and has nothing running for this long gets a task placed although lasting
   /// tasks may not bear it; pace holds it back there.
