--- a/Source/Core/Scheduling/Disturbance.cpp
+++ b/Source/Core/Scheduling/Disturbance.cpp
@@ -8,6 +8,8 @@
 
 /// The lowest tail that is seen belongs to a task that is a little used.
 constexpr double kUnloadedShare = 0.8;
+/// An average over about ten figures.
+constexpr double kMeanRate = 0.1;
 
 } // namespace
 
@@ -25,7 +27,11 @@
 PairPressure(const Disturbance& aModel, const std::string& aNeighbour, const std::string& aImage)
 {
   const auto found = aModel.mPairs.find({ aNeighbour, aImage });
-  return found == aModel.mPairs.end() ? aModel.mPolicy.mPrior : found->second;
+  if (found != aModel.mPairs.end()) {
+    return found->second;
+  }
+  const auto mean = aModel.mNeighbours.find(aNeighbour);
+  return mean == aModel.mNeighbours.end() ? aModel.mPolicy.mPrior : mean->second;
 }
 
 double
@@ -60,11 +66,15 @@
   }
   for (const Neighbour& neighbour : aNeighbours) {
     double& pair =
-      aModel.mPairs.try_emplace({ *neighbour.mImage, aImage }, policy.mPrior).first->second;
+      aModel.mPairs
+        .try_emplace({ *neighbour.mImage, aImage }, PairPressure(aModel, *neighbour.mImage, aImage))
+        .first->second;
     // One is added so that a neighbour that hardly works changes little.
     pair = std::clamp(pair + policy.mPairRate * error * neighbour.mCores / (squares + 1.0),
                       0.0,
                       policy.mMostPerCore);
+    double& mean = aModel.mNeighbours.try_emplace(*neighbour.mImage, policy.mPrior).first->second;
+    mean += kMeanRate * (pair - mean);
   }
   aLoad = std::clamp(aLoad + policy.mLoadRate * error, policy.mLeastLoad, policy.mMostLoad);
 }
--- a/Source/Core/Scheduling/Disturbance.h
+++ b/Source/Core/Scheduling/Disturbance.h
@@ -41,6 +41,8 @@
   std::map<std::string, double> mUnloaded;
   /// Pressure for each core, by image of the neighbour and of the lasting task.
   std::map<std::pair<std::string, std::string>, double> mPairs;
+  /// Mean over the pairs of a neighbour's image, for pairs that were not seen.
+  std::map<std::string, double> mNeighbours;
 };
 
 /// Pressure that a tail latency in ms stands for; 0 to 1.
