Agents learn their workers from the coordinator after a restart

Cause: a restarted agent waited for the worker's next announcement, up to 1.5 s, before it could read ends or start tasks. Change: worker records hold the whole view, the first directive names the workers that the agent had, and the first look confirms the lifetime.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -268,6 +268,13 @@
       worker.mDriver->setTerm(mTerm);
     }
   }
+  for (const Wire::WorkerView& known : aDirective.known) {
+    // The worker itself confirms or denies the lifetime at the first look.
+    const Scheduling::WorkerView view = FromWire(known, mContext.mSettings.mDataCentre);
+    if (mWorkers.empty() && !mEndedLives.contains(view.mLife) && !mContext.mSettings.mWorker.empty()) {
+      addWorker(view, mContext.mSettings.mWorker);
+    }
+  }
   if (aDirective.echoMicros > 0) {
     const Timestamp reported{ Duration{ aDirective.echoMicros } };
     for (auto& [life, worker] : mWorkers) {
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -169,7 +169,7 @@
         if (const auto record = Wire::Decode<Wire::WorkerRecord>(entry.mValue)) {
           Scheduling::AddRecordedWorker(
             mState,
-            { Common::WorkerId(record->worker), Scheduling::Born{ record->born } },
+            FromWire(record->view, Common::DataCentreId(record->dataCentre)),
             Common::InstanceId(record->instance),
             leaseEnd);
         }
@@ -407,8 +407,9 @@
     sendDirective(aPeer, {});
     return;
   }
+  const bool started = aReport.workers.empty() && aReport.endedLives.empty();
   apply(aReport, now);
-  sendDirective(aPeer, {});
+  sendDirective(aPeer, {}, isNew && started);
   if (isNew) {
     repeatOrders(aPeer);
   }
@@ -585,7 +586,7 @@
 }
 
 void
-Coordinator::sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders)
+Coordinator::sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders, bool aTellKnown)
 {
   Wire::Directive directive;
   directive.term = mTerm.value();
@@ -600,6 +601,9 @@
       ack.number = worker.mAcked.value();
       directive.acks.push_back(std::move(ack));
     }
+    if (aTellKnown && worker.mAgent == aPeer.mAgent && worker.mLeaseEnd > mContext.now()) {
+      directive.known.push_back(ToWire(Scheduling::ViewOf(worker)));
+    }
   }
   Wire::Message message;
   message.__set_directive(std::move(directive));
@@ -672,9 +676,9 @@
   for (const Scheduling::Worker& worker : mState.mWorkers) {
     if (worker.mConnected && worker.mListed && !worker.mRecorded && recorded.size() < kWorkersPerWrite) {
       Wire::WorkerRecord record;
-      record.worker = worker.mLife.mWorker.str();
-      record.born = worker.mLife.mBorn.value();
+      record.view = ToWire(Scheduling::ViewOf(worker));
       record.instance = worker.mAgent.str();
+      record.dataCentre = worker.mDataCentre.str();
       transaction.mPuts.push_back({ WorkerKey(worker.mLife), Wire::Encode(record), std::nullopt });
       recorded.push_back(worker.mLife);
     }
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -82,7 +82,7 @@
   void planSoon();
   void plan();
   void sendOrders();
-  void sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders);
+  void sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders, bool aTellKnown = false);
   void repeatOrders(Peer& aPeer);
   Peer* peerOf(const Common::InstanceId& aAgent);
   void everyTick();
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -17,6 +17,16 @@
   return entry->second;
 }
 
+void
+Describe(Worker& aWorker, const WorkerView& aView)
+{
+  aWorker.mPool = aView.mPool;
+  aWorker.mDataCentre = aView.mDataCentre;
+  aWorker.mRack = aView.mRack;
+  aWorker.mLabels = aView.mLabels;
+  aWorker.mCapacity = aView.mCapacity;
+}
+
 /// Everything on the worker has ended.
 void
 EndRuns(State& aState, WorkerNumber aWorker, std::string_view aWhy, const Now& aNow)
@@ -256,11 +266,7 @@
   const WorkerNumber number = EnsureWorker(aState, aView.mLife);
   Worker& worker = aState.mWorkers[number];
   worker.mAgent = aAgent;
-  worker.mPool = aView.mPool;
-  worker.mDataCentre = aView.mDataCentre;
-  worker.mRack = aView.mRack;
-  worker.mLabels = aView.mLabels;
-  worker.mCapacity = aView.mCapacity;
+  Describe(worker, aView);
   if (aView.mLeaving && !worker.mLeaving) {
     aState.mNotes.push_back({ "worker is leaving", {}, worker.mLife.mWorker.str() });
   }
@@ -287,13 +293,28 @@
 
 } // namespace
 
+WorkerView
+ViewOf(const Worker& aWorker)
+{
+  WorkerView view;
+  view.mLife = aWorker.mLife;
+  view.mPool = aWorker.mPool;
+  view.mDataCentre = aWorker.mDataCentre;
+  view.mRack = aWorker.mRack;
+  view.mLabels = aWorker.mLabels;
+  view.mCapacity = aWorker.mCapacity;
+  view.mLeaving = aWorker.mLeaving;
+  return view;
+}
+
 void
 AddRecordedWorker(State& aState,
-                  const Life& aLife,
+                  const WorkerView& aView,
                   const Common::InstanceId& aAgent,
                   Timestamp aLeaseEnd)
 {
-  Worker& worker = aState.mWorkers[EnsureWorker(aState, aLife)];
+  Worker& worker = aState.mWorkers[EnsureWorker(aState, aView.mLife)];
+  Describe(worker, aView);
   worker.mAgent = aAgent;
   worker.mRecorded = true;
   worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -50,10 +50,14 @@
 /// recovered jobs may run there.
 void
 AddRecordedWorker(State& aState,
-                  const Life& aLife,
+                  const WorkerView& aView,
                   const Common::InstanceId& aAgent,
                   Timestamp aLeaseEnd);
 
+/// What is known of the worker apart from its lists.
+WorkerView
+ViewOf(const Worker& aWorker);
+
 /// Takes the report of an agent on its workers. aLeaseEnd is the latest time at which leases end
 /// that the agent may extend after this report.
 void
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -1802,151 +1802,6 @@
 }
 
 
-WorkerRecord::~WorkerRecord() noexcept {
-}
-
-
-void WorkerRecord::__set_worker(const std::string& val) {
-  this->worker = val;
-}
-
-void WorkerRecord::__set_born(const int64_t val) {
-  this->born = val;
-}
-
-void WorkerRecord::__set_instance(const std::string& val) {
-  this->instance = val;
-}
-std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t WorkerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->worker);
-          this->__isset.worker = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->born);
-          this->__isset.born = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->instance);
-          this->__isset.instance = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t WorkerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("WorkerRecord");
-
-  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->worker);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->born);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->instance);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(WorkerRecord &a, WorkerRecord &b) {
-  using ::std::swap;
-  swap(a.worker, b.worker);
-  swap(a.born, b.born);
-  swap(a.instance, b.instance);
-  swap(a.__isset, b.__isset);
-}
-
-WorkerRecord::WorkerRecord(const WorkerRecord& other62) {
-  worker = other62.worker;
-  born = other62.born;
-  instance = other62.instance;
-  __isset = other62.__isset;
-}
-WorkerRecord::WorkerRecord(WorkerRecord&& other63) noexcept {
-  worker = std::move(other63.worker);
-  born = other63.born;
-  instance = std::move(other63.instance);
-  __isset = other63.__isset;
-}
-WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other64) {
-  worker = other64.worker;
-  born = other64.born;
-  instance = other64.instance;
-  __isset = other64.__isset;
-  return *this;
-}
-WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other65) noexcept {
-  worker = std::move(other65.worker);
-  born = other65.born;
-  instance = std::move(other65.instance);
-  __isset = other65.__isset;
-  return *this;
-}
-void WorkerRecord::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "WorkerRecord(";
-  out << "worker=" << to_string(worker);
-  out << ", " << "born=" << to_string(born);
-  out << ", " << "instance=" << to_string(instance);
-  out << ")";
-}
-
-
 RunningTask::~RunningTask() noexcept {
 }
 
@@ -2090,38 +1945,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other66) {
-  task = other66.task;
-  run = other66.run;
-  checkpoint = other66.checkpoint;
-  percent = other66.percent;
-  usage = other66.usage;
-  __isset = other66.__isset;
+RunningTask::RunningTask(const RunningTask& other62) {
+  task = other62.task;
+  run = other62.run;
+  checkpoint = other62.checkpoint;
+  percent = other62.percent;
+  usage = other62.usage;
+  __isset = other62.__isset;
 }
-RunningTask::RunningTask(RunningTask&& other67) noexcept {
-  task = std::move(other67.task);
-  run = other67.run;
-  checkpoint = std::move(other67.checkpoint);
-  percent = other67.percent;
-  usage = other67.usage;
-  __isset = other67.__isset;
+RunningTask::RunningTask(RunningTask&& other63) noexcept {
+  task = std::move(other63.task);
+  run = other63.run;
+  checkpoint = std::move(other63.checkpoint);
+  percent = other63.percent;
+  usage = other63.usage;
+  __isset = other63.__isset;
 }
-RunningTask& RunningTask::operator=(const RunningTask& other68) {
-  task = other68.task;
-  run = other68.run;
-  checkpoint = other68.checkpoint;
-  percent = other68.percent;
-  usage = other68.usage;
-  __isset = other68.__isset;
+RunningTask& RunningTask::operator=(const RunningTask& other64) {
+  task = other64.task;
+  run = other64.run;
+  checkpoint = other64.checkpoint;
+  percent = other64.percent;
+  usage = other64.usage;
+  __isset = other64.__isset;
   return *this;
 }
-RunningTask& RunningTask::operator=(RunningTask&& other69) noexcept {
-  task = std::move(other69.task);
-  run = other69.run;
-  checkpoint = std::move(other69.checkpoint);
-  percent = other69.percent;
-  usage = other69.usage;
-  __isset = other69.__isset;
+RunningTask& RunningTask::operator=(RunningTask&& other65) noexcept {
+  task = std::move(other65.task);
+  run = other65.run;
+  checkpoint = std::move(other65.checkpoint);
+  percent = other65.percent;
+  usage = other65.usage;
+  __isset = other65.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -2279,38 +2134,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedTask::EndedTask(const EndedTask& other70) {
-  number = other70.number;
-  task = other70.task;
-  run = other70.run;
-  how = other70.how;
-  checkpoint = other70.checkpoint;
-  __isset = other70.__isset;
-}
-EndedTask::EndedTask(EndedTask&& other71) noexcept {
-  number = other71.number;
-  task = std::move(other71.task);
-  run = other71.run;
-  how = other71.how;
-  checkpoint = std::move(other71.checkpoint);
-  __isset = other71.__isset;
-}
-EndedTask& EndedTask::operator=(const EndedTask& other72) {
-  number = other72.number;
-  task = other72.task;
-  run = other72.run;
-  how = other72.how;
-  checkpoint = other72.checkpoint;
-  __isset = other72.__isset;
+EndedTask::EndedTask(const EndedTask& other66) {
+  number = other66.number;
+  task = other66.task;
+  run = other66.run;
+  how = other66.how;
+  checkpoint = other66.checkpoint;
+  __isset = other66.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other67) noexcept {
+  number = other67.number;
+  task = std::move(other67.task);
+  run = other67.run;
+  how = other67.how;
+  checkpoint = std::move(other67.checkpoint);
+  __isset = other67.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other68) {
+  number = other68.number;
+  task = other68.task;
+  run = other68.run;
+  how = other68.how;
+  checkpoint = other68.checkpoint;
+  __isset = other68.__isset;
   return *this;
 }
-EndedTask& EndedTask::operator=(EndedTask&& other73) noexcept {
-  number = other73.number;
-  task = std::move(other73.task);
-  run = other73.run;
-  how = other73.how;
-  checkpoint = std::move(other73.checkpoint);
-  __isset = other73.__isset;
+EndedTask& EndedTask::operator=(EndedTask&& other69) noexcept {
+  number = other69.number;
+  task = std::move(other69.task);
+  run = other69.run;
+  how = other69.how;
+  checkpoint = std::move(other69.checkpoint);
+  __isset = other69.__isset;
   return *this;
 }
 void EndedTask::printTo(std::ostream& out) const {
@@ -2448,14 +2303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->labels.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->labels.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += iprot->readString(this->labels[_i78]);
+              xfer += iprot->readString(this->labels[_i74]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2524,14 +2379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->running.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->running.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->running[_i83].read(iprot);
+              xfer += this->running[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2544,14 +2399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->ended.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->ended.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->ended[_i88].read(iprot);
+              xfer += this->ended[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2596,10 +2451,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter89;
-    for (_iter89 = this->labels.begin(); _iter89 != this->labels.end(); ++_iter89)
+    std::vector<std::string> ::const_iterator _iter85;
+    for (_iter85 = this->labels.begin(); _iter85 != this->labels.end(); ++_iter85)
     {
-      xfer += oprot->writeString((*_iter89));
+      xfer += oprot->writeString((*_iter85));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2636,10 +2491,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter90;
-    for (_iter90 = this->running.begin(); _iter90 != this->running.end(); ++_iter90)
+    std::vector<RunningTask> ::const_iterator _iter86;
+    for (_iter86 = this->running.begin(); _iter86 != this->running.end(); ++_iter86)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2648,10 +2503,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter91;
-    for (_iter91 = this->ended.begin(); _iter91 != this->ended.end(); ++_iter91)
+    std::vector<EndedTask> ::const_iterator _iter87;
+    for (_iter87 = this->ended.begin(); _iter87 != this->ended.end(); ++_iter87)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2681,74 +2536,74 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerView::WorkerView(const WorkerView& other92) {
-  worker = other92.worker;
-  born = other92.born;
-  pool = other92.pool;
-  rack = other92.rack;
-  labels = other92.labels;
-  milliCores = other92.milliCores;
-  memoryMb = other92.memoryMb;
-  accelerators = other92.accelerators;
-  leaving = other92.leaving;
-  remainingMs = other92.remainingMs;
-  responding = other92.responding;
-  listed = other92.listed;
-  running = other92.running;
-  ended = other92.ended;
-  __isset = other92.__isset;
-}
-WorkerView::WorkerView(WorkerView&& other93) noexcept {
-  worker = std::move(other93.worker);
-  born = other93.born;
-  pool = std::move(other93.pool);
-  rack = std::move(other93.rack);
-  labels = std::move(other93.labels);
-  milliCores = other93.milliCores;
-  memoryMb = other93.memoryMb;
-  accelerators = other93.accelerators;
-  leaving = other93.leaving;
-  remainingMs = other93.remainingMs;
-  responding = other93.responding;
-  listed = other93.listed;
-  running = std::move(other93.running);
-  ended = std::move(other93.ended);
-  __isset = other93.__isset;
-}
-WorkerView& WorkerView::operator=(const WorkerView& other94) {
-  worker = other94.worker;
-  born = other94.born;
-  pool = other94.pool;
-  rack = other94.rack;
-  labels = other94.labels;
-  milliCores = other94.milliCores;
-  memoryMb = other94.memoryMb;
-  accelerators = other94.accelerators;
-  leaving = other94.leaving;
-  remainingMs = other94.remainingMs;
-  responding = other94.responding;
-  listed = other94.listed;
-  running = other94.running;
-  ended = other94.ended;
-  __isset = other94.__isset;
+WorkerView::WorkerView(const WorkerView& other88) {
+  worker = other88.worker;
+  born = other88.born;
+  pool = other88.pool;
+  rack = other88.rack;
+  labels = other88.labels;
+  milliCores = other88.milliCores;
+  memoryMb = other88.memoryMb;
+  accelerators = other88.accelerators;
+  leaving = other88.leaving;
+  remainingMs = other88.remainingMs;
+  responding = other88.responding;
+  listed = other88.listed;
+  running = other88.running;
+  ended = other88.ended;
+  __isset = other88.__isset;
+}
+WorkerView::WorkerView(WorkerView&& other89) noexcept {
+  worker = std::move(other89.worker);
+  born = other89.born;
+  pool = std::move(other89.pool);
+  rack = std::move(other89.rack);
+  labels = std::move(other89.labels);
+  milliCores = other89.milliCores;
+  memoryMb = other89.memoryMb;
+  accelerators = other89.accelerators;
+  leaving = other89.leaving;
+  remainingMs = other89.remainingMs;
+  responding = other89.responding;
+  listed = other89.listed;
+  running = std::move(other89.running);
+  ended = std::move(other89.ended);
+  __isset = other89.__isset;
+}
+WorkerView& WorkerView::operator=(const WorkerView& other90) {
+  worker = other90.worker;
+  born = other90.born;
+  pool = other90.pool;
+  rack = other90.rack;
+  labels = other90.labels;
+  milliCores = other90.milliCores;
+  memoryMb = other90.memoryMb;
+  accelerators = other90.accelerators;
+  leaving = other90.leaving;
+  remainingMs = other90.remainingMs;
+  responding = other90.responding;
+  listed = other90.listed;
+  running = other90.running;
+  ended = other90.ended;
+  __isset = other90.__isset;
   return *this;
 }
-WorkerView& WorkerView::operator=(WorkerView&& other95) noexcept {
-  worker = std::move(other95.worker);
-  born = other95.born;
-  pool = std::move(other95.pool);
-  rack = std::move(other95.rack);
-  labels = std::move(other95.labels);
-  milliCores = other95.milliCores;
-  memoryMb = other95.memoryMb;
-  accelerators = other95.accelerators;
-  leaving = other95.leaving;
-  remainingMs = other95.remainingMs;
-  responding = other95.responding;
-  listed = other95.listed;
-  running = std::move(other95.running);
-  ended = std::move(other95.ended);
-  __isset = other95.__isset;
+WorkerView& WorkerView::operator=(WorkerView&& other91) noexcept {
+  worker = std::move(other91.worker);
+  born = other91.born;
+  pool = std::move(other91.pool);
+  rack = std::move(other91.rack);
+  labels = std::move(other91.labels);
+  milliCores = other91.milliCores;
+  memoryMb = other91.memoryMb;
+  accelerators = other91.accelerators;
+  leaving = other91.leaving;
+  remainingMs = other91.remainingMs;
+  responding = other91.responding;
+  listed = other91.listed;
+  running = std::move(other91.running);
+  ended = std::move(other91.ended);
+  __isset = other91.__isset;
   return *this;
 }
 void WorkerView::printTo(std::ostream& out) const {
@@ -2864,26 +2719,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Life::Life(const Life& other96) {
-  worker = other96.worker;
-  born = other96.born;
-  __isset = other96.__isset;
+Life::Life(const Life& other92) {
+  worker = other92.worker;
+  born = other92.born;
+  __isset = other92.__isset;
 }
-Life::Life(Life&& other97) noexcept {
-  worker = std::move(other97.worker);
-  born = other97.born;
-  __isset = other97.__isset;
+Life::Life(Life&& other93) noexcept {
+  worker = std::move(other93.worker);
+  born = other93.born;
+  __isset = other93.__isset;
 }
-Life& Life::operator=(const Life& other98) {
-  worker = other98.worker;
-  born = other98.born;
-  __isset = other98.__isset;
+Life& Life::operator=(const Life& other94) {
+  worker = other94.worker;
+  born = other94.born;
+  __isset = other94.__isset;
   return *this;
 }
-Life& Life::operator=(Life&& other99) noexcept {
-  worker = std::move(other99.worker);
-  born = other99.born;
-  __isset = other99.__isset;
+Life& Life::operator=(Life&& other95) noexcept {
+  worker = std::move(other95.worker);
+  born = other95.born;
+  __isset = other95.__isset;
   return *this;
 }
 void Life::printTo(std::ostream& out) const {
@@ -2895,6 +2750,151 @@
 }
 
 
+WorkerRecord::~WorkerRecord() noexcept {
+}
+
+
+void WorkerRecord::__set_view(const WorkerView& val) {
+  this->view = val;
+}
+
+void WorkerRecord::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void WorkerRecord::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->view.read(iprot);
+          this->__isset.view = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkerRecord");
+
+  xfer += oprot->writeFieldBegin("view", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->view.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkerRecord &a, WorkerRecord &b) {
+  using ::std::swap;
+  swap(a.view, b.view);
+  swap(a.instance, b.instance);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.__isset, b.__isset);
+}
+
+WorkerRecord::WorkerRecord(const WorkerRecord& other96) {
+  view = other96.view;
+  instance = other96.instance;
+  dataCentre = other96.dataCentre;
+  __isset = other96.__isset;
+}
+WorkerRecord::WorkerRecord(WorkerRecord&& other97) noexcept {
+  view = std::move(other97.view);
+  instance = std::move(other97.instance);
+  dataCentre = std::move(other97.dataCentre);
+  __isset = other97.__isset;
+}
+WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other98) {
+  view = other98.view;
+  instance = other98.instance;
+  dataCentre = other98.dataCentre;
+  __isset = other98.__isset;
+  return *this;
+}
+WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other99) noexcept {
+  view = std::move(other99.view);
+  instance = std::move(other99.instance);
+  dataCentre = std::move(other99.dataCentre);
+  __isset = other99.__isset;
+  return *this;
+}
+void WorkerRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkerRecord(";
+  out << "view=" << to_string(view);
+  out << ", " << "instance=" << to_string(instance);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ")";
+}
+
+
 OrderResult::~OrderResult() noexcept {
 }
 
@@ -3778,6 +3778,10 @@
 void Directive::__set_acks(const std::vector<WorkerAck> & val) {
   this->acks = val;
 }
+
+void Directive::__set_known(const std::vector<WorkerView> & val) {
+  this->known = val;
+}
 std::ostream& operator<<(std::ostream& out, const Directive& obj)
 {
   obj.printTo(out);
@@ -3870,6 +3874,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->known.clear();
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->known.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
+            {
+              xfer += this->known[_i148].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3902,10 +3926,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter144;
-    for (_iter144 = this->orders.begin(); _iter144 != this->orders.end(); ++_iter144)
+    std::vector<Order> ::const_iterator _iter149;
+    for (_iter149 = this->orders.begin(); _iter149 != this->orders.end(); ++_iter149)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3914,10 +3938,22 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<WorkerAck> ::const_iterator _iter145;
-    for (_iter145 = this->acks.begin(); _iter145 != this->acks.end(); ++_iter145)
+    std::vector<WorkerAck> ::const_iterator _iter150;
+    for (_iter150 = this->acks.begin(); _iter150 != this->acks.end(); ++_iter150)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter150).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
+    std::vector<WorkerView> ::const_iterator _iter151;
+    for (_iter151 = this->known.begin(); _iter151 != this->known.end(); ++_iter151)
+    {
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3935,41 +3971,46 @@
   swap(a.holdMicros, b.holdMicros);
   swap(a.orders, b.orders);
   swap(a.acks, b.acks);
+  swap(a.known, b.known);
   swap(a.__isset, b.__isset);
 }
 
-Directive::Directive(const Directive& other146) {
-  term = other146.term;
-  echoMicros = other146.echoMicros;
-  holdMicros = other146.holdMicros;
-  orders = other146.orders;
-  acks = other146.acks;
-  __isset = other146.__isset;
-}
-Directive::Directive(Directive&& other147) noexcept {
-  term = other147.term;
-  echoMicros = other147.echoMicros;
-  holdMicros = other147.holdMicros;
-  orders = std::move(other147.orders);
-  acks = std::move(other147.acks);
-  __isset = other147.__isset;
-}
-Directive& Directive::operator=(const Directive& other148) {
-  term = other148.term;
-  echoMicros = other148.echoMicros;
-  holdMicros = other148.holdMicros;
-  orders = other148.orders;
-  acks = other148.acks;
-  __isset = other148.__isset;
+Directive::Directive(const Directive& other152) {
+  term = other152.term;
+  echoMicros = other152.echoMicros;
+  holdMicros = other152.holdMicros;
+  orders = other152.orders;
+  acks = other152.acks;
+  known = other152.known;
+  __isset = other152.__isset;
+}
+Directive::Directive(Directive&& other153) noexcept {
+  term = other153.term;
+  echoMicros = other153.echoMicros;
+  holdMicros = other153.holdMicros;
+  orders = std::move(other153.orders);
+  acks = std::move(other153.acks);
+  known = std::move(other153.known);
+  __isset = other153.__isset;
+}
+Directive& Directive::operator=(const Directive& other154) {
+  term = other154.term;
+  echoMicros = other154.echoMicros;
+  holdMicros = other154.holdMicros;
+  orders = other154.orders;
+  acks = other154.acks;
+  known = other154.known;
+  __isset = other154.__isset;
   return *this;
 }
-Directive& Directive::operator=(Directive&& other149) noexcept {
-  term = other149.term;
-  echoMicros = other149.echoMicros;
-  holdMicros = other149.holdMicros;
-  orders = std::move(other149.orders);
-  acks = std::move(other149.acks);
-  __isset = other149.__isset;
+Directive& Directive::operator=(Directive&& other155) noexcept {
+  term = other155.term;
+  echoMicros = other155.echoMicros;
+  holdMicros = other155.holdMicros;
+  orders = std::move(other155.orders);
+  acks = std::move(other155.acks);
+  known = std::move(other155.known);
+  __isset = other155.__isset;
   return *this;
 }
 void Directive::printTo(std::ostream& out) const {
@@ -3980,6 +4021,7 @@
   out << ", " << "holdMicros=" << to_string(holdMicros);
   out << ", " << "orders=" << to_string(orders);
   out << ", " << "acks=" << to_string(acks);
+  out << ", " << "known=" << to_string(known);
   out << ")";
 }
 
@@ -4076,26 +4118,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Offer::Offer(const Offer& other150) {
-  number = other150.number;
-  job = other150.job;
-  __isset = other150.__isset;
+Offer::Offer(const Offer& other156) {
+  number = other156.number;
+  job = other156.job;
+  __isset = other156.__isset;
 }
-Offer::Offer(Offer&& other151) noexcept {
-  number = other151.number;
-  job = std::move(other151.job);
-  __isset = other151.__isset;
+Offer::Offer(Offer&& other157) noexcept {
+  number = other157.number;
+  job = std::move(other157.job);
+  __isset = other157.__isset;
 }
-Offer& Offer::operator=(const Offer& other152) {
-  number = other152.number;
-  job = other152.job;
-  __isset = other152.__isset;
+Offer& Offer::operator=(const Offer& other158) {
+  number = other158.number;
+  job = other158.job;
+  __isset = other158.__isset;
   return *this;
 }
-Offer& Offer::operator=(Offer&& other153) noexcept {
-  number = other153.number;
-  job = std::move(other153.job);
-  __isset = other153.__isset;
+Offer& Offer::operator=(Offer&& other159) noexcept {
+  number = other159.number;
+  job = std::move(other159.job);
+  __isset = other159.__isset;
   return *this;
 }
 void Offer::printTo(std::ostream& out) const {
@@ -4216,30 +4258,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Verdict::Verdict(const Verdict& other154) noexcept {
-  number = other154.number;
-  admitted = other154.admitted;
-  retryAfterMs = other154.retryAfterMs;
-  __isset = other154.__isset;
+Verdict::Verdict(const Verdict& other160) noexcept {
+  number = other160.number;
+  admitted = other160.admitted;
+  retryAfterMs = other160.retryAfterMs;
+  __isset = other160.__isset;
 }
-Verdict::Verdict(Verdict&& other155) noexcept {
-  number = other155.number;
-  admitted = other155.admitted;
-  retryAfterMs = other155.retryAfterMs;
-  __isset = other155.__isset;
+Verdict::Verdict(Verdict&& other161) noexcept {
+  number = other161.number;
+  admitted = other161.admitted;
+  retryAfterMs = other161.retryAfterMs;
+  __isset = other161.__isset;
 }
-Verdict& Verdict::operator=(const Verdict& other156) noexcept {
-  number = other156.number;
-  admitted = other156.admitted;
-  retryAfterMs = other156.retryAfterMs;
-  __isset = other156.__isset;
+Verdict& Verdict::operator=(const Verdict& other162) noexcept {
+  number = other162.number;
+  admitted = other162.admitted;
+  retryAfterMs = other162.retryAfterMs;
+  __isset = other162.__isset;
   return *this;
 }
-Verdict& Verdict::operator=(Verdict&& other157) noexcept {
-  number = other157.number;
-  admitted = other157.admitted;
-  retryAfterMs = other157.retryAfterMs;
-  __isset = other157.__isset;
+Verdict& Verdict::operator=(Verdict&& other163) noexcept {
+  number = other163.number;
+  admitted = other163.admitted;
+  retryAfterMs = other163.retryAfterMs;
+  __isset = other163.__isset;
   return *this;
 }
 void Verdict::printTo(std::ostream& out) const {
@@ -4361,30 +4403,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusQuery::StatusQuery(const StatusQuery& other158) {
-  number = other158.number;
-  job = other158.job;
-  queue = other158.queue;
-  __isset = other158.__isset;
+StatusQuery::StatusQuery(const StatusQuery& other164) {
+  number = other164.number;
+  job = other164.job;
+  queue = other164.queue;
+  __isset = other164.__isset;
 }
-StatusQuery::StatusQuery(StatusQuery&& other159) noexcept {
-  number = other159.number;
-  job = std::move(other159.job);
-  queue = std::move(other159.queue);
-  __isset = other159.__isset;
+StatusQuery::StatusQuery(StatusQuery&& other165) noexcept {
+  number = other165.number;
+  job = std::move(other165.job);
+  queue = std::move(other165.queue);
+  __isset = other165.__isset;
 }
-StatusQuery& StatusQuery::operator=(const StatusQuery& other160) {
-  number = other160.number;
-  job = other160.job;
-  queue = other160.queue;
-  __isset = other160.__isset;
+StatusQuery& StatusQuery::operator=(const StatusQuery& other166) {
+  number = other166.number;
+  job = other166.job;
+  queue = other166.queue;
+  __isset = other166.__isset;
   return *this;
 }
-StatusQuery& StatusQuery::operator=(StatusQuery&& other161) noexcept {
-  number = other161.number;
-  job = std::move(other161.job);
-  queue = std::move(other161.queue);
-  __isset = other161.__isset;
+StatusQuery& StatusQuery::operator=(StatusQuery&& other167) noexcept {
+  number = other167.number;
+  job = std::move(other167.job);
+  queue = std::move(other167.queue);
+  __isset = other167.__isset;
   return *this;
 }
 void StatusQuery::printTo(std::ostream& out) const {
@@ -4523,34 +4565,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other162) noexcept {
-  number = other162.number;
-  known = other162.known;
-  state = other162.state;
-  pending = other162.pending;
-  __isset = other162.__isset;
+StatusReply::StatusReply(const StatusReply& other168) noexcept {
+  number = other168.number;
+  known = other168.known;
+  state = other168.state;
+  pending = other168.pending;
+  __isset = other168.__isset;
 }
-StatusReply::StatusReply(StatusReply&& other163) noexcept {
-  number = other163.number;
-  known = other163.known;
-  state = other163.state;
-  pending = other163.pending;
-  __isset = other163.__isset;
+StatusReply::StatusReply(StatusReply&& other169) noexcept {
+  number = other169.number;
+  known = other169.known;
+  state = other169.state;
+  pending = other169.pending;
+  __isset = other169.__isset;
 }
-StatusReply& StatusReply::operator=(const StatusReply& other164) noexcept {
-  number = other164.number;
-  known = other164.known;
-  state = other164.state;
-  pending = other164.pending;
-  __isset = other164.__isset;
+StatusReply& StatusReply::operator=(const StatusReply& other170) noexcept {
+  number = other170.number;
+  known = other170.known;
+  state = other170.state;
+  pending = other170.pending;
+  __isset = other170.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other165) noexcept {
-  number = other165.number;
-  known = other165.known;
-  state = other165.state;
-  pending = other165.pending;
-  __isset = other165.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other171) noexcept {
+  number = other171.number;
+  known = other171.known;
+  state = other171.state;
+  pending = other171.pending;
+  __isset = other171.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -4736,42 +4778,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other166) {
-  report = other166.report;
-  directive = other166.directive;
-  offer = other166.offer;
-  verdict = other166.verdict;
-  statusQuery = other166.statusQuery;
-  statusReply = other166.statusReply;
-  __isset = other166.__isset;
-}
-Message::Message(Message&& other167) noexcept {
-  report = std::move(other167.report);
-  directive = std::move(other167.directive);
-  offer = std::move(other167.offer);
-  verdict = std::move(other167.verdict);
-  statusQuery = std::move(other167.statusQuery);
-  statusReply = std::move(other167.statusReply);
-  __isset = other167.__isset;
-}
-Message& Message::operator=(const Message& other168) {
-  report = other168.report;
-  directive = other168.directive;
-  offer = other168.offer;
-  verdict = other168.verdict;
-  statusQuery = other168.statusQuery;
-  statusReply = other168.statusReply;
-  __isset = other168.__isset;
+Message::Message(const Message& other172) {
+  report = other172.report;
+  directive = other172.directive;
+  offer = other172.offer;
+  verdict = other172.verdict;
+  statusQuery = other172.statusQuery;
+  statusReply = other172.statusReply;
+  __isset = other172.__isset;
+}
+Message::Message(Message&& other173) noexcept {
+  report = std::move(other173.report);
+  directive = std::move(other173.directive);
+  offer = std::move(other173.offer);
+  verdict = std::move(other173.verdict);
+  statusQuery = std::move(other173.statusQuery);
+  statusReply = std::move(other173.statusReply);
+  __isset = other173.__isset;
+}
+Message& Message::operator=(const Message& other174) {
+  report = other174.report;
+  directive = other174.directive;
+  offer = other174.offer;
+  verdict = other174.verdict;
+  statusQuery = other174.statusQuery;
+  statusReply = other174.statusReply;
+  __isset = other174.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other169) noexcept {
-  report = std::move(other169.report);
-  directive = std::move(other169.directive);
-  offer = std::move(other169.offer);
-  verdict = std::move(other169.verdict);
-  statusQuery = std::move(other169.statusQuery);
-  statusReply = std::move(other169.statusReply);
-  __isset = other169.__isset;
+Message& Message::operator=(Message&& other175) noexcept {
+  report = std::move(other175.report);
+  directive = std::move(other175.directive);
+  offer = std::move(other175.offer);
+  verdict = std::move(other175.verdict);
+  statusQuery = std::move(other175.statusQuery);
+  statusReply = std::move(other175.statusReply);
+  __isset = other175.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -37,8 +37,6 @@
 
 class CoordinatorRecord;
 
-class WorkerRecord;
-
 class RunningTask;
 
 class EndedTask;
@@ -47,6 +45,8 @@
 
 class Life;
 
+class WorkerRecord;
+
 class OrderResult;
 
 class Report;
@@ -702,65 +702,6 @@
 
 std::ostream& operator<<(std::ostream& out, const CoordinatorRecord& obj);
 
-typedef struct _WorkerRecord__isset {
-  _WorkerRecord__isset() : worker(false), born(false), instance(false) {}
-  bool worker :1;
-  bool born :1;
-  bool instance :1;
-} _WorkerRecord__isset;
-
-class WorkerRecord : public virtual ::apache::thrift::TBase {
- public:
-
-  WorkerRecord(const WorkerRecord&);
-  WorkerRecord(WorkerRecord&&) noexcept;
-  WorkerRecord& operator=(const WorkerRecord&);
-  WorkerRecord& operator=(WorkerRecord&&) noexcept;
-  WorkerRecord() noexcept
-               : worker(),
-                 born(0),
-                 instance() {
-  }
-
-  virtual ~WorkerRecord() noexcept;
-  std::string worker;
-  int64_t born;
-  std::string instance;
-
-  _WorkerRecord__isset __isset;
-
-  void __set_worker(const std::string& val);
-
-  void __set_born(const int64_t val);
-
-  void __set_instance(const std::string& val);
-
-  bool operator == (const WorkerRecord & rhs) const
-  {
-    if (!(worker == rhs.worker))
-      return false;
-    if (!(born == rhs.born))
-      return false;
-    if (!(instance == rhs.instance))
-      return false;
-    return true;
-  }
-  bool operator != (const WorkerRecord &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const WorkerRecord & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(WorkerRecord &a, WorkerRecord &b);
-
-std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj);
-
 typedef struct _RunningTask__isset {
   _RunningTask__isset() : task(false), run(false), checkpoint(false), percent(false), usage(false) {}
   bool task :1;
@@ -1090,6 +1031,64 @@
 
 std::ostream& operator<<(std::ostream& out, const Life& obj);
 
+typedef struct _WorkerRecord__isset {
+  _WorkerRecord__isset() : view(false), instance(false), dataCentre(false) {}
+  bool view :1;
+  bool instance :1;
+  bool dataCentre :1;
+} _WorkerRecord__isset;
+
+class WorkerRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkerRecord(const WorkerRecord&);
+  WorkerRecord(WorkerRecord&&) noexcept;
+  WorkerRecord& operator=(const WorkerRecord&);
+  WorkerRecord& operator=(WorkerRecord&&) noexcept;
+  WorkerRecord() noexcept
+               : instance(),
+                 dataCentre() {
+  }
+
+  virtual ~WorkerRecord() noexcept;
+  WorkerView view;
+  std::string instance;
+  std::string dataCentre;
+
+  _WorkerRecord__isset __isset;
+
+  void __set_view(const WorkerView& val);
+
+  void __set_instance(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  bool operator == (const WorkerRecord & rhs) const
+  {
+    if (!(view == rhs.view))
+      return false;
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkerRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkerRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkerRecord &a, WorkerRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj);
+
 typedef struct _OrderResult__isset {
   _OrderResult__isset() : number(false), result(false) {}
   bool number :1;
@@ -1393,12 +1392,13 @@
 std::ostream& operator<<(std::ostream& out, const WorkerAck& obj);
 
 typedef struct _Directive__isset {
-  _Directive__isset() : term(false), echoMicros(false), holdMicros(false), orders(false), acks(false) {}
+  _Directive__isset() : term(false), echoMicros(false), holdMicros(false), orders(false), acks(false), known(false) {}
   bool term :1;
   bool echoMicros :1;
   bool holdMicros :1;
   bool orders :1;
   bool acks :1;
+  bool known :1;
 } _Directive__isset;
 
 class Directive : public virtual ::apache::thrift::TBase {
@@ -1420,6 +1420,7 @@
   int64_t holdMicros;
   std::vector<Order>  orders;
   std::vector<WorkerAck>  acks;
+  std::vector<WorkerView>  known;
 
   _Directive__isset __isset;
 
@@ -1433,6 +1434,8 @@
 
   void __set_acks(const std::vector<WorkerAck> & val);
 
+  void __set_known(const std::vector<WorkerView> & val);
+
   bool operator == (const Directive & rhs) const
   {
     if (!(term == rhs.term))
@@ -1445,6 +1448,8 @@
       return false;
     if (!(acks == rhs.acks))
       return false;
+    if (!(known == rhs.known))
+      return false;
     return true;
   }
   bool operator != (const Directive &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -77,12 +77,6 @@
   4: i64 nonce,
 }
 
-// A worker that may run tasks. Removed only after everything on it has ended.
-struct WorkerRecord {
-  1: string worker,
-  2: i64 born,
-  3: string instance,
-}
 
 struct RunningTask {
   1: TaskName task,
@@ -123,6 +117,13 @@
   2: i64 born,
 }
 
+// A worker that may run tasks, without its lists. Removed only after everything on it has ended.
+struct WorkerRecord {
+  1: WorkerView view,
+  2: string instance,
+  3: string dataCentre,
+}
+
 struct OrderResult {
   1: i64 number,
   2: i32 result,
@@ -164,6 +165,9 @@
   3: i64 holdMicros,
   4: list<Order> orders,
   5: list<WorkerAck> acks,
+  // Sent to an agent that has just started: the workers it had, so that it need not wait for their
+  // announcements.
+  6: list<WorkerView> known,
 }
 
 // Asks whether a job would be served in time.
