Recovery: end old lifetimes by address, erase a coordinator's key of an earlier life

Change: a worker at the address of an older lifetime ends it; a process that finds the key of its own earlier life erases it; agents back off while no coordinator answers.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -37,6 +37,7 @@
   , mReportTimer(aContext.mIo)
   , mConnectTimer(aContext.mIo)
   , mStopTimer(aContext.mIo)
+  , mReconnect(aContext.mTimes.mReconnect)
 {
 }
 
@@ -99,7 +100,7 @@
   }
   std::vector<Scheduling::Life> replaced;
   for (const auto& [other, worker] : mWorkers) {
-    if (other.mWorker == life.mWorker || worker.mAddress == aAnnouncement.mAddress) {
+    if (other.mWorker == life.mWorker || worker.mDriver->view().mAddress == aAnnouncement.mView.mAddress) {
       if (other.mBorn > life.mBorn) {
         // Delayed on the way; its sender is gone.
         return;
@@ -110,7 +111,7 @@
   for (const auto& other : replaced) {
     endLife(other, Scheduling::Born{ 0 });
   }
-  addWorker(aAnnouncement.mView, aAnnouncement.mAddress);
+  addWorker(aAnnouncement.mView);
   mWorkers.at(life).mSequence = aAnnouncement.mSequence;
 }
 
@@ -130,7 +131,7 @@
 }
 
 void
-Agent::addWorker(const Scheduling::WorkerView& aView, const std::string& aAddress)
+Agent::addWorker(const Scheduling::WorkerView& aView)
 {
   Log(Level::Info,
       "agent",
@@ -142,11 +143,11 @@
   const Scheduling::Life life = aView.mLife;
   auto driver = std::make_shared<WorkerDriver>(
     mContext,
-    mMakePort(aAddress, life.mWorker),
+    mMakePort(aView.mAddress, life.mWorker),
     aView,
     WorkerDriver::Events{ [this] { reportSoon(); },
                           [this, life](Scheduling::Born aNewBorn) { endLife(life, aNewBorn); } });
-  mWorkers.insert_or_assign(life, Worker{ driver, aAddress, 0 });
+  mWorkers.insert_or_assign(life, Worker{ driver, 0 });
   if (mTerm.value() > 0) {
     driver->setTerm(mTerm);
   }
@@ -176,7 +177,7 @@
     view.mLeaving = false;
     view.mRunning.clear();
     view.mEnded.clear();
-    addWorker(view, worker.mAddress);
+    addWorker(view);
   }
   reportSoon();
 }
@@ -235,7 +236,8 @@
   if (mStopping) {
     return;
   }
-  mConnectTimer.expires_after(mContext.mTimes.mReconnect);
+  mConnectTimer.expires_after(mReconnect);
+  mReconnect = std::min<Duration>(mReconnect * 2, mContext.mTimes.mReconnectMax);
   mConnectTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
       mFinder.refresh();
@@ -260,6 +262,7 @@
   if (aDirective.term < mTerm.value()) {
     return;
   }
+  mReconnect = mContext.mTimes.mReconnect;
   if (aDirective.term > mTerm.value()) {
     mTerm = Common::Epoch{ aDirective.term };
     mOrders.clear();
@@ -271,8 +274,8 @@
   for (const Wire::WorkerView& known : aDirective.known) {
     // The worker itself confirms or denies the lifetime at the first look.
     const Scheduling::WorkerView view = FromWire(known, mContext.mSettings.mDataCentre);
-    if (mWorkers.empty() && !mEndedLives.contains(view.mLife) && !mContext.mSettings.mWorker.empty()) {
-      addWorker(view, mContext.mSettings.mWorker);
+    if (mWorkers.empty() && !mEndedLives.contains(view.mLife) && view.mAddress == mContext.mSettings.mWorker) {
+      addWorker(view);
     }
   }
   if (aDirective.echoMicros > 0) {
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -32,14 +32,13 @@
   struct Worker
   {
     std::shared_ptr<WorkerDriver> mDriver;
-    std::string mAddress;
     std::int64_t mSequence = 0;
   };
 
   void answer(const Net::HttpRequest& aRequest, const Net::Responder& aRespond);
   void takeHeartbeat(const Announcement& aAnnouncement);
   void takeFarewell(const WorkerCall& aCall);
-  void addWorker(const Scheduling::WorkerView& aView, const std::string& aAddress);
+  void addWorker(const Scheduling::WorkerView& aView);
   void endLife(const Scheduling::Life& aLife, Scheduling::Born aNewBorn);
   void connect();
   void takeLink(std::shared_ptr<Net::Link> aLink);
@@ -67,6 +66,8 @@
   std::shared_ptr<Net::Link> mLink;
   std::string mLinkAddress;
   bool mConnecting = false;
+  /// Pause before the next look for the coordinator; doubled while none answers.
+  Duration mReconnect;
   bool mReportPending = false;
   bool mStopping = false;
   Common::Epoch mTerm;
--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -173,6 +173,7 @@
   Wire::WorkerView view;
   view.worker = aView.mLife.mWorker.str();
   view.born = aView.mLife.mBorn.value();
+  view.address = aView.mAddress;
   view.pool = aView.mPool.str();
   view.rack = aView.mRack.str();
   view.labels = aView.mLabels;
@@ -209,6 +210,7 @@
 {
   Scheduling::WorkerView view;
   view.mLife = { Common::WorkerId(aView.worker), Scheduling::Born{ aView.born } };
+  view.mAddress = aView.address;
   view.mPool = Common::PoolId(aView.pool);
   view.mDataCentre = aDataCentre;
   view.mRack = Common::RackId(aView.rack);
--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -59,6 +59,11 @@
     if (mStopped || mRole == Role::Retired) {
       return;
     }
+    if (aRecord && aRecord->instance == mContext.mSettings.mInstance.str() && aRecord->nonce != mNonce &&
+        mRole == Role::Follower) {
+      eraseEarlierLife();
+      return;
+    }
     if (aRecord && aRecord->nonce != mNonce) {
       if (aRecord->term > mTerm.value()) {
         stepDown(true);
@@ -74,6 +79,33 @@
     }
   }
 
+  /// The key was left by an earlier life of this process, which cannot act any more.
+  void eraseEarlierLife()
+  {
+    mContext.mStore.read(
+      kCoordinatorKey,
+      mContext.mTimes.mStoreCall,
+      [self = shared_from_this()](Store::Result<std::optional<Store::Entry>> aEntry) {
+        if (self->mStopped || !aEntry || !*aEntry) {
+          return;
+        }
+        const auto record = Wire::Decode<Wire::CoordinatorRecord>((*aEntry)->mValue);
+        if (!record || record->instance != self->mContext.mSettings.mInstance.str() ||
+            record->nonce == self->mNonce) {
+          return;
+        }
+        self->log("erasing the coordinator's key of an earlier life");
+        Store::Transaction transaction;
+        transaction.mExpected = { { kCoordinatorKey, (*aEntry)->mVersion } };
+        transaction.mErased = { kCoordinatorKey };
+        // If this fails the lease ends the key.
+        self->mContext.mStore.write(
+          transaction,
+          self->mContext.mTimes.mStoreCall,
+          [](const tl::expected<Store::Version, Store::WriteFailure>&) {});
+      });
+  }
+
   void scheduleClaim()
   {
     if (mRole != Role::Follower || mStopped) {
--- a/Source/Core/Node/Ports.h
+++ b/Source/Core/Node/Ports.h
@@ -19,7 +19,6 @@
 struct Announcement
 {
   Scheduling::WorkerView mView;
-  std::string mAddress;
   /// Rises within one lifetime.
   std::int64_t mSequence = 0;
 };
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -66,6 +66,7 @@
   Duration mPeerSilence{ std::chrono::milliseconds(1500) };
   Duration mConnect{ std::chrono::milliseconds(600) };
   Duration mReconnect{ std::chrono::milliseconds(100) };
+  Duration mReconnectMax{ std::chrono::milliseconds(800) };
   /// Answers of the store take some milliseconds, and up to half a second while it is slow.
   Duration mStoreCall{ std::chrono::milliseconds(900) };
   Duration mStoreRetry{ std::chrono::milliseconds(150) };
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -152,6 +152,8 @@
 struct WorkerView
 {
   Life mLife;
+  /// Where the worker takes calls. One lifetime at a time has an address.
+  std::string mAddress;
   Common::PoolId mPool;
   Common::DataCentreId mDataCentre;
   Common::RackId mRack;
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -20,6 +20,7 @@
 void
 Describe(Worker& aWorker, const WorkerView& aView)
 {
+  aWorker.mAddress = aView.mAddress;
   aWorker.mPool = aView.mPool;
   aWorker.mDataCentre = aView.mDataCentre;
   aWorker.mRack = aView.mRack;
@@ -255,9 +256,12 @@
          Timestamp aLeaseEnd,
          const Now& aNow)
 {
-  // A newer lifetime of the same worker ends the older ones.
+  // A newer lifetime of the same worker, or at the same address, ends the older ones.
   for (auto& [life, number] : aState.mWorkerIndex) {
-    if (life.mWorker == aView.mLife.mWorker && life.mBorn < aView.mLife.mBorn) {
+    const Worker& other = aState.mWorkers[number];
+    const bool samePlace =
+      !aView.mAddress.empty() && other.mAgent == aAgent && other.mAddress == aView.mAddress;
+    if ((life.mWorker == aView.mLife.mWorker || samePlace) && life.mBorn < aView.mLife.mBorn) {
       EndRuns(aState, number, "the worker started again", aNow);
       aState.mWorkers[number].mConnected = false;
       aState.mWorkers[number].mLeaseEnd = aNow.mTime;
@@ -298,6 +302,7 @@
 {
   WorkerView view;
   view.mLife = aWorker.mLife;
+  view.mAddress = aWorker.mAddress;
   view.mPool = aWorker.mPool;
   view.mDataCentre = aWorker.mDataCentre;
   view.mRack = aWorker.mRack;
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -120,6 +120,7 @@
 {
   Life mLife;
   Common::InstanceId mAgent;
+  std::string mAddress;
   Common::PoolId mPool;
   Common::DataCentreId mDataCentre;
   Common::RackId mRack;
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -2239,6 +2239,10 @@
 void WorkerView::__set_ended(const std::vector<EndedTask> & val) {
   this->ended = val;
 }
+
+void WorkerView::__set_address(const std::string& val) {
+  this->address = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerView& obj)
 {
   obj.printTo(out);
@@ -2415,6 +2419,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2512,6 +2524,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2533,6 +2549,7 @@
   swap(a.listed, b.listed);
   swap(a.running, b.running);
   swap(a.ended, b.ended);
+  swap(a.address, b.address);
   swap(a.__isset, b.__isset);
 }
 
@@ -2551,6 +2568,7 @@
   listed = other88.listed;
   running = other88.running;
   ended = other88.ended;
+  address = other88.address;
   __isset = other88.__isset;
 }
 WorkerView::WorkerView(WorkerView&& other89) noexcept {
@@ -2568,6 +2586,7 @@
   listed = other89.listed;
   running = std::move(other89.running);
   ended = std::move(other89.ended);
+  address = std::move(other89.address);
   __isset = other89.__isset;
 }
 WorkerView& WorkerView::operator=(const WorkerView& other90) {
@@ -2585,6 +2604,7 @@
   listed = other90.listed;
   running = other90.running;
   ended = other90.ended;
+  address = other90.address;
   __isset = other90.__isset;
   return *this;
 }
@@ -2603,6 +2623,7 @@
   listed = other91.listed;
   running = std::move(other91.running);
   ended = std::move(other91.ended);
+  address = std::move(other91.address);
   __isset = other91.__isset;
   return *this;
 }
@@ -2623,6 +2644,7 @@
   out << ", " << "listed=" << to_string(listed);
   out << ", " << "running=" << to_string(running);
   out << ", " << "ended=" << to_string(ended);
+  out << ", " << "address=" << to_string(address);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -847,7 +847,7 @@
 std::ostream& operator<<(std::ostream& out, const EndedTask& obj);
 
 typedef struct _WorkerView__isset {
-  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false) {}
+  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false), address(false) {}
   bool worker :1;
   bool born :1;
   bool pool :1;
@@ -862,6 +862,7 @@
   bool listed :1;
   bool running :1;
   bool ended :1;
+  bool address :1;
 } _WorkerView__isset;
 
 class WorkerView : public virtual ::apache::thrift::TBase {
@@ -882,7 +883,8 @@
                leaving(0),
                remainingMs(0),
                responding(0),
-               listed(0) {
+               listed(0),
+               address() {
   }
 
   virtual ~WorkerView() noexcept;
@@ -900,6 +902,7 @@
   bool listed;
   std::vector<RunningTask>  running;
   std::vector<EndedTask>  ended;
+  std::string address;
 
   _WorkerView__isset __isset;
 
@@ -931,6 +934,8 @@
 
   void __set_ended(const std::vector<EndedTask> & val);
 
+  void __set_address(const std::string& val);
+
   bool operator == (const WorkerView & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -961,6 +966,8 @@
       return false;
     if (!(ended == rhs.ended))
       return false;
+    if (!(address == rhs.address))
+      return false;
     return true;
   }
   bool operator != (const WorkerView &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -110,6 +110,7 @@
   12: bool listed,
   13: list<RunningTask> running,
   14: list<EndedTask> ended,
+  15: string address,
 }
 
 struct Life {
