--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -20,7 +20,7 @@
 /// Run numbers that a coordinator can give to one task in its term.
 constexpr std::int64_t kRunsPerTerm = 1'000;
 /// Records in one transaction beside its condition; a few places are left for worker records.
-constexpr std::size_t kJobsPerWrite = 24;
+constexpr std::size_t kJobsPerWrite = 18;
 constexpr std::size_t kWorkersPerWrite = 6;
 /// An admission counts for this long; the entry writes the job within a caller's patience.
 constexpr std::chrono::seconds kAdmissionKept{ 15 };
@@ -284,13 +284,13 @@
                        aRecovered,
                        now);
   mAdmitted.erase(key->mJob);
-  Log(Level::Info,
+  // Recovered jobs are counted in one line; there may be thousands.
+  Log(aRecovered ? Level::Debug : Level::Info,
       "coordinator",
       "job accepted",
       { { "job", record->job },
         { "queue", record->queue },
-        { "version", std::to_string(aEntry.mVersion.value()) },
-        { "recovered", aRecovered ? "yes" : "no" } });
+        { "version", std::to_string(aEntry.mVersion.value()) } });
   if (mCancelledEarly.contains(key->mJob)) {
     Scheduling::CancelJob(mState, job, now);
   }
@@ -620,7 +620,8 @@
   }
   const bool unrecorded =
     std::any_of(mState.mWorkers.begin(), mState.mWorkers.end(), [](const Scheduling::Worker& aWorker) {
-      return aWorker.mConnected && aWorker.mListed && !aWorker.mRecorded;
+      return (aWorker.mConnected && aWorker.mListed && !aWorker.mRecorded) ||
+             (aWorker.mRecorded && aWorker.mGone);
     });
   if (mState.mDirty.empty() && !unrecorded) {
     // Ends that changed no record are as durable as they need to be.
@@ -681,6 +682,10 @@
       record.dataCentre = worker.mDataCentre.str();
       transaction.mPuts.push_back({ WorkerKey(worker.mLife), Wire::Encode(record), std::nullopt });
       recorded.push_back(worker.mLife);
+    } else if (worker.mRecorded && worker.mGone && transaction.mErased.size() < kWorkersPerWrite) {
+      // The next coordinator would wait for it.
+      transaction.mErased.push_back(WorkerKey(worker.mLife));
+      recorded.push_back(worker.mLife);
     }
   }
   mFlushEnds.clear();
@@ -689,7 +694,7 @@
       mFlushEnds[worker.mLife] = worker.mHandled;
     }
   }
-  if (transaction.mPuts.empty()) {
+  if (transaction.mPuts.empty() && transaction.mErased.empty()) {
     return;
   }
   mFlushing = true;
@@ -760,7 +765,8 @@
   for (const Scheduling::Life& life : aRecorded) {
     const auto found = mState.mWorkerIndex.find(life);
     if (found != mState.mWorkerIndex.end()) {
-      mState.mWorkers[found->second].mRecorded = true;
+      Scheduling::Worker& worker = mState.mWorkers[found->second];
+      worker.mRecorded = !worker.mGone;
     }
   }
   if (aAllWritten) {
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -498,6 +498,7 @@
       continue;
     }
     Step& step = ready.mJob->mOccurrences.at(ready.mOccurrence).mSteps[ready.mStep];
+    std::string placed;
     for (std::uint32_t i = 0; i < step.mTasks.size() && step.mWaiting > 0; ++i) {
       if (step.mTasks[i].mPhase != TaskPhase::Waiting) {
         continue;
@@ -512,6 +513,13 @@
       SetOnWorker(aState, ref, worker, TaskPhase::Starting, aNow);
       OrderStart(aState, ref, run, aNow);
       ready.mIdleJob = false;
+      placed += (placed.empty() ? "" : " ") + std::to_string(i) + ':' + std::to_string(run.value()) + '@' +
+                aState.mWorkers[worker].mLife.mWorker.str();
+    }
+    if (!placed.empty()) {
+      aState.mNotes.push_back({ "tasks started",
+                                ready.mJob->mSpec.mJob,
+                                std::to_string(ready.mOccurrence) + '.' + std::to_string(ready.mStep) + ' ' + placed });
     }
   }
 }
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -39,10 +39,21 @@
   const std::set<TaskRef> tasks = worker.mTasks;
   for (const TaskRef& ref : tasks) {
     ++aState.mCounts.mLost;
+    aState.mNotes.push_back({ "run lost with its worker", ref.mJob->mSpec.mJob, worker.mLife.mWorker.str() });
     SetWaiting(aState, ref, aNow);
   }
 }
 
+void
+EndLife(State& aState, WorkerNumber aWorker, std::string_view aWhy, const Now& aNow)
+{
+  EndRuns(aState, aWorker, aWhy, aNow);
+  Worker& worker = aState.mWorkers[aWorker];
+  worker.mGone = true;
+  worker.mConnected = false;
+  worker.mLeaseEnd = aNow.mTime;
+}
+
 void
 LearnRunTime(State& aState, const TaskRef& aRef, const Now& aNow)
 {
@@ -146,6 +157,13 @@
     task.mRun = std::max(task.mRun, aEnd.mRun);
     return;
   }
+  if (failed) {
+    aState.mNotes.push_back({ "run failed",
+                              job.mSpec.mJob,
+                              std::to_string(aEnd.mTask.mOccurrence) + '.' + std::to_string(aEnd.mTask.mStep) + ' ' +
+                                std::to_string(aEnd.mTask.mIndex) + ':' + std::to_string(aEnd.mRun.value()) + '@' +
+                                aState.mWorkers[aWorker].mLife.mWorker.str() });
+  }
   if (failed && !step.mLasting) {
     task.mAvoid = aWorker;
     MarkDirty(aState, job, false);
@@ -262,9 +280,7 @@
     const bool samePlace =
       !aView.mAddress.empty() && other.mAgent == aAgent && other.mAddress == aView.mAddress;
     if ((life.mWorker == aView.mLife.mWorker || samePlace) && life.mBorn < aView.mLife.mBorn) {
-      EndRuns(aState, number, "the worker started again", aNow);
-      aState.mWorkers[number].mConnected = false;
-      aState.mWorkers[number].mLeaseEnd = aNow.mTime;
+      EndLife(aState, number, "the worker started again", aNow);
     }
   }
   const WorkerNumber number = EnsureWorker(aState, aView.mLife);
@@ -336,10 +352,7 @@
   for (const Life& life : aEndedLives) {
     const auto found = aState.mWorkerIndex.find(life);
     if (found != aState.mWorkerIndex.end()) {
-      Worker& worker = aState.mWorkers[found->second];
-      EndRuns(aState, found->second, "its lifetime ended", aNow);
-      worker.mConnected = false;
-      worker.mLeaseEnd = aNow.mTime;
+      EndLife(aState, found->second, "its lifetime ended", aNow);
     }
   }
   for (const WorkerView& view : aViews) {
@@ -487,7 +500,7 @@
 AwaitsWorkers(const State& aState, const Now& aNow)
 {
   return std::any_of(aState.mWorkers.begin(), aState.mWorkers.end(), [&](const Worker& aWorker) {
-    return aWorker.mRecorded && !aWorker.mListed && aWorker.mLeaseEnd > aNow.mTime;
+    return aWorker.mRecorded && !aWorker.mListed && !aWorker.mGone && aWorker.mLeaseEnd > aNow.mTime;
   });
 }
 
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -133,6 +133,8 @@
   bool mConnected = false;
   /// The record that names this lifetime is in the store, so that a later coordinator waits for it.
   bool mRecorded = false;
+  /// The lifetime is known to have ended; it never comes back.
+  bool mGone = false;
   /// Everything on the worker has ended by then, unless the lease is extended.
   Timestamp mLeaseEnd;
   Common::Resources mUsed;
