Keep the coordinator's duty while the store is silent or nobody can take it over

(3) an unreachable lifetime was waited for although its agent was there. Change: entries say whether they can take over, and a stopping coordinator waits for one of them; idle connections are closed after the rotation ended, so that the process ends after 3 s instead of 5; the coordinator goes on for 5 s while no renewal is answered; agents report how long leases that they asked for can last. Ruled out: a longer life of the key, which delays the takeover from a frozen or lost machine.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -71,6 +71,13 @@
   Session& operator=(const Session&) = delete;
 
   void start() { readHeader(); }
+  /// A request that is on its way is lost unread, which its sender may send again.
+  void closeIfIdle()
+  {
+    if (mIdle && mBuffer.size() == 0) {
+      close();
+    }
+  }
   void close()
   {
     ErrorCode ignored;
@@ -83,6 +90,7 @@
     mParser.emplace();
     mParser->header_limit(mCore->mLimits.mHeaderBytes);
     mParser->body_limit(mCore->mLimits.mBodyBytes);
+    mIdle = true;
     mStream.expires_after(mBuffer.size() > 0 ? mCore->mLimits.mRequestTime
                                              : mCore->mLimits.mIdleTime);
     Http::async_read_header(
@@ -93,6 +101,7 @@
 
   void takeHeader(ErrorCode aError)
   {
+    mIdle = false;
     if (aError == Http::error::header_limit) {
       reject(431, "the header fields are too large");
       return;
@@ -238,6 +247,8 @@
   std::optional<Http::request_parser<Http::string_body>> mParser;
   Http::response<Http::string_body> mResponse;
   bool mKeepAlive = true;
+  /// Waits for a request.
+  bool mIdle = false;
   unsigned mVersion = 11;
 };
 
@@ -335,6 +346,14 @@
   mCore->mClosing = true;
 }
 
+void
+HttpServer::closeIdle()
+{
+  for (Session* session : std::set<Session*>(mCore->mSessions)) {
+    session->closeIfIdle();
+  }
+}
+
 void
 HttpServer::stopListening()
 {
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -71,6 +71,8 @@
   void changeLimits(HttpLimits aLimits);
   /// From now on each answer asks the caller to close its connection.
   void announceClose();
+  /// Closes the connections on which no request has begun.
+  void closeIdle();
   /// Stops listening; open connections go on.
   void stopListening();
   /// Requests that were read and are not answered yet.
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -373,7 +373,7 @@
   report.dataCentre = mContext.mSettings.mDataCentre.str();
   report.term = mTerm.value();
   for (auto& [life, worker] : mWorkers) {
-    report.workers.push_back(ToWire(worker.mDriver->view()));
+    report.workers.push_back(ToWire(worker.mDriver->viewNow()));
   }
   for (const auto& [life, until] : mEndedLives) {
     Wire::Life ended;
--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -184,6 +184,7 @@
   view.remainingMs = Millis(aView.mRemaining);
   view.responding = aView.mResponding;
   view.listed = aView.mListed;
+  view.leaseLeftMs = Millis(aView.mLeaseLeft);
   for (const auto& row : aView.mRunning) {
     Wire::RunningTask task;
     task.task = ToWire(row.mTask);
@@ -222,6 +223,7 @@
   view.mRemaining = std::chrono::milliseconds(aView.remainingMs);
   view.mResponding = aView.responding;
   view.mListed = aView.listed;
+  view.mLeaseLeft = std::chrono::milliseconds(aView.leaseLeftMs);
   for (const auto& task : aView.running) {
     view.mRunning.push_back({ FromWire(task.task),
                               Scheduling::RunNumber{ task.run },
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -163,7 +163,7 @@
       // The coordinator before this one may have granted until its own key lapsed.
       const double drift = 1.0 + mContext.mTimes.mClockDrift;
       const Timestamp leaseEnd =
-        mBegan + mContext.mTimes.mTerm +
+        mBegan + mContext.mTimes.mTerm + mContext.mTimes.mStoreSilence +
         std::chrono::duration_cast<Duration>(maxGrant() * drift) + mContext.mTimes.mTermMargin;
       for (const Store::Entry& entry : aPage->mEntries) {
         if (const auto record = Wire::Decode<Wire::WorkerRecord>(entry.mValue)) {
@@ -462,6 +462,9 @@
 void
 Coordinator::answerStatus(Peer& aPeer, const Wire::StatusQuery& aQuery)
 {
+  if (aQuery.number == 0) {
+    aPeer.mCandidate = aQuery.candidate;
+  }
   if (!works() || !mElection.mayAct()) {
     return;
   }
@@ -788,6 +791,13 @@
   flushSoon();
 }
 
+bool
+Coordinator::hasSuccessor() const
+{
+  return std::any_of(
+    mPeers.begin(), mPeers.end(), [](const auto& aEntry) { return aEntry.second.mCandidate; });
+}
+
 void
 Coordinator::flushAll(std::function<void()> aDone)
 {
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -35,6 +35,8 @@
   void pause();
   /// Drops the state; another process has a higher term.
   void end();
+  /// True if another process is there that can take over.
+  bool hasSuccessor() const;
   /// Writes what is not written yet; aDone comes in any case.
   void flushAll(std::function<void()> aDone);
 
@@ -49,6 +51,8 @@
     /// Set once it has reported as an agent.
     Common::InstanceId mAgent;
     std::int64_t mEcho = 0;
+    /// The process can become the coordinator.
+    bool mCandidate = false;
   };
   struct EarlyReport
   {
--- a/Source/Core/Node/CoordinatorLink.cpp
+++ b/Source/Core/Node/CoordinatorLink.cpp
@@ -157,6 +157,7 @@
 {
   Wire::StatusQuery query;
   query.number = 0;
+  query.candidate = mCandidate;
   Wire::Message message;
   message.__set_statusQuery(query);
   send(message);
--- a/Source/Core/Node/CoordinatorLink.h
+++ b/Source/Core/Node/CoordinatorLink.h
@@ -22,6 +22,8 @@
   CoordinatorLink(const CoordinatorLink&) = delete;
   CoordinatorLink& operator=(const CoordinatorLink&) = delete;
 
+  /// Whether this entry says that it can become the coordinator.
+  void setCandidate(bool aCandidate) { mCandidate = aCandidate; }
   /// "" if there is no coordinator now.
   void follow(const std::string& aAddress);
   /// Nothing if no coordinator answered within the time that a caller may be kept waiting for it.
@@ -50,6 +52,7 @@
   std::string mAddress;
   std::shared_ptr<Net::Link> mLink;
   bool mConnecting = false;
+  bool mCandidate = true;
   std::int64_t mNext = 1;
   std::map<std::int64_t, Waiting<Wire::Verdict>> mOffers;
   std::map<std::int64_t, Waiting<Wire::StatusReply>> mQuestions;
--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -46,7 +46,11 @@
   {
   }
 
-  bool mayAct() const { return mRole == Role::Leader && mContext.now() < mValidUntil; }
+  bool mayAct() const
+  {
+    return mRole == Role::Leader &&
+           mContext.now() < mValidUntil + (mStoreSilent ? mContext.mTimes.mStoreSilence : Duration{ 0 });
+  }
 
   void observe(const std::optional<Wire::CoordinatorRecord>& aRecord, Store::Version aAt, Duration aRoundTrip)
   {
@@ -256,7 +260,7 @@
     if (mRole != Role::Leader) {
       return;
     }
-    if (mContext.now() >= mValidUntil) {
+    if (!mayAct()) {
       log("the lease could not be renewed in time");
       stepDown(false);
       scheduleClaim();
@@ -268,6 +272,7 @@
         if (self->mRole != Role::Leader || self->mStopped) {
           return;
         }
+        self->setStoreSilent(!aResult && aResult.error() != Store::StoreError::LeaseLapsed);
         if (aResult) {
           self->mValidUntil = sent + self->mTimeToLive - self->mContext.mTimes.mTermMargin;
         } else if (aResult.error() == Store::StoreError::LeaseLapsed) {
@@ -281,8 +286,17 @@
       });
   }
 
+  void setStoreSilent(bool aSilent)
+  {
+    if (aSilent != mStoreSilent) {
+      log(aSilent ? "the store does not answer; going on for a limited time" : "the store answers again");
+    }
+    mStoreSilent = aSilent;
+  }
+
   void stepDown(bool aSuperseded)
   {
+    mStoreSilent = false;
     const bool led = mRole == Role::Leader;
     if (mRole != Role::Retired) {
       mRole = Role::Follower;
@@ -354,6 +368,8 @@
   bool mResumed = false;
   bool mKeyThere = true;
   bool mStopped = false;
+  /// The last renewal got no answer.
+  bool mStoreSilent = false;
   Store::Version mTermVersion;
   Store::Version mFence;
   Store::LeaseId mLease;
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds kCheck{ 100 };
 /// The process ends by itself this long before it would be killed.
 constexpr std::chrono::milliseconds kGraceMargin{ 700 };
+/// The coordinator's duty is given up this long before that also if nobody is there to take it.
+constexpr std::chrono::milliseconds kHandOverMargin{ 1'200 };
 /// The platform asks for readiness each second and stops new connections after two misses.
 constexpr std::chrono::milliseconds kLeaveRotation{ 2'500 };
 
@@ -156,6 +158,18 @@
   mStopAsked = mContext.now();
   mStopped = std::move(aDone);
   mCallers.announceClose();
+  mLink.setCandidate(false);
+}
+
+void
+Entry::handOver()
+{
+  // Without a successor the duty stays here as long as the process does.
+  const bool late = mContext.now() - mStopAsked >= mContext.mSettings.mGrace - kHandOverMargin;
+  if (mHandedOver || (!mCoordinator.hasSuccessor() && !late)) {
+    return;
+  }
+  mHandedOver = true;
   mCoordinator.flushAll([this] { mElection.resign([] {}); });
 }
 
@@ -163,7 +177,12 @@
 Entry::checkStopped()
 {
   const Duration waited = mContext.now() - mStopAsked;
-  const bool idle = waited >= kLeaveRotation && mCallers.connections() == 0;
+  handOver();
+  if (waited >= kLeaveRotation) {
+    mCallers.closeIdle();
+  }
+  // A moment after the duty was handed over, so that its last calls are answered.
+  const bool idle = waited >= kLeaveRotation && mHandedOver && mCallers.connections() == 0;
   if (mStopped && (idle || waited >= mContext.mSettings.mGrace - kGraceMargin)) {
     const auto stopped = std::move(mStopped);
     mStopped = nullptr;
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -33,6 +33,8 @@
   void takeCoordinator(const std::optional<Wire::CoordinatorRecord>& aRecord, Store::Version aAt);
   void everyCheck();
   void checkStopped();
+  /// Gives the coordinator's duty up once another process can take it.
+  void handOver();
 
   Context& mContext;
   CoordinatorLink mLink;
@@ -48,6 +50,7 @@
   std::shared_ptr<const QueueTables> mTables;
   bool mReadyLogged = false;
   bool mStopping = false;
+  bool mHandedOver = false;
   Timestamp mStopAsked;
   std::function<void()> mStopped;
 };
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -56,6 +56,10 @@
   Duration mRenewal{ std::chrono::milliseconds(500) };
   /// The coordinator stops acting this long before its key may lapse.
   Duration mTermMargin{ std::chrono::milliseconds(200) };
+  /// While the store does not answer at all, the coordinator goes on for this time beyond its key.
+  /// Most outages of the store are shorter. Another coordinator, if there is one, takes the agents
+  /// that it reaches over at once, and waits this much longer for what runs on the others.
+  Duration mStoreSilence{ std::chrono::milliseconds(5000) };
   /// Longest time that tasks run on after their agent lost the coordinator. It outlasts a freeze of
   /// four seconds; tasks on a worker that is cut off start elsewhere only after it.
   Duration mHold{ std::chrono::milliseconds(5000) };
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -38,6 +38,18 @@
   mView.mListed = false;
   mView.mResponding = true;
   mRespondingSince = mContext.now();
+  // An earlier life of this process may have extended the lease until just before this one started.
+  mLeaseBound = mContext.now() + mContext.mSettings.mMaxHold;
+}
+
+Scheduling::WorkerView
+WorkerDriver::viewNow() const
+{
+  Scheduling::WorkerView view = mView;
+  const Duration left = std::max(mLeaseEnd, mLeaseBound) - mContext.now();
+  view.mLeaseLeft = std::chrono::duration_cast<Duration>(std::max(left, Duration{ 0 }) *
+                                                         (1.0 + mContext.mTimes.mClockDrift));
+  return view;
 }
 
 void
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -46,7 +46,10 @@
                 const std::string& aPayload,
                 std::function<void(Scheduling::OrderResult)> aDone);
 
+  /// Without the lease's rest, which changes with time.
   const Scheduling::WorkerView& view() const { return mView; }
+  /// The view for a report that is sent now.
+  Scheduling::WorkerView viewNow() const;
   std::size_t ordersInFlight() const { return mInFlight; }
 
 private:
@@ -80,7 +83,10 @@
   /// The worker's clock as of a moment. It is read before the answer travels, so that the worker's
   /// clock shows at least this then.
   std::optional<std::pair<WorkerClock, Timestamp>> mClock;
+  /// Latest end of the lease that this process may ask for.
   Timestamp mLeaseEnd;
+  /// Latest end that an earlier life of this process may have asked for.
+  Timestamp mLeaseBound;
   Timestamp mRespondingSince;
   int mFailures = 0;
   int mRefusals = 0;
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -293,7 +293,13 @@
   worker.mLeaving = aView.mLeaving;
   worker.mResponding = aView.mResponding;
   worker.mConnected = true;
-  worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
+  if (!worker.mListed && !aView.mListed) {
+    // Only the agent extends leases, and it obeys no earlier coordinator any more.
+    worker.mLeaseEnd = std::min(worker.mLeaseEnd, aNow.mTime + aView.mLeaseLeft);
+  }
+  if (aView.mResponding) {
+    worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
+  }
   if (!aView.mListed) {
     return;
   }
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -2243,6 +2243,10 @@
 void WorkerView::__set_address(const std::string& val) {
   this->address = val;
 }
+
+void WorkerView::__set_leaseLeftMs(const int64_t val) {
+  this->leaseLeftMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerView& obj)
 {
   obj.printTo(out);
@@ -2427,6 +2431,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseLeftMs);
+          this->__isset.leaseLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2528,6 +2540,10 @@
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaseLeftMs", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->leaseLeftMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2550,6 +2566,7 @@
   swap(a.running, b.running);
   swap(a.ended, b.ended);
   swap(a.address, b.address);
+  swap(a.leaseLeftMs, b.leaseLeftMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -2569,6 +2586,7 @@
   running = other88.running;
   ended = other88.ended;
   address = other88.address;
+  leaseLeftMs = other88.leaseLeftMs;
   __isset = other88.__isset;
 }
 WorkerView::WorkerView(WorkerView&& other89) noexcept {
@@ -2587,6 +2605,7 @@
   running = std::move(other89.running);
   ended = std::move(other89.ended);
   address = std::move(other89.address);
+  leaseLeftMs = other89.leaseLeftMs;
   __isset = other89.__isset;
 }
 WorkerView& WorkerView::operator=(const WorkerView& other90) {
@@ -2605,6 +2624,7 @@
   running = other90.running;
   ended = other90.ended;
   address = other90.address;
+  leaseLeftMs = other90.leaseLeftMs;
   __isset = other90.__isset;
   return *this;
 }
@@ -2624,6 +2644,7 @@
   running = std::move(other91.running);
   ended = std::move(other91.ended);
   address = std::move(other91.address);
+  leaseLeftMs = other91.leaseLeftMs;
   __isset = other91.__isset;
   return *this;
 }
@@ -2645,6 +2666,7 @@
   out << ", " << "running=" << to_string(running);
   out << ", " << "ended=" << to_string(ended);
   out << ", " << "address=" << to_string(address);
+  out << ", " << "leaseLeftMs=" << to_string(leaseLeftMs);
   out << ")";
 }
 
@@ -4331,6 +4353,10 @@
 void StatusQuery::__set_queue(const std::string& val) {
   this->queue = val;
 }
+
+void StatusQuery::__set_candidate(const bool val) {
+  this->candidate = val;
+}
 std::ostream& operator<<(std::ostream& out, const StatusQuery& obj)
 {
   obj.printTo(out);
@@ -4383,6 +4409,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->candidate);
+          this->__isset.candidate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4412,6 +4446,10 @@
   xfer += oprot->writeString(this->queue);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("candidate", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->candidate);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4422,6 +4460,7 @@
   swap(a.number, b.number);
   swap(a.job, b.job);
   swap(a.queue, b.queue);
+  swap(a.candidate, b.candidate);
   swap(a.__isset, b.__isset);
 }
 
@@ -4429,18 +4468,21 @@
   number = other164.number;
   job = other164.job;
   queue = other164.queue;
+  candidate = other164.candidate;
   __isset = other164.__isset;
 }
 StatusQuery::StatusQuery(StatusQuery&& other165) noexcept {
   number = other165.number;
   job = std::move(other165.job);
   queue = std::move(other165.queue);
+  candidate = other165.candidate;
   __isset = other165.__isset;
 }
 StatusQuery& StatusQuery::operator=(const StatusQuery& other166) {
   number = other166.number;
   job = other166.job;
   queue = other166.queue;
+  candidate = other166.candidate;
   __isset = other166.__isset;
   return *this;
 }
@@ -4448,6 +4490,7 @@
   number = other167.number;
   job = std::move(other167.job);
   queue = std::move(other167.queue);
+  candidate = other167.candidate;
   __isset = other167.__isset;
   return *this;
 }
@@ -4457,6 +4500,7 @@
   out << "number=" << to_string(number);
   out << ", " << "job=" << to_string(job);
   out << ", " << "queue=" << to_string(queue);
+  out << ", " << "candidate=" << to_string(candidate);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -847,7 +847,7 @@
 std::ostream& operator<<(std::ostream& out, const EndedTask& obj);
 
 typedef struct _WorkerView__isset {
-  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false), address(false) {}
+  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false), address(false), leaseLeftMs(false) {}
   bool worker :1;
   bool born :1;
   bool pool :1;
@@ -863,6 +863,7 @@
   bool running :1;
   bool ended :1;
   bool address :1;
+  bool leaseLeftMs :1;
 } _WorkerView__isset;
 
 class WorkerView : public virtual ::apache::thrift::TBase {
@@ -884,7 +885,8 @@
                remainingMs(0),
                responding(0),
                listed(0),
-               address() {
+               address(),
+               leaseLeftMs(0) {
   }
 
   virtual ~WorkerView() noexcept;
@@ -903,6 +905,7 @@
   std::vector<RunningTask>  running;
   std::vector<EndedTask>  ended;
   std::string address;
+  int64_t leaseLeftMs;
 
   _WorkerView__isset __isset;
 
@@ -936,6 +939,8 @@
 
   void __set_address(const std::string& val);
 
+  void __set_leaseLeftMs(const int64_t val);
+
   bool operator == (const WorkerView & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -968,6 +973,8 @@
       return false;
     if (!(address == rhs.address))
       return false;
+    if (!(leaseLeftMs == rhs.leaseLeftMs))
+      return false;
     return true;
   }
   bool operator != (const WorkerView &rhs) const {
@@ -1586,10 +1593,11 @@
 std::ostream& operator<<(std::ostream& out, const Verdict& obj);
 
 typedef struct _StatusQuery__isset {
-  _StatusQuery__isset() : number(false), job(false), queue(false) {}
+  _StatusQuery__isset() : number(false), job(false), queue(false), candidate(false) {}
   bool number :1;
   bool job :1;
   bool queue :1;
+  bool candidate :1;
 } _StatusQuery__isset;
 
 class StatusQuery : public virtual ::apache::thrift::TBase {
@@ -1602,13 +1610,15 @@
   StatusQuery() noexcept
               : number(0),
                 job(),
-                queue() {
+                queue(),
+                candidate(0) {
   }
 
   virtual ~StatusQuery() noexcept;
   int64_t number;
   std::string job;
   std::string queue;
+  bool candidate;
 
   _StatusQuery__isset __isset;
 
@@ -1618,6 +1628,8 @@
 
   void __set_queue(const std::string& val);
 
+  void __set_candidate(const bool val);
+
   bool operator == (const StatusQuery & rhs) const
   {
     if (!(number == rhs.number))
@@ -1626,6 +1638,8 @@
       return false;
     if (!(queue == rhs.queue))
       return false;
+    if (!(candidate == rhs.candidate))
+      return false;
     return true;
   }
   bool operator != (const StatusQuery &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -111,6 +111,8 @@
   13: list<RunningTask> running,
   14: list<EndedTask> ended,
   15: string address,
+  // Longest time until the worker's lease ends, as the agent knows it.
+  16: i64 leaseLeftMs,
 }
 
 struct Life {
@@ -183,10 +185,13 @@
   3: i64 retryAfterMs,
 }
 
+// Number 0 is sent regularly and only says that the entry lives.
 struct StatusQuery {
   1: i64 number,
   2: string job,
   3: string queue,
+  // The entry can become the coordinator.
+  4: bool candidate,
 }
 
 struct StatusReply {
