--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -18,6 +18,9 @@
 
 /// A peer whose machine does not acknowledge data for this long is taken as lost.
 constexpr int kUnansweredMs = 10'000;
+constexpr const char* kHeaderEnd = "\r\n\r\n";
+/// Room for one read of a header; most fit in it.
+constexpr std::size_t kReadBytes = 4096;
 
 std::string
 LowerCase(std::string_view aText)
@@ -93,15 +96,50 @@
     mIdle = true;
     mStream.expires_after(mBuffer.size() > 0 ? mCore->mLimits.mRequestTime
                                              : mCore->mLimits.mIdleTime);
+    readHeaderBytes();
+  }
+
+  /// Reads the whole header before it is parsed, because the parser joins folded lines, which a
+  /// balancer in front may read in another way.
+  void readHeaderBytes()
+  {
+    const std::string_view read(static_cast<const char*>(mBuffer.data().data()), mBuffer.size());
+    const std::size_t end = read.find(kHeaderEnd);
+    if (end != std::string_view::npos) {
+      takeHeaderBytes(read.substr(0, end));
+      return;
+    }
+    if (read.size() >= mCore->mLimits.mHeaderBytes) {
+      reject(431, "the header fields are too large");
+      return;
+    }
+    mStream.async_read_some(mBuffer.prepare(kReadBytes),
+                            [self = shared_from_this()](ErrorCode aError, std::size_t aSize) {
+                              if (aError) {
+                                return;
+                              }
+                              self->mIdle = false;
+                              self->mBuffer.commit(aSize);
+                              self->readHeaderBytes();
+                            });
+  }
+
+  void takeHeaderBytes(std::string_view aHeader)
+  {
+    mIdle = false;
+    if (aHeader.find("\n ") != std::string_view::npos ||
+        aHeader.find("\n\t") != std::string_view::npos) {
+      reject(400, "a header line is folded");
+      return;
+    }
     Http::async_read_header(
-      mStream, mBuffer, *mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
-        self->takeHeader(aError);
+      mStream, mBuffer, *mParser, [self = shared_from_this()](ErrorCode aParseError, std::size_t) {
+        self->takeHeader(aParseError);
       });
   }
 
   void takeHeader(ErrorCode aError)
   {
-    mIdle = false;
     if (aError == Http::error::header_limit) {
       reject(431, "the header fields are too large");
       return;
--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -186,6 +186,7 @@
   view.remainingMs = Millis(aView.mRemaining);
   view.responding = aView.mResponding;
   view.listed = aView.mListed;
+  view.listNumber = static_cast<std::int64_t>(aView.mListNumber);
   view.leaseLeftMs = Millis(aView.mLeaseLeft);
   for (const auto& row : aView.mRunning) {
     Wire::RunningTask task;
@@ -225,6 +226,7 @@
   view.mRemaining = std::chrono::milliseconds(aView.remainingMs);
   view.mResponding = aView.responding;
   view.mListed = aView.listed;
+  view.mListNumber = static_cast<std::uint64_t>(aView.listNumber);
   view.mLeaseLeft = std::chrono::milliseconds(aView.leaseLeftMs);
   for (const auto& task : aView.running) {
     view.mRunning.push_back({ FromWire(task.task),
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -476,7 +476,8 @@
 Coordinator::answerStatus(Peer& aPeer, const Wire::StatusQuery& aQuery)
 {
   if (aQuery.number == 0) {
-    aPeer.mCandidate = aQuery.candidate;
+    // This process's own entry is connected as well.
+    aPeer.mCandidate = aQuery.candidate && aQuery.instance != mContext.mSettings.mInstance.str();
   }
   if (!works() || !mElection.mayAct()) {
     return;
--- a/Source/Core/Node/CoordinatorLink.cpp
+++ b/Source/Core/Node/CoordinatorLink.cpp
@@ -160,6 +160,7 @@
   Wire::StatusQuery query;
   query.number = 0;
   query.candidate = mCandidate;
+  query.instance = mContext.mSettings.mInstance.str();
   Wire::Message message;
   message.__set_statusQuery(query);
   send(message);
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -199,6 +199,7 @@
                     (!aLook.mEnded.empty() && !mView.mEnded.empty() &&
                      aLook.mEnded.back().mNumber > mView.mEnded.back().mNumber);
   mView.mListed = true;
+  ++mView.mListNumber;
   mView.mRunning = std::move(aLook.mRunning);
   mView.mEnded = std::move(aLook.mEnded);
   if (news) {
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -164,6 +164,8 @@
   bool mResponding = true;
   /// The worker has answered with its lists in this lifetime.
   bool mListed = false;
+  /// Rises with each list that the worker gave.
+  std::uint64_t mListNumber = 0;
   /// Longest time until everything on the worker ends if its lease is not extended.
   Duration mLeaseLeft{ 0 };
   std::vector<RunningRow> mRunning;
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -457,6 +457,7 @@
   task.mSeen = false;
   task.mPercent = Percent{ 0 };
   task.mMissingSince = Timestamp{};
+  task.mMissingLists = 0;
   task.mStopAnswered = Timestamp{};
   ++aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mWaiting;
 }
@@ -482,6 +483,7 @@
   task.mPaceOrdered = Percent{ 100 };
   task.mPacedOutSince = Timestamp{};
   task.mMissingSince = Timestamp{};
+  task.mMissingLists = 0;
   task.mStopAnswered = Timestamp{};
   Worker& worker = aState.mWorkers[aWorker];
   worker.mTasks.insert(aRef);
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -243,6 +243,7 @@
   }
   task.mSeen = true;
   task.mMissingSince = Timestamp{};
+  task.mMissingLists = 0;
   task.mPercent = aRow.mPercent;
   task.mUsage = aRow.mUsage;
   if (!aRow.mCheckpoint.empty()) {
@@ -264,8 +265,11 @@
     if (listed.contains({ NameOf(ref), task.mRun })) {
       continue;
     }
-    if (task.mPhase == TaskPhase::Running && task.mMissingSince == Timestamp{}) {
-      task.mMissingSince = aNow.mTime;
+    if (task.mPhase == TaskPhase::Running) {
+      if (task.mMissingSince == Timestamp{}) {
+        task.mMissingSince = aNow.mTime;
+      }
+      ++task.mMissingLists;
     }
     if (task.mPhase == TaskPhase::Stopping && task.mStopAnswered != Timestamp{} &&
         aNow.mTime - task.mStopAnswered >= aState.mPolicy.mStopSettle) {
@@ -320,7 +324,10 @@
   for (const RunningRow& row : aView.mRunning) {
     TakeRunning(aState, number, row, aNow);
   }
-  FindUnlisted(aState, number, aView, aNow);
+  if (aView.mListNumber != aState.mWorkers[number].mListNumber) {
+    aState.mWorkers[number].mListNumber = aView.mListNumber;
+    FindUnlisted(aState, number, aView, aNow);
+  }
   aState.mWorkers[number].mNewFigures = true;
 }
 
@@ -484,7 +491,7 @@
       if (task.mPhase != TaskPhase::Running) {
         continue;
       }
-      const bool missing = task.mMissingSince != Timestamp{} &&
+      const bool missing = task.mMissingLists >= aState.mPolicy.mMissingLists &&
                            aNow.mTime - task.mMissingSince >= aState.mPolicy.mMissingAfter;
       // Tasks that pace down or fill may stand still for good reason.
       const StepSpec& step = StepOf(ref);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -47,8 +47,9 @@
   Timestamp mSince;
   /// Last time that mPercent rose.
   Timestamp mProgressed;
-  /// First list of its worker that should have named the run and did not.
+  /// First list of its worker that should have named the run and did not, and how many there were.
   Timestamp mMissingSince;
+  std::uint32_t mMissingLists = 0;
   Timestamp mStopOrdered;
   /// When the worker answered the stop of a run that it did not list.
   Timestamp mStopAnswered;
@@ -129,6 +130,7 @@
   bool mLeaving = false;
   bool mResponding = true;
   bool mListed = false;
+  std::uint64_t mListNumber = 0;
   /// The agent reports to this coordinator.
   bool mConnected = false;
   /// The record that names this lifetime is in the store, so that a later coordinator waits for it.
@@ -163,6 +165,8 @@
 
 struct Policy
 {
+  /// Lists without a run from which it counts as missing; the first may be older than its start.
+  std::uint32_t mMissingLists = 3;
   /// A worker that lists no trace of a run for this long after its start was confirmed is asked to
   /// stop it, after which the task may run elsewhere. Three report periods.
   Duration mMissingAfter{ std::chrono::milliseconds(1500) };
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -2247,6 +2247,10 @@
 void WorkerView::__set_leaseLeftMs(const int64_t val) {
   this->leaseLeftMs = val;
 }
+
+void WorkerView::__set_listNumber(const int64_t val) {
+  this->listNumber = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerView& obj)
 {
   obj.printTo(out);
@@ -2439,6 +2443,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->listNumber);
+          this->__isset.listNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2544,6 +2556,10 @@
   xfer += oprot->writeI64(this->leaseLeftMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("listNumber", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->listNumber);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2567,6 +2583,7 @@
   swap(a.ended, b.ended);
   swap(a.address, b.address);
   swap(a.leaseLeftMs, b.leaseLeftMs);
+  swap(a.listNumber, b.listNumber);
   swap(a.__isset, b.__isset);
 }
 
@@ -2587,6 +2604,7 @@
   ended = other88.ended;
   address = other88.address;
   leaseLeftMs = other88.leaseLeftMs;
+  listNumber = other88.listNumber;
   __isset = other88.__isset;
 }
 WorkerView::WorkerView(WorkerView&& other89) noexcept {
@@ -2606,6 +2624,7 @@
   ended = std::move(other89.ended);
   address = std::move(other89.address);
   leaseLeftMs = other89.leaseLeftMs;
+  listNumber = other89.listNumber;
   __isset = other89.__isset;
 }
 WorkerView& WorkerView::operator=(const WorkerView& other90) {
@@ -2625,6 +2644,7 @@
   ended = other90.ended;
   address = other90.address;
   leaseLeftMs = other90.leaseLeftMs;
+  listNumber = other90.listNumber;
   __isset = other90.__isset;
   return *this;
 }
@@ -2645,6 +2665,7 @@
   ended = std::move(other91.ended);
   address = std::move(other91.address);
   leaseLeftMs = other91.leaseLeftMs;
+  listNumber = other91.listNumber;
   __isset = other91.__isset;
   return *this;
 }
@@ -2667,6 +2688,7 @@
   out << ", " << "ended=" << to_string(ended);
   out << ", " << "address=" << to_string(address);
   out << ", " << "leaseLeftMs=" << to_string(leaseLeftMs);
+  out << ", " << "listNumber=" << to_string(listNumber);
   out << ")";
 }
 
@@ -4357,6 +4379,10 @@
 void StatusQuery::__set_candidate(const bool val) {
   this->candidate = val;
 }
+
+void StatusQuery::__set_instance(const std::string& val) {
+  this->instance = val;
+}
 std::ostream& operator<<(std::ostream& out, const StatusQuery& obj)
 {
   obj.printTo(out);
@@ -4417,6 +4443,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4450,6 +4484,10 @@
   xfer += oprot->writeBool(this->candidate);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4461,6 +4499,7 @@
   swap(a.job, b.job);
   swap(a.queue, b.queue);
   swap(a.candidate, b.candidate);
+  swap(a.instance, b.instance);
   swap(a.__isset, b.__isset);
 }
 
@@ -4469,6 +4508,7 @@
   job = other164.job;
   queue = other164.queue;
   candidate = other164.candidate;
+  instance = other164.instance;
   __isset = other164.__isset;
 }
 StatusQuery::StatusQuery(StatusQuery&& other165) noexcept {
@@ -4476,6 +4516,7 @@
   job = std::move(other165.job);
   queue = std::move(other165.queue);
   candidate = other165.candidate;
+  instance = std::move(other165.instance);
   __isset = other165.__isset;
 }
 StatusQuery& StatusQuery::operator=(const StatusQuery& other166) {
@@ -4483,6 +4524,7 @@
   job = other166.job;
   queue = other166.queue;
   candidate = other166.candidate;
+  instance = other166.instance;
   __isset = other166.__isset;
   return *this;
 }
@@ -4491,6 +4533,7 @@
   job = std::move(other167.job);
   queue = std::move(other167.queue);
   candidate = other167.candidate;
+  instance = std::move(other167.instance);
   __isset = other167.__isset;
   return *this;
 }
@@ -4501,6 +4544,7 @@
   out << ", " << "job=" << to_string(job);
   out << ", " << "queue=" << to_string(queue);
   out << ", " << "candidate=" << to_string(candidate);
+  out << ", " << "instance=" << to_string(instance);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -847,7 +847,7 @@
 std::ostream& operator<<(std::ostream& out, const EndedTask& obj);
 
 typedef struct _WorkerView__isset {
-  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false), address(false), leaseLeftMs(false) {}
+  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false), address(false), leaseLeftMs(false), listNumber(false) {}
   bool worker :1;
   bool born :1;
   bool pool :1;
@@ -864,6 +864,7 @@
   bool ended :1;
   bool address :1;
   bool leaseLeftMs :1;
+  bool listNumber :1;
 } _WorkerView__isset;
 
 class WorkerView : public virtual ::apache::thrift::TBase {
@@ -886,7 +887,8 @@
                responding(0),
                listed(0),
                address(),
-               leaseLeftMs(0) {
+               leaseLeftMs(0),
+               listNumber(0) {
   }
 
   virtual ~WorkerView() noexcept;
@@ -906,6 +908,7 @@
   std::vector<EndedTask>  ended;
   std::string address;
   int64_t leaseLeftMs;
+  int64_t listNumber;
 
   _WorkerView__isset __isset;
 
@@ -941,6 +944,8 @@
 
   void __set_leaseLeftMs(const int64_t val);
 
+  void __set_listNumber(const int64_t val);
+
   bool operator == (const WorkerView & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -975,6 +980,8 @@
       return false;
     if (!(leaseLeftMs == rhs.leaseLeftMs))
       return false;
+    if (!(listNumber == rhs.listNumber))
+      return false;
     return true;
   }
   bool operator != (const WorkerView &rhs) const {
@@ -1593,11 +1600,12 @@
 std::ostream& operator<<(std::ostream& out, const Verdict& obj);
 
 typedef struct _StatusQuery__isset {
-  _StatusQuery__isset() : number(false), job(false), queue(false), candidate(false) {}
+  _StatusQuery__isset() : number(false), job(false), queue(false), candidate(false), instance(false) {}
   bool number :1;
   bool job :1;
   bool queue :1;
   bool candidate :1;
+  bool instance :1;
 } _StatusQuery__isset;
 
 class StatusQuery : public virtual ::apache::thrift::TBase {
@@ -1611,7 +1619,8 @@
               : number(0),
                 job(),
                 queue(),
-                candidate(0) {
+                candidate(0),
+                instance() {
   }
 
   virtual ~StatusQuery() noexcept;
@@ -1619,6 +1628,7 @@
   std::string job;
   std::string queue;
   bool candidate;
+  std::string instance;
 
   _StatusQuery__isset __isset;
 
@@ -1630,6 +1640,8 @@
 
   void __set_candidate(const bool val);
 
+  void __set_instance(const std::string& val);
+
   bool operator == (const StatusQuery & rhs) const
   {
     if (!(number == rhs.number))
@@ -1640,6 +1652,8 @@
       return false;
     if (!(candidate == rhs.candidate))
       return false;
+    if (!(instance == rhs.instance))
+      return false;
     return true;
   }
   bool operator != (const StatusQuery &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -113,6 +113,8 @@
   15: string address,
   // Longest time until the worker's lease ends, as the agent knows it.
   16: i64 leaseLeftMs,
+  // Rises with each answered look, so that an old list is told from a new one.
+  17: i64 listNumber,
 }
 
 struct Life {
@@ -192,6 +194,7 @@
   3: string queue,
   // The entry can become the coordinator.
   4: bool candidate,
+  5: string instance,
 }
 
 struct StatusReply {
--- /dev/null
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -0,0 +1,240 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "Net/HttpClient.h"
+#include "Net/HttpServer.h"
+#include "Net/Link.h"
+
+using namespace Net;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server that answers "METHOD TARGET BODY", and a raw connection to it.
+class ServerFixture
+{
+public:
+  explicit ServerFixture(HttpLimits aLimits = {})
+    : mServer(mIo, aLimits, [this](HttpRequest aRequest, Responder aRespond) {
+      if (aRequest.mTarget == "/hold") {
+        mHeld = std::move(aRespond);
+        return;
+      }
+      aRespond({ 200, aRequest.mMethod + ' ' + aRequest.mTarget + ' ' + aRequest.mBody, {} });
+    })
+  {
+    REQUIRE(mServer.listen("127.0.0.1:0"));
+  }
+
+  /// Sends the bytes on a new connection and returns all that comes back until the server closes or
+  /// nothing comes for aWait.
+  std::string exchange(const std::string& aBytes, std::chrono::milliseconds aWait = 300ms)
+  {
+    Tcp::socket socket(mIo);
+    socket.connect(mServer.address());
+    boost::asio::write(socket, boost::asio::buffer(aBytes));
+    std::string received;
+    std::array<char, 4096> buffer{};
+    mClosed = false;
+    std::function<void()> read = [&] {
+      socket.async_read_some(boost::asio::buffer(buffer),
+                             [&](boost::system::error_code aError, std::size_t aSize) {
+                               received.append(buffer.data(), aSize);
+                               if (aError) {
+                                 mClosed = aError != boost::asio::error::operation_aborted;
+                                 return;
+                               }
+                               read();
+                             });
+    };
+    read();
+    mIo.restart();
+    mIo.run_for(aWait);
+    boost::system::error_code ignored;
+    socket.close(ignored);
+    mIo.run_for(10ms);
+    return received;
+  }
+
+  boost::asio::io_context mIo;
+  Responder mHeld;
+  HttpServer mServer;
+  bool mClosed = false;
+};
+
+} // namespace
+
+TEST_CASE("Requests are answered in order on one connection", "[Net]")
+{
+  ServerFixture fixture;
+  const std::string answers =
+    fixture.exchange("GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+                     "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
+  const auto first = answers.find("GET /a");
+  const auto second = answers.find("POST /b abc");
+  REQUIRE(first != std::string::npos);
+  REQUIRE(second != std::string::npos);
+  REQUIRE(first < second);
+  REQUIRE_FALSE(fixture.mClosed);
+}
+
+TEST_CASE("Requests that can be read in two ways get a 400 and a closed connection", "[Net]")
+{
+  // Behind a balancer the second reading would be taken for another caller's request.
+  ServerFixture fixture;
+  const std::string bad = GENERATE(
+    std::string("GET / HTTP/1.1\r\n\r\n"),
+    std::string("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"),
+    std::string("GET / HTTP/1.1\r\nHost : a\r\n\r\n"),
+    std::string("GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n"),
+    std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n"),
+    std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\n"),
+    std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+    std::string(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na"),
+    std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: zip\r\n\r\n"),
+    std::string("NO WAY\r\n\r\n"));
+  CAPTURE(bad);
+  const std::string answer = fixture.exchange(bad);
+  REQUIRE(answer.substr(0, 12) == "HTTP/1.1 400");
+  REQUIRE(fixture.mClosed);
+}
+
+TEST_CASE("Limits of the server hold", "[Net]")
+{
+  SECTION("a body that is too large gets a 413")
+  {
+    ServerFixture fixture({ .mBodyBytes = 10 });
+    const std::string answer =
+      fixture.exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n12345678901");
+    REQUIRE(answer.substr(0, 12) == "HTTP/1.1 413");
+  }
+  SECTION("header fields that are too large get a 431")
+  {
+    ServerFixture fixture({ .mHeaderBytes = 100 });
+    const std::string answer =
+      fixture.exchange("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+    REQUIRE(answer.substr(0, 12) == "HTTP/1.1 431");
+  }
+  SECTION("a body that comes too slowly ends the connection")
+  {
+    ServerFixture fixture({ .mRequestTime = 100ms });
+    fixture.exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n123", 400ms);
+    REQUIRE(fixture.mClosed);
+  }
+  SECTION("an idle connection ends")
+  {
+    ServerFixture fixture({ .mIdleTime = 100ms });
+    fixture.exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 400ms);
+    REQUIRE(fixture.mClosed);
+  }
+}
+
+TEST_CASE("A stopping server lets requests end", "[Net]")
+{
+  ServerFixture fixture;
+  fixture.mServer.announceClose();
+
+  SECTION("answers say that the connection closes")
+  {
+    const std::string answer = fixture.exchange("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(answer.find("Connection: close") != std::string::npos);
+    REQUIRE(fixture.mClosed);
+  }
+
+  SECTION("closing idle connections spares one that waits for its answer")
+  {
+    Tcp::socket socket(fixture.mIo);
+    socket.connect(fixture.mServer.address());
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n")));
+    fixture.mIo.run_for(50ms);
+    REQUIRE(fixture.mServer.pending() == 1);
+    fixture.mServer.closeIdle();
+    REQUIRE(fixture.mServer.connections() == 1);
+    fixture.mHeld({ 200, "late", {} });
+    fixture.mIo.restart();
+    fixture.mIo.run_for(50ms);
+    std::array<char, 512> buffer{};
+    const auto size = socket.read_some(boost::asio::buffer(buffer));
+    REQUIRE(std::string(buffer.data(), size).find("late") != std::string::npos);
+  }
+}
+
+TEST_CASE("The client tells what may have happened", "[Net]")
+{
+  boost::asio::io_context io;
+  std::optional<CallResult> result;
+  const auto call = [&](HttpClient& aClient) {
+    aClient.call(
+      { "GET", "/x", "", {} }, 200ms, [&](CallResult aResult) { result = std::move(aResult); });
+    io.restart();
+    io.run_for(500ms);
+    REQUIRE(result);
+  };
+
+  SECTION("refused connections")
+  {
+    Tcp::acceptor unused(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    const std::string address = AddressText(unused.local_endpoint());
+    unused.close();
+    HttpClient client(io, address);
+    call(client);
+    REQUIRE(result->error() == CallError::Refused);
+  }
+
+  SECTION("a server that takes the request and says nothing")
+  {
+    Tcp::acceptor silent(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    HttpClient client(io, AddressText(silent.local_endpoint()));
+    call(client);
+    REQUIRE(result->error() == CallError::NoAnswer);
+  }
+
+  SECTION("an answer, over one kept connection")
+  {
+    HttpServer server(io, {}, [](const HttpRequest&, const Responder& aRespond) {
+      aRespond({ 200, "yes", {} });
+    });
+    REQUIRE(server.listen("127.0.0.1:0"));
+    HttpClient client(io, AddressText(server.address()));
+    call(client);
+    REQUIRE((*result)->mBody == "yes");
+    call(client);
+    REQUIRE(server.connections() == 1);
+  }
+}
+
+TEST_CASE("Links carry whole messages and notice silence", "[Net]")
+{
+  boost::asio::io_context io;
+  std::shared_ptr<Link> accepted;
+  std::vector<std::string> received;
+  bool closed = false;
+  LinkServer server(io, 200ms, [&](std::shared_ptr<Link> aLink) {
+    accepted = std::move(aLink);
+    accepted->start({ [&](std::string aMessage) { received.push_back(std::move(aMessage)); },
+                      [&] { closed = true; } });
+  });
+  REQUIRE(server.listen("127.0.0.1:0"));
+  std::shared_ptr<Link> link;
+  Link::connect(io, AddressText(server.address()), 200ms, 10s, [&](std::shared_ptr<Link> aLink) {
+    link = std::move(aLink);
+    link->start({ [](const std::string&) {}, [] {} });
+    link->send("one");
+    link->send(std::string(100'000, 'x'));
+    link->send("");
+  });
+  io.run_for(100ms);
+  REQUIRE(received.size() == 3);
+  REQUIRE(received[0] == "one");
+  REQUIRE(received[1].size() == 100'000);
+  REQUIRE_FALSE(closed);
+  io.run_for(300ms);
+  REQUIRE(closed);
+  link->close();
+}
--- /dev/null
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -0,0 +1,310 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Store/AsyncStore.h"
+
+namespace NodeTests {
+
+using Common::Duration;
+
+/// A store in memory that misbehaves as told. Answers come on the event loop.
+class FakeStore final : public Store::AsyncStore
+{
+public:
+  enum class Mode
+  {
+    Normal,
+    /// Turns every call away; nothing is done.
+    Refusing,
+    /// Takes calls and does nothing.
+    Silent,
+    /// Carries writes out and loses the answers.
+    LosingAnswers,
+    /// Carries writes out when applyLate() is called and never answers.
+    Late,
+  };
+
+  explicit FakeStore(boost::asio::io_context& aIo)
+    : mIo(aIo)
+  {
+  }
+
+  Mode mMode = Mode::Normal;
+  std::size_t mCalls = 0;
+
+  void applyLate()
+  {
+    const auto late = std::move(mLate);
+    mLate.clear();
+    for (const Store::Transaction& transaction : late) {
+      (void)apply(transaction);
+    }
+  }
+
+  bool contains(const std::string& aKey) const { return mEntries.contains(aKey); }
+  void put(const std::string& aKey, const std::string& aValue)
+  {
+    (void)apply({ {}, { { aKey, aValue, std::nullopt } }, {} });
+  }
+  void erase(const std::string& aKey) { (void)apply({ {}, {}, { aKey } }); }
+  void dropHistory() { mHistoryFrom = mVersion; }
+
+  void read(const std::string& aKey,
+            Duration aTimeout,
+            std::function<void(Store::Result<std::optional<Store::Entry>>)> aDone) override
+  {
+    if (fails<Store::Result<std::optional<Store::Entry>>>(aTimeout, aDone)) {
+      return;
+    }
+    std::optional<Store::Entry> entry;
+    if (const auto found = mEntries.find(aKey); found != mEntries.end()) {
+      entry = found->second;
+    }
+    boost::asio::post(mIo, [aDone, entry] { aDone(entry); });
+  }
+
+  void readPage(const std::string& aPrefix,
+                const std::string& aAfter,
+                Duration aTimeout,
+                Store::Done<Store::Page> aDone) override
+  {
+    if (fails<Store::Result<Store::Page>>(aTimeout, aDone)) {
+      return;
+    }
+    Store::Page page;
+    page.mAt = mVersion;
+    for (const auto& [key, entry] : mEntries) {
+      if (!key.starts_with(aPrefix) || key <= aAfter) {
+        continue;
+      }
+      if (page.mEntries.size() == kPageSize) {
+        page.mMore = true;
+        break;
+      }
+      page.mEntries.push_back(entry);
+    }
+    boost::asio::post(mIo, [aDone, page] { aDone(page); });
+  }
+
+  void watch(
+    const std::string& aPrefix,
+    Store::Version aAfter,
+    Duration aWait,
+    std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)> aDone) override
+  {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(mIo);
+    poll(timer, aPrefix, aAfter, std::chrono::steady_clock::now() + aWait, std::move(aDone));
+  }
+
+  void write(const Store::Transaction& aTransaction,
+             Duration aTimeout,
+             std::function<void(tl::expected<Store::Version, Store::WriteFailure>)> aDone) override
+  {
+    using Answer = tl::expected<Store::Version, Store::WriteFailure>;
+    ++mCalls;
+    if (mMode == Mode::Refusing) {
+      boost::asio::post(mIo, [aDone] {
+        aDone(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unavailable, {} }));
+      });
+      return;
+    }
+    if (mMode == Mode::Late) {
+      mLate.push_back(aTransaction);
+    }
+    if (mMode == Mode::Silent || mMode == Mode::Late) {
+      after(aTimeout, [aDone] {
+        aDone(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unknown, {} }));
+      });
+      return;
+    }
+    const Answer answer = apply(aTransaction);
+    if (mMode == Mode::LosingAnswers) {
+      after(aTimeout, [aDone] {
+        aDone(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unknown, {} }));
+      });
+      return;
+    }
+    boost::asio::post(mIo, [aDone, answer] { aDone(answer); });
+  }
+
+  void grantLease(Duration aTimeToLive,
+                  Duration aTimeout,
+                  Store::Done<Store::GrantedLease> aDone) override
+  {
+    if (fails<Store::Result<Store::GrantedLease>>(aTimeout, aDone)) {
+      return;
+    }
+    const Store::LeaseId lease{ ++mLastLease };
+    mLeases[lease] = std::chrono::steady_clock::now() + aTimeToLive;
+    mLeaseTimes[lease] = aTimeToLive;
+    boost::asio::post(mIo, [aDone, lease, aTimeToLive] {
+      aDone(Store::GrantedLease{ lease, aTimeToLive });
+    });
+  }
+
+  void renewLease(Store::LeaseId aLease, Duration aTimeout, Store::Done<void> aDone) override
+  {
+    if (fails<Store::Result<void>>(aTimeout, aDone)) {
+      return;
+    }
+    expire();
+    if (!mLeases.contains(aLease)) {
+      boost::asio::post(mIo, [aDone] { aDone(tl::unexpected(Store::StoreError::LeaseLapsed)); });
+      return;
+    }
+    mLeases[aLease] = std::chrono::steady_clock::now() + mLeaseTimes[aLease];
+    boost::asio::post(mIo, [aDone] { aDone({}); });
+  }
+
+  void endLease(Store::LeaseId aLease, Duration aTimeout, Store::Done<void> aDone) override
+  {
+    if (fails<Store::Result<void>>(aTimeout, aDone)) {
+      return;
+    }
+    mLeases[aLease] = {};
+    expire();
+    boost::asio::post(mIo, [aDone] { aDone({}); });
+  }
+
+private:
+  static constexpr std::size_t kPageSize = 5;
+
+  struct Change
+  {
+    Store::Version mVersion;
+    std::string mKey;
+    std::optional<Store::Entry> mEntry;
+  };
+
+  template<typename Function>
+  void after(Duration aDelay, Function aFunction)
+  {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(mIo);
+    timer->expires_after(aDelay);
+    timer->async_wait([timer, aFunction](boost::system::error_code) { aFunction(); });
+  }
+
+  template<typename Answer, typename Callback>
+  bool fails(Duration aTimeout, const Callback& aDone)
+  {
+    ++mCalls;
+    if (mMode == Mode::Refusing) {
+      boost::asio::post(mIo,
+                        [aDone] { aDone(Answer(tl::unexpected(Store::StoreError::Unavailable))); });
+      return true;
+    }
+    if (mMode == Mode::Silent) {
+      after(aTimeout, [aDone] { aDone(Answer(tl::unexpected(Store::StoreError::Unknown))); });
+      return true;
+    }
+    return false;
+  }
+
+  tl::expected<Store::Version, Store::WriteFailure> apply(const Store::Transaction& aTransaction)
+  {
+    expire();
+    std::vector<Store::Entry> actual;
+    bool conflict = false;
+    for (const auto& expected : aTransaction.mExpected) {
+      const auto found = mEntries.find(expected.mKey);
+      const Store::Version version =
+        found == mEntries.end() ? Store::Version{ 0 } : found->second.mVersion;
+      conflict = conflict || version != expected.mVersion;
+      if (found != mEntries.end()) {
+        actual.push_back(found->second);
+      }
+    }
+    if (conflict) {
+      return tl::unexpected(Store::WriteFailure{ Store::StoreError::Conflict, actual });
+    }
+    mVersion += Store::Version{ 1 };
+    for (const auto& put : aTransaction.mPuts) {
+      mEntries[put.mKey] = { put.mKey, put.mValue, mVersion };
+      if (put.mLease) {
+        mLeased[put.mKey] = *put.mLease;
+      }
+      mChanges.push_back({ mVersion, put.mKey, mEntries[put.mKey] });
+    }
+    for (const std::string& key : aTransaction.mErased) {
+      mEntries.erase(key);
+      mLeased.erase(key);
+      mChanges.push_back({ mVersion, key, std::nullopt });
+    }
+    return mVersion;
+  }
+
+  void expire()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::string> gone;
+    for (const auto& [key, lease] : mLeased) {
+      if (mLeases[lease] <= now) {
+        gone.push_back(key);
+      }
+    }
+    std::erase_if(mLeases, [now](const auto& aEntry) { return aEntry.second <= now; });
+    for (const std::string& key : gone) {
+      mVersion += Store::Version{ 1 };
+      mEntries.erase(key);
+      mLeased.erase(key);
+      mChanges.push_back({ mVersion, key, std::nullopt });
+    }
+  }
+
+  void poll(const std::shared_ptr<boost::asio::steady_timer>& aTimer,
+            const std::string& aPrefix,
+            Store::Version aAfter,
+            std::chrono::steady_clock::time_point aUntil,
+            std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)> aDone)
+  {
+    expire();
+    if (mMode == Mode::Normal && aAfter < mHistoryFrom) {
+      boost::asio::post(mIo, [aDone] { aDone(tl::unexpected(Store::WatchError::HistoryGone)); });
+      return;
+    }
+    Store::WatchResult result;
+    result.mUpTo = mVersion;
+    for (const Change& change : mChanges) {
+      if (change.mVersion > aAfter && change.mKey.starts_with(aPrefix)) {
+        if (change.mEntry) {
+          result.mChanged.push_back(*change.mEntry);
+        } else {
+          result.mErased.push_back(change.mKey);
+        }
+      }
+    }
+    const bool news = !result.mChanged.empty() || !result.mErased.empty();
+    const bool late = std::chrono::steady_clock::now() >= aUntil;
+    if (mMode == Mode::Normal && (news || late)) {
+      boost::asio::post(mIo, [aDone, result] { aDone(result); });
+      return;
+    }
+    if (mMode != Mode::Normal && late) {
+      boost::asio::post(mIo, [aDone] { aDone(tl::unexpected(Store::WatchError::NoAnswer)); });
+      return;
+    }
+    aTimer->expires_after(std::chrono::milliseconds(5));
+    aTimer->async_wait([this, aTimer, aPrefix, aAfter, aUntil, aDone](boost::system::error_code) {
+      poll(aTimer, aPrefix, aAfter, aUntil, aDone);
+    });
+  }
+
+  boost::asio::io_context& mIo;
+  Store::Version mVersion{ 1 };
+  Store::Version mHistoryFrom;
+  std::map<std::string, Store::Entry> mEntries;
+  std::map<std::string, Store::LeaseId> mLeased;
+  std::map<Store::LeaseId, std::chrono::steady_clock::time_point> mLeases;
+  std::map<Store::LeaseId, Duration> mLeaseTimes;
+  std::vector<Change> mChanges;
+  std::vector<Store::Transaction> mLate;
+  std::int64_t mLastLease = 0;
+};
+
+} // namespace NodeTests
--- /dev/null
+++ b/Source/UnitTests/Node/FleetTests.cpp
@@ -0,0 +1,178 @@
+#include <catch2/catch.hpp>
+
+#include "Node/Keys.h"
+#include "World.h"
+
+using namespace NodeTests;
+
+namespace {
+
+/// Stores a submission as an entry does.
+void
+Submit(World& aWorld, const std::string& aId)
+{
+  Scheduling::JobSpec job = *aWorld.mFormats.mReadJob("");
+  job.mJob = Common::JobId(aId);
+  job.mQueue = Common::RouteId("quote");
+  job.mAccepted = aWorld.mClock.unixNow();
+  Wire::JobRecord record;
+  record.job = aId;
+  record.queue = "quote";
+  record.acceptedUnixMs = job.mAccepted.count();
+  Wire::StepSpec step;
+  step.tasks = 2;
+  step.milliCores = 1000;
+  step.estimateMs = 100;
+  record.steps = { step };
+  aWorld.mStore.put(SubmissionKey(job.mJob), Wire::Encode(record));
+}
+
+bool
+HasCompleted(World& aWorld, const std::string& aId)
+{
+  bool completed = false;
+  aWorld.mStore.read(ProgressKey(Common::JobId(aId)),
+                     1s,
+                     [&](const Store::Result<std::optional<Store::Entry>>& aEntry) {
+                       if (aEntry && *aEntry) {
+                         const auto record = Wire::Decode<Wire::ProgressRecord>((*aEntry)->mValue);
+                         completed =
+                           record->state == static_cast<int>(Scheduling::JobState::Completed);
+                       }
+                     });
+  aWorld.run(5ms);
+  return completed;
+}
+
+} // namespace
+
+TEST_CASE("A job runs on the fleet and its end is stored", "[Node]")
+{
+  World world;
+  world.addEntry("e1");
+  FakeWorker& worker = world.addWorker("w1");
+  Submit(world, "a");
+  REQUIRE(world.runUntil([&] { return HasCompleted(world, "a"); }, 4s));
+  REQUIRE(worker.mDone == 2);
+  REQUIRE(worker.mStarts == 2);
+
+  SECTION("and the worker may forget the ends")
+  {
+    REQUIRE(world.runUntil([&] { return worker.mEnded.empty(); }, 2s));
+  }
+}
+
+TEST_CASE("Another entry takes over from a coordinator that is lost", "[Node]")
+{
+  World world;
+  world.addEntry("e1");
+  REQUIRE(world.runUntil([&] { return world.coordinator() == "e1"; }, 2s));
+  world.addEntry("e2");
+  FakeWorker& worker = world.addWorker("w1");
+  worker.mTaskTime = 3500ms;
+  Submit(world, "a");
+  REQUIRE(world.runUntil([&] { return worker.mStarts == 2; }, 3s));
+  world.kill("e1");
+  REQUIRE(world.runUntil([&] { return world.coordinator() == "e2"; }, 4s));
+  REQUIRE(world.runUntil([&] { return HasCompleted(world, "a"); }, 5s));
+
+  // What ran went on, and nothing ran twice.
+  REQUIRE(worker.mStarts == 2);
+  REQUIRE(worker.mLapsed == 0);
+  REQUIRE(worker.mDoubled == 0);
+}
+
+TEST_CASE("A coordinator that stops hands over to one that is there", "[Node]")
+{
+  World world;
+  auto& first = world.addEntry("e1");
+  REQUIRE(world.runUntil([&] { return world.coordinator() == "e1"; }, 2s));
+
+  SECTION("at once if another entry is there")
+  {
+    world.addEntry("e2");
+    world.run(1000ms);
+    first.mEntry->stop([] {});
+    REQUIRE(world.runUntil([&] { return world.coordinator() == "e2"; }, 1500ms));
+  }
+
+  SECTION("and keeps the duty while there is none")
+  {
+    // Found by korouhev trouble-2: both others were stopping, and nobody was coordinator for 3 s.
+    first.mEntry->stop([] {});
+    world.run(1000ms);
+    REQUIRE(world.coordinator() == "e1");
+  }
+}
+
+TEST_CASE("A process erases the coordinator's key of its earlier life", "[Node]")
+{
+  // After a loss of all power nobody acts until the key lapses, unless its owner erases it.
+  World world;
+  Wire::CoordinatorRecord record;
+  record.term = 3;
+  record.instance = "e1";
+  record.address = "127.0.0.1:1";
+  record.nonce = 1;
+  world.mStore.put(kCoordinatorKey, Wire::Encode(record));
+  world.mStore.put(kTermKey, Wire::Encode(record));
+  world.addEntry("e1");
+  REQUIRE(world.runUntil(
+    [&] {
+      bool led = false;
+      world.mStore.read(
+        kTermKey, 1s, [&](const Store::Result<std::optional<Store::Entry>>& aEntry) {
+          led = Wire::Decode<Wire::CoordinatorRecord>((*aEntry)->mValue)->term == 4;
+        });
+      world.run(5ms);
+      return led;
+    },
+    1500ms));
+}
+
+TEST_CASE("Work goes on while the store is away", "[Node]")
+{
+  World world;
+  world.addEntry("e1");
+  FakeWorker& worker = world.addWorker("w1");
+  worker.mTaskTime = 3000ms;
+  Submit(world, "a");
+  REQUIRE(world.runUntil([&] { return worker.mStarts == 2; }, 3s));
+  world.mStore.mMode = GENERATE(FakeStore::Mode::Refusing, FakeStore::Mode::Silent);
+  world.run(4000ms);
+  world.mStore.mMode = FakeStore::Mode::Normal;
+  REQUIRE(world.runUntil([&] { return HasCompleted(world, "a"); }, 4s));
+  REQUIRE(worker.mStarts == 2);
+  REQUIRE(worker.mLapsed == 0);
+}
+
+TEST_CASE("Dropped history and foreign entries do not stop the coordinator", "[Node]")
+{
+  World world;
+  world.mStore.put("ibis/job/strange", "bytes");
+  world.mStore.put(SubmissionKey(Common::JobId("b")), "no record");
+  world.addEntry("e1");
+  FakeWorker& worker = world.addWorker("w1");
+  REQUIRE(world.runUntil([&] { return world.coordinator() == "e1"; }, 2s));
+  world.mStore.dropHistory();
+  Submit(world, "a");
+  REQUIRE(world.runUntil([&] { return HasCompleted(world, "a"); }, 4s));
+  REQUIRE(worker.mStarts == 2);
+}
+
+TEST_CASE("A worker that turns silent keeps its tasks until their leases end", "[Node]")
+{
+  World world;
+  world.addEntry("e1");
+  FakeWorker& first = world.addWorker("w1");
+  first.mTaskTime = 60s;
+  Submit(world, "a");
+  REQUIRE(world.runUntil([&] { return first.mStarts == 2; }, 3s));
+  FakeWorker& second = world.addWorker("w2");
+  first.mSilent = true;
+  world.run(3500ms);
+  REQUIRE(second.mStarts == 0);
+  REQUIRE(world.runUntil([&] { return second.mStarts == 2; }, 6s));
+  first.settle();
+  REQUIRE(first.mRunning.empty());
+}
--- /dev/null
+++ b/Source/UnitTests/Platform/FormatTests.cpp
@@ -0,0 +1,273 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include "Scheduling/Schedule.h"
+#include "platform/Callers.h"
+#include "platform/Formats.h"
+#include "platform/Json.h"
+#include "platform/Names.h"
+#include "platform/Settings.h"
+
+using namespace Platform;
+
+namespace {
+
+const std::string kSettings = R"({
+  "node_name": "edge-1", "role": "entry", "machine_class": "edge", "serves": ["edge"],
+  "ip": "10.1.0.13", "zone": "north", "region": "land",
+  "listen": {"frontend": "10.1.0.13:8161", "readiness": "10.1.0.13:8167"},
+  "internal_ports": [7720, 7735], "unknown": {"a": 1},
+  "bounds": {"hold_max_ms": 6000, "grace_s": 6.5, "status_s": 120, "stop_ms": 400},
+  "platform": {"address": "10.200.1.7:8169", "ttl_min_ms": 1500}
+})";
+
+const std::string kJob =
+  R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1"},)"
+  R"({"count":2,"cpu":2000,"mem_mb":1024,"after":[0],"checkpointing":true,"fills":true,"image":"x"}]})";
+
+const std::string kTables =
+  R"({"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/q/","service":"s1","max_attempts":2,)"
+  R"("priority":2,"stretch_factor":1.5,"target_duration_ms":600,"timeout_ms":3000}],)"
+  R"("services":[{"name":"s1","enforces_capacity":true}],"limits":{"max_body_bytes":1000}})";
+
+const std::string kHeartbeat =
+  R"({"service":"s1","address":"10.1.0.9:80","zone":"north","state":"ready","capacity":{"cpu":16000,"mem_mb":64},)"
+  R"("labels":["a","r1-3"],"clock_ms":5,"seq":4,"born":17})";
+
+Net::HttpRequest
+HeartbeatRequest(const std::string& aBody)
+{
+  Net::HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/-/Instances.Heartbeat/i-1";
+  request.mBody = aBody;
+  return request;
+}
+
+/// The text with one byte replaced, one part cut out or cut off.
+rc::Gen<std::string>
+Damaged(const std::string& aText)
+{
+  return rc::gen::map(rc::gen::tuple(rc::gen::inRange<std::size_t>(0, aText.size()),
+                                     rc::gen::inRange<std::size_t>(0, 20),
+                                     rc::gen::arbitrary<char>(),
+                                     rc::gen::inRange(0, 3)),
+                      [aText](const std::tuple<std::size_t, std::size_t, char, int>& aHow) {
+                        std::string text = aText;
+                        const auto& [at, length, byte, kind] = aHow;
+                        if (kind == 0) {
+                          text[at] = byte;
+                        } else if (kind == 1) {
+                          text.erase(at, length);
+                        } else {
+                          text.resize(at);
+                        }
+                        return text;
+                      });
+}
+
+} // namespace
+
+TEST_CASE("Settings of the platform are read", "[Platform]")
+{
+  SECTION("as the platform writes them, with fields that are not known")
+  {
+    const auto settings = ReadSettings(kSettings, "file");
+    REQUIRE(settings);
+    REQUIRE(settings->mEntry);
+    REQUIRE_FALSE(settings->mAgent);
+    REQUIRE(settings->mPeers == "10.1.0.13:7720");
+    REQUIRE(settings->mMetrics == "10.1.0.13:7721");
+    REQUIRE(settings->mMaxHold == std::chrono::seconds(6));
+    REQUIRE(settings->mGrace == std::chrono::milliseconds(6500));
+    REQUIRE(settings->mMinLease == std::chrono::milliseconds(1500));
+  }
+
+  SECTION("all that is wrong is reported together")
+  {
+    const auto settings =
+      ReadSettings(R"({"serves":["edge"],"listen":{"frontend":"nowhere"}})", "file");
+    REQUIRE_FALSE(settings);
+    const std::string text = settings.error().text();
+    for (const char* field :
+         { "node_name", "zone", "frontend", "readiness", "internal_ports", "address" }) {
+      REQUIRE(text.find(field) != std::string::npos);
+    }
+  }
+
+  SECTION("bytes that are no JSON are an error")
+  {
+    REQUIRE_FALSE(ReadSettings("", "file"));
+    REQUIRE_FALSE(ReadSettings("[1]", "file"));
+  }
+}
+
+TEST_CASE("Submissions are read", "[Platform]")
+{
+  SECTION("with their steps")
+  {
+    const auto job = ReadJob(kJob);
+    REQUIRE(job);
+    REQUIRE(job->mSteps.size() == 2);
+    REQUIRE(job->mSteps[0].mTasks == 4);
+    REQUIRE(job->mSteps[0].mNeed.mCores == Common::MilliCores{ 500 });
+    REQUIRE(job->mSteps[0].mDataRack == "r1");
+    REQUIRE(job->mSteps[1].mAfter == std::vector<std::uint32_t>{ 0 });
+    REQUIRE(job->mSteps[1].mFills);
+    REQUIRE_FALSE(Scheduling::ProblemOf(*job));
+  }
+
+  SECTION("a field of another type names itself and its step")
+  {
+    const auto job = ReadJob(R"({"spec":"","steps":[{"count":1},{"count":"many"}]})");
+    REQUIRE_FALSE(job);
+    REQUIRE(job.error().find("step 1") != std::string::npos);
+    REQUIRE(job.error().find("count") != std::string::npos);
+  }
+
+  SECTION("sizes that are negative, huge or no numbers are refused")
+  {
+    for (const char* step : { R"({"count":-1})",
+                              R"({"count":1,"cpu":-5})",
+                              R"({"count":1,"mem_mb":99999999999999999999})",
+                              R"({"count":1e30})",
+                              R"({"count":1,"after":["0"]})",
+                              R"({"count":1,"after":[-1]})",
+                              R"({"count":1,"gang":1})",
+                              R"(5)" }) {
+      REQUIRE_FALSE(ReadJob(std::string(R"({"spec":"","steps":[)") + step + "]}"));
+    }
+  }
+
+  SECTION("damaged bytes are read or refused, and never end the process")
+  {
+    rc::prop("jobs", [] {
+      const auto job = ReadJob(*Damaged(kJob));
+      if (job) {
+        (void)Scheduling::ProblemOf(*job);
+      }
+    });
+    REQUIRE_FALSE(ReadJob(std::string(100'000, '[')));
+    REQUIRE_FALSE(ReadJob(R"({"steps":)" + std::string(100'000, '[')));
+  }
+}
+
+TEST_CASE("Calls of callers are told apart", "[Platform]")
+{
+  Net::HttpRequest request;
+  request.mMethod = "GET";
+  request.mHost = "a.example";
+  request.mTarget = "/q/?x=1";
+  request.mHeaders = { { "ibisshed-deadline-ms", "1500" } };
+  const auto call = ReadCall(request);
+  REQUIRE(call.mKind == Node::CallerCall::Kind::Show);
+  REQUIRE(call.mPath == "/q/");
+  REQUIRE(call.mPatience == std::chrono::milliseconds(1500));
+
+  SECTION("a patience that is no number is the usual one")
+  {
+    request.mHeaders = { { "ibisshed-deadline-ms", "soon" } };
+    REQUIRE(ReadCall(request).mPatience == std::chrono::seconds(3));
+  }
+}
+
+TEST_CASE("Answers say what they mean", "[Platform]")
+{
+  Node::CallerAnswer answer;
+  answer.mKind = Node::CallerAnswer::Kind::State;
+  answer.mState = Scheduling::JobState::Completed;
+  REQUIRE(WriteAnswer(answer).mBody == R"({"state":"completed"})");
+  answer.mKind = Node::CallerAnswer::Kind::Overloaded;
+  answer.mRetryAfter = std::chrono::milliseconds(1200);
+  const auto refusal = WriteAnswer(answer);
+  REQUIRE(refusal.mStatus == 429);
+  REQUIRE(refusal.mHeaders.at(0) == std::pair<std::string, std::string>{ "Retry-After", "2" });
+  answer.mKind = Node::CallerAnswer::Kind::Undecided;
+  REQUIRE(WriteAnswer(answer).mStatus == 504);
+  answer.mKind = Node::CallerAnswer::Kind::Unknown;
+  REQUIRE(WriteAnswer(answer).mStatus == 410);
+}
+
+TEST_CASE("Names of tasks are written and read", "[Platform]")
+{
+  rc::prop("round trip", [](std::uint32_t aOccurrence, std::uint32_t aStep, std::uint32_t aIndex) {
+    const Scheduling::TaskName task{
+      Common::JobId("5c0e7a21d94b36f8"), aOccurrence, aStep, aIndex
+    };
+    RC_ASSERT(ParseTask(TaskText(task)) == task);
+  });
+  for (const char* text : { "",
+                            ".",
+                            "5c0e7a21d94b36f8",
+                            "5c0e7a21d94b36f8.0.1",
+                            "5c0e7a21d94b36f8.0.1.2.3",
+                            "x.0.1.2",
+                            "5c0e7a21d94b36f8.0.1.-2" }) {
+    REQUIRE_FALSE(ParseTask(text));
+  }
+}
+
+TEST_CASE("The operators' tables are read", "[Platform]")
+{
+  const Node::Formats formats = MakeFormats();
+  const auto tables = formats.mReadTables(kTables);
+  REQUIRE(tables);
+  REQUIRE(tables->mRevision == Common::Revision{ 7 });
+  REQUIRE(tables->mRoutes.at(0).mQueue.mPriority == 2);
+  REQUIRE(tables->mRoutes.at(0).mQueue.mSlack == std::chrono::milliseconds(600));
+  REQUIRE(tables->mLimits.mBodyBytes == 1000);
+
+  SECTION("the longest prefix of the host decides")
+  {
+    Node::QueueTables two = *tables;
+    two.mRoutes.push_back(two.mRoutes[0]);
+    two.mRoutes[1].mPrefix = "/q/deep/";
+    two.mRoutes[1].mQueue.mName = Common::RouteId("r2");
+    REQUIRE(Node::MatchRoute(two, "a.example", "/q/deep/x")->mQueue.mName.str() == "r2");
+    REQUIRE(Node::MatchRoute(two, "A.Example:80", "/q/x")->mQueue.mName.str() == "r1");
+    REQUIRE(Node::MatchRoute(two, "b.example", "/q/x") == nullptr);
+    REQUIRE(Node::MatchRoute(two, "a.example", "/other") == nullptr);
+  }
+
+  SECTION("tables of another writer are refused whole")
+  {
+    REQUIRE_FALSE(formats.mReadTables("{}"));
+    REQUIRE_FALSE(formats.mReadTables(R"({"version":"7","routes":[]})"));
+    REQUIRE_FALSE(formats.mReadTables(R"({"version":7,"routes":[5]})"));
+    rc::prop("damaged", [&formats] { (void)formats.mReadTables(*Damaged(kTables)); });
+  }
+}
+
+TEST_CASE("A worker's announcements are read", "[Platform]")
+{
+  const Node::Formats formats = MakeFormats();
+  const auto call = formats.mReadWorkerCall(HeartbeatRequest(kHeartbeat));
+  REQUIRE(call);
+  REQUIRE(call->mKind == Node::AnnouncementKind::Heartbeat);
+  REQUIRE(call->mAnnouncement.mView.mLife ==
+          Scheduling::Life{ Common::WorkerId("i-1"), Scheduling::Born{ 17 } });
+  REQUIRE(call->mAnnouncement.mView.mRack.str() == "r1-3");
+
+  SECTION("a state that is not known, or a missing field, names no worker")
+  {
+    REQUIRE_FALSE(formats.mReadWorkerCall(
+      HeartbeatRequest(R"({"service":"s","address":"a","state":"odd","seq":1,"capacity":{}})")));
+    REQUIRE_FALSE(formats.mReadWorkerCall(HeartbeatRequest("{}")));
+    REQUIRE_FALSE(formats.mReadWorkerCall(HeartbeatRequest("\xff\xfe")));
+    rc::prop("damaged",
+             [&formats] { (void)formats.mReadWorkerCall(HeartbeatRequest(*Damaged(kHeartbeat))); });
+  }
+
+  SECTION("a farewell names its lifetime")
+  {
+    Net::HttpRequest request;
+    request.mMethod = "POST";
+    request.mTarget = "/-/Instances.Deregister/i-1";
+    request.mBody = R"({"born":17})";
+    const auto farewell = formats.mReadWorkerCall(request);
+    REQUIRE(farewell);
+    REQUIRE(farewell->mKind == Node::AnnouncementKind::Farewell);
+    REQUIRE(farewell->mAnnouncement.mView.mLife.mBorn == Scheduling::Born{ 17 });
+  }
+}
--- a/Source/UnitTests/Scheduling/Fixture.h
+++ b/Source/UnitTests/Scheduling/Fixture.h
@@ -142,7 +142,8 @@
   /// The agent "agent-NAME" reports the worker; leases hold for five seconds.
   void report(const WorkerView& aView, std::vector<Life> aEnded = {})
   {
-    const std::vector<WorkerView> views{ aView };
+    std::vector<WorkerView> views{ aView };
+    views[0].mListNumber = ++mLists;
     TakeReport(mState,
                Common::InstanceId("agent-" + aView.mLife.mWorker.str()),
                views,
@@ -214,6 +215,7 @@
   State mState;
 
 private:
+  std::uint64_t mLists = 0;
   Timestamp mTime{ std::chrono::hours(1) };
   Common::UnixMillis mUnix{ 1'800'000'000'000 };
 };
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -227,6 +227,29 @@
   fixture.addWorker("w1");
   fixture.addJob("a", { AStep().build() });
   fixture.confirm(fixture.place());
+
+  SECTION("but not if the same old list is reported again and again")
+  {
+    // Found by the fleet tests: a worker that turned silent was reported with its last list, and
+    // its runs were taken as missing.
+    auto view = fixture.view("w1");
+    view.mListNumber = 77;
+    for (int i = 0; i < 10; ++i) {
+      const std::vector<WorkerView> views{ view };
+      TakeReport(fixture.mState,
+                 Common::InstanceId("agent-w1"),
+                 views,
+                 {},
+                 fixture.now().mTime + std::chrono::seconds(5),
+                 fixture.now());
+      fixture.advance(milliseconds(400));
+    }
+    CheckTimes(fixture.mState, fixture.now());
+    REQUIRE(fixture.takeOrders().empty());
+    return;
+  }
+
+  fixture.report(fixture.view("w1"));
   fixture.report(fixture.view("w1"));
   fixture.advance(milliseconds(1600));
   fixture.report(fixture.view("w1"));
