--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -245,6 +245,57 @@
   return view;
 }
 
+Wire::ModelRecord
+LearnedRecord(const Scheduling::State& aState)
+{
+  Wire::ModelRecord record;
+  for (const auto& [key, pressure] : aState.mDisturbance.mPairs) {
+    Wire::PairModel pair;
+    pair.neighbour = key.first;
+    pair.image = key.second;
+    pair.pressure = pressure;
+    record.pairs.push_back(std::move(pair));
+  }
+  const auto copy = [](const std::map<std::string, double>& aFrom, std::vector<Wire::ImageModel>& aTo) {
+    for (const auto& [image, value] : aFrom) {
+      Wire::ImageModel model;
+      model.image = image;
+      model.value = value;
+      aTo.push_back(std::move(model));
+    }
+  };
+  copy(aState.mDisturbance.mUnloaded, record.unloaded);
+  copy(aState.mDisturbance.mNeighbours, record.neighbours);
+  for (const auto& [key, times] : aState.mRunTimes) {
+    Wire::RunTimeModel model;
+    model.queue = key.first.str();
+    model.image = key.second;
+    model.ratio = times.mRatio;
+    model.samples = static_cast<std::int32_t>(times.mSamples);
+    record.runTimes.push_back(std::move(model));
+  }
+  return record;
+}
+
+void
+TakeLearned(Scheduling::State& aState, const Wire::ModelRecord& aRecord)
+{
+  for (const auto& pair : aRecord.pairs) {
+    aState.mDisturbance.mPairs[{ pair.neighbour, pair.image }] = pair.pressure;
+  }
+  for (const auto& model : aRecord.unloaded) {
+    aState.mDisturbance.mUnloaded[model.image] = model.value;
+  }
+  for (const auto& model : aRecord.neighbours) {
+    aState.mDisturbance.mNeighbours[model.image] = model.value;
+  }
+  for (const auto& model : aRecord.runTimes) {
+    aState.mRunTimes[{ Common::RouteId(model.queue), model.image }] = {
+      model.ratio, static_cast<std::uint32_t>(model.samples)
+    };
+  }
+}
+
 Wire::Order
 ToWire(const Scheduling::Order& aOrder, const std::string& aPayload)
 {
--- a/Source/Core/Node/Convert.h
+++ b/Source/Core/Node/Convert.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Scheduling/Model.h"
+#include "Scheduling/State.h"
 #include "Wire/Codec.h"
 
 /// Between the types of the decisions and those of the records and messages.
@@ -22,6 +22,11 @@
 ToWire(const Scheduling::WorkerView& aView);
 Scheduling::WorkerView
 FromWire(const Wire::WorkerView& aView, const Common::DataCentreId& aDataCentre);
+/// What was learned about images and run times.
+Wire::ModelRecord
+LearnedRecord(const Scheduling::State& aState);
+void
+TakeLearned(Scheduling::State& aState, const Wire::ModelRecord& aRecord);
 Wire::Order
 ToWire(const Scheduling::Order& aOrder, const std::string& aPayload);
 Scheduling::Order
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -25,6 +25,8 @@
 /// An admission counts for this long; the entry writes the job within a caller's patience.
 constexpr std::chrono::seconds kAdmissionKept{ 15 };
 constexpr std::chrono::seconds kCollectionPeriod{ 10 };
+/// What was learned in a shorter time is learned again soon.
+constexpr std::chrono::seconds kModelPeriod{ 3 };
 /// A record of a silent worker is erased this long after its leases ended. An erasure may take
 /// effect seconds late, and must not meet a worker that has come back.
 constexpr std::chrono::seconds kWorkerKept{ 30 };
@@ -177,6 +179,26 @@
             leaseEnd);
         }
       }
+      readModel();
+    });
+}
+
+void
+Coordinator::readModel()
+{
+  mContext.mStore.read(
+    kModelKey,
+    mContext.mTimes.mStoreCall,
+    [this, round = mRound](const Store::Result<std::optional<Store::Entry>>& aEntry) {
+      if (round != mRound) {
+        return;
+      }
+      // Without it everything is learned anew, so a failure is no reason to wait.
+      if (aEntry && *aEntry) {
+        if (const auto record = Wire::Decode<Wire::ModelRecord>((*aEntry)->mValue)) {
+          TakeLearned(mState, *record);
+        }
+      }
       readProgress();
     });
 }
@@ -720,6 +742,10 @@
   if (transaction.mPuts.empty() && transaction.mErased.empty()) {
     return;
   }
+  if (mContext.now() >= mNextModel) {
+    mNextModel = mContext.now() + kModelPeriod;
+    transaction.mPuts.push_back({ kModelKey, Wire::Encode(LearnedRecord(mState)), std::nullopt });
+  }
   mFlushing = true;
   mContext.mStore.write(transaction,
                         mContext.mTimes.mStoreCall,
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -77,6 +77,7 @@
   void dropPeer(Net::Link* aLink);
 
   void readWorkers();
+  void readModel();
   void readProgress();
   void watchJobs();
   void takeJobSnapshot(const std::vector<Store::Entry>& aEntries);
@@ -127,6 +128,7 @@
   bool mFlushArmed = false;
   bool mFlushArmedNow = false;
   Timestamp mNextCollection;
+  Timestamp mNextModel;
   std::function<void()> mFlushed;
   /// Ends up to these are in the records of the flush on its way.
   std::map<Scheduling::Life, Scheduling::EndNumber> mFlushEnds;
--- a/Source/Core/Node/Keys.h
+++ b/Source/Core/Node/Keys.h
@@ -17,6 +17,7 @@
 /// Written by the coordinator.
 inline const std::string kProgressPrefix = "ibis/progress/";
 inline const std::string kWorkerPrefix = "ibis/worker/";
+inline const std::string kModelKey = "ibis/model";
 
 std::string
 SubmissionKey(const Common::JobId& aJob);
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -2961,6 +2961,688 @@
 }
 
 
+PairModel::~PairModel() noexcept {
+}
+
+
+void PairModel::__set_neighbour(const std::string& val) {
+  this->neighbour = val;
+}
+
+void PairModel::__set_image(const std::string& val) {
+  this->image = val;
+}
+
+void PairModel::__set_pressure(const double val) {
+  this->pressure = val;
+}
+std::ostream& operator<<(std::ostream& out, const PairModel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PairModel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->neighbour);
+          this->__isset.neighbour = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->image);
+          this->__isset.image = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->pressure);
+          this->__isset.pressure = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PairModel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PairModel");
+
+  xfer += oprot->writeFieldBegin("neighbour", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->neighbour);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("image", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->image);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pressure", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->pressure);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PairModel &a, PairModel &b) {
+  using ::std::swap;
+  swap(a.neighbour, b.neighbour);
+  swap(a.image, b.image);
+  swap(a.pressure, b.pressure);
+  swap(a.__isset, b.__isset);
+}
+
+PairModel::PairModel(const PairModel& other100) {
+  neighbour = other100.neighbour;
+  image = other100.image;
+  pressure = other100.pressure;
+  __isset = other100.__isset;
+}
+PairModel::PairModel(PairModel&& other101) noexcept {
+  neighbour = std::move(other101.neighbour);
+  image = std::move(other101.image);
+  pressure = other101.pressure;
+  __isset = other101.__isset;
+}
+PairModel& PairModel::operator=(const PairModel& other102) {
+  neighbour = other102.neighbour;
+  image = other102.image;
+  pressure = other102.pressure;
+  __isset = other102.__isset;
+  return *this;
+}
+PairModel& PairModel::operator=(PairModel&& other103) noexcept {
+  neighbour = std::move(other103.neighbour);
+  image = std::move(other103.image);
+  pressure = other103.pressure;
+  __isset = other103.__isset;
+  return *this;
+}
+void PairModel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PairModel(";
+  out << "neighbour=" << to_string(neighbour);
+  out << ", " << "image=" << to_string(image);
+  out << ", " << "pressure=" << to_string(pressure);
+  out << ")";
+}
+
+
+ImageModel::~ImageModel() noexcept {
+}
+
+
+void ImageModel::__set_image(const std::string& val) {
+  this->image = val;
+}
+
+void ImageModel::__set_value(const double val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const ImageModel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ImageModel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->image);
+          this->__isset.image = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ImageModel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ImageModel");
+
+  xfer += oprot->writeFieldBegin("image", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->image);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ImageModel &a, ImageModel &b) {
+  using ::std::swap;
+  swap(a.image, b.image);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+ImageModel::ImageModel(const ImageModel& other104) {
+  image = other104.image;
+  value = other104.value;
+  __isset = other104.__isset;
+}
+ImageModel::ImageModel(ImageModel&& other105) noexcept {
+  image = std::move(other105.image);
+  value = other105.value;
+  __isset = other105.__isset;
+}
+ImageModel& ImageModel::operator=(const ImageModel& other106) {
+  image = other106.image;
+  value = other106.value;
+  __isset = other106.__isset;
+  return *this;
+}
+ImageModel& ImageModel::operator=(ImageModel&& other107) noexcept {
+  image = std::move(other107.image);
+  value = other107.value;
+  __isset = other107.__isset;
+  return *this;
+}
+void ImageModel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ImageModel(";
+  out << "image=" << to_string(image);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+RunTimeModel::~RunTimeModel() noexcept {
+}
+
+
+void RunTimeModel::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void RunTimeModel::__set_image(const std::string& val) {
+  this->image = val;
+}
+
+void RunTimeModel::__set_ratio(const double val) {
+  this->ratio = val;
+}
+
+void RunTimeModel::__set_samples(const int32_t val) {
+  this->samples = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunTimeModel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunTimeModel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->image);
+          this->__isset.image = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->ratio);
+          this->__isset.ratio = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->samples);
+          this->__isset.samples = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunTimeModel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunTimeModel");
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("image", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->image);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ratio", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->ratio);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->samples);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunTimeModel &a, RunTimeModel &b) {
+  using ::std::swap;
+  swap(a.queue, b.queue);
+  swap(a.image, b.image);
+  swap(a.ratio, b.ratio);
+  swap(a.samples, b.samples);
+  swap(a.__isset, b.__isset);
+}
+
+RunTimeModel::RunTimeModel(const RunTimeModel& other108) {
+  queue = other108.queue;
+  image = other108.image;
+  ratio = other108.ratio;
+  samples = other108.samples;
+  __isset = other108.__isset;
+}
+RunTimeModel::RunTimeModel(RunTimeModel&& other109) noexcept {
+  queue = std::move(other109.queue);
+  image = std::move(other109.image);
+  ratio = other109.ratio;
+  samples = other109.samples;
+  __isset = other109.__isset;
+}
+RunTimeModel& RunTimeModel::operator=(const RunTimeModel& other110) {
+  queue = other110.queue;
+  image = other110.image;
+  ratio = other110.ratio;
+  samples = other110.samples;
+  __isset = other110.__isset;
+  return *this;
+}
+RunTimeModel& RunTimeModel::operator=(RunTimeModel&& other111) noexcept {
+  queue = std::move(other111.queue);
+  image = std::move(other111.image);
+  ratio = other111.ratio;
+  samples = other111.samples;
+  __isset = other111.__isset;
+  return *this;
+}
+void RunTimeModel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunTimeModel(";
+  out << "queue=" << to_string(queue);
+  out << ", " << "image=" << to_string(image);
+  out << ", " << "ratio=" << to_string(ratio);
+  out << ", " << "samples=" << to_string(samples);
+  out << ")";
+}
+
+
+ModelRecord::~ModelRecord() noexcept {
+}
+
+
+void ModelRecord::__set_pairs(const std::vector<PairModel> & val) {
+  this->pairs = val;
+}
+
+void ModelRecord::__set_unloaded(const std::vector<ImageModel> & val) {
+  this->unloaded = val;
+}
+
+void ModelRecord::__set_neighbours(const std::vector<ImageModel> & val) {
+  this->neighbours = val;
+}
+
+void ModelRecord::__set_runTimes(const std::vector<RunTimeModel> & val) {
+  this->runTimes = val;
+}
+std::ostream& operator<<(std::ostream& out, const ModelRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ModelRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pairs.clear();
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->pairs.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
+            {
+              xfer += this->pairs[_i116].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pairs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unloaded.clear();
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->unloaded.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
+            {
+              xfer += this->unloaded[_i121].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unloaded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->neighbours.clear();
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->neighbours.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
+            {
+              xfer += this->neighbours[_i126].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.neighbours = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->runTimes.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->runTimes.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              xfer += this->runTimes[_i131].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.runTimes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ModelRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ModelRecord");
+
+  xfer += oprot->writeFieldBegin("pairs", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pairs.size()));
+    std::vector<PairModel> ::const_iterator _iter132;
+    for (_iter132 = this->pairs.begin(); _iter132 != this->pairs.end(); ++_iter132)
+    {
+      xfer += (*_iter132).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unloaded", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unloaded.size()));
+    std::vector<ImageModel> ::const_iterator _iter133;
+    for (_iter133 = this->unloaded.begin(); _iter133 != this->unloaded.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("neighbours", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->neighbours.size()));
+    std::vector<ImageModel> ::const_iterator _iter134;
+    for (_iter134 = this->neighbours.begin(); _iter134 != this->neighbours.end(); ++_iter134)
+    {
+      xfer += (*_iter134).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runTimes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runTimes.size()));
+    std::vector<RunTimeModel> ::const_iterator _iter135;
+    for (_iter135 = this->runTimes.begin(); _iter135 != this->runTimes.end(); ++_iter135)
+    {
+      xfer += (*_iter135).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ModelRecord &a, ModelRecord &b) {
+  using ::std::swap;
+  swap(a.pairs, b.pairs);
+  swap(a.unloaded, b.unloaded);
+  swap(a.neighbours, b.neighbours);
+  swap(a.runTimes, b.runTimes);
+  swap(a.__isset, b.__isset);
+}
+
+ModelRecord::ModelRecord(const ModelRecord& other136) {
+  pairs = other136.pairs;
+  unloaded = other136.unloaded;
+  neighbours = other136.neighbours;
+  runTimes = other136.runTimes;
+  __isset = other136.__isset;
+}
+ModelRecord::ModelRecord(ModelRecord&& other137) noexcept {
+  pairs = std::move(other137.pairs);
+  unloaded = std::move(other137.unloaded);
+  neighbours = std::move(other137.neighbours);
+  runTimes = std::move(other137.runTimes);
+  __isset = other137.__isset;
+}
+ModelRecord& ModelRecord::operator=(const ModelRecord& other138) {
+  pairs = other138.pairs;
+  unloaded = other138.unloaded;
+  neighbours = other138.neighbours;
+  runTimes = other138.runTimes;
+  __isset = other138.__isset;
+  return *this;
+}
+ModelRecord& ModelRecord::operator=(ModelRecord&& other139) noexcept {
+  pairs = std::move(other139.pairs);
+  unloaded = std::move(other139.unloaded);
+  neighbours = std::move(other139.neighbours);
+  runTimes = std::move(other139.runTimes);
+  __isset = other139.__isset;
+  return *this;
+}
+void ModelRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ModelRecord(";
+  out << "pairs=" << to_string(pairs);
+  out << ", " << "unloaded=" << to_string(unloaded);
+  out << ", " << "neighbours=" << to_string(neighbours);
+  out << ", " << "runTimes=" << to_string(runTimes);
+  out << ")";
+}
+
+
 OrderResult::~OrderResult() noexcept {
 }
 
@@ -3053,26 +3735,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderResult::OrderResult(const OrderResult& other100) noexcept {
-  number = other100.number;
-  result = other100.result;
-  __isset = other100.__isset;
+OrderResult::OrderResult(const OrderResult& other140) noexcept {
+  number = other140.number;
+  result = other140.result;
+  __isset = other140.__isset;
 }
-OrderResult::OrderResult(OrderResult&& other101) noexcept {
-  number = other101.number;
-  result = other101.result;
-  __isset = other101.__isset;
+OrderResult::OrderResult(OrderResult&& other141) noexcept {
+  number = other141.number;
+  result = other141.result;
+  __isset = other141.__isset;
 }
-OrderResult& OrderResult::operator=(const OrderResult& other102) noexcept {
-  number = other102.number;
-  result = other102.result;
-  __isset = other102.__isset;
+OrderResult& OrderResult::operator=(const OrderResult& other142) noexcept {
+  number = other142.number;
+  result = other142.result;
+  __isset = other142.__isset;
   return *this;
 }
-OrderResult& OrderResult::operator=(OrderResult&& other103) noexcept {
-  number = other103.number;
-  result = other103.result;
-  __isset = other103.__isset;
+OrderResult& OrderResult::operator=(OrderResult&& other143) noexcept {
+  number = other143.number;
+  result = other143.result;
+  __isset = other143.__isset;
   return *this;
 }
 void OrderResult::printTo(std::ostream& out) const {
@@ -3171,14 +3853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->workers.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->workers.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->workers[_i108].read(iprot);
+              xfer += this->workers[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3191,14 +3873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->results.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->results.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += this->results[_i113].read(iprot);
+              xfer += this->results[_i153].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3211,14 +3893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endedLives.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->endedLives.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->endedLives.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->endedLives[_i118].read(iprot);
+              xfer += this->endedLives[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3267,10 +3949,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerView> ::const_iterator _iter119;
-    for (_iter119 = this->workers.begin(); _iter119 != this->workers.end(); ++_iter119)
+    std::vector<WorkerView> ::const_iterator _iter159;
+    for (_iter159 = this->workers.begin(); _iter159 != this->workers.end(); ++_iter159)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3279,10 +3961,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter120;
-    for (_iter120 = this->results.begin(); _iter120 != this->results.end(); ++_iter120)
+    std::vector<OrderResult> ::const_iterator _iter160;
+    for (_iter160 = this->results.begin(); _iter160 != this->results.end(); ++_iter160)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3291,10 +3973,10 @@
   xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endedLives.size()));
-    std::vector<Life> ::const_iterator _iter121;
-    for (_iter121 = this->endedLives.begin(); _iter121 != this->endedLives.end(); ++_iter121)
+    std::vector<Life> ::const_iterator _iter161;
+    for (_iter161 = this->endedLives.begin(); _iter161 != this->endedLives.end(); ++_iter161)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3321,46 +4003,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other122) {
-  agentMicros = other122.agentMicros;
-  instance = other122.instance;
-  dataCentre = other122.dataCentre;
-  workers = other122.workers;
-  results = other122.results;
-  endedLives = other122.endedLives;
-  term = other122.term;
-  __isset = other122.__isset;
-}
-Report::Report(Report&& other123) noexcept {
-  agentMicros = other123.agentMicros;
-  instance = std::move(other123.instance);
-  dataCentre = std::move(other123.dataCentre);
-  workers = std::move(other123.workers);
-  results = std::move(other123.results);
-  endedLives = std::move(other123.endedLives);
-  term = other123.term;
-  __isset = other123.__isset;
-}
-Report& Report::operator=(const Report& other124) {
-  agentMicros = other124.agentMicros;
-  instance = other124.instance;
-  dataCentre = other124.dataCentre;
-  workers = other124.workers;
-  results = other124.results;
-  endedLives = other124.endedLives;
-  term = other124.term;
-  __isset = other124.__isset;
+Report::Report(const Report& other162) {
+  agentMicros = other162.agentMicros;
+  instance = other162.instance;
+  dataCentre = other162.dataCentre;
+  workers = other162.workers;
+  results = other162.results;
+  endedLives = other162.endedLives;
+  term = other162.term;
+  __isset = other162.__isset;
+}
+Report::Report(Report&& other163) noexcept {
+  agentMicros = other163.agentMicros;
+  instance = std::move(other163.instance);
+  dataCentre = std::move(other163.dataCentre);
+  workers = std::move(other163.workers);
+  results = std::move(other163.results);
+  endedLives = std::move(other163.endedLives);
+  term = other163.term;
+  __isset = other163.__isset;
+}
+Report& Report::operator=(const Report& other164) {
+  agentMicros = other164.agentMicros;
+  instance = other164.instance;
+  dataCentre = other164.dataCentre;
+  workers = other164.workers;
+  results = other164.results;
+  endedLives = other164.endedLives;
+  term = other164.term;
+  __isset = other164.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other125) noexcept {
-  agentMicros = other125.agentMicros;
-  instance = std::move(other125.instance);
-  dataCentre = std::move(other125.dataCentre);
-  workers = std::move(other125.workers);
-  results = std::move(other125.results);
-  endedLives = std::move(other125.endedLives);
-  term = other125.term;
-  __isset = other125.__isset;
+Report& Report::operator=(Report&& other165) noexcept {
+  agentMicros = other165.agentMicros;
+  instance = std::move(other165.instance);
+  dataCentre = std::move(other165.dataCentre);
+  workers = std::move(other165.workers);
+  results = std::move(other165.results);
+  endedLives = std::move(other165.endedLives);
+  term = other165.term;
+  __isset = other165.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -3605,58 +4287,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other126) {
-  number = other126.number;
-  kind = other126.kind;
-  worker = other126.worker;
-  born = other126.born;
-  task = other126.task;
-  run = other126.run;
-  payload = other126.payload;
-  checkpoint = other126.checkpoint;
-  percent = other126.percent;
-  ticket = other126.ticket;
-  __isset = other126.__isset;
-}
-Order::Order(Order&& other127) noexcept {
-  number = other127.number;
-  kind = other127.kind;
-  worker = std::move(other127.worker);
-  born = other127.born;
-  task = std::move(other127.task);
-  run = other127.run;
-  payload = std::move(other127.payload);
-  checkpoint = std::move(other127.checkpoint);
-  percent = other127.percent;
-  ticket = std::move(other127.ticket);
-  __isset = other127.__isset;
-}
-Order& Order::operator=(const Order& other128) {
-  number = other128.number;
-  kind = other128.kind;
-  worker = other128.worker;
-  born = other128.born;
-  task = other128.task;
-  run = other128.run;
-  payload = other128.payload;
-  checkpoint = other128.checkpoint;
-  percent = other128.percent;
-  ticket = other128.ticket;
-  __isset = other128.__isset;
+Order::Order(const Order& other166) {
+  number = other166.number;
+  kind = other166.kind;
+  worker = other166.worker;
+  born = other166.born;
+  task = other166.task;
+  run = other166.run;
+  payload = other166.payload;
+  checkpoint = other166.checkpoint;
+  percent = other166.percent;
+  ticket = other166.ticket;
+  __isset = other166.__isset;
+}
+Order::Order(Order&& other167) noexcept {
+  number = other167.number;
+  kind = other167.kind;
+  worker = std::move(other167.worker);
+  born = other167.born;
+  task = std::move(other167.task);
+  run = other167.run;
+  payload = std::move(other167.payload);
+  checkpoint = std::move(other167.checkpoint);
+  percent = other167.percent;
+  ticket = std::move(other167.ticket);
+  __isset = other167.__isset;
+}
+Order& Order::operator=(const Order& other168) {
+  number = other168.number;
+  kind = other168.kind;
+  worker = other168.worker;
+  born = other168.born;
+  task = other168.task;
+  run = other168.run;
+  payload = other168.payload;
+  checkpoint = other168.checkpoint;
+  percent = other168.percent;
+  ticket = other168.ticket;
+  __isset = other168.__isset;
   return *this;
 }
-Order& Order::operator=(Order&& other129) noexcept {
-  number = other129.number;
-  kind = other129.kind;
-  worker = std::move(other129.worker);
-  born = other129.born;
-  task = std::move(other129.task);
-  run = other129.run;
-  payload = std::move(other129.payload);
-  checkpoint = std::move(other129.checkpoint);
-  percent = other129.percent;
-  ticket = std::move(other129.ticket);
-  __isset = other129.__isset;
+Order& Order::operator=(Order&& other169) noexcept {
+  number = other169.number;
+  kind = other169.kind;
+  worker = std::move(other169.worker);
+  born = other169.born;
+  task = std::move(other169.task);
+  run = other169.run;
+  payload = std::move(other169.payload);
+  checkpoint = std::move(other169.checkpoint);
+  percent = other169.percent;
+  ticket = std::move(other169.ticket);
+  __isset = other169.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -3785,30 +4467,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAck::WorkerAck(const WorkerAck& other130) {
-  worker = other130.worker;
-  born = other130.born;
-  number = other130.number;
-  __isset = other130.__isset;
+WorkerAck::WorkerAck(const WorkerAck& other170) {
+  worker = other170.worker;
+  born = other170.born;
+  number = other170.number;
+  __isset = other170.__isset;
 }
-WorkerAck::WorkerAck(WorkerAck&& other131) noexcept {
-  worker = std::move(other131.worker);
-  born = other131.born;
-  number = other131.number;
-  __isset = other131.__isset;
+WorkerAck::WorkerAck(WorkerAck&& other171) noexcept {
+  worker = std::move(other171.worker);
+  born = other171.born;
+  number = other171.number;
+  __isset = other171.__isset;
 }
-WorkerAck& WorkerAck::operator=(const WorkerAck& other132) {
-  worker = other132.worker;
-  born = other132.born;
-  number = other132.number;
-  __isset = other132.__isset;
+WorkerAck& WorkerAck::operator=(const WorkerAck& other172) {
+  worker = other172.worker;
+  born = other172.born;
+  number = other172.number;
+  __isset = other172.__isset;
   return *this;
 }
-WorkerAck& WorkerAck::operator=(WorkerAck&& other133) noexcept {
-  worker = std::move(other133.worker);
-  born = other133.born;
-  number = other133.number;
-  __isset = other133.__isset;
+WorkerAck& WorkerAck::operator=(WorkerAck&& other173) noexcept {
+  worker = std::move(other173.worker);
+  born = other173.born;
+  number = other173.number;
+  __isset = other173.__isset;
   return *this;
 }
 void WorkerAck::printTo(std::ostream& out) const {
@@ -3904,14 +4586,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->orders.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->orders.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += this->orders[_i138].read(iprot);
+              xfer += this->orders[_i178].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3924,14 +4606,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->acks.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->acks.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += this->acks[_i143].read(iprot);
+              xfer += this->acks[_i183].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3944,14 +4626,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->known.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->known.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->known[_i148].read(iprot);
+              xfer += this->known[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3992,10 +4674,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter149;
-    for (_iter149 = this->orders.begin(); _iter149 != this->orders.end(); ++_iter149)
+    std::vector<Order> ::const_iterator _iter189;
+    for (_iter189 = this->orders.begin(); _iter189 != this->orders.end(); ++_iter189)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4004,10 +4686,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<WorkerAck> ::const_iterator _iter150;
-    for (_iter150 = this->acks.begin(); _iter150 != this->acks.end(); ++_iter150)
+    std::vector<WorkerAck> ::const_iterator _iter190;
+    for (_iter190 = this->acks.begin(); _iter190 != this->acks.end(); ++_iter190)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4016,10 +4698,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<WorkerView> ::const_iterator _iter151;
-    for (_iter151 = this->known.begin(); _iter151 != this->known.end(); ++_iter151)
+    std::vector<WorkerView> ::const_iterator _iter191;
+    for (_iter191 = this->known.begin(); _iter191 != this->known.end(); ++_iter191)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4041,42 +4723,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Directive::Directive(const Directive& other152) {
-  term = other152.term;
-  echoMicros = other152.echoMicros;
-  holdMicros = other152.holdMicros;
-  orders = other152.orders;
-  acks = other152.acks;
-  known = other152.known;
-  __isset = other152.__isset;
-}
-Directive::Directive(Directive&& other153) noexcept {
-  term = other153.term;
-  echoMicros = other153.echoMicros;
-  holdMicros = other153.holdMicros;
-  orders = std::move(other153.orders);
-  acks = std::move(other153.acks);
-  known = std::move(other153.known);
-  __isset = other153.__isset;
-}
-Directive& Directive::operator=(const Directive& other154) {
-  term = other154.term;
-  echoMicros = other154.echoMicros;
-  holdMicros = other154.holdMicros;
-  orders = other154.orders;
-  acks = other154.acks;
-  known = other154.known;
-  __isset = other154.__isset;
+Directive::Directive(const Directive& other192) {
+  term = other192.term;
+  echoMicros = other192.echoMicros;
+  holdMicros = other192.holdMicros;
+  orders = other192.orders;
+  acks = other192.acks;
+  known = other192.known;
+  __isset = other192.__isset;
+}
+Directive::Directive(Directive&& other193) noexcept {
+  term = other193.term;
+  echoMicros = other193.echoMicros;
+  holdMicros = other193.holdMicros;
+  orders = std::move(other193.orders);
+  acks = std::move(other193.acks);
+  known = std::move(other193.known);
+  __isset = other193.__isset;
+}
+Directive& Directive::operator=(const Directive& other194) {
+  term = other194.term;
+  echoMicros = other194.echoMicros;
+  holdMicros = other194.holdMicros;
+  orders = other194.orders;
+  acks = other194.acks;
+  known = other194.known;
+  __isset = other194.__isset;
   return *this;
 }
-Directive& Directive::operator=(Directive&& other155) noexcept {
-  term = other155.term;
-  echoMicros = other155.echoMicros;
-  holdMicros = other155.holdMicros;
-  orders = std::move(other155.orders);
-  acks = std::move(other155.acks);
-  known = std::move(other155.known);
-  __isset = other155.__isset;
+Directive& Directive::operator=(Directive&& other195) noexcept {
+  term = other195.term;
+  echoMicros = other195.echoMicros;
+  holdMicros = other195.holdMicros;
+  orders = std::move(other195.orders);
+  acks = std::move(other195.acks);
+  known = std::move(other195.known);
+  __isset = other195.__isset;
   return *this;
 }
 void Directive::printTo(std::ostream& out) const {
@@ -4184,26 +4866,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Offer::Offer(const Offer& other156) {
-  number = other156.number;
-  job = other156.job;
-  __isset = other156.__isset;
+Offer::Offer(const Offer& other196) {
+  number = other196.number;
+  job = other196.job;
+  __isset = other196.__isset;
 }
-Offer::Offer(Offer&& other157) noexcept {
-  number = other157.number;
-  job = std::move(other157.job);
-  __isset = other157.__isset;
+Offer::Offer(Offer&& other197) noexcept {
+  number = other197.number;
+  job = std::move(other197.job);
+  __isset = other197.__isset;
 }
-Offer& Offer::operator=(const Offer& other158) {
-  number = other158.number;
-  job = other158.job;
-  __isset = other158.__isset;
+Offer& Offer::operator=(const Offer& other198) {
+  number = other198.number;
+  job = other198.job;
+  __isset = other198.__isset;
   return *this;
 }
-Offer& Offer::operator=(Offer&& other159) noexcept {
-  number = other159.number;
-  job = std::move(other159.job);
-  __isset = other159.__isset;
+Offer& Offer::operator=(Offer&& other199) noexcept {
+  number = other199.number;
+  job = std::move(other199.job);
+  __isset = other199.__isset;
   return *this;
 }
 void Offer::printTo(std::ostream& out) const {
@@ -4324,30 +5006,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Verdict::Verdict(const Verdict& other160) noexcept {
-  number = other160.number;
-  admitted = other160.admitted;
-  retryAfterMs = other160.retryAfterMs;
-  __isset = other160.__isset;
+Verdict::Verdict(const Verdict& other200) noexcept {
+  number = other200.number;
+  admitted = other200.admitted;
+  retryAfterMs = other200.retryAfterMs;
+  __isset = other200.__isset;
 }
-Verdict::Verdict(Verdict&& other161) noexcept {
-  number = other161.number;
-  admitted = other161.admitted;
-  retryAfterMs = other161.retryAfterMs;
-  __isset = other161.__isset;
+Verdict::Verdict(Verdict&& other201) noexcept {
+  number = other201.number;
+  admitted = other201.admitted;
+  retryAfterMs = other201.retryAfterMs;
+  __isset = other201.__isset;
 }
-Verdict& Verdict::operator=(const Verdict& other162) noexcept {
-  number = other162.number;
-  admitted = other162.admitted;
-  retryAfterMs = other162.retryAfterMs;
-  __isset = other162.__isset;
+Verdict& Verdict::operator=(const Verdict& other202) noexcept {
+  number = other202.number;
+  admitted = other202.admitted;
+  retryAfterMs = other202.retryAfterMs;
+  __isset = other202.__isset;
   return *this;
 }
-Verdict& Verdict::operator=(Verdict&& other163) noexcept {
-  number = other163.number;
-  admitted = other163.admitted;
-  retryAfterMs = other163.retryAfterMs;
-  __isset = other163.__isset;
+Verdict& Verdict::operator=(Verdict&& other203) noexcept {
+  number = other203.number;
+  admitted = other203.admitted;
+  retryAfterMs = other203.retryAfterMs;
+  __isset = other203.__isset;
   return *this;
 }
 void Verdict::printTo(std::ostream& out) const {
@@ -4503,38 +5185,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusQuery::StatusQuery(const StatusQuery& other164) {
-  number = other164.number;
-  job = other164.job;
-  queue = other164.queue;
-  candidate = other164.candidate;
-  instance = other164.instance;
-  __isset = other164.__isset;
-}
-StatusQuery::StatusQuery(StatusQuery&& other165) noexcept {
-  number = other165.number;
-  job = std::move(other165.job);
-  queue = std::move(other165.queue);
-  candidate = other165.candidate;
-  instance = std::move(other165.instance);
-  __isset = other165.__isset;
-}
-StatusQuery& StatusQuery::operator=(const StatusQuery& other166) {
-  number = other166.number;
-  job = other166.job;
-  queue = other166.queue;
-  candidate = other166.candidate;
-  instance = other166.instance;
-  __isset = other166.__isset;
+StatusQuery::StatusQuery(const StatusQuery& other204) {
+  number = other204.number;
+  job = other204.job;
+  queue = other204.queue;
+  candidate = other204.candidate;
+  instance = other204.instance;
+  __isset = other204.__isset;
+}
+StatusQuery::StatusQuery(StatusQuery&& other205) noexcept {
+  number = other205.number;
+  job = std::move(other205.job);
+  queue = std::move(other205.queue);
+  candidate = other205.candidate;
+  instance = std::move(other205.instance);
+  __isset = other205.__isset;
+}
+StatusQuery& StatusQuery::operator=(const StatusQuery& other206) {
+  number = other206.number;
+  job = other206.job;
+  queue = other206.queue;
+  candidate = other206.candidate;
+  instance = other206.instance;
+  __isset = other206.__isset;
   return *this;
 }
-StatusQuery& StatusQuery::operator=(StatusQuery&& other167) noexcept {
-  number = other167.number;
-  job = std::move(other167.job);
-  queue = std::move(other167.queue);
-  candidate = other167.candidate;
-  instance = std::move(other167.instance);
-  __isset = other167.__isset;
+StatusQuery& StatusQuery::operator=(StatusQuery&& other207) noexcept {
+  number = other207.number;
+  job = std::move(other207.job);
+  queue = std::move(other207.queue);
+  candidate = other207.candidate;
+  instance = std::move(other207.instance);
+  __isset = other207.__isset;
   return *this;
 }
 void StatusQuery::printTo(std::ostream& out) const {
@@ -4675,34 +5357,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other168) noexcept {
-  number = other168.number;
-  known = other168.known;
-  state = other168.state;
-  pending = other168.pending;
-  __isset = other168.__isset;
-}
-StatusReply::StatusReply(StatusReply&& other169) noexcept {
-  number = other169.number;
-  known = other169.known;
-  state = other169.state;
-  pending = other169.pending;
-  __isset = other169.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other170) noexcept {
-  number = other170.number;
-  known = other170.known;
-  state = other170.state;
-  pending = other170.pending;
-  __isset = other170.__isset;
+StatusReply::StatusReply(const StatusReply& other208) noexcept {
+  number = other208.number;
+  known = other208.known;
+  state = other208.state;
+  pending = other208.pending;
+  __isset = other208.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other209) noexcept {
+  number = other209.number;
+  known = other209.known;
+  state = other209.state;
+  pending = other209.pending;
+  __isset = other209.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other210) noexcept {
+  number = other210.number;
+  known = other210.known;
+  state = other210.state;
+  pending = other210.pending;
+  __isset = other210.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other171) noexcept {
-  number = other171.number;
-  known = other171.known;
-  state = other171.state;
-  pending = other171.pending;
-  __isset = other171.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other211) noexcept {
+  number = other211.number;
+  known = other211.known;
+  state = other211.state;
+  pending = other211.pending;
+  __isset = other211.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -4888,42 +5570,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other172) {
-  report = other172.report;
-  directive = other172.directive;
-  offer = other172.offer;
-  verdict = other172.verdict;
-  statusQuery = other172.statusQuery;
-  statusReply = other172.statusReply;
-  __isset = other172.__isset;
-}
-Message::Message(Message&& other173) noexcept {
-  report = std::move(other173.report);
-  directive = std::move(other173.directive);
-  offer = std::move(other173.offer);
-  verdict = std::move(other173.verdict);
-  statusQuery = std::move(other173.statusQuery);
-  statusReply = std::move(other173.statusReply);
-  __isset = other173.__isset;
-}
-Message& Message::operator=(const Message& other174) {
-  report = other174.report;
-  directive = other174.directive;
-  offer = other174.offer;
-  verdict = other174.verdict;
-  statusQuery = other174.statusQuery;
-  statusReply = other174.statusReply;
-  __isset = other174.__isset;
+Message::Message(const Message& other212) {
+  report = other212.report;
+  directive = other212.directive;
+  offer = other212.offer;
+  verdict = other212.verdict;
+  statusQuery = other212.statusQuery;
+  statusReply = other212.statusReply;
+  __isset = other212.__isset;
+}
+Message::Message(Message&& other213) noexcept {
+  report = std::move(other213.report);
+  directive = std::move(other213.directive);
+  offer = std::move(other213.offer);
+  verdict = std::move(other213.verdict);
+  statusQuery = std::move(other213.statusQuery);
+  statusReply = std::move(other213.statusReply);
+  __isset = other213.__isset;
+}
+Message& Message::operator=(const Message& other214) {
+  report = other214.report;
+  directive = other214.directive;
+  offer = other214.offer;
+  verdict = other214.verdict;
+  statusQuery = other214.statusQuery;
+  statusReply = other214.statusReply;
+  __isset = other214.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other175) noexcept {
-  report = std::move(other175.report);
-  directive = std::move(other175.directive);
-  offer = std::move(other175.offer);
-  verdict = std::move(other175.verdict);
-  statusQuery = std::move(other175.statusQuery);
-  statusReply = std::move(other175.statusReply);
-  __isset = other175.__isset;
+Message& Message::operator=(Message&& other215) noexcept {
+  report = std::move(other215.report);
+  directive = std::move(other215.directive);
+  offer = std::move(other215.offer);
+  verdict = std::move(other215.verdict);
+  statusQuery = std::move(other215.statusQuery);
+  statusReply = std::move(other215.statusReply);
+  __isset = other215.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -47,6 +47,14 @@
 
 class WorkerRecord;
 
+class PairModel;
+
+class ImageModel;
+
+class RunTimeModel;
+
+class ModelRecord;
+
 class OrderResult;
 
 class Report;
@@ -1110,6 +1118,245 @@
 
 std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj);
 
+typedef struct _PairModel__isset {
+  _PairModel__isset() : neighbour(false), image(false), pressure(false) {}
+  bool neighbour :1;
+  bool image :1;
+  bool pressure :1;
+} _PairModel__isset;
+
+class PairModel : public virtual ::apache::thrift::TBase {
+ public:
+
+  PairModel(const PairModel&);
+  PairModel(PairModel&&) noexcept;
+  PairModel& operator=(const PairModel&);
+  PairModel& operator=(PairModel&&) noexcept;
+  PairModel() noexcept
+            : neighbour(),
+              image(),
+              pressure(0) {
+  }
+
+  virtual ~PairModel() noexcept;
+  std::string neighbour;
+  std::string image;
+  double pressure;
+
+  _PairModel__isset __isset;
+
+  void __set_neighbour(const std::string& val);
+
+  void __set_image(const std::string& val);
+
+  void __set_pressure(const double val);
+
+  bool operator == (const PairModel & rhs) const
+  {
+    if (!(neighbour == rhs.neighbour))
+      return false;
+    if (!(image == rhs.image))
+      return false;
+    if (!(pressure == rhs.pressure))
+      return false;
+    return true;
+  }
+  bool operator != (const PairModel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PairModel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PairModel &a, PairModel &b);
+
+std::ostream& operator<<(std::ostream& out, const PairModel& obj);
+
+typedef struct _ImageModel__isset {
+  _ImageModel__isset() : image(false), value(false) {}
+  bool image :1;
+  bool value :1;
+} _ImageModel__isset;
+
+class ImageModel : public virtual ::apache::thrift::TBase {
+ public:
+
+  ImageModel(const ImageModel&);
+  ImageModel(ImageModel&&) noexcept;
+  ImageModel& operator=(const ImageModel&);
+  ImageModel& operator=(ImageModel&&) noexcept;
+  ImageModel() noexcept
+             : image(),
+               value(0) {
+  }
+
+  virtual ~ImageModel() noexcept;
+  std::string image;
+  double value;
+
+  _ImageModel__isset __isset;
+
+  void __set_image(const std::string& val);
+
+  void __set_value(const double val);
+
+  bool operator == (const ImageModel & rhs) const
+  {
+    if (!(image == rhs.image))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const ImageModel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ImageModel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ImageModel &a, ImageModel &b);
+
+std::ostream& operator<<(std::ostream& out, const ImageModel& obj);
+
+typedef struct _RunTimeModel__isset {
+  _RunTimeModel__isset() : queue(false), image(false), ratio(false), samples(false) {}
+  bool queue :1;
+  bool image :1;
+  bool ratio :1;
+  bool samples :1;
+} _RunTimeModel__isset;
+
+class RunTimeModel : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunTimeModel(const RunTimeModel&);
+  RunTimeModel(RunTimeModel&&) noexcept;
+  RunTimeModel& operator=(const RunTimeModel&);
+  RunTimeModel& operator=(RunTimeModel&&) noexcept;
+  RunTimeModel() noexcept
+               : queue(),
+                 image(),
+                 ratio(0),
+                 samples(0) {
+  }
+
+  virtual ~RunTimeModel() noexcept;
+  std::string queue;
+  std::string image;
+  double ratio;
+  int32_t samples;
+
+  _RunTimeModel__isset __isset;
+
+  void __set_queue(const std::string& val);
+
+  void __set_image(const std::string& val);
+
+  void __set_ratio(const double val);
+
+  void __set_samples(const int32_t val);
+
+  bool operator == (const RunTimeModel & rhs) const
+  {
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(image == rhs.image))
+      return false;
+    if (!(ratio == rhs.ratio))
+      return false;
+    if (!(samples == rhs.samples))
+      return false;
+    return true;
+  }
+  bool operator != (const RunTimeModel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunTimeModel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunTimeModel &a, RunTimeModel &b);
+
+std::ostream& operator<<(std::ostream& out, const RunTimeModel& obj);
+
+typedef struct _ModelRecord__isset {
+  _ModelRecord__isset() : pairs(false), unloaded(false), neighbours(false), runTimes(false) {}
+  bool pairs :1;
+  bool unloaded :1;
+  bool neighbours :1;
+  bool runTimes :1;
+} _ModelRecord__isset;
+
+class ModelRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  ModelRecord(const ModelRecord&);
+  ModelRecord(ModelRecord&&) noexcept;
+  ModelRecord& operator=(const ModelRecord&);
+  ModelRecord& operator=(ModelRecord&&) noexcept;
+  ModelRecord() noexcept {
+  }
+
+  virtual ~ModelRecord() noexcept;
+  std::vector<PairModel>  pairs;
+  std::vector<ImageModel>  unloaded;
+  std::vector<ImageModel>  neighbours;
+  std::vector<RunTimeModel>  runTimes;
+
+  _ModelRecord__isset __isset;
+
+  void __set_pairs(const std::vector<PairModel> & val);
+
+  void __set_unloaded(const std::vector<ImageModel> & val);
+
+  void __set_neighbours(const std::vector<ImageModel> & val);
+
+  void __set_runTimes(const std::vector<RunTimeModel> & val);
+
+  bool operator == (const ModelRecord & rhs) const
+  {
+    if (!(pairs == rhs.pairs))
+      return false;
+    if (!(unloaded == rhs.unloaded))
+      return false;
+    if (!(neighbours == rhs.neighbours))
+      return false;
+    if (!(runTimes == rhs.runTimes))
+      return false;
+    return true;
+  }
+  bool operator != (const ModelRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ModelRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ModelRecord &a, ModelRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const ModelRecord& obj);
+
 typedef struct _OrderResult__isset {
   _OrderResult__isset() : number(false), result(false) {}
   bool number :1;
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -129,6 +129,32 @@
   3: string dataCentre,
 }
 
+struct PairModel {
+  1: string neighbour,
+  2: string image,
+  3: double pressure,
+}
+
+struct ImageModel {
+  1: string image,
+  2: double value,
+}
+
+struct RunTimeModel {
+  1: string queue,
+  2: string image,
+  3: double ratio,
+  4: i32 samples,
+}
+
+// What a coordinator learned about the work; the next one starts from it.
+struct ModelRecord {
+  1: list<PairModel> pairs,
+  2: list<ImageModel> unloaded,
+  3: list<ImageModel> neighbours,
+  4: list<RunTimeModel> runTimes,
+}
+
 struct OrderResult {
   1: i64 number,
   2: i32 result,
