--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -18,8 +18,9 @@
 constexpr std::uint64_t kMaxAnswerBytes = 8 << 20;
 /// A server whose machine does not acknowledge data for this long is taken as lost.
 constexpr int kUnansweredMs = 5'000;
-/// Idle connections kept to one server. More calls at one time open connections of their own.
-constexpr std::size_t kMaxIdle = 4;
+/// Idle connections kept to one server. A step of many tasks starts with so many calls at one time,
+/// and new connections cost the server more than kept ones.
+constexpr std::size_t kMaxIdle = 16;
 
 class Call;
 
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -109,6 +109,8 @@
           { "routes", std::to_string(tables->mRoutes.size()) } });
     mTables = std::make_shared<const QueueTables>(std::move(*tables));
     mDesk.takeTables(mTables);
+    // The store has just answered; waiting for the next check would refuse the first callers.
+    mDesk.setStoreConnected(true);
     mCoordinator.takeTables(*mTables);
     Net::HttpLimits limits;
     limits.mHeaderBytes = mTables->mLimits.mHeaderBytes;
