--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -340,6 +340,9 @@
   result.number = aNumber;
   result.result = static_cast<std::int32_t>(aResult);
   mResults.push_back(result);
+  mContext.mCounters
+    .counter("ibis_agent_orders", "result=\"" + std::to_string(static_cast<int>(aResult)) + '"')
+    .add();
   if (aResult != Scheduling::OrderResult::Done || mStopping) {
     Log(Level::Info,
         "agent",
--- a/Source/Core/Node/CallerDesk.cpp
+++ b/Source/Core/Node/CallerDesk.cpp
@@ -68,6 +68,19 @@
 
 void
 CallerDesk::answer(const CallerCall& aCall, Respond aRespond)
+{
+  const Timestamp arrived = mContext.now();
+  handle(aCall, [this, arrived, respond = std::move(aRespond)](const CallerAnswer& aAnswer) {
+    const std::string label = "answer=\"" + std::string(KindText(aAnswer.mKind)) + '"';
+    mContext.mCounters.counter("ibis_caller_answers", label).add();
+    mContext.mCounters.distribution("ibis_caller_answer_us")
+      .record((mContext.now() - arrived).count());
+    respond(aAnswer);
+  });
+}
+
+void
+CallerDesk::handle(const CallerCall& aCall, Respond aRespond)
 {
   if (!mTables) {
     aRespond(Unavailable("the tables are not known yet"));
@@ -107,6 +120,18 @@
   }
 }
 
+void
+CallerDesk::refuseInvalid(const Common::JobId& aJob,
+                          const std::string& aReason,
+                          const Respond& aRespond)
+{
+  Log(Level::Info,
+      "entry",
+      "submission answered",
+      { { "job", aJob.str() }, { "answer", "invalid" }, { "detail", aReason } });
+  aRespond(Simple(Kind::Invalid, aReason));
+}
+
 void
 CallerDesk::submit(const QueueRoute& aRoute,
                    const Common::JobId& aJob,
@@ -115,18 +140,25 @@
 {
   auto spec = mContext.mFormats.mReadJob(aCall.mBody);
   if (!spec) {
-    aRespond(Simple(Kind::Invalid, spec.error()));
+    refuseInvalid(aJob, spec.error(), aRespond);
     return;
   }
   spec->mJob = aJob;
   spec->mQueue = aRoute.mQueue.mName;
   spec->mAccepted = mContext.mClock.unixNow();
   if (const auto problem = Scheduling::ProblemOf(*spec)) {
-    aRespond(Simple(Kind::Invalid, *problem));
+    refuseInvalid(aJob, *problem, aRespond);
     return;
   }
   if (!mStoreConnected) {
-    Log(Level::Info, "entry", "submission refused: no store", { { "job", aJob.str() } });
+    Log(Level::Info,
+        "entry",
+        "submission answered",
+        { { "job", aJob.str() },
+          { "queue", aRoute.mQueue.mName.str() },
+          { "answer", std::string(KindText(Kind::Unavailable)) },
+          { "tables", std::to_string(mTables->mRevision.value()) },
+          { "detail", "the store does not answer this entry" } });
     aRespond(Unavailable("the store does not answer"));
     return;
   }
@@ -238,7 +270,7 @@
       "submission answered",
       { { "job", aSubmission->mJob.str() },
         { "queue", aSubmission->mRecord.queue },
-        { "answer", std::to_string(static_cast<int>(aAnswer.mKind)) },
+        { "answer", std::string(KindText(aAnswer.mKind)) },
         { "tables", std::to_string(mTables->mRevision.value()) },
         { "took_ms", std::to_string(took.count()) },
         { "detail", aAnswer.mDetail } });
--- a/Source/Core/Node/CallerDesk.h
+++ b/Source/Core/Node/CallerDesk.h
@@ -23,6 +23,10 @@
   using Respond = std::function<void(CallerAnswer)>;
   struct Submission;
 
+  void handle(const CallerCall& aCall, Respond aRespond);
+  void refuseInvalid(const Common::JobId& aJob,
+                     const std::string& aReason,
+                     const Respond& aRespond);
   void submit(const QueueRoute& aRoute,
               const Common::JobId& aJob,
               const CallerCall& aCall,
--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -256,7 +256,8 @@
     pair.pressure = pressure;
     record.pairs.push_back(std::move(pair));
   }
-  const auto copy = [](const std::map<std::string, double>& aFrom, std::vector<Wire::ImageModel>& aTo) {
+  const auto copy = [](const std::map<std::string, double>& aFrom,
+                       std::vector<Wire::ImageModel>& aTo) {
     for (const auto& [image, value] : aFrom) {
       Wire::ImageModel model;
       model.image = image;
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -564,6 +564,7 @@
       Scheduling::CheckTimes(mState, now);
       Scheduling::PaceTasks(mState, now);
       plan();
+      updateCounters();
       collectGarbage();
     }
     everyTick();
@@ -582,6 +583,32 @@
   mState.mNotes.clear();
 }
 
+void
+Coordinator::updateCounters()
+{
+  Observability::Counters& counters = mContext.mCounters;
+  const Scheduling::Counts& counts = mState.mCounts;
+  counters.counter("ibis_coordinator_term").set(mTerm.value());
+  counters.counter("ibis_jobs").set(static_cast<std::int64_t>(mState.mJobs.size()));
+  counters.counter("ibis_jobs_open").set(static_cast<std::int64_t>(mState.mOpen.size()));
+  counters.counter("ibis_jobs_unwritten").set(static_cast<std::int64_t>(mState.mDirty.size()));
+  counters.counter("ibis_orders_outstanding")
+    .set(static_cast<std::int64_t>(mState.mOutstanding.size()));
+  counters.counter("ibis_workers_connected")
+    .set(std::count_if(mState.mWorkers.begin(),
+                       mState.mWorkers.end(),
+                       [](const Scheduling::Worker& aWorker) { return aWorker.mConnected; }));
+  counters.counter("ibis_term_starts").set(static_cast<std::int64_t>(counts.mStarts));
+  counters.counter("ibis_term_room_rejections")
+    .set(static_cast<std::int64_t>(counts.mRoomRejections));
+  counters.counter("ibis_term_runs_lost").set(static_cast<std::int64_t>(counts.mLost));
+  counters.counter("ibis_term_runs_failed").set(static_cast<std::int64_t>(counts.mFailedRuns));
+  counters.counter("ibis_term_quarantines").set(static_cast<std::int64_t>(counts.mQuarantines));
+  counters.counter("ibis_term_stalls").set(static_cast<std::int64_t>(counts.mStalls));
+  counters.counter("ibis_term_paces").set(static_cast<std::int64_t>(counts.mPaces));
+  counters.counter("ibis_term_moves").set(static_cast<std::int64_t>(counts.mMoves));
+}
+
 void
 Coordinator::sendOrders()
 {
@@ -747,6 +774,7 @@
     transaction.mPuts.push_back({ kModelKey, Wire::Encode(LearnedRecord(mState)), std::nullopt });
   }
   mFlushing = true;
+  mFlushSent = mContext.now();
   mContext.mStore.write(transaction,
                         mContext.mTimes.mStoreCall,
                         [this, round = mRound, jobs, recorded, all](
@@ -792,6 +820,8 @@
     });
     return;
   }
+  mContext.mCounters.distribution("ibis_record_write_us")
+    .record((mContext.now() - mFlushSent).count());
   for (const auto& [id, state] : aJobs) {
     const auto found = mState.mJobs.find(id);
     if (found == mState.mJobs.end()) {
@@ -805,7 +835,7 @@
           "coordinator",
           "job ended",
           { { "job", id.str() },
-            { "state", std::to_string(static_cast<int>(state)) },
+            { "state", std::string(Scheduling::StateText(state)) },
             { "age_ms",
               std::to_string(
                 std::chrono::duration_cast<std::chrono::milliseconds>(mContext.now() - job.mArrived)
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -92,6 +92,7 @@
   Peer* peerOf(const Common::InstanceId& aAgent);
   void everyTick();
   void logNotes();
+  void updateCounters();
 
   void flushSoon();
   void flush();
@@ -129,6 +130,7 @@
   bool mFlushArmedNow = false;
   Timestamp mNextCollection;
   Timestamp mNextModel;
+  Timestamp mFlushSent;
   std::function<void()> mFlushed;
   /// Ends up to these are in the records of the flush on its way.
   std::map<Scheduling::Life, Scheduling::EndNumber> mFlushEnds;
--- a/Source/Core/Node/Ports.h
+++ b/Source/Core/Node/Ports.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -138,6 +139,10 @@
   std::string mDetail;
 };
 
+/// The answer's kind in logs and counters.
+std::string_view
+KindText(CallerAnswer::Kind aKind);
+
 struct CallerCall
 {
   enum class Kind
--- a/Source/Core/Node/Process.cpp
+++ b/Source/Core/Node/Process.cpp
@@ -76,6 +76,8 @@
 
   Net::HttpServer metrics(
     io, {}, [&counters](const Net::HttpRequest&, const Net::Responder& aRespond) {
+      counters.counter("ibis_log_lines_dropped")
+        .set(static_cast<std::int64_t>(Observability::DroppedLines()));
       aRespond({ 200, counters.text(), { { "Content-Type", "text/plain" } } });
     });
   if (!aSettings.mMetrics.empty()) {
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -74,6 +74,24 @@
 
 } // namespace
 
+std::string_view
+StateText(JobState aState)
+{
+  switch (aState) {
+    case JobState::Queued:
+      return "queued";
+    case JobState::Running:
+      return "running";
+    case JobState::Completed:
+      return "completed";
+    case JobState::Failed:
+      return "failed";
+    case JobState::Cancelled:
+      break;
+  }
+  return "cancelled";
+}
+
 std::optional<std::string>
 ProblemOf(const JobSpec& aSpec)
 {
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Common/Clock.h"
@@ -107,6 +108,9 @@
   Cancelled = 4,
 };
 
+std::string_view
+StateText(JobState aState);
+
 constexpr bool
 HasEnded(JobState aState)
 {
