--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -237,6 +237,10 @@
 void
 MarkDirty(State& aState, Job& aJob, bool aNow)
 {
+  // The record of an ended job does not change any more.
+  if (HasEnded(aJob.mDurableState)) {
+    return;
+  }
   aJob.mDirty = true;
   aJob.mDirtyNow = aJob.mDirtyNow || aNow;
   aState.mDirty.insert(&aJob);
--- a/Source/UnitTests/Scheduling/StepTests.cpp
+++ b/Source/UnitTests/Scheduling/StepTests.cpp
@@ -108,6 +108,17 @@
   REQUIRE(stops[0].mKind == OrderKind::Stop);
   REQUIRE(fixture.place().empty());
 
+  SECTION("its record is written once")
+  {
+    // Found on logs of a bench day: each end of a stopped run wrote the record again.
+    job.mDurableState = JobState::Cancelled;
+    fixture.mState.mDirty.clear();
+    auto view = fixture.view("w1");
+    view.mEnded = { Fixture::ended(starts[0], 1, EndKind::Stopped) };
+    fixture.report(view);
+    REQUIRE(fixture.mState.mDirty.empty());
+  }
+
   SECTION("a stop without effect is ordered again")
   {
     fixture.advance(milliseconds(1100));
