--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-/// Delay of a candidacy for each unit of the way to the store. Processes in the store's region
-/// answer each other's claims well within it.
-constexpr int kDelayPerRoundTrip = 6;
-constexpr Duration kMaxDelay{ std::chrono::milliseconds(500) };
+/// Longest delay of a candidacy. A claim takes three round trips, which by itself favours processes
+/// near the store; the delay of one more keeps the others from trying in vain. A round trip that
+/// was measured while the process started is longer than the way.
+constexpr Duration kMaxDelay{ std::chrono::milliseconds(80) };
 
 std::int64_t
 RandomNonce()
@@ -119,9 +119,8 @@
       return;
     }
     // A coordinator that lost its key takes it again before others try.
-    const Duration delay = mTerm.value() > 0 && mHadTerm
-                             ? Duration{ 0 }
-                             : std::min<Duration>(mRoundTrip * kDelayPerRoundTrip, kMaxDelay);
+    const Duration delay =
+      mTerm.value() > 0 && mHadTerm ? Duration{ 0 } : std::min<Duration>(mRoundTrip, kMaxDelay);
     after(mTimer, delay, [](Core& aCore) {
       if (aCore.mRole == Role::Follower && !aCore.mKeyThere) {
         aCore.claim();
