--- a/Tools/test.sh
+++ b/Tools/test.sh
@@ -5,5 +5,6 @@
 Tools/install-deps.sh
 Tools/build.sh build
 Tools/format.sh --check
+Tools/check-words.sh
 Tools/lint.sh build
 ctest --test-dir build --output-on-failure --no-tests=error -j "${IBIS_JOBS:-4}"
