--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -488,6 +488,12 @@
         task.mStopOrdered = aNow.mTime;
         OrderStop(aState, life, NameOf(ref), task.mRun);
       }
+      if (task.mPhase == TaskPhase::Starting &&
+          aNow.mTime - task.mSince >= aState.mPolicy.mStartAnswer) {
+        task.mPhase = TaskPhase::Stopping;
+        task.mStopOrdered = aNow.mTime;
+        OrderStop(aState, life, NameOf(ref), task.mRun);
+      }
       if (task.mPhase != TaskPhase::Running) {
         continue;
       }
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -170,6 +170,9 @@
   /// A worker that lists no trace of a run for this long after its start was confirmed is asked to
   /// stop it, after which the task may run elsewhere. Three report periods.
   Duration mMissingAfter{ std::chrono::milliseconds(1500) };
+  /// A start without a result for this long is settled by a stop. Agents answer after three calls
+  /// of 0.7 s, and orders are repeated after a lost connection.
+  Duration mStartAnswer{ std::chrono::milliseconds(4000) };
   /// An unanswered stop is ordered again after this time; agents retry within it.
   Duration mStopRetry{ std::chrono::milliseconds(1000) };
   /// Time after an answered stop in which lists may still be from before it: a report period, the
--- /dev/null
+++ b/Source/UnitTests/Scheduling/World.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Scheduling/Schedule.h"
+
+/// Coordinators, agents and workers in virtual time, with a network and workers that misbehave. The
+/// decisions are those of the library; the rest are models of what stands around them.
+namespace SchedulingWorld {
+
+using namespace Scheduling;
+using std::chrono::milliseconds;
+
+/// Faults that the checker must notice.
+enum class PlantedFault
+{
+  None,
+  /// Tasks of a silent worker start elsewhere before its lease has ended.
+  IgnoreLeases,
+  /// A new coordinator does not wait for workers that have not reported.
+  IgnoreRecords,
+  /// A start without an answer is taken as not carried out.
+  TrustSilence,
+  /// Ends are acknowledged before they are recorded.
+  AcknowledgeEarly,
+};
+
+class World
+{
+public:
+  World(std::uint32_t aSeed, PlantedFault aFault);
+
+  /// Plays the schedule. Returns the first broken promise, "" if there is none.
+  std::string play();
+
+private:
+  struct RunOnWorker
+  {
+    TaskName mTask;
+    RunNumber mRun;
+    Timestamp mEnd;
+    bool mFails = false;
+    bool mStopping = false;
+    Timestamp mStopEnd;
+  };
+  struct WorkerModel
+  {
+    Life mLife;
+    bool mUp = true;
+    Common::Epoch mFence;
+    Timestamp mLease;
+    std::vector<RunOnWorker> mRunning;
+    std::vector<EndedRow> mEnded;
+    std::int64_t mLastEnd = 0;
+    std::map<TaskName, RunNumber> mHighest;
+  };
+  struct AgentModel
+  {
+    Common::Epoch mTerm;
+    /// The coordinator that it speaks with, 0 while there is none.
+    std::size_t mCoordinator = 0;
+    bool mCut = false;
+    Timestamp mGrant;
+    EndNumber mForget;
+    WorkerView mView;
+    std::vector<std::pair<std::int64_t, OrderResult>> mResults;
+  };
+  struct CoordinatorModel
+  {
+    std::size_t mNumber = 0;
+    Common::Epoch mTerm;
+    State mState;
+    Timestamp mValidUntil;
+    bool mDead = false;
+  };
+  struct Late
+  {
+    Timestamp mAt;
+    std::size_t mWorker = 0;
+    Common::Epoch mTerm;
+    Order mOrder;
+    Timestamp mLeaseEnd;
+  };
+
+  Now now() const
+  {
+    return { mTime, Common::UnixMillis{ mTime.time_since_epoch().count() / 1000 } };
+  }
+  int random(int aBelow) { return static_cast<int>(mRandom() % static_cast<unsigned>(aBelow)); }
+  void submit();
+  void newCoordinator();
+  void recover(CoordinatorModel& aCoordinator);
+  void stepWorkers();
+  void stepAgents();
+  void stepCoordinators();
+  void injectFaults();
+  void carryOut(std::size_t aWorker, CoordinatorModel& aCoordinator, const Order& aOrder);
+  OrderResult apply(std::size_t aWorker,
+                    Common::Epoch aTerm,
+                    const Order& aOrder,
+                    Timestamp aLeaseEnd);
+  void checkStart(std::size_t aWorker, const TaskName& aTask);
+  void endRun(WorkerModel& aWorker, const RunOnWorker& aRun, EndKind aKind);
+  void flush(CoordinatorModel& aCoordinator);
+  void fail(const std::string& aWhat);
+  CoordinatorModel* current();
+  bool allEnded() const;
+
+  std::mt19937 mRandom;
+  PlantedFault mFault;
+  Timestamp mTime{ std::chrono::hours(1) };
+  std::vector<WorkerModel> mWorkers;
+  std::vector<AgentModel> mAgents;
+  std::vector<CoordinatorModel> mCoordinators;
+  std::vector<Late> mLate;
+  /// What the store holds.
+  std::map<Common::JobId, JobSpec> mJobs;
+  std::map<Common::JobId, Progress> mProgress;
+  std::set<Common::JobId> mCancelled;
+  std::map<Life, std::size_t> mRecords;
+  Common::Epoch mTerm;
+  /// What the checker has seen.
+  std::set<TaskName> mDone;
+  std::set<TaskName> mAcknowledgedDone;
+  std::map<TaskName, int> mAcknowledgedFailures;
+  bool mFaultsOn = true;
+  std::string mBroken;
+};
+
+} // namespace SchedulingWorld
