Make each write of records the condition of the next

After the coordinator froze, the next one read the older records and started tasks again whose ends the workers had been told to forget. Ruled out: ends acknowledged too early; leases. Change: each write changes ibis/records and expects the version of the last one; a write that is refused because an earlier one took effect late takes over its version and is repeated. The test fails without it (Node, 'A record that is written late does not replace a newer one').

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -20,7 +20,7 @@
 /// Run numbers that a coordinator can give to one task in its term.
 constexpr std::int64_t kRunsPerTerm = 1'000;
 /// Records in one transaction beside its condition; a few places are left for worker records.
-constexpr std::size_t kJobsPerWrite = 18;
+constexpr std::size_t kJobsPerWrite = 16;
 constexpr std::size_t kWorkersPerWrite = 6;
 /// An admission counts for this long; the entry writes the job within a caller's patience.
 constexpr std::chrono::seconds kAdmissionKept{ 15 };
@@ -67,7 +67,7 @@
   if (mTables) {
     takeTables(*mTables);
   }
-  readWorkers();
+  readRecordsVersion();
   everyTick();
 }
 
@@ -145,6 +145,31 @@
 
 // --- What the store holds at the start of a term ---
 
+void
+Coordinator::readRecordsVersion()
+{
+  // Before the records, so that a write which takes effect after them is refused or read again.
+  mContext.mStore.read(
+    kRecordsKey,
+    mContext.mTimes.mStoreCall,
+    [this, round = mRound](const Store::Result<std::optional<Store::Entry>>& aEntry) {
+      if (round != mRound) {
+        return;
+      }
+      if (!aEntry) {
+        mReadTimer.expires_after(mContext.mTimes.mStoreRetry);
+        mReadTimer.async_wait([this, round](boost::system::error_code aError) {
+          if (!aError && round == mRound) {
+            readRecordsVersion();
+          }
+        });
+        return;
+      }
+      mRecordsVersion = *aEntry ? (*aEntry)->mVersion : Store::Version{ 0 };
+      readWorkers();
+    });
+}
+
 void
 Coordinator::readWorkers()
 {
@@ -726,7 +751,7 @@
     return;
   }
   Store::Transaction transaction;
-  transaction.mExpected.push_back(mElection.fence());
+  transaction.mExpected = { mElection.fence(), { kRecordsKey, mRecordsVersion } };
   std::vector<Scheduling::Job*> dirty(mState.mDirty.begin(), mState.mDirty.end());
   std::stable_sort(
     dirty.begin(), dirty.end(), [](const Scheduling::Job* aLeft, const Scheduling::Job* aRight) {
@@ -773,6 +798,7 @@
     mNextModel = mContext.now() + kModelPeriod;
     transaction.mPuts.push_back({ kModelKey, Wire::Encode(LearnedRecord(mState)), std::nullopt });
   }
+  transaction.mPuts.push_back({ kRecordsKey, std::to_string(mTerm.value()), std::nullopt });
   mFlushing = true;
   mFlushSent = mContext.now();
   mContext.mStore.write(transaction,
@@ -804,7 +830,8 @@
         "records were not written",
         { { "jobs", std::to_string(aJobs.size()) },
           { "error", std::to_string(static_cast<int>(aResult.error().mError)) } });
-    if (aResult.error().mError == Store::StoreError::Conflict) {
+    if (aResult.error().mError == Store::StoreError::Conflict &&
+        !overtakenByOwnWrite(aResult.error())) {
       mElection.doubt();
       return;
     }
@@ -820,6 +847,7 @@
     });
     return;
   }
+  mRecordsVersion = *aResult;
   mContext.mCounters.distribution("ibis_record_write_us")
     .record((mContext.now() - mFlushSent).count());
   for (const auto& [id, state] : aJobs) {
@@ -875,6 +903,30 @@
     mPeers.begin(), mPeers.end(), [](const auto& aEntry) { return aEntry.second.mCandidate; });
 }
 
+bool
+Coordinator::overtakenByOwnWrite(const Store::WriteFailure& aFailure)
+{
+  bool holdsKey = false;
+  Store::Version records;
+  for (const Store::Entry& entry : aFailure.mActual) {
+    holdsKey =
+      holdsKey || (entry.mKey == kCoordinatorKey && entry.mVersion == mElection.fence().mVersion);
+    if (entry.mKey == kRecordsKey) {
+      records = entry.mVersion;
+    }
+  }
+  if (!holdsKey || records == mRecordsVersion) {
+    return false;
+  }
+  Log(Level::Warning,
+      "coordinator",
+      "an earlier write took effect late; writing the records again",
+      { { "expected", std::to_string(mRecordsVersion.value()) },
+        { "actual", std::to_string(records.value()) } });
+  mRecordsVersion = records;
+  return true;
+}
+
 void
 Coordinator::flushAll(std::function<void()> aDone)
 {
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -77,6 +77,7 @@
   void dropPeer(Net::Link* aLink);
 
   void readWorkers();
+  void readRecordsVersion();
   void readModel();
   void readProgress();
   void watchJobs();
@@ -100,6 +101,9 @@
                  const std::vector<Scheduling::Life>& aRecorded,
                  bool aAllWritten,
                  const tl::expected<Store::Version, Store::WriteFailure>& aResult);
+  /// True if the write was refused because an earlier one took effect meanwhile; takes over its
+  /// version.
+  bool overtakenByOwnWrite(const Store::WriteFailure& aFailure);
   void collectGarbage();
   Duration maxGrant() const;
 
@@ -131,6 +135,8 @@
   Timestamp mNextCollection;
   Timestamp mNextModel;
   Timestamp mFlushSent;
+  /// Version of kRecordsKey as of the last write.
+  Store::Version mRecordsVersion;
   std::function<void()> mFlushed;
   /// Ends up to these are in the records of the flush on its way.
   std::map<Scheduling::Life, Scheduling::EndNumber> mFlushEnds;
--- a/Source/Core/Node/Keys.h
+++ b/Source/Core/Node/Keys.h
@@ -17,6 +17,9 @@
 /// Written by the coordinator.
 inline const std::string kProgressPrefix = "ibis/progress/";
 inline const std::string kWorkerPrefix = "ibis/worker/";
+/// Changes with each write of the coordinator's records and is the condition of the next one, so
+/// that a write which takes effect late finds its condition gone.
+inline const std::string kRecordsKey = "ibis/records";
 inline const std::string kModelKey = "ibis/model";
 
 std::string
--- a/Source/UnitTests/Node/FleetTests.cpp
+++ b/Source/UnitTests/Node/FleetTests.cpp
@@ -176,3 +176,21 @@
   first.settle();
   REQUIRE(first.mRunning.empty());
 }
+
+TEST_CASE("A record that is written late does not replace a newer one", "[Node]")
+{
+  // Found by vea mix 360577853334: a write without an answer took effect seconds after the next
+  // one, and the next coordinator started tasks again whose ends the workers had forgotten.
+  World world;
+  world.addEntry("e1");
+  FakeWorker& worker = world.addWorker("w1");
+  worker.mTaskTime = 1500ms;
+  Submit(world, "a");
+  world.runUntil([&] { return worker.mStarts == 2; }, 3s);
+  world.mStore.mMode = FakeStore::Mode::Late;
+  world.run(1200ms);
+  world.mStore.mMode = FakeStore::Mode::Normal;
+  REQUIRE(world.runUntil([&] { return HasCompleted(world, "a"); }, 5s));
+  world.mStore.applyLate();
+  REQUIRE(HasCompleted(world, "a"));
+}
