Do not use connections that the server closed while they were idle

Cause: workers close idle connections after 1.5 s; a call on one ended without an answer, so that the start was repeated as one that may have been carried out. The test fails without the change.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -1,7 +1,10 @@
 #include "Net/HttpClient.h"
 
+#include <cerrno>
 #include <optional>
 
+#include <sys/socket.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -24,6 +27,16 @@
 
 class Call;
 
+/// False if the server has closed the connection or sent something that nobody asked for. A call on
+/// it would end without an answer, which looks as if it may have been carried out.
+bool
+IsUsable(Tcp::socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t size = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace
 
 struct HttpClient::Core
@@ -76,12 +89,14 @@
                  [self = shared_from_this()] { self->finish(tl::unexpected(CallError::NotSent)); });
       return;
     }
-    if (!mCore->mIdle.empty()) {
+    while (!mCore->mIdle.empty()) {
       mStream = std::move(mCore->mIdle.back());
       mCore->mIdle.pop_back();
-      mStream->expires_after(mTimeout);
-      write();
-      return;
+      if (IsUsable(mStream->socket())) {
+        mStream->expires_after(mTimeout);
+        write();
+        return;
+      }
     }
     mStream = std::make_unique<Beast::tcp_stream>(mCore->mContext);
     mStream->expires_after(mTimeout);
--- a/Source/UnitTests/Net/HttpTests.cpp
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -209,6 +209,27 @@
   }
 }
 
+TEST_CASE("A connection that the server closed while it was idle is not used", "[Net]")
+{
+  // Workers close idle connections after 1.5 s; each start on one of them looked as if it had no
+  // answer.
+  boost::asio::io_context io;
+  HttpServer server(io, { .mIdleTime = 100ms }, [](const HttpRequest&, const Responder& aRespond) {
+    aRespond({ 200, "yes", {} });
+  });
+  REQUIRE(server.listen("127.0.0.1:0"));
+  HttpClient client(io, AddressText(server.address()));
+  for (int i = 0; i < 2; ++i) {
+    std::optional<CallResult> result;
+    client.call(
+      { "GET", "/x", "", {} }, 200ms, [&](CallResult aResult) { result = std::move(aResult); });
+    io.restart();
+    io.run_for(400ms);
+    REQUIRE(result);
+    REQUIRE(*result);
+  }
+}
+
 TEST_CASE("Links carry whole messages and notice silence", "[Net]")
 {
   boost::asio::io_context io;
