Leave room on each kind of worker when placing lasting tasks; log labels and shapes of jobs

Load pattern: tasks that require a label after lasting ones that do not. The test fails without the change.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -136,13 +136,18 @@
 void
 Agent::addWorker(const Scheduling::WorkerView& aView)
 {
+  std::string labels;
+  for (const std::string& label : aView.mLabels) {
+    labels += (labels.empty() ? "" : " ") + label;
+  }
   Log(Level::Info,
       "agent",
       "worker",
       { { "worker", aView.mLife.mWorker.str() },
         { "born", std::to_string(aView.mLife.mBorn.value()) },
         { "pool", aView.mPool.str() },
-        { "millicores", std::to_string(aView.mCapacity.mCores.value()) } });
+        { "millicores", std::to_string(aView.mCapacity.mCores.value()) },
+        { "labels", labels } });
   const Scheduling::Life life = aView.mLife;
   auto driver = std::make_shared<WorkerDriver>(
     mContext,
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -15,6 +15,22 @@
 using Observability::Level;
 using Observability::Log;
 
+/// The steps of a job for logs, for instance "4x500m 8x1800m gang"; the size is that of one task.
+std::string
+ShapeText(const Scheduling::JobSpec& aSpec)
+{
+  std::string text;
+  for (const Scheduling::StepSpec& step : aSpec.mSteps) {
+    text += (text.empty() ? "" : " ") + std::to_string(step.mTasks) + 'x' +
+            std::to_string(step.mNeed.mCores.value()) + 'm';
+    text += step.mGang ? " gang" : "";
+    text += step.mLasting ? " lasting" : "";
+    text += step.mFills ? " fills" : "";
+    text += step.mLabel.empty() ? "" : " label=" + step.mLabel;
+  }
+  return text + (aSpec.mRepeats > 0 ? " repeats=" + std::to_string(aSpec.mRepeats) : "");
+}
+
 /// Times at which something is due without an event: lapsed leases, stalls, due times, pace.
 constexpr std::chrono::milliseconds kTick{ 100 };
 /// Run numbers that a coordinator can give to one task in its term.
@@ -350,6 +366,7 @@
       "job accepted",
       { { "job", record->job },
         { "queue", record->queue },
+        { "steps", ShapeText(job.mSpec) },
         { "version", std::to_string(aEntry.mVersion.value()) } });
   if (mCancelledEarly.contains(key->mJob)) {
     Scheduling::CancelJob(mState, job, now);
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -13,6 +13,10 @@
 /// Against the loss of several tasks of a step with one worker.
 constexpr double kSameStepWeight = 0.3;
 constexpr double kFirstLastingWeight = 1.5;
+/// Above both, so that no kind of worker is filled up while another has room.
+constexpr double kLastRoomWeight = 3.0;
+/// Part of the cores of each kind of worker that lasting tasks leave free while they can.
+constexpr double kRoomForLabels = 0.2;
 
 /// Room that the task reserves; a task that fills reserves no processor.
 Common::Resources
@@ -250,9 +254,54 @@
          TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) < step.mMaxPerWorker;
 }
 
+struct Room
+{
+  std::int64_t mCapacity = 0;
+  std::int64_t mUsed = 0;
+};
+
+/// Cores of the workers with each label, apart from those that name a rack.
+std::map<std::string, Room>
+RoomByLabel(const State& aState)
+{
+  std::map<std::string, Room> rooms;
+  for (const Worker& worker : aState.mWorkers) {
+    if (!worker.mConnected || worker.mLeaving) {
+      continue;
+    }
+    for (const std::string& label : worker.mLabels) {
+      if (label != worker.mRack.str()) {
+        rooms[label].mCapacity += worker.mCapacity.mCores.value();
+        rooms[label].mUsed += worker.mUsed.mCores.value();
+      }
+    }
+  }
+  return rooms;
+}
+
+/// True if the task would take the last room of the workers with one of these labels, which tasks
+/// that require the label then lack for as long as it lasts.
+bool
+TakesLastRoom(const std::map<std::string, Room>& aRooms,
+              const Worker& aWorker,
+              const StepSpec& aStep)
+{
+  return std::any_of(
+    aWorker.mLabels.begin(), aWorker.mLabels.end(), [&](const std::string& aLabel) {
+      const auto room = aRooms.find(aLabel);
+      if (room == aRooms.end() || aLabel == aStep.mLabel) {
+        return false;
+      }
+      const auto left = room->second.mCapacity - room->second.mUsed - aStep.mNeed.mCores.value();
+      return static_cast<double>(left) <
+             kRoomForLabels * static_cast<double>(room->second.mCapacity);
+    });
+}
+
 /// Lower is better.
 double
 CostOf(const State& aState,
+       const std::map<std::string, Room>& aRooms,
        const Worker& aWorker,
        const Ready& aReady,
        const Task& aTask,
@@ -272,6 +321,7 @@
     cost +=
       kSameStepWeight * TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) -
       lastingCores + (aWorker.mLasting.value() == 0 ? kFirstLastingWeight : 0.0);
+    cost += TakesLastRoom(aRooms, aWorker, step) ? kLastRoomWeight : 0.0;
   } else if (step.mFills) {
     const double cores = static_cast<double>(step.mNeed.mCores.value()) / 1000.0;
     cost += kPressureWeight * AddedPressure(aState, aWorker, step.mImage, cores) -
@@ -291,6 +341,10 @@
            const Now& aNow)
 {
   const bool starved = aReady.mIdleJob && aNow.mTime - aTask.mSince >= aState.mPolicy.mStarved;
+  // Only lasting tasks weigh it, and they are few.
+  const bool lasting = aReady.mJob->mSpec.mSteps[aReady.mStep].mLasting;
+  const std::map<std::string, Room> rooms =
+    lasting ? RoomByLabel(aState) : std::map<std::string, Room>{};
   WorkerNumber best = kNoWorker;
   double bestCost = 0;
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
@@ -299,7 +353,7 @@
         !MayHost(aState, worker, aReady, aQueue, starved, aNow)) {
       continue;
     }
-    const double cost = CostOf(aState, worker, aReady, aTask, number);
+    const double cost = CostOf(aState, rooms, worker, aReady, aTask, number);
     if (best == kNoWorker || cost < bestCost) {
       best = number;
       bestCost = cost;
--- a/Source/UnitTests/Scheduling/SharingTests.cpp
+++ b/Source/UnitTests/Scheduling/SharingTests.cpp
@@ -58,6 +58,27 @@
   }
 }
 
+TEST_CASE("Lasting tasks leave room on each kind of worker", "[Scheduling]")
+{
+  // Load pattern: lasting tasks come first, then short ones that require a label. Found on a
+  // scratch copy of a site with two kinds of worker: all workers of one kind were filled with
+  // lasting tasks that could run anywhere, and tasks that required the kind never started.
+  Fixture fixture;
+  for (const std::string name : { "w1", "w2", "w3", "w4" }) {
+    auto view = fixture.view(name);
+    view.mLabels = { name < "w3" ? "a" : "b", "rack-" + name };
+    fixture.report(view);
+    fixture.worker(name).mRecorded = true;
+  }
+  fixture.addJob("lasting", { AStep().tasks(14).cores(3'200).lasting().build() });
+  fixture.confirm(fixture.place());
+  for (const char* label : { "a", "b" }) {
+    fixture.addJob(std::string("short-") + label,
+                   { AStep().tasks(2).cores(1'000).label(label).build() });
+  }
+  REQUIRE(fixture.place().size() == 4);
+}
+
 TEST_CASE("A neighbour that disturbs is learned, slowed and kept away", "[Scheduling]")
 {
   Fixture fixture;
