Remove the question to the coordinator before a job is stored

It admitted every job and cost a round trip for each submission, 60 ms between regions. Settling of stops now follows the worker's stop time from the settings.

--- a/Source/Core/Node/CallerDesk.cpp
+++ b/Source/Core/Node/CallerDesk.cpp
@@ -169,18 +169,8 @@
   submission->mRespond = std::move(aRespond);
   submission->mArrived = mContext.now();
   submission->mDeadline = submission->mArrived + aCall.mPatience - kAnswerMargin;
-  mLink.offer(submission->mRecord,
-              [this, submission](const std::optional<Wire::Verdict>& aVerdict) {
-                if (aVerdict && !aVerdict->admitted) {
-                  CallerAnswer refusal = Simple(Kind::Overloaded);
-                  refusal.mRetryAfter = std::chrono::milliseconds(aVerdict->retryAfterMs);
-                  finish(submission, std::move(refusal));
-                  return;
-                }
-                // Without a coordinator the job is taken in; whoever comes next finds it in the
-                // store.
-                write(submission);
-              });
+  // Without a coordinator the job is taken in as well; whoever comes next finds it in the store.
+  write(submission);
 }
 
 void
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -38,8 +38,6 @@
 /// Records in one transaction beside its condition; a few places are left for worker records.
 constexpr std::size_t kJobsPerWrite = 16;
 constexpr std::size_t kWorkersPerWrite = 6;
-/// An admission counts for this long; the entry writes the job within a caller's patience.
-constexpr std::chrono::seconds kAdmissionKept{ 15 };
 constexpr std::chrono::seconds kCollectionPeriod{ 10 };
 /// What was learned in a shorter time is learned again soon.
 constexpr std::chrono::seconds kModelPeriod{ 3 };
@@ -79,6 +77,9 @@
   mPhase = Phase::Reading;
   mBegan = mContext.now();
   mState = Scheduling::State{};
+  // A stop takes the worker's time, and lists are up to two reports old.
+  mState.mPolicy.mStopSettle =
+    mContext.mSettings.mStopTime + mContext.mTimes.mReport * 2 + mContext.mTimes.mMessageTime;
   mState.mRunBase = Scheduling::RunNumber{ (aTerm.value() - 1) * kRunsPerTerm };
   if (mTables) {
     takeTables(*mTables);
@@ -133,7 +134,6 @@
   mRecovered.clear();
   mReadAfter.clear();
   mCancelledEarly.clear();
-  mAdmitted.clear();
   mEarly.clear();
   mFlushEnds.clear();
   mFlushing = false;
@@ -359,7 +359,6 @@
                        progress == mRecovered.end() ? nullptr : &progress->second,
                        aRecovered,
                        now);
-  mAdmitted.erase(key->mJob);
   // Recovered jobs are counted in one line; there may be thousands.
   Log(aRecovered ? Level::Debug : Level::Info,
       "coordinator",
@@ -448,8 +447,6 @@
   }
   if (message->__isset.report) {
     takeReport(found->second, std::move(message->report));
-  } else if (message->__isset.offer) {
-    answerOffer(found->second, message->offer);
   } else if (message->__isset.statusQuery) {
     answerStatus(found->second, message->statusQuery);
   }
@@ -522,20 +519,6 @@
   }
 }
 
-void
-Coordinator::answerOffer(Peer& aPeer, const Wire::Offer& aOffer)
-{
-  Wire::Verdict verdict;
-  verdict.number = aOffer.number;
-  verdict.admitted = true;
-  if (works()) {
-    mAdmitted[Common::JobId(aOffer.job.job)] = mContext.now() + kAdmissionKept;
-  }
-  Wire::Message message;
-  message.__set_verdict(verdict);
-  aPeer.mLink->send(Wire::Encode(message));
-}
-
 void
 Coordinator::answerStatus(Peer& aPeer, const Wire::StatusQuery& aQuery)
 {
@@ -963,7 +946,6 @@
     return;
   }
   mNextCollection = now + kCollectionPeriod;
-  std::erase_if(mAdmitted, [now](const auto& aEntry) { return aEntry.second < now; });
   // Records of lifetimes that ended keep the next coordinator waiting for nothing.
   Store::Transaction transaction;
   transaction.mExpected.push_back(mElection.fence());
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -72,7 +72,6 @@
   void takeMessage(Net::Link* aLink, const std::string& aBytes);
   void takeReport(Peer& aPeer, Wire::Report aReport);
   void apply(const Wire::Report& aReport, Timestamp aTaken);
-  void answerOffer(Peer& aPeer, const Wire::Offer& aOffer);
   void answerStatus(Peer& aPeer, const Wire::StatusQuery& aQuery);
   void dropPeer(Net::Link* aLink);
 
@@ -119,8 +118,6 @@
   /// Last key of the progress pages read so far.
   std::string mReadAfter;
   std::unordered_set<Common::JobId> mCancelledEarly;
-  /// Jobs that were offered and admitted, and are not seen in the store yet.
-  std::unordered_map<Common::JobId, Timestamp> mAdmitted;
   std::unique_ptr<Watcher> mJobs;
   std::map<Net::Link*, Peer> mPeers;
   std::map<Common::InstanceId, EarlyReport> mEarly;
--- a/Source/Core/Node/CoordinatorLink.cpp
+++ b/Source/Core/Node/CoordinatorLink.cpp
@@ -95,25 +95,6 @@
   mLink->send(Wire::Encode(aMessage));
 }
 
-void
-CoordinatorLink::offer(const Wire::JobRecord& aJob,
-                       std::function<void(std::optional<Wire::Verdict>)> aDone)
-{
-  if (!mLink) {
-    boost::asio::post(mContext.mIo, [done = std::move(aDone)] { done(std::nullopt); });
-    return;
-  }
-  Wire::Offer offer;
-  offer.number = mNext++;
-  offer.job = aJob;
-  // The payload does not matter for the verdict.
-  offer.job.payload.clear();
-  mOffers[offer.number] = { std::move(aDone), mContext.now() + mContext.mTimes.mAsk };
-  Wire::Message message;
-  message.__set_offer(offer);
-  send(message);
-}
-
 void
 CoordinatorLink::ask(const Common::JobId& aJob,
                      const Common::RouteId& aQueue,
@@ -142,11 +123,6 @@
       Observability::Level::Warning, "entry", "dropped a message that cannot be read");
     return;
   }
-  if (message->__isset.verdict) {
-    if (auto node = mOffers.extract(message->verdict.number)) {
-      node.mapped().mDone(message->verdict);
-    }
-  }
   if (message->__isset.statusReply) {
     if (auto node = mQuestions.extract(message->statusReply.number)) {
       node.mapped().mDone(message->statusReply);
@@ -178,9 +154,6 @@
     if (mLink && now - mLastSent >= kKeepAlive) {
       keepAlive();
     }
-    while (!mOffers.empty() && mOffers.begin()->second.mUntil <= now) {
-      mOffers.extract(mOffers.begin()).mapped().mDone(std::nullopt);
-    }
     while (!mQuestions.empty() && mQuestions.begin()->second.mUntil <= now) {
       mQuestions.extract(mQuestions.begin()).mapped().mDone(std::nullopt);
     }
@@ -191,13 +164,8 @@
 void
 CoordinatorLink::failAll()
 {
-  auto offers = std::move(mOffers);
   auto questions = std::move(mQuestions);
-  mOffers.clear();
   mQuestions.clear();
-  for (auto& [number, waiting] : offers) {
-    waiting.mDone(std::nullopt);
-  }
   for (auto& [number, waiting] : questions) {
     waiting.mDone(std::nullopt);
   }
--- a/Source/Core/Node/CoordinatorLink.h
+++ b/Source/Core/Node/CoordinatorLink.h
@@ -27,16 +27,14 @@
   /// "" if there is no coordinator now.
   void follow(const std::string& aAddress);
   /// Nothing if no coordinator answered within the time that a caller may be kept waiting for it.
-  void offer(const Wire::JobRecord& aJob, std::function<void(std::optional<Wire::Verdict>)> aDone);
   void ask(const Common::JobId& aJob,
            const Common::RouteId& aQueue,
            std::function<void(std::optional<Wire::StatusReply>)> aDone);
 
 private:
-  template<typename Reply>
   struct Waiting
   {
-    std::function<void(std::optional<Reply>)> mDone;
+    std::function<void(std::optional<Wire::StatusReply>)> mDone;
     Timestamp mUntil;
   };
 
@@ -54,8 +52,7 @@
   bool mConnecting = false;
   bool mCandidate = true;
   std::int64_t mNext = 1;
-  std::map<std::int64_t, Waiting<Wire::Verdict>> mOffers;
-  std::map<std::int64_t, Waiting<Wire::StatusReply>> mQuestions;
+  std::map<std::int64_t, Waiting> mQuestions;
   boost::asio::steady_timer mConnectTimer;
   boost::asio::steady_timer mCheckTimer;
   Timestamp mLastSent;
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -18,7 +18,6 @@
 {
   Common::InstanceId mInstance;
   Common::DataCentreId mDataCentre;
-  Common::RegionId mRegion;
   bool mEntry = false;
   bool mAgent = false;
   /// Where callers connect.
@@ -66,6 +65,8 @@
   /// Steady clocks of workers may be this much slow.
   double mClockDrift = 0.03;
   Duration mReport{ std::chrono::milliseconds(400) };
+  /// A message takes at most this long between regions while the link is not full.
+  Duration mMessageTime{ std::chrono::milliseconds(300) };
   /// A peer that sends nothing for this long is taken as lost; three reports.
   Duration mPeerSilence{ std::chrono::milliseconds(1500) };
   Duration mConnect{ std::chrono::milliseconds(600) };
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -163,7 +163,7 @@
     aNow.mUnix - job.mSpec.mAccepted, Common::UnixMillis{ 0 }, Common::UnixMillis{ 600'000 });
   job.mArrived = aMayRunElsewhere ? aNow.mTime - age : aNow.mTime;
   job.mChain = LongestChain(job.mSpec);
-  job.mHeldUntil = aMayRunElsewhere ? Timestamp::max() : Timestamp::min();
+  job.mRecovered = aMayRunElsewhere;
   if (aProgress != nullptr) {
     Restore(job, *aProgress, aNow);
   }
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -150,7 +150,7 @@
   std::vector<Ready> ready;
   const bool awaits = AwaitsWorkers(aState, aNow);
   for (Job* job : aState.mOpen) {
-    if (HasEnded(job->mState) || (awaits && job->mHeldUntil > aNow.mTime)) {
+    if (HasEnded(job->mState) || (awaits && job->mRecovered)) {
       continue;
     }
     const auto queue = aState.mQueues.find(job->mSpec.mQueue);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -87,9 +87,9 @@
   std::map<std::uint32_t, Occurrence> mOccurrences;
   std::uint32_t mOccurrencesEnded = 0;
   Timestamp mArrived;
-  /// Tasks that may run on a worker that has not reported to this coordinator are held back until
-  /// every worker has reported or this time has passed.
-  Timestamp mHeldUntil;
+  /// An earlier coordinator may have started its tasks on a worker that has not reported yet; until
+  /// then they are held back.
+  bool mRecovered = false;
   Common::UnixMillis mEnded{ 0 };
   bool mStarted = false;
   bool mDirty = false;
@@ -114,7 +114,6 @@
   std::deque<std::pair<Common::JobId, bool>> mEnds;
   Timestamp mClosedUntil;
   Duration mPenalty{ 0 };
-  std::uint32_t mProbes = 0;
 };
 
 struct Worker
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -4774,274 +4774,6 @@
 }
 
 
-Offer::~Offer() noexcept {
-}
-
-
-void Offer::__set_number(const int64_t val) {
-  this->number = val;
-}
-
-void Offer::__set_job(const JobRecord& val) {
-  this->job = val;
-}
-std::ostream& operator<<(std::ostream& out, const Offer& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Offer::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->number);
-          this->__isset.number = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->job.read(iprot);
-          this->__isset.job = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Offer::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Offer");
-
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->number);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->job.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Offer &a, Offer &b) {
-  using ::std::swap;
-  swap(a.number, b.number);
-  swap(a.job, b.job);
-  swap(a.__isset, b.__isset);
-}
-
-Offer::Offer(const Offer& other196) {
-  number = other196.number;
-  job = other196.job;
-  __isset = other196.__isset;
-}
-Offer::Offer(Offer&& other197) noexcept {
-  number = other197.number;
-  job = std::move(other197.job);
-  __isset = other197.__isset;
-}
-Offer& Offer::operator=(const Offer& other198) {
-  number = other198.number;
-  job = other198.job;
-  __isset = other198.__isset;
-  return *this;
-}
-Offer& Offer::operator=(Offer&& other199) noexcept {
-  number = other199.number;
-  job = std::move(other199.job);
-  __isset = other199.__isset;
-  return *this;
-}
-void Offer::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Offer(";
-  out << "number=" << to_string(number);
-  out << ", " << "job=" << to_string(job);
-  out << ")";
-}
-
-
-Verdict::~Verdict() noexcept {
-}
-
-
-void Verdict::__set_number(const int64_t val) {
-  this->number = val;
-}
-
-void Verdict::__set_admitted(const bool val) {
-  this->admitted = val;
-}
-
-void Verdict::__set_retryAfterMs(const int64_t val) {
-  this->retryAfterMs = val;
-}
-std::ostream& operator<<(std::ostream& out, const Verdict& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Verdict::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->number);
-          this->__isset.number = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->admitted);
-          this->__isset.admitted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->retryAfterMs);
-          this->__isset.retryAfterMs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Verdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Verdict");
-
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->number);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->admitted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->retryAfterMs);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Verdict &a, Verdict &b) {
-  using ::std::swap;
-  swap(a.number, b.number);
-  swap(a.admitted, b.admitted);
-  swap(a.retryAfterMs, b.retryAfterMs);
-  swap(a.__isset, b.__isset);
-}
-
-Verdict::Verdict(const Verdict& other200) noexcept {
-  number = other200.number;
-  admitted = other200.admitted;
-  retryAfterMs = other200.retryAfterMs;
-  __isset = other200.__isset;
-}
-Verdict::Verdict(Verdict&& other201) noexcept {
-  number = other201.number;
-  admitted = other201.admitted;
-  retryAfterMs = other201.retryAfterMs;
-  __isset = other201.__isset;
-}
-Verdict& Verdict::operator=(const Verdict& other202) noexcept {
-  number = other202.number;
-  admitted = other202.admitted;
-  retryAfterMs = other202.retryAfterMs;
-  __isset = other202.__isset;
-  return *this;
-}
-Verdict& Verdict::operator=(Verdict&& other203) noexcept {
-  number = other203.number;
-  admitted = other203.admitted;
-  retryAfterMs = other203.retryAfterMs;
-  __isset = other203.__isset;
-  return *this;
-}
-void Verdict::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Verdict(";
-  out << "number=" << to_string(number);
-  out << ", " << "admitted=" << to_string(admitted);
-  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
-  out << ")";
-}
-
-
 StatusQuery::~StatusQuery() noexcept {
 }
 
@@ -5185,38 +4917,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusQuery::StatusQuery(const StatusQuery& other204) {
-  number = other204.number;
-  job = other204.job;
-  queue = other204.queue;
-  candidate = other204.candidate;
-  instance = other204.instance;
-  __isset = other204.__isset;
+StatusQuery::StatusQuery(const StatusQuery& other196) {
+  number = other196.number;
+  job = other196.job;
+  queue = other196.queue;
+  candidate = other196.candidate;
+  instance = other196.instance;
+  __isset = other196.__isset;
 }
-StatusQuery::StatusQuery(StatusQuery&& other205) noexcept {
-  number = other205.number;
-  job = std::move(other205.job);
-  queue = std::move(other205.queue);
-  candidate = other205.candidate;
-  instance = std::move(other205.instance);
-  __isset = other205.__isset;
+StatusQuery::StatusQuery(StatusQuery&& other197) noexcept {
+  number = other197.number;
+  job = std::move(other197.job);
+  queue = std::move(other197.queue);
+  candidate = other197.candidate;
+  instance = std::move(other197.instance);
+  __isset = other197.__isset;
 }
-StatusQuery& StatusQuery::operator=(const StatusQuery& other206) {
-  number = other206.number;
-  job = other206.job;
-  queue = other206.queue;
-  candidate = other206.candidate;
-  instance = other206.instance;
-  __isset = other206.__isset;
+StatusQuery& StatusQuery::operator=(const StatusQuery& other198) {
+  number = other198.number;
+  job = other198.job;
+  queue = other198.queue;
+  candidate = other198.candidate;
+  instance = other198.instance;
+  __isset = other198.__isset;
   return *this;
 }
-StatusQuery& StatusQuery::operator=(StatusQuery&& other207) noexcept {
-  number = other207.number;
-  job = std::move(other207.job);
-  queue = std::move(other207.queue);
-  candidate = other207.candidate;
-  instance = std::move(other207.instance);
-  __isset = other207.__isset;
+StatusQuery& StatusQuery::operator=(StatusQuery&& other199) noexcept {
+  number = other199.number;
+  job = std::move(other199.job);
+  queue = std::move(other199.queue);
+  candidate = other199.candidate;
+  instance = std::move(other199.instance);
+  __isset = other199.__isset;
   return *this;
 }
 void StatusQuery::printTo(std::ostream& out) const {
@@ -5357,34 +5089,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other208) noexcept {
-  number = other208.number;
-  known = other208.known;
-  state = other208.state;
-  pending = other208.pending;
-  __isset = other208.__isset;
-}
-StatusReply::StatusReply(StatusReply&& other209) noexcept {
-  number = other209.number;
-  known = other209.known;
-  state = other209.state;
-  pending = other209.pending;
-  __isset = other209.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other210) noexcept {
-  number = other210.number;
-  known = other210.known;
-  state = other210.state;
-  pending = other210.pending;
-  __isset = other210.__isset;
+StatusReply::StatusReply(const StatusReply& other200) noexcept {
+  number = other200.number;
+  known = other200.known;
+  state = other200.state;
+  pending = other200.pending;
+  __isset = other200.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other201) noexcept {
+  number = other201.number;
+  known = other201.known;
+  state = other201.state;
+  pending = other201.pending;
+  __isset = other201.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other202) noexcept {
+  number = other202.number;
+  known = other202.known;
+  state = other202.state;
+  pending = other202.pending;
+  __isset = other202.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other211) noexcept {
-  number = other211.number;
-  known = other211.known;
-  state = other211.state;
-  pending = other211.pending;
-  __isset = other211.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other203) noexcept {
+  number = other203.number;
+  known = other203.known;
+  state = other203.state;
+  pending = other203.pending;
+  __isset = other203.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -5412,16 +5144,6 @@
 __isset.directive = true;
 }
 
-void Message::__set_offer(const Offer& val) {
-  this->offer = val;
-__isset.offer = true;
-}
-
-void Message::__set_verdict(const Verdict& val) {
-  this->verdict = val;
-__isset.verdict = true;
-}
-
 void Message::__set_statusQuery(const StatusQuery& val) {
   this->statusQuery = val;
 __isset.statusQuery = true;
@@ -5476,22 +5198,6 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->offer.read(iprot);
-          this->__isset.offer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->verdict.read(iprot);
-          this->__isset.verdict = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->statusQuery.read(iprot);
           this->__isset.statusQuery = true;
@@ -5499,7 +5205,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->statusReply.read(iprot);
           this->__isset.statusReply = true;
@@ -5534,23 +5240,13 @@
     xfer += this->directive.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.offer) {
-    xfer += oprot->writeFieldBegin("offer", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->offer.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.verdict) {
-    xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->verdict.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.statusQuery) {
-    xfer += oprot->writeFieldBegin("statusQuery", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += oprot->writeFieldBegin("statusQuery", ::apache::thrift::protocol::T_STRUCT, 3);
     xfer += this->statusQuery.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.statusReply) {
-    xfer += oprot->writeFieldBegin("statusReply", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += oprot->writeFieldBegin("statusReply", ::apache::thrift::protocol::T_STRUCT, 4);
     xfer += this->statusReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
@@ -5563,49 +5259,39 @@
   using ::std::swap;
   swap(a.report, b.report);
   swap(a.directive, b.directive);
-  swap(a.offer, b.offer);
-  swap(a.verdict, b.verdict);
   swap(a.statusQuery, b.statusQuery);
   swap(a.statusReply, b.statusReply);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other212) {
-  report = other212.report;
-  directive = other212.directive;
-  offer = other212.offer;
-  verdict = other212.verdict;
-  statusQuery = other212.statusQuery;
-  statusReply = other212.statusReply;
-  __isset = other212.__isset;
-}
-Message::Message(Message&& other213) noexcept {
-  report = std::move(other213.report);
-  directive = std::move(other213.directive);
-  offer = std::move(other213.offer);
-  verdict = std::move(other213.verdict);
-  statusQuery = std::move(other213.statusQuery);
-  statusReply = std::move(other213.statusReply);
-  __isset = other213.__isset;
-}
-Message& Message::operator=(const Message& other214) {
-  report = other214.report;
-  directive = other214.directive;
-  offer = other214.offer;
-  verdict = other214.verdict;
-  statusQuery = other214.statusQuery;
-  statusReply = other214.statusReply;
-  __isset = other214.__isset;
+Message::Message(const Message& other204) {
+  report = other204.report;
+  directive = other204.directive;
+  statusQuery = other204.statusQuery;
+  statusReply = other204.statusReply;
+  __isset = other204.__isset;
+}
+Message::Message(Message&& other205) noexcept {
+  report = std::move(other205.report);
+  directive = std::move(other205.directive);
+  statusQuery = std::move(other205.statusQuery);
+  statusReply = std::move(other205.statusReply);
+  __isset = other205.__isset;
+}
+Message& Message::operator=(const Message& other206) {
+  report = other206.report;
+  directive = other206.directive;
+  statusQuery = other206.statusQuery;
+  statusReply = other206.statusReply;
+  __isset = other206.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other215) noexcept {
-  report = std::move(other215.report);
-  directive = std::move(other215.directive);
-  offer = std::move(other215.offer);
-  verdict = std::move(other215.verdict);
-  statusQuery = std::move(other215.statusQuery);
-  statusReply = std::move(other215.statusReply);
-  __isset = other215.__isset;
+Message& Message::operator=(Message&& other207) noexcept {
+  report = std::move(other207.report);
+  directive = std::move(other207.directive);
+  statusQuery = std::move(other207.statusQuery);
+  statusReply = std::move(other207.statusReply);
+  __isset = other207.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -5613,8 +5299,6 @@
   out << "Message(";
   out << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "directive="; (__isset.directive ? (out << to_string(directive)) : (out << "<null>"));
-  out << ", " << "offer="; (__isset.offer ? (out << to_string(offer)) : (out << "<null>"));
-  out << ", " << "verdict="; (__isset.verdict ? (out << to_string(verdict)) : (out << "<null>"));
   out << ", " << "statusQuery="; (__isset.statusQuery ? (out << to_string(statusQuery)) : (out << "<null>"));
   out << ", " << "statusReply="; (__isset.statusReply ? (out << to_string(statusReply)) : (out << "<null>"));
   out << ")";
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -65,10 +65,6 @@
 
 class Directive;
 
-class Offer;
-
-class Verdict;
-
 class StatusQuery;
 
 class StatusReply;
@@ -1736,116 +1732,6 @@
 
 std::ostream& operator<<(std::ostream& out, const Directive& obj);
 
-typedef struct _Offer__isset {
-  _Offer__isset() : number(false), job(false) {}
-  bool number :1;
-  bool job :1;
-} _Offer__isset;
-
-class Offer : public virtual ::apache::thrift::TBase {
- public:
-
-  Offer(const Offer&);
-  Offer(Offer&&) noexcept;
-  Offer& operator=(const Offer&);
-  Offer& operator=(Offer&&) noexcept;
-  Offer() noexcept
-        : number(0) {
-  }
-
-  virtual ~Offer() noexcept;
-  int64_t number;
-  JobRecord job;
-
-  _Offer__isset __isset;
-
-  void __set_number(const int64_t val);
-
-  void __set_job(const JobRecord& val);
-
-  bool operator == (const Offer & rhs) const
-  {
-    if (!(number == rhs.number))
-      return false;
-    if (!(job == rhs.job))
-      return false;
-    return true;
-  }
-  bool operator != (const Offer &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Offer & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Offer &a, Offer &b);
-
-std::ostream& operator<<(std::ostream& out, const Offer& obj);
-
-typedef struct _Verdict__isset {
-  _Verdict__isset() : number(false), admitted(false), retryAfterMs(false) {}
-  bool number :1;
-  bool admitted :1;
-  bool retryAfterMs :1;
-} _Verdict__isset;
-
-class Verdict : public virtual ::apache::thrift::TBase {
- public:
-
-  Verdict(const Verdict&) noexcept;
-  Verdict(Verdict&&) noexcept;
-  Verdict& operator=(const Verdict&) noexcept;
-  Verdict& operator=(Verdict&&) noexcept;
-  Verdict() noexcept
-          : number(0),
-            admitted(0),
-            retryAfterMs(0) {
-  }
-
-  virtual ~Verdict() noexcept;
-  int64_t number;
-  bool admitted;
-  int64_t retryAfterMs;
-
-  _Verdict__isset __isset;
-
-  void __set_number(const int64_t val);
-
-  void __set_admitted(const bool val);
-
-  void __set_retryAfterMs(const int64_t val);
-
-  bool operator == (const Verdict & rhs) const
-  {
-    if (!(number == rhs.number))
-      return false;
-    if (!(admitted == rhs.admitted))
-      return false;
-    if (!(retryAfterMs == rhs.retryAfterMs))
-      return false;
-    return true;
-  }
-  bool operator != (const Verdict &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Verdict & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Verdict &a, Verdict &b);
-
-std::ostream& operator<<(std::ostream& out, const Verdict& obj);
-
 typedef struct _StatusQuery__isset {
   _StatusQuery__isset() : number(false), job(false), queue(false), candidate(false), instance(false) {}
   bool number :1;
@@ -1986,11 +1872,9 @@
 std::ostream& operator<<(std::ostream& out, const StatusReply& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : report(false), directive(false), offer(false), verdict(false), statusQuery(false), statusReply(false) {}
+  _Message__isset() : report(false), directive(false), statusQuery(false), statusReply(false) {}
   bool report :1;
   bool directive :1;
-  bool offer :1;
-  bool verdict :1;
   bool statusQuery :1;
   bool statusReply :1;
 } _Message__isset;
@@ -2008,8 +1892,6 @@
   virtual ~Message() noexcept;
   Report report;
   Directive directive;
-  Offer offer;
-  Verdict verdict;
   StatusQuery statusQuery;
   StatusReply statusReply;
 
@@ -2019,10 +1901,6 @@
 
   void __set_directive(const Directive& val);
 
-  void __set_offer(const Offer& val);
-
-  void __set_verdict(const Verdict& val);
-
   void __set_statusQuery(const StatusQuery& val);
 
   void __set_statusReply(const StatusReply& val);
@@ -2037,14 +1915,6 @@
       return false;
     else if (__isset.directive && !(directive == rhs.directive))
       return false;
-    if (__isset.offer != rhs.__isset.offer)
-      return false;
-    else if (__isset.offer && !(offer == rhs.offer))
-      return false;
-    if (__isset.verdict != rhs.__isset.verdict)
-      return false;
-    else if (__isset.verdict && !(verdict == rhs.verdict))
-      return false;
     if (__isset.statusQuery != rhs.__isset.statusQuery)
       return false;
     else if (__isset.statusQuery && !(statusQuery == rhs.statusQuery))
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -201,18 +201,6 @@
   6: list<WorkerView> known,
 }
 
-// Asks whether a job would be served in time.
-struct Offer {
-  1: i64 number,
-  2: JobRecord job,
-}
-
-struct Verdict {
-  1: i64 number,
-  2: bool admitted,
-  3: i64 retryAfterMs,
-}
-
 // Number 0 is sent regularly and only says that the entry lives.
 struct StatusQuery {
   1: i64 number,
@@ -234,8 +222,6 @@
 struct Message {
   1: optional Report report,
   2: optional Directive directive,
-  3: optional Offer offer,
-  4: optional Verdict verdict,
-  5: optional StatusQuery statusQuery,
-  6: optional StatusReply statusReply,
+  3: optional StatusQuery statusQuery,
+  4: optional StatusReply statusReply,
 }
--- a/Source/UnitTests/Scheduling/SharingTests.cpp
+++ b/Source/UnitTests/Scheduling/SharingTests.cpp
@@ -60,9 +60,8 @@
 
 TEST_CASE("Lasting tasks leave room on each kind of worker", "[Scheduling]")
 {
-  // Load pattern: lasting tasks come first, then short ones that require a label. Found on a
-  // scratch copy of a site with two kinds of worker: all workers of one kind were filled with
-  // lasting tasks that could run anywhere, and tasks that required the kind never started.
+  // Load pattern: lasting tasks come first, then short ones that require a label. Filling one kind
+  // of worker with tasks that could run anywhere would keep them from starting.
   Fixture fixture;
   for (const std::string name : { "w1", "w2", "w3", "w4" }) {
     auto view = fixture.view(name);
