--- a/Source/Core/Scheduling/Disturbance.cpp
+++ b/Source/Core/Scheduling/Disturbance.cpp
@@ -8,6 +8,8 @@
 
 /// The lowest tail that is seen belongs to a task that is a little used.
 constexpr double kUnloadedShare = 0.8;
+/// Callers choose the images' names; more pairs would not fit into one record of the store.
+constexpr std::size_t kMaxPairs = 4'000;
 /// An average over about ten figures.
 constexpr double kMeanRate = 0.1;
 
@@ -68,6 +70,10 @@
     squares += neighbour.mCores * neighbour.mCores;
   }
   for (const Neighbour& neighbour : aNeighbours) {
+    if (aModel.mPairs.size() >= kMaxPairs &&
+        !aModel.mPairs.contains({ *neighbour.mImage, aImage })) {
+      continue;
+    }
     double& pair =
       aModel.mPairs
         .try_emplace({ *neighbour.mImage, aImage }, PairPressure(aModel, *neighbour.mImage, aImage))
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -65,6 +65,12 @@
       !task.mCheckpoint.empty()) {
     return;
   }
+  // Callers choose the images' names.
+  constexpr std::size_t kMaxRunTimes = 4'000;
+  if (aState.mRunTimes.size() >= kMaxRunTimes &&
+      !aState.mRunTimes.contains({ aRef.mJob->mSpec.mQueue, step.mImage })) {
+    return;
+  }
   RunTimes& times = aState.mRunTimes[{ aRef.mJob->mSpec.mQueue, step.mImage }];
   const double ratio = std::clamp(static_cast<double>((aNow.mTime - task.mSince).count()) /
                                     static_cast<double>(step.mEstimate.count()),
