--- a/Source/UnitTests/Net/HttpTests.cpp
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -19,7 +19,7 @@
 {
 public:
   explicit ServerFixture(HttpLimits aLimits = {})
-    : mServer(mIo, aLimits, [this](HttpRequest aRequest, Responder aRespond) {
+    : mServer(mIo, aLimits, [this](const HttpRequest& aRequest, Responder aRespond) {
       if (aRequest.mTarget == "/hold") {
         mHeld = std::move(aRespond);
         return;
--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -99,7 +99,7 @@
     std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)> aDone) override
   {
     const auto timer = std::make_shared<boost::asio::steady_timer>(mIo);
-    poll(timer, aPrefix, aAfter, std::chrono::steady_clock::now() + aWait, std::move(aDone));
+    poll(timer, aPrefix, aAfter, std::chrono::steady_clock::now() + aWait, aDone);
   }
 
   void write(const Store::Transaction& aTransaction,
@@ -261,7 +261,7 @@
             const std::string& aPrefix,
             Store::Version aAfter,
             std::chrono::steady_clock::time_point aUntil,
-            std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)> aDone)
+            const std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)>& aDone)
   {
     expire();
     if (mMode == Mode::Normal && aAfter < mHistoryFrom) {
--- a/Source/UnitTests/Node/World.h
+++ b/Source/UnitTests/Node/World.h
@@ -87,7 +87,7 @@
              Duration aTimeout,
              std::function<void(OrderAnswer)> aDone) override
   {
-    order(aTerm, aTimeout, std::move(aDone), [this, aCall] {
+    order(aTerm, aTimeout, aDone, [this, aCall] {
       for (const auto& run : mWorker.mRunning) {
         if (run.mTask == aCall.mTask && run.mRun == aCall.mRun) {
           return Scheduling::OrderResult::Done;
@@ -111,7 +111,7 @@
             Duration aTimeout,
             std::function<void(OrderAnswer)> aDone) override
   {
-    order(aTerm, aTimeout, std::move(aDone), [this, aTask, aRun] {
+    order(aTerm, aTimeout, aDone, [this, aTask, aRun] {
       std::erase_if(mWorker.mRunning, [&](const FakeWorker::Run& aOther) {
         const bool same = aOther.mTask == aTask && aOther.mRun == aRun;
         if (same) {
@@ -134,7 +134,7 @@
             Duration aTimeout,
             std::function<void(OrderAnswer)> aDone) override
   {
-    order(aTerm, aTimeout, std::move(aDone), [] { return Scheduling::OrderResult::Done; });
+    order(aTerm, aTimeout, aDone, [] { return Scheduling::OrderResult::Done; });
   }
 
   void look(Common::Epoch aTerm,
@@ -180,7 +180,7 @@
 
   void order(Common::Epoch aTerm,
              Duration aTimeout,
-             std::function<void(OrderAnswer)> aDone,
+             const std::function<void(OrderAnswer)>& aDone,
              const std::function<Scheduling::OrderResult()>& aAct)
   {
     if (mWorker.mSilent) {
@@ -202,7 +202,7 @@
 TestFormats()
 {
   Formats formats;
-  formats.mReadCall = [](Net::HttpRequest aRequest) {
+  formats.mReadCall = [](const Net::HttpRequest& aRequest) {
     CallerCall call;
     call.mHost = aRequest.mHost;
     call.mPath = aRequest.mTarget;
