Scheduling: a start that a worker does not accept is no attempt

Read in the landing's review: such a start counted towards the attempts, so that a job could be shown as failed after fewer failed runs than allowed. The test fails without the change.

--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -465,9 +465,11 @@
       JudgeWorker(aState, host, order.mTask.mJob, true, aNow);
       break;
     case OrderResult::Invalid:
-      // The worker will never take it; counting it as a failed attempt ends the job in time.
-      AddFailure(task, order.mRun);
-      MarkDirty(aState, *ref->mJob, false);
+      // No attempt was made, so that it does not count; another worker may take it.
+      aState.mNotes.push_back({ "worker does not accept the order's contents",
+                                order.mTask.mJob,
+                                order.mLife.mWorker.str() });
+      task.mAvoid = task.mWorker;
       host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
       break;
     case OrderResult::NotSent:
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -221,6 +221,23 @@
   }
 }
 
+TEST_CASE("A start that a worker does not accept is no attempt", "[Scheduling]")
+{
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addWorker("w2");
+  Job& job = fixture.addJob("a", { AStep().build() });
+  for (int i = 0; i < 5; ++i) {
+    const auto starts = fixture.place();
+    REQUIRE(starts.size() == 1);
+    TakeResult(fixture.mState, starts[0].mNumber, OrderResult::Invalid, fixture.now());
+    fixture.advance(milliseconds(300));
+    fixture.report(fixture.view("w1"));
+    fixture.report(fixture.view("w2"));
+  }
+  REQUIRE(job.mState == JobState::Running);
+}
+
 TEST_CASE("A run that its worker does not list is stopped before it starts again", "[Scheduling]")
 {
   Fixture fixture;
