--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -275,7 +275,7 @@
     const Timestamp sent = mContext.now();
     mContext.mStore.renewLease(
       mLease,
-      mContext.mTimes.mRenewal,
+      mContext.mTimes.mRenewalCall,
       [self = shared_from_this(), sent](Store::Result<void> aResult) {
         if (self->mRole != Role::Leader || self->mStopped) {
           return;
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -48,11 +48,14 @@
 /// Times of the processes. Each stands here once; decisions get them passed in.
 struct Times
 {
-  /// Life of the coordinator's key without renewal. A coordinator that is killed without a trace is
-  /// replaced after it; longer ones let more outages of the store pass without a change.
-  Duration mTerm{ std::chrono::milliseconds(2000) };
+  /// Life of the coordinator's key without renewal. A coordinator that is lost without a trace is
+  /// replaced after it.
+  Duration mTerm{ std::chrono::milliseconds(1500) };
   /// A quarter of mTerm, so that two lost renewals do not end the term.
-  Duration mRenewal{ std::chrono::milliseconds(500) };
+  Duration mRenewal{ std::chrono::milliseconds(375) };
+  /// A renewal is given up after this time. A store that is slow answers in a quarter of a second,
+  /// and the way between regions takes 60 ms.
+  Duration mRenewalCall{ std::chrono::milliseconds(600) };
   /// The coordinator stops acting this long before its key may lapse.
   Duration mTermMargin{ std::chrono::milliseconds(200) };
   /// While the store does not answer at all, the coordinator goes on for this time beyond its key.
