--- a/Source/Core/Net/Address.cpp
+++ b/Source/Core/Net/Address.cpp
@@ -31,6 +31,33 @@
   return aEndpoint.address().to_string() + ':' + std::to_string(aEndpoint.port());
 }
 
+tl::expected<void, std::string>
+OpenListener(Tcp::acceptor& aAcceptor, const std::string& aAddress)
+{
+  // Connections that wait to be accepted; a burst of new ones must not be dropped, because their
+  // senders try again only after a second.
+  constexpr int kBacklog = 512;
+  const auto endpoint = ParseAddress(aAddress);
+  if (!endpoint) {
+    return tl::unexpected("\"" + aAddress + "\" is not an address of the form IP:PORT");
+  }
+  boost::system::error_code error;
+  aAcceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return tl::unexpected("cannot listen on " + aAddress + ": " + error.message());
+  }
+  return {};
+}
+
 void
 SetSocketOptions(Tcp::socket& aSocket, int aUnansweredMs)
 {
--- a/Source/Core/Net/Address.h
+++ b/Source/Core/Net/Address.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <tl/expected.hpp>
 
 /// Event-driven HTTP and message connections on one thread.
 namespace Net {
@@ -19,6 +20,10 @@
 std::string
 AddressText(const Tcp::endpoint& aEndpoint);
 
+/// Opens the acceptor on "IP:PORT". Returns why the address cannot be listened on.
+tl::expected<void, std::string>
+OpenListener(Tcp::acceptor& aAcceptor, const std::string& aAddress);
+
 /// Sets what every connection needs here: no delay of small writes, and an error within
 /// aUnansweredMs if the peer's machine does not acknowledge them.
 void
--- a/Source/Core/Net/Link.cpp
+++ b/Source/Core/Net/Link.cpp
@@ -222,23 +222,9 @@
 tl::expected<void, std::string>
 LinkServer::listen(const std::string& aAddress)
 {
-  const auto endpoint = ParseAddress(aAddress);
-  if (!endpoint) {
-    return tl::unexpected("\"" + aAddress + "\" is not an address of the form IP:PORT");
-  }
-  ErrorCode error;
-  mCore->mAcceptor.open(endpoint->protocol(), error);
-  if (!error) {
-    mCore->mAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    mCore->mAcceptor.bind(*endpoint, error);
-  }
-  if (!error) {
-    mCore->mAcceptor.listen(512, error);
-  }
-  if (error) {
-    return tl::unexpected("cannot listen on " + aAddress + ": " + error.message());
+  auto opened = OpenListener(mCore->mAcceptor, aAddress);
+  if (!opened) {
+    return opened;
   }
   acceptNext(mCore);
   return {};
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -76,6 +76,8 @@
   void dropPeer(Net::Link* aLink);
 
   void readWorkers();
+  /// Repeats a step of the recovery that the store did not answer.
+  void readLater(void (Coordinator::*aRead)());
   void readRecordsVersion();
   void readModel();
   void readProgress();
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -29,6 +29,17 @@
 
 } // namespace
 
+void
+Coordinator::readLater(void (Coordinator::*aRead)())
+{
+  mReadTimer.expires_after(mContext.mTimes.mStoreRetry);
+  mReadTimer.async_wait([this, aRead, round = mRound](boost::system::error_code aError) {
+    if (!aError && round == mRound) {
+      (this->*aRead)();
+    }
+  });
+}
+
 void
 Coordinator::readRecordsVersion()
 {
@@ -41,12 +52,7 @@
         return;
       }
       if (!aEntry) {
-        mReadTimer.expires_after(mContext.mTimes.mStoreRetry);
-        mReadTimer.async_wait([this, round](boost::system::error_code aError) {
-          if (!aError && round == mRound) {
-            readRecordsVersion();
-          }
-        });
+        readLater(&Coordinator::readRecordsVersion);
         return;
       }
       mRecordsVersion = *aEntry ? (*aEntry)->mVersion : Store::Version{ 0 };
@@ -66,12 +72,7 @@
         return;
       }
       if (!aPage) {
-        mReadTimer.expires_after(mContext.mTimes.mStoreRetry);
-        mReadTimer.async_wait([this, round](boost::system::error_code aError) {
-          if (!aError && round == mRound) {
-            readWorkers();
-          }
-        });
+        readLater(&Coordinator::readWorkers);
         return;
       }
       // The coordinator before this one may have granted until its own key lapsed.
@@ -124,12 +125,7 @@
         return;
       }
       if (!aPage) {
-        mReadTimer.expires_after(mContext.mTimes.mStoreRetry);
-        mReadTimer.async_wait([this, round](boost::system::error_code aError) {
-          if (!aError && round == mRound) {
-            readProgress();
-          }
-        });
+        readLater(&Coordinator::readProgress);
         return;
       }
       for (const Store::Entry& entry : aPage->mEntries) {
