Use one function for chains, for handing out orders and for their payload

Read in the whole change: the longest chain was computed by three copies of one loop, orders were numbered in three places, the payload of a start was looked up in two, a job's mark beside the set of jobs to write and a chain that nobody read were kept, and the weights of the order had no names.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -183,10 +183,4 @@
   std::make_shared<Call>(mCore, std::move(aRequest), aTimeout, std::move(aDone))->start();
 }
 
-void
-HttpClient::dropIdle()
-{
-  mCore->mIdle.clear();
-}
-
 } // namespace Net
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -52,8 +52,6 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   void call(ClientRequest aRequest, Common::Duration aTimeout, CallDone aDone);
-  /// Closes the idle connections; the next calls open new ones.
-  void dropIdle();
 
   struct Core;
 
--- a/Source/Core/Net/Link.h
+++ b/Source/Core/Net/Link.h
@@ -41,7 +41,6 @@
   void send(const std::string& aMessage);
   /// Closes without calling mClosed.
   void close();
-  bool isOpen() const { return mOpen; }
 
   static constexpr std::size_t kMaxQueuedBytes = 16 << 20;
   static constexpr std::uint32_t kMaxMessageBytes = 8 << 20;
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -373,6 +373,14 @@
   counters.counter("ibis_term_moves").set(static_cast<std::int64_t>(counts.mMoves));
 }
 
+Wire::Order
+Coordinator::withPayload(const Scheduling::Order& aOrder) const
+{
+  const auto job = mState.mJobs.find(aOrder.mTask.mJob);
+  const bool starts = aOrder.mKind == Scheduling::OrderKind::Start && job != mState.mJobs.end();
+  return ToWire(aOrder, starts ? job->second->mSpec.mPayload : std::string());
+}
+
 void
 Coordinator::sendOrders()
 {
@@ -382,10 +390,7 @@
     if (worker == mState.mWorkerIndex.end()) {
       continue;
     }
-    const auto job = mState.mJobs.find(order.mTask.mJob);
-    const bool starts = order.mKind == Scheduling::OrderKind::Start;
-    batches[mState.mWorkers[worker->second].mAgent].push_back(ToWire(
-      order, starts && job != mState.mJobs.end() ? job->second->mSpec.mPayload : std::string()));
+    batches[mState.mWorkers[worker->second].mAgent].push_back(withPayload(order));
   }
   mState.mOrders.clear();
   for (auto& [agent, orders] : batches) {
@@ -405,10 +410,7 @@
         mState.mWorkers[worker->second].mAgent != aPeer.mAgent) {
       continue;
     }
-    const auto job = mState.mJobs.find(order.mTask.mJob);
-    const bool starts = order.mKind == Scheduling::OrderKind::Start;
-    orders.push_back(ToWire(
-      order, starts && job != mState.mJobs.end() ? job->second->mSpec.mPayload : std::string()));
+    orders.push_back(withPayload(order));
   }
   if (!orders.empty()) {
     std::sort(
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -88,6 +88,8 @@
 
   void planSoon();
   void plan();
+  /// Only starts carry the job's payload.
+  Wire::Order withPayload(const Scheduling::Order& aOrder) const;
   void sendOrders();
   void sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders, bool aTellKnown = false);
   void repeatOrders(Peer& aPeer);
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -85,7 +85,6 @@
                                   Wire::Encode(ToRecord(Scheduling::ProgressOf(*job))),
                                   std::nullopt });
     jobs.emplace_back(job->mSpec.mJob, job->mState);
-    job->mDirty = false;
     job->mDirtyNow = false;
     mState.mDirty.erase(job);
   }
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -129,16 +129,16 @@
 }
 
 Duration
-LongestChain(const JobSpec& aSpec)
+LongestChain(const JobSpec& aSpec, const std::function<Duration(std::uint32_t)>& aTimeOf)
 {
   std::vector<Duration> ends(aSpec.mSteps.size());
   Duration longest{ 0 };
-  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+  for (std::uint32_t i = 0; i < aSpec.mSteps.size(); ++i) {
     Duration start{ 0 };
     for (const std::uint32_t after : aSpec.mSteps[i].mAfter) {
       start = std::max(start, ends[after]);
     }
-    ends[i] = start + aSpec.mSteps[i].mEstimate;
+    ends[i] = start + aTimeOf(i);
     longest = std::max(longest, ends[i]);
   }
   return longest;
@@ -162,7 +162,6 @@
   const auto age = std::clamp(
     aNow.mUnix - job.mSpec.mAccepted, Common::UnixMillis{ 0 }, Common::UnixMillis{ 600'000 });
   job.mArrived = aMayRunElsewhere ? aNow.mTime - age : aNow.mTime;
-  job.mChain = LongestChain(job.mSpec);
   job.mRecovered = aMayRunElsewhere;
   if (aProgress != nullptr) {
     Restore(job, *aProgress, aNow);
@@ -241,7 +240,6 @@
   if (HasEnded(aJob.mDurableState)) {
     return;
   }
-  aJob.mDirty = true;
   aJob.mDirtyNow = aJob.mDirtyNow || aNow;
   aState.mDirty.insert(&aJob);
 }
--- a/Source/Core/Scheduling/Pace.cpp
+++ b/Source/Core/Scheduling/Pace.cpp
@@ -53,14 +53,12 @@
   Task& task = TaskAt(aRef);
   task.mPaceOrdered = aPace;
   Order order;
-  order.mNumber = aState.mNextOrder++;
   order.mKind = OrderKind::Pace;
   order.mLife = aLife;
   order.mTask = NameOf(aRef);
   order.mRun = task.mRun;
   order.mPercent = aPace;
-  aState.mOutstanding.emplace(order.mNumber, order);
-  aState.mOrders.push_back(std::move(order));
+  AddOrder(aState, std::move(order));
   ++aState.mCounts.mPaces;
 }
 
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -7,6 +7,15 @@
 
 namespace {
 
+/// A job counts as late for good once it is behind by its goal divided by this; estimates differ
+/// more.
+constexpr int kToleratedDelay = 4;
+/// Worth of a job: a part that is the same for all, in core-seconds of a usual job, and one that
+/// grows with its work.
+constexpr double kFixedWorth = 12.0;
+constexpr double kWorthOfWork = 0.7;
+/// Core-seconds below which work is taken as done.
+constexpr double kLeastWork = 0.01;
 /// Cost of pressure on lasting tasks against that of a worker with no core left for fills.
 constexpr double kPressureWeight = 3.0;
 
@@ -39,23 +48,6 @@
   bool mIdleJob = false;
 };
 
-Duration
-RemainingChain(const State& aState, const Job& aJob, const Occurrence& aOccurrence)
-{
-  std::vector<Duration> ends(aJob.mSpec.mSteps.size());
-  Duration longest{ 0 };
-  for (std::uint32_t i = 0; i < ends.size(); ++i) {
-    Duration start{ 0 };
-    for (const std::uint32_t after : aJob.mSpec.mSteps[i].mAfter) {
-      start = std::max(start, ends[after]);
-    }
-    const bool ended = aOccurrence.mSteps[i].mEnded;
-    ends[i] = start + (ended ? Duration{ 0 } : ExpectedRunTime(aState, aJob, i));
-    longest = std::max(longest, ends[i]);
-  }
-  return longest;
-}
-
 /// Core-seconds that the occurrence still takes.
 double
 RemainingWork(const State& aState, const Job& aJob, const Occurrence& aOccurrence)
@@ -93,26 +85,18 @@
   if (lasting) {
     return { aQueue.mPriority, 0, 0.0 };
   }
-  Duration chain{ 0 };
-  {
-    std::vector<Duration> ends(aJob.mSpec.mSteps.size());
-    for (std::uint32_t i = 0; i < ends.size(); ++i) {
-      Duration start{ 0 };
-      for (const std::uint32_t after : aJob.mSpec.mSteps[i].mAfter) {
-        start = std::max(start, ends[after]);
-      }
-      ends[i] = start + ExpectedRunTime(aState, aJob, i);
-      chain = std::max(chain, ends[i]);
-    }
-  }
+  const Duration chain = LongestChain(
+    aJob.mSpec, [&](std::uint32_t aStep) { return ExpectedRunTime(aState, aJob, aStep); });
+  const Duration remainingChain = LongestChain(aJob.mSpec, [&](std::uint32_t aStep) {
+    return aOccurrence.mSteps[aStep].mEnded ? Duration{ 0 } : ExpectedRunTime(aState, aJob, aStep);
+  });
   const auto goal = std::chrono::duration_cast<Duration>(chain * aQueue.mStretch) + aQueue.mSlack;
-  const Duration slack =
-    aJob.mArrived + goal - aNow.mTime - RemainingChain(aState, aJob, aOccurrence);
-  const int hopeless = slack < -goal / 4 ? 1 : 0;
-  const double remaining = std::max(RemainingWork(aState, aJob, aOccurrence), 0.01);
+  const Duration slack = aJob.mArrived + goal - aNow.mTime - remainingChain;
+  const int hopeless = slack < -goal / kToleratedDelay ? 1 : 0;
+  const double remaining = std::max(RemainingWork(aState, aJob, aOccurrence), kLeastWork);
   // A job is worth a fixed part and a part that grows with its work, so that what is nearly done
   // and what is small earns most for a core-second.
-  const double density = (0.3 * 40 + 0.7 * TotalWork(aState, aJob)) / remaining;
+  const double density = (kFixedWorth + kWorthOfWork * TotalWork(aState, aJob)) / remaining;
   return { aQueue.mPriority, hopeless, -density };
 }
 
@@ -369,14 +353,12 @@
   task.mRun = aRun;
   task.mSince = aNow.mTime;
   Order order;
-  order.mNumber = aState.mNextOrder++;
   order.mKind = OrderKind::Start;
   order.mLife = aState.mWorkers[task.mWorker].mLife;
   order.mTask = NameOf(aRef);
   order.mRun = aRun;
   order.mCheckpoint = task.mCheckpoint;
-  aState.mOutstanding.emplace(order.mNumber, order);
-  aState.mOrders.push_back(std::move(order));
+  AddOrder(aState, std::move(order));
   ++aState.mCounts.mStarts;
   Job& job = *aRef.mJob;
   job.mStarted = true;
@@ -559,17 +541,23 @@
   }
 }
 
+void
+AddOrder(State& aState, Order aOrder)
+{
+  aOrder.mNumber = aState.mNextOrder++;
+  aState.mOutstanding.emplace(aOrder.mNumber, aOrder);
+  aState.mOrders.push_back(std::move(aOrder));
+}
+
 void
 OrderStop(State& aState, const Life& aLife, const TaskName& aTask, RunNumber aRun)
 {
   Order order;
-  order.mNumber = aState.mNextOrder++;
   order.mKind = OrderKind::Stop;
   order.mLife = aLife;
   order.mTask = aTask;
   order.mRun = aRun;
-  aState.mOutstanding.emplace(order.mNumber, order);
-  aState.mOrders.push_back(std::move(order));
+  AddOrder(aState, std::move(order));
 }
 
 void
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -25,9 +26,9 @@
 std::optional<std::string>
 ProblemOf(const JobSpec& aSpec);
 
-/// Longest chain of estimates through the steps of one occurrence.
+/// Longest chain through the steps of one occurrence, where a step takes as long as aTimeOf says.
 Duration
-LongestChain(const JobSpec& aSpec);
+LongestChain(const JobSpec& aSpec, const std::function<Duration(std::uint32_t)>& aTimeOf);
 
 /// Adds a job. aProgress is what an earlier coordinator recorded; nullptr for a job that no earlier
 /// coordinator can have started. A job that is known already is left as it is.
@@ -117,6 +118,9 @@
 /// Takes the task off its worker, without a change of phase.
 void
 LeaveWorker(State& aState, const TaskRef& aRef);
+/// Numbers the order and hands it out.
+void
+AddOrder(State& aState, Order aOrder);
 void
 OrderStop(State& aState, const Life& aLife, const TaskName& aTask, RunNumber aRun);
 void
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -92,11 +92,8 @@
   bool mRecovered = false;
   Common::UnixMillis mEnded{ 0 };
   bool mStarted = false;
-  bool mDirty = false;
-  /// An ended task changes the record, but nobody waits for it.
+  /// Somebody waits for the record, so that it is written at once.
   bool mDirtyNow = false;
-  /// Expected time along the longest chain of steps.
-  Duration mChain{ 0 };
 };
 
 struct TaskRef
--- a/Source/UnitTests/Scheduling/World.cpp
+++ b/Source/UnitTests/Scheduling/World.cpp
@@ -343,7 +343,6 @@
   State& state = aCoordinator.mState;
   for (Job* job : std::set<Job*>(state.mDirty)) {
     mProgress[job->mSpec.mJob] = ProgressOf(*job);
-    job->mDirty = false;
     job->mDurableState = job->mState;
     if (HasEnded(job->mState)) {
       state.mOpen.erase(job);
