Write records again whose write was on its way when the coordinator paused

Cause: a pause drops the answers of calls on their way, and the jobs of a flush had left the set of unwritten jobs when it was sent. If that write did not take effect, the state of these jobs was never written: a finished job stayed "running" for its callers. Nothing showed it until the next change.

A job now counts as started when a worker has confirmed or listed a run. That moved a record into the moment in which the test "Work goes on while the store is away" takes the store away, and the test failed in 7 of 7 runs.

Ruled out: the late write itself, because the version of ibis/records lets it take effect only once.

Change: the coordinator keeps the jobs of the flush on its way and marks them unwritten again in pause(). SetBegun marks a job as started.

After: the node tests pass (13 cases); "A job counts as pending until a worker has begun a task of it" failed before the change of SetBegun.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -85,6 +85,8 @@
 {
   ++mRound;
   mFlushing = false;
+  // The answer to a write on its way is not taken any more.
+  markUnwritten();
   mTick.cancel();
   mFlushTimer.cancel();
   mFlushArmed = false;
@@ -111,6 +113,7 @@
   mCancelledEarly.clear();
   mEarly.clear();
   mFlushEnds.clear();
+  mFlushJobs.clear();
   mFlushing = false;
   mFlushArmed = false;
   mFlushArmedNow = false;
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -100,8 +100,9 @@
 
   void flushSoon();
   void flush();
-  void takeFlush(const std::vector<std::pair<Common::JobId, Scheduling::JobState>>& aJobs,
-                 const std::vector<Scheduling::Life>& aRecorded,
+  /// The records of the flush on its way must be written again.
+  void markUnwritten();
+  void takeFlush(const std::vector<Scheduling::Life>& aRecorded,
                  bool aAllWritten,
                  const tl::expected<Store::Version, Store::WriteFailure>& aResult);
   /// True if the write was refused because an earlier one took effect meanwhile; takes over its
@@ -139,6 +140,8 @@
   /// Version of kRecordsKey as of the last write.
   Store::Version mRecordsVersion;
   std::function<void()> mFlushed;
+  /// Jobs in the flush on its way, with the states that it writes.
+  std::vector<std::pair<Common::JobId, Scheduling::JobState>> mFlushJobs;
   /// Ends up to these are in the records of the flush on its way.
   std::map<Scheduling::Life, Scheduling::EndNumber> mFlushEnds;
 };
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -79,12 +79,12 @@
     });
   const bool all = dirty.size() <= kJobsPerWrite;
   dirty.resize(std::min(dirty.size(), kJobsPerWrite));
-  std::vector<std::pair<Common::JobId, Scheduling::JobState>> jobs;
+  mFlushJobs.clear();
   for (Scheduling::Job* job : dirty) {
     transaction.mPuts.push_back({ ProgressKey(job->mSpec.mJob),
                                   Wire::Encode(ToRecord(Scheduling::ProgressOf(*job))),
                                   std::nullopt });
-    jobs.emplace_back(job->mSpec.mJob, job->mState);
+    mFlushJobs.emplace_back(job->mSpec.mJob, job->mState);
     job->mDirtyNow = false;
     mState.mDirty.erase(job);
   }
@@ -122,33 +122,39 @@
   mFlushSent = mContext.now();
   mContext.mStore.write(transaction,
                         mContext.mTimes.mStoreCall,
-                        [this, round = mRound, jobs, recorded, all](
+                        [this, round = mRound, recorded, all](
                           const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
                           if (round == mRound) {
-                            takeFlush(jobs, recorded, all, aResult);
+                            takeFlush(recorded, all, aResult);
                           }
                         });
 }
 
 void
-Coordinator::takeFlush(const std::vector<std::pair<Common::JobId, Scheduling::JobState>>& aJobs,
-                       const std::vector<Scheduling::Life>& aRecorded,
+Coordinator::markUnwritten()
+{
+  for (const auto& [id, state] : mFlushJobs) {
+    const auto found = mState.mJobs.find(id);
+    if (found != mState.mJobs.end()) {
+      Scheduling::MarkDirty(mState, *found->second, Scheduling::HasEnded(state));
+    }
+  }
+  mFlushJobs.clear();
+}
+
+void
+Coordinator::takeFlush(const std::vector<Scheduling::Life>& aRecorded,
                        bool aAllWritten,
                        const tl::expected<Store::Version, Store::WriteFailure>& aResult)
 {
   mFlushing = false;
   if (!aResult) {
-    for (const auto& [id, state] : aJobs) {
-      const auto found = mState.mJobs.find(id);
-      if (found != mState.mJobs.end()) {
-        Scheduling::MarkDirty(mState, *found->second, Scheduling::HasEnded(state));
-      }
-    }
     Log(Level::Warning,
         "coordinator",
         "records were not written",
-        { { "jobs", std::to_string(aJobs.size()) },
+        { { "jobs", std::to_string(mFlushJobs.size()) },
           { "error", std::to_string(static_cast<int>(aResult.error().mError)) } });
+    markUnwritten();
     if (aResult.error().mError == Store::StoreError::Conflict &&
         !overtakenByOwnWrite(aResult.error())) {
       mElection.doubt();
@@ -169,7 +175,9 @@
   mRecordsVersion = *aResult;
   mContext.mCounters.distribution("ibis_record_write_us")
     .record((mContext.now() - mFlushSent).count());
-  for (const auto& [id, state] : aJobs) {
+  const auto written = std::move(mFlushJobs);
+  mFlushJobs.clear();
+  for (const auto& [id, state] : written) {
     const auto found = mState.mJobs.find(id);
     if (found == mState.mJobs.end()) {
       continue;
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -244,6 +244,16 @@
   aState.mDirty.insert(&aJob);
 }
 
+void
+SetBegun(State& aState, Job& aJob)
+{
+  aJob.mStarted = true;
+  if (aJob.mState == JobState::Queued) {
+    aJob.mState = JobState::Running;
+    MarkDirty(aState, aJob, false);
+  }
+}
+
 void
 SetDone(State& aState, const TaskRef& aRef, const Now& aNow)
 {
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -360,12 +360,6 @@
   order.mCheckpoint = task.mCheckpoint;
   AddOrder(aState, std::move(order));
   ++aState.mCounts.mStarts;
-  Job& job = *aRef.mJob;
-  job.mStarted = true;
-  if (job.mState == JobState::Queued) {
-    job.mState = JobState::Running;
-    MarkDirty(aState, job, false);
-  }
 }
 
 RunNumber
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -145,6 +145,7 @@
   if (task.mPhase == TaskPhase::Done) {
     return;
   }
+  SetBegun(aState, job);
   if (aEnd.mKind == EndKind::Done && !step.mLasting) {
     if (current) {
       LearnRunTime(aState, *ref, aNow);
@@ -215,11 +216,6 @@
   task.mSeen = true;
   task.mPace = Percent{ 100 };
   task.mPaceOrdered = Percent{ 100 };
-  aRef.mJob->mStarted = true;
-  if (aRef.mJob->mState == JobState::Queued) {
-    aRef.mJob->mState = JobState::Running;
-    MarkDirty(aState, *aRef.mJob, false);
-  }
 }
 
 void
@@ -250,6 +246,7 @@
   if (task.mPhase == TaskPhase::Starting) {
     task.mPhase = TaskPhase::Running;
   }
+  SetBegun(aState, *ref->mJob);
   if (!task.mSeen || aRow.mPercent > task.mPercent) {
     task.mProgressed = aNow.mTime;
   }
@@ -448,6 +445,7 @@
       if (task.mPhase == TaskPhase::Starting) {
         task.mPhase = TaskPhase::Running;
       }
+      SetBegun(aState, *ref->mJob);
       return;
     case OrderResult::Unknown:
       if (task.mPhase == TaskPhase::Starting) {
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -125,6 +125,9 @@
 OrderStop(State& aState, const Life& aLife, const TaskName& aTask, RunNumber aRun);
 void
 MarkDirty(State& aState, Job& aJob, bool aNow);
+/// A worker has begun a task of the job.
+void
+SetBegun(State& aState, Job& aJob);
 /// Marks the task done and what follows from it for step and job.
 void
 SetDone(State& aState, const TaskRef& aRef, const Now& aNow);
--- a/Source/UnitTests/Scheduling/StepTests.cpp
+++ b/Source/UnitTests/Scheduling/StepTests.cpp
@@ -300,3 +300,39 @@
   fixture.report(view);
   REQUIRE(job.mState == JobState::Completed);
 }
+
+TEST_CASE("A job counts as pending until a worker has begun a task of it", "[Scheduling]")
+{
+  Fixture fixture;
+  fixture.addWorker("w1");
+  const Job& job = fixture.addJob("a", { AStep().build() });
+  const auto first = fixture.place();
+  REQUIRE(first.size() == 1);
+
+  SECTION("an order alone begins nothing")
+  {
+    REQUIRE(PendingJobs(fixture.mState, Common::RouteId("quote")) == 1);
+    REQUIRE(job.mState == JobState::Queued);
+
+    SECTION("nor does one that the worker rejects")
+    {
+      TakeResult(fixture.mState, first[0].mNumber, OrderResult::Room, fixture.now());
+      REQUIRE(PendingJobs(fixture.mState, Common::RouteId("quote")) == 1);
+    }
+  }
+
+  SECTION("a confirmed start does")
+  {
+    fixture.confirm(first);
+    REQUIRE(PendingJobs(fixture.mState, Common::RouteId("quote")) == 0);
+    REQUIRE(job.mState == JobState::Running);
+  }
+
+  SECTION("so does a list that names the run")
+  {
+    auto view = fixture.view("w1");
+    view.mRunning = { Fixture::running(first[0]) };
+    fixture.report(view);
+    REQUIRE(PendingJobs(fixture.mState, Common::RouteId("quote")) == 0);
+  }
+}
