--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -25,9 +25,10 @@
 
 } // namespace
 
-Agent::Agent(Context& aContext, MakeWorkerPort aMakePort)
+Agent::Agent(Context& aContext, MakeWorkerPort aMakePort, std::unique_ptr<AdvicePort> aAdvice)
   : mContext(aContext)
   , mMakePort(std::move(aMakePort))
+  , mAdvice(std::move(aAdvice))
   , mServer(aContext.mIo,
             Net::HttpLimits{ .mHeaderBytes = 16'384, .mBodyBytes = 4 << 20 },
             [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
@@ -276,6 +277,7 @@
     mTerm = Common::Epoch{ aDirective.term };
     mOrders.clear();
     mResults.clear();
+    mAnswers.clear();
     for (auto& [life, worker] : mWorkers) {
       worker.mDriver->setTerm(mTerm);
     }
@@ -304,6 +306,32 @@
   for (const Wire::Order& order : aDirective.orders) {
     carryOut(order);
   }
+  for (const Wire::Question& question : aDirective.questions) {
+    askForAdvice(question);
+  }
+}
+
+void
+Agent::askForAdvice(const Wire::Question& aQuestion)
+{
+  const auto done = [this, number = aQuestion.number, term = mTerm](
+                      const std::optional<Scheduling::Advice>& aAdvice) {
+    if (term == mTerm) {
+      mAnswers.push_back(ToWire(number, aAdvice));
+      reportSoon();
+    }
+  };
+  if (!mAdvice) {
+    Log(Level::Warning, "agent", "the settings name no advice service");
+    done(std::nullopt);
+    return;
+  }
+  std::vector<Common::WorkerId> workers;
+  for (const std::string& worker : aQuestion.workers) {
+    workers.emplace_back(worker);
+  }
+  mAdvice->ask(
+    FromWire(aQuestion.step), workers, std::chrono::milliseconds(aQuestion.timeoutMs), done);
 }
 
 void
@@ -399,6 +427,8 @@
   }
   report.results = std::move(mResults);
   mResults.clear();
+  report.advice = std::move(mAnswers);
+  mAnswers.clear();
   Wire::Message message;
   message.__set_report(report);
   mLink->send(Wire::Encode(message));
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -18,7 +18,8 @@
 class Agent
 {
 public:
-  Agent(Context& aContext, MakeWorkerPort aMakePort);
+  /// aAdvice may be empty if no queue needs tickets.
+  Agent(Context& aContext, MakeWorkerPort aMakePort, std::unique_ptr<AdvicePort> aAdvice);
   ~Agent();
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
@@ -46,6 +47,7 @@
   void takeMessage(const std::string& aBytes);
   void takeDirective(const Wire::Directive& aDirective);
   void carryOut(const Wire::Order& aOrder);
+  void askForAdvice(const Wire::Question& aQuestion);
   void finishOrder(std::int64_t aNumber, Scheduling::OrderResult aResult);
   void reportSoon();
   void report();
@@ -55,6 +57,7 @@
 
   Context& mContext;
   MakeWorkerPort mMakePort;
+  std::unique_ptr<AdvicePort> mAdvice;
   Net::HttpServer mServer;
   CoordinatorFinder mFinder;
   boost::asio::steady_timer mReportTimer;
@@ -75,6 +78,7 @@
   /// orders after a lost connection.
   std::map<std::int64_t, std::optional<Scheduling::OrderResult>> mOrders;
   std::vector<Wire::OrderResult> mResults;
+  std::vector<Wire::AdviceAnswer> mAnswers;
   std::function<void()> mStopped;
 };
 
--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -309,6 +309,7 @@
   order.run = static_cast<std::int32_t>(aOrder.mRun.value());
   order.payload = aPayload;
   order.checkpoint = aOrder.mCheckpoint;
+  order.ticket = aOrder.mTicket;
   order.percent = static_cast<std::int32_t>(aOrder.mPercent.value());
   return order;
 }
@@ -323,8 +324,54 @@
   order.mTask = FromWire(aOrder.task);
   order.mRun = Scheduling::RunNumber{ aOrder.run };
   order.mCheckpoint = aOrder.checkpoint;
+  order.mTicket = aOrder.ticket;
   order.mPercent = Scheduling::Percent{ aOrder.percent };
   return order;
 }
 
+Wire::Question
+ToWire(const Scheduling::Question& aQuestion, Common::Duration aTimeout)
+{
+  Wire::Question question;
+  question.number = aQuestion.mNumber;
+  question.step = ToWire(aQuestion.mStep);
+  for (const Scheduling::Life& life : aQuestion.mWorkers) {
+    question.workers.push_back(life.mWorker.str());
+  }
+  question.timeoutMs = std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout).count();
+  return question;
+}
+
+Wire::AdviceAnswer
+ToWire(std::int64_t aQuestion, const std::optional<Scheduling::Advice>& aAdvice)
+{
+  Wire::AdviceAnswer answer;
+  answer.number = aQuestion;
+  answer.answered = aAdvice.has_value();
+  if (aAdvice) {
+    for (const Scheduling::Grant& grant : aAdvice->mGrants) {
+      Wire::Grant row;
+      row.worker = grant.mWorker.str();
+      row.ticket = grant.mTicket;
+      answer.grants.push_back(std::move(row));
+    }
+    answer.validMs = std::chrono::duration_cast<std::chrono::milliseconds>(aAdvice->mValid).count();
+  }
+  return answer;
+}
+
+std::optional<Scheduling::Advice>
+FromWire(const Wire::AdviceAnswer& aAnswer)
+{
+  if (!aAnswer.answered) {
+    return std::nullopt;
+  }
+  Scheduling::Advice advice;
+  advice.mValid = std::chrono::milliseconds(aAnswer.validMs);
+  for (const Wire::Grant& grant : aAnswer.grants) {
+    advice.mGrants.push_back({ Common::WorkerId(grant.worker), grant.ticket });
+  }
+  return advice;
+}
+
 } // namespace Node
--- a/Source/Core/Node/Convert.h
+++ b/Source/Core/Node/Convert.h
@@ -31,5 +31,12 @@
 ToWire(const Scheduling::Order& aOrder, const std::string& aPayload);
 Scheduling::Order
 FromWire(const Wire::Order& aOrder);
+Wire::Question
+ToWire(const Scheduling::Question& aQuestion, Common::Duration aTimeout);
+Wire::AdviceAnswer
+ToWire(std::int64_t aQuestion, const std::optional<Scheduling::Advice>& aAdvice);
+/// Nothing if the service did not answer.
+std::optional<Scheduling::Advice>
+FromWire(const Wire::AdviceAnswer& aAnswer);
 
 } // namespace Node
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -257,6 +257,9 @@
   if (aReport.term != mTerm.value()) {
     return;
   }
+  for (const auto& answer : aReport.advice) {
+    Scheduling::TakeAdvice(mState, answer.number, FromWire(answer), now);
+  }
   for (const auto& result : aReport.results) {
     Scheduling::TakeResult(
       mState, result.number, static_cast<Scheduling::OrderResult>(result.result), now);
@@ -373,6 +376,9 @@
   counters.counter("ibis_term_quarantines").set(static_cast<std::int64_t>(counts.mQuarantines));
   counters.counter("ibis_term_stalls").set(static_cast<std::int64_t>(counts.mStalls));
   counters.counter("ibis_term_paces").set(static_cast<std::int64_t>(counts.mPaces));
+  counters.counter("ibis_term_advice_questions").set(static_cast<std::int64_t>(counts.mQuestions));
+  counters.counter("ibis_term_ticket_rejections")
+    .set(static_cast<std::int64_t>(counts.mTicketRejections));
   counters.counter("ibis_term_moves").set(static_cast<std::int64_t>(counts.mMoves));
 }
 
@@ -396,9 +402,15 @@
     batches[mState.mWorkers[worker->second].mAgent].push_back(withPayload(order));
   }
   mState.mOrders.clear();
+  std::map<Common::InstanceId, std::vector<Wire::Question>> questions;
+  for (const Scheduling::Question& question : mState.mQuestions) {
+    batches.try_emplace(question.mAgent);
+    questions[question.mAgent].push_back(ToWire(question, question.mDeadline - mContext.now()));
+  }
+  mState.mQuestions.clear();
   for (auto& [agent, orders] : batches) {
     if (Peer* peer = peerOf(agent)) {
-      sendDirective(*peer, std::move(orders));
+      sendDirective(*peer, std::move(orders), false, std::move(questions[agent]));
     }
   }
 }
@@ -425,13 +437,17 @@
 }
 
 void
-Coordinator::sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders, bool aTellKnown)
+Coordinator::sendDirective(Peer& aPeer,
+                           std::vector<Wire::Order> aOrders,
+                           bool aTellKnown,
+                           std::vector<Wire::Question> aQuestions)
 {
   Wire::Directive directive;
   directive.term = mTerm.value();
   directive.echoMicros = aPeer.mEcho;
   directive.holdMicros = maxGrant().count();
   directive.orders = std::move(aOrders);
+  directive.questions = std::move(aQuestions);
   for (const Scheduling::Worker& worker : mState.mWorkers) {
     if (worker.mAgent == aPeer.mAgent && worker.mConnected && worker.mAcked.value() > 0) {
       Wire::WorkerAck ack;
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -91,7 +91,10 @@
   /// Only starts carry the job's payload.
   Wire::Order withPayload(const Scheduling::Order& aOrder) const;
   void sendOrders();
-  void sendDirective(Peer& aPeer, std::vector<Wire::Order> aOrders, bool aTellKnown = false);
+  void sendDirective(Peer& aPeer,
+                     std::vector<Wire::Order> aOrders,
+                     bool aTellKnown = false,
+                     std::vector<Wire::Question> aQuestions = {});
   void repeatOrders(Peer& aPeer);
   Peer* peerOf(const Common::InstanceId& aAgent);
   void everyTick();
--- a/Source/Core/Node/Ports.h
+++ b/Source/Core/Node/Ports.h
@@ -111,6 +111,18 @@
 using MakeWorkerPort =
   std::function<std::unique_ptr<WorkerPort>(const std::string& aAddress, const Common::WorkerId&)>;
 
+/// Calls to the service that says which workers may run a step.
+class AdvicePort
+{
+public:
+  virtual ~AdvicePort() = default;
+  /// aDone gets nothing if the service did not answer or turned the call away.
+  virtual void ask(const Scheduling::TaskName& aStep,
+                   const std::vector<Common::WorkerId>& aWorkers,
+                   Common::Duration aTimeout,
+                   std::function<void(std::optional<Scheduling::Advice>)> aDone) = 0;
+};
+
 /// What an entry tells a caller.
 struct CallerAnswer
 {
--- a/Source/Core/Node/Process.cpp
+++ b/Source/Core/Node/Process.cpp
@@ -63,9 +63,12 @@
     entry.emplace(context);
     started = entry->start();
   } else {
-    agent.emplace(context, [&](const std::string& aAddress, const Common::WorkerId& aWorker) {
-      return aAdapters.mMakeWorker(io, aAddress, aWorker);
-    });
+    agent.emplace(
+      context,
+      [&](const std::string& aAddress, const Common::WorkerId& aWorker) {
+        return aAdapters.mMakeWorker(io, aAddress, aWorker);
+      },
+      aSettings.mAdvice.empty() ? nullptr : aAdapters.mMakeAdvice(io, aSettings.mAdvice));
     started = agent->start();
   }
   if (!started) {
--- a/Source/Core/Node/Process.h
+++ b/Source/Core/Node/Process.h
@@ -17,6 +17,8 @@
                                             const std::string&,
                                             const Common::WorkerId&)>
     mMakeWorker;
+  std::function<std::unique_ptr<AdvicePort>(boost::asio::io_context&, const std::string&)>
+    mMakeAdvice;
   Formats mFormats;
 };
 
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -33,6 +33,8 @@
   /// Counters as text; only served if not empty.
   std::string mMetrics;
   std::string mStore;
+  /// The service that says which workers may run a step.
+  std::string mAdvice;
   /// Longest lease that a worker accepts.
   Duration mMaxHold{ std::chrono::seconds(5) };
   /// Longest time that a worker takes to end a stopped task.
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -286,10 +286,11 @@
       return;
     }
     ++mInFlight;
-    mPort->start(mTerm,
-                 { order.mTask, order.mRun, aAttempt->mPayload, order.mCheckpoint, "", *lease },
-                 timeout,
-                 done);
+    mPort->start(
+      mTerm,
+      { order.mTask, order.mRun, aAttempt->mPayload, order.mCheckpoint, order.mTicket, *lease },
+      timeout,
+      done);
     return;
   }
   ++mInFlight;
--- /dev/null
+++ b/Source/Core/Scheduling/Advice.cpp
@@ -0,0 +1,175 @@
+#include <algorithm>
+#include <cmath>
+
+#include "Scheduling/Schedule.h"
+
+namespace Scheduling {
+
+namespace {
+
+/// Weight of one answer in the learned share of granted workers.
+constexpr double kShareGain = 0.1;
+/// The share is not taken as smaller, so that a question names a bounded number of workers a task.
+constexpr double kLeastShare = 0.05;
+
+Step*
+FindStep(State& aState, const TaskName& aName)
+{
+  const auto ref = FindTask(aState, aName);
+  return ref ? &ref->mJob->mOccurrences.at(ref->mOccurrence).mSteps[ref->mStep] : nullptr;
+}
+
+/// An agent that has no question open; the service takes one call of each machine at a time.
+/// Empty if there is none.
+Common::InstanceId
+FreeAdviser(const State& aState, const Now& aNow)
+{
+  std::set<Common::InstanceId> busy;
+  for (const auto& [number, question] : aState.mOpenQuestions) {
+    busy.insert(question.mAgent);
+  }
+  const std::size_t count = aState.mWorkers.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    // Questions go round, so that an agent with a slow path delays few.
+    const Worker& worker =
+      aState.mWorkers[(static_cast<std::size_t>(aState.mNextQuestion) + i) % count];
+    const auto silent = aState.mSilentAdvisers.find(worker.mAgent);
+    const bool rests = silent != aState.mSilentAdvisers.end() && aNow.mTime < silent->second;
+    if (worker.mConnected && !rests && !busy.contains(worker.mAgent)) {
+      return worker.mAgent;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+bool
+HasTicket(const Step& aStep, WorkerNumber aWorker, const Now& aNow)
+{
+  const auto found = aStep.mTickets.find(aWorker);
+  return found != aStep.mTickets.end() && !found->second.mText.empty() &&
+         aNow.mTime < found->second.mUntil;
+}
+
+bool
+IsDenied(const Step& aStep, WorkerNumber aWorker)
+{
+  const auto found = aStep.mTickets.find(aWorker);
+  return found != aStep.mTickets.end() && found->second.mText.empty();
+}
+
+void
+AskForAdvice(State& aState,
+             const TaskRef& aStep,
+             const AdviceTimes& aTimes,
+             std::span<const WorkerNumber> aWorkers,
+             const Now& aNow)
+{
+  Step& step = aStep.mJob->mOccurrences.at(aStep.mOccurrence).mSteps[aStep.mStep];
+  const Common::InstanceId agent = FreeAdviser(aState, aNow);
+  if (step.mAsked || aWorkers.empty() || agent.empty()) {
+    return;
+  }
+  // Each worker named delays the answer, and a worker that has room for one task counts as well.
+  const auto wanted = static_cast<std::size_t>(
+    std::ceil(step.mWaiting / std::max(aState.mGrantedShare, kLeastShare)));
+  const std::size_t asked = std::min({ aWorkers.size(),
+                                       std::max(wanted, aState.mPolicy.mAskedAtLeast),
+                                       aState.mPolicy.mAskedAtOnce });
+  Question question;
+  question.mNumber = aState.mNextQuestion++;
+  question.mStep = NameOf({ aStep.mJob, aStep.mOccurrence, aStep.mStep, 0 });
+  question.mAgent = agent;
+  for (const WorkerNumber worker : aWorkers.first(asked)) {
+    question.mWorkers.push_back(aState.mWorkers[worker].mLife);
+  }
+  question.mDeadline = aNow.mTime + aTimes.mDecide + aTimes.mEach * static_cast<int>(asked) +
+                       aState.mPolicy.mAdviceSlack;
+  step.mAsked = true;
+  ++aState.mCounts.mQuestions;
+  aState.mNotes.push_back({ "advice asked",
+                            question.mStep.mJob,
+                            std::to_string(question.mStep.mOccurrence) + '.' +
+                              std::to_string(question.mStep.mStep) + " question " +
+                              std::to_string(question.mNumber) + " by " + agent.str() +
+                              ", workers " + std::to_string(asked) });
+  aState.mOpenQuestions.emplace(question.mNumber, question);
+  aState.mQuestions.push_back(std::move(question));
+}
+
+void
+TakeAdvice(State& aState,
+           std::int64_t aQuestion,
+           const std::optional<Advice>& aAdvice,
+           const Now& aNow)
+{
+  const auto found = aState.mOpenQuestions.find(aQuestion);
+  if (found == aState.mOpenQuestions.end()) {
+    return;
+  }
+  const Question question = std::move(found->second);
+  aState.mOpenQuestions.erase(found);
+  Step* const step = FindStep(aState, question.mStep);
+  if (step != nullptr) {
+    step->mAsked = false;
+  }
+  std::string granted;
+  for (const Grant& grant : aAdvice ? aAdvice->mGrants : std::vector<Grant>{}) {
+    granted += ' ' + grant.mWorker.str();
+  }
+  aState.mNotes.push_back({ aAdvice ? "advice" : "advice was not given",
+                            question.mStep.mJob,
+                            "question " + std::to_string(aQuestion) + " by " +
+                              question.mAgent.str() + ", granted" +
+                              (granted.empty() ? " none" : granted) });
+  if (!aAdvice) {
+    aState.mSilentAdvisers[question.mAgent] = aNow.mTime + aState.mPolicy.mAdvicePause;
+    return;
+  }
+  aState.mSilentAdvisers.erase(question.mAgent);
+  if (step == nullptr) {
+    return;
+  }
+  const auto job = aState.mJobs.find(question.mStep.mJob);
+  const auto queue = aState.mQueues.find(job->second->mSpec.mQueue);
+  Duration valid = aAdvice->mValid;
+  if (valid <= Duration{ 0 } && queue != aState.mQueues.end() && queue->second.mAdvice) {
+    valid = queue->second.mAdvice->mValid;
+  }
+  const Timestamp until = aNow.mTime + valid - std::min(valid / 4, aState.mPolicy.mTicketMargin);
+  std::map<Common::WorkerId, std::string> grants;
+  for (const Grant& grant : aAdvice->mGrants) {
+    grants[grant.mWorker] = grant.mTicket;
+  }
+  std::size_t allowed = 0;
+  for (const Life& life : question.mWorkers) {
+    const auto worker = aState.mWorkerIndex.find(life);
+    if (worker == aState.mWorkerIndex.end()) {
+      continue;
+    }
+    const auto grant = grants.find(life.mWorker);
+    allowed += grant != grants.end() ? 1 : 0;
+    step->mTickets[worker->second] =
+      grant != grants.end() ? Ticket{ grant->second, until } : Ticket{};
+  }
+  const double share = static_cast<double>(allowed) /
+                       static_cast<double>(std::max<std::size_t>(question.mWorkers.size(), 1));
+  aState.mGrantedShare += (share - aState.mGrantedShare) * kShareGain;
+}
+
+void
+ExpireQuestions(State& aState, const Now& aNow)
+{
+  std::vector<std::int64_t> expired;
+  for (const auto& [number, question] : aState.mOpenQuestions) {
+    if (question.mDeadline <= aNow.mTime) {
+      expired.push_back(number);
+    }
+  }
+  for (const std::int64_t number : expired) {
+    TakeAdvice(aState, number, std::nullopt, aNow);
+  }
+}
+
+} // namespace Scheduling
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -273,6 +273,7 @@
   ++step.mDone;
   if (step.mDone == step.mTasks.size() && !step.mEnded) {
     step.mEnded = true;
+    step.mTickets.clear();
     ++occurrence.mStepsEnded;
     if (occurrence.mStepsEnded == occurrence.mSteps.size()) {
       ++job.mOccurrencesEnded;
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -86,6 +87,16 @@
   Common::UnixMillis mAccepted{ 0 };
 };
 
+/// How the service answers that says which workers may run a step, and for how long.
+struct AdviceTimes
+{
+  /// Time of one answer, and what each worker that the question names adds to it.
+  Duration mDecide{ 0 };
+  Duration mEach{ 0 };
+  /// Life of a ticket.
+  Duration mValid{ 0 };
+};
+
 /// What the routes table says about the jobs of one queue.
 struct QueueSpec
 {
@@ -97,6 +108,8 @@
   /// A job should end within its longest chain times this, plus mSlack.
   double mStretch = 1.0;
   Duration mSlack{ 0 };
+  /// Set if a start needs a ticket of the advice service.
+  std::optional<AdviceTimes> mAdvice = std::nullopt;
 };
 
 enum class JobState : std::uint8_t
@@ -217,6 +230,33 @@
   RunNumber mRun;
   std::string mCheckpoint;
   Percent mPercent;
+  std::string mTicket;
+};
+
+/// Asks which of some workers may run a step. An agent carries it to the advice service.
+struct Question
+{
+  std::int64_t mNumber = 0;
+  /// The index is 0.
+  TaskName mStep;
+  Common::InstanceId mAgent;
+  std::vector<Life> mWorkers;
+  /// The service has answered by then.
+  Timestamp mDeadline;
+};
+
+struct Grant
+{
+  Common::WorkerId mWorker;
+  std::string mTicket;
+};
+
+/// The answer to a question; workers that it does not name may not run the step.
+struct Advice
+{
+  std::vector<Grant> mGrants;
+  /// Life of the tickets; 0 if the answer does not say.
+  Duration mValid{ 0 };
 };
 
 /// One step of one occurrence in a progress record; tasks that are not named neither ended nor
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -316,6 +316,18 @@
   return cost;
 }
 
+bool
+IsStarved(const State& aState, const Ready& aReady, const Task& aTask, const Now& aNow)
+{
+  return aReady.mIdleJob && aNow.mTime - aTask.mSince >= aState.mPolicy.mStarved;
+}
+
+const Step&
+StepOf(const Ready& aReady)
+{
+  return aReady.mJob->mOccurrences.at(aReady.mOccurrence).mSteps[aReady.mStep];
+}
+
 WorkerNumber
 BestWorker(const State& aState,
            const Ready& aReady,
@@ -324,7 +336,7 @@
            const std::string& aRack,
            const Now& aNow)
 {
-  const bool starved = aReady.mIdleJob && aNow.mTime - aTask.mSince >= aState.mPolicy.mStarved;
+  const bool starved = IsStarved(aState, aReady, aTask, aNow);
   // Only lasting tasks weigh it, and they are few.
   const bool lasting = aReady.mJob->mSpec.mSteps[aReady.mStep].mLasting;
   const std::map<std::string, Room> rooms =
@@ -334,6 +346,7 @@
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     const Worker& worker = aState.mWorkers[number];
     if ((!aRack.empty() && worker.mRack.str() != aRack) ||
+        (aQueue.mAdvice && !HasTicket(StepOf(aReady), number, aNow)) ||
         !MayHost(aState, worker, aReady, aQueue, starved, aNow)) {
       continue;
     }
@@ -346,6 +359,59 @@
   return best;
 }
 
+/// True if the worker could run tasks of the step at some time.
+bool
+MayEverHost(const Worker& aWorker, const StepSpec& aStep, const QueueSpec& aQueue)
+{
+  const bool labelled = aStep.mLabel.empty() ||
+                        std::find(aWorker.mLabels.begin(), aWorker.mLabels.end(), aStep.mLabel) !=
+                          aWorker.mLabels.end();
+  return aWorker.mConnected && aWorker.mListed && !aWorker.mGone && !aWorker.mLeaving &&
+         aWorker.mPool == aQueue.mPool && labelled && Fits(ReservedBy(aStep), aWorker.mCapacity);
+}
+
+/// Asks for tickets if tasks of the step could start with one, or if aSoon says that the step is
+/// among the next ones, so that room which becomes free does not wait for the answer. What was
+/// granted and denied stays, so a question names every worker that the step may ever run on.
+void
+AskAbout(State& aState, const Ready& aReady, const QueueSpec& aQueue, bool aSoon, const Now& aNow)
+{
+  const Step& step = StepOf(aReady);
+  const auto task = std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
+    return aTask.mPhase == TaskPhase::Waiting;
+  });
+  if (!aQueue.mAdvice || step.mAsked || task == step.mTasks.end()) {
+    return;
+  }
+  const StepSpec& spec = aReady.mJob->mSpec.mSteps[aReady.mStep];
+  const bool starved = IsStarved(aState, aReady, *task, aNow);
+  // A ticket that ends before the answer would come is asked for again.
+  const Now answered{ aNow.mTime + aQueue.mAdvice->mDecide + aState.mPolicy.mTicketMargin,
+                      aNow.mUnix };
+  bool wanted = aSoon;
+  std::vector<std::tuple<bool, double, WorkerNumber>> candidates;
+  for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
+    const Worker& worker = aState.mWorkers[number];
+    if (IsDenied(step, number) || HasTicket(step, number, answered) ||
+        !MayEverHost(worker, spec, aQueue)) {
+      continue;
+    }
+    const bool now = MayHost(aState, worker, aReady, aQueue, starved, aNow);
+    wanted = wanted || now;
+    candidates.emplace_back(!now, CostOf(aState, {}, worker, aReady, *task, number), number);
+  }
+  if (!wanted) {
+    return;
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::vector<WorkerNumber> workers;
+  for (const auto& [later, cost, number] : candidates) {
+    workers.push_back(number);
+  }
+  AskForAdvice(
+    aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, 0 }, *aQueue.mAdvice, workers, aNow);
+}
+
 void
 OrderStart(State& aState, const TaskRef& aRef, RunNumber aRun, const Now& aNow)
 {
@@ -358,6 +424,10 @@
   order.mTask = NameOf(aRef);
   order.mRun = aRun;
   order.mCheckpoint = task.mCheckpoint;
+  const Step& step = aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep];
+  if (const auto ticket = step.mTickets.find(task.mWorker); ticket != step.mTickets.end()) {
+    order.mTicket = ticket->second.mText;
+  }
   AddOrder(aState, std::move(order));
   ++aState.mCounts.mStarts;
 }
@@ -557,11 +627,14 @@
 void
 PlaceTasks(State& aState, const Now& aNow)
 {
+  ExpireQuestions(aState, aNow);
   std::vector<Ready> steps = ReadySteps(aState, aNow);
+  std::uint32_t advised = 0;
   for (Ready& ready : steps) {
     const QueueSpec& queue = aState.mQueues.at(ready.mJob->mSpec.mQueue);
     if (ready.mJob->mSpec.mSteps[ready.mStep].mGang) {
       PlaceGang(aState, ready, queue, aNow);
+      AskAbout(aState, ready, queue, advised++ < aState.mPolicy.mAskedAhead, aNow);
       continue;
     }
     Step& step = ready.mJob->mOccurrences.at(ready.mOccurrence).mSteps[ready.mStep];
@@ -587,6 +660,9 @@
       placed += (placed.empty() ? "" : " ") + std::to_string(i) + ':' +
                 std::to_string(run.value()) + '@' + aState.mWorkers[worker].mLife.mWorker.str();
     }
+    if (queue.mAdvice && step.mWaiting > 0) {
+      AskAbout(aState, ready, queue, advised++ < aState.mPolicy.mAskedAhead, aNow);
+    }
     if (!placed.empty()) {
       aState.mNotes.push_back(
         { "tasks started",
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -470,10 +470,13 @@
       task.mAvoid = task.mWorker;
       host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
       break;
+    case OrderResult::Ticket:
+      ++aState.mCounts.mTicketRejections;
+      ref->mJob->mOccurrences.at(ref->mOccurrence).mSteps[ref->mStep].mTickets.erase(task.mWorker);
+      break;
     case OrderResult::NotSent:
     case OrderResult::Late:
     case OrderResult::Fenced:
-    case OrderResult::Ticket:
       host.mNoRoomUntil = aNow.mTime + aState.mPolicy.mRoomPause;
       break;
     case OrderResult::Old:
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -84,6 +84,13 @@
 void
 PlaceTasks(State& aState, const Now& aNow);
 
+/// Takes the answer to a question; nothing if the service did not answer the agent.
+void
+TakeAdvice(State& aState,
+           std::int64_t aQuestion,
+           const std::optional<Advice>& aAdvice,
+           const Now& aNow);
+
 /// Slows tasks that fill where a lasting task nears its tail target, and speeds them up again.
 void
 PaceTasks(State& aState, const Now& aNow);
@@ -134,6 +141,22 @@
 /// Stops everything of the job that runs.
 void
 StopRuns(State& aState, Job& aJob, const Now& aNow);
+/// True if the step may start on the worker by what the advice service said.
+bool
+HasTicket(const Step& aStep, WorkerNumber aWorker, const Now& aNow);
+/// True if the service has denied the worker the step.
+bool
+IsDenied(const Step& aStep, WorkerNumber aWorker);
+/// Asks about the workers, best first, unless no agent is free to ask.
+void
+AskForAdvice(State& aState,
+             const TaskRef& aStep,
+             const AdviceTimes& aTimes,
+             std::span<const WorkerNumber> aWorkers,
+             const Now& aNow);
+/// Gives up questions that were not answered in time.
+void
+ExpireQuestions(State& aState, const Now& aNow);
 /// Records how a run on the worker ended.
 void
 JudgeWorker(State& aState,
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -62,6 +62,14 @@
   Timestamp mPacedOutSince;
 };
 
+/// What the advice service said of a step and one lifetime of a worker.
+struct Ticket
+{
+  /// "" if the worker may not run the step, which does not change.
+  std::string mText;
+  Timestamp mUntil;
+};
+
 struct Step
 {
   std::vector<Task> mTasks;
@@ -69,6 +77,9 @@
   bool mEnded = false;
   /// Tasks in phase Waiting.
   std::uint32_t mWaiting = 0;
+  std::map<WorkerNumber, Ticket> mTickets;
+  /// A question about the step has no answer yet.
+  bool mAsked = false;
 };
 
 struct Occurrence
@@ -207,6 +218,20 @@
   Duration mForcedPause{ std::chrono::milliseconds(5000) };
   /// Time after which a task that fills is moved if it stands at pace 0.
   Duration mPacedOut{ std::chrono::milliseconds(2000) };
+  /// Workers that one question names at most; the advice service takes a hundred.
+  std::size_t mAskedAtOnce = 100;
+  /// Workers that a question names at least, if there are as many.
+  std::size_t mAskedAtLeast = 12;
+  /// Steps at the head of the order that are asked about before there is room for them.
+  std::uint32_t mAskedAhead = 4;
+  /// Time on top of the service's own after which a question is given up: two messages between
+  /// regions, and a call that an earlier coordinator has left at the service.
+  Duration mAdviceSlack{ std::chrono::milliseconds(1200) };
+  /// An agent whose question was not answered gets none for this time.
+  Duration mAdvicePause{ std::chrono::milliseconds(1000) };
+  /// A ticket is used until this long before it ends, which covers the way of the start; at most a
+  /// quarter of its life.
+  Duration mTicketMargin{ std::chrono::milliseconds(250) };
 };
 
 struct Counts
@@ -219,6 +244,8 @@
   std::uint64_t mStalls = 0;
   std::uint64_t mPaces = 0;
   std::uint64_t mMoves = 0;
+  std::uint64_t mQuestions = 0;
+  std::uint64_t mTicketRejections = 0;
 };
 
 /// A belief that changed; the caller writes it to the log.
@@ -250,6 +277,14 @@
   /// Orders that have no result yet.
   std::unordered_map<std::int64_t, Order> mOutstanding;
   std::map<std::pair<Common::RouteId, std::string>, RunTimes> mRunTimes;
+  /// Questions to hand out.
+  std::vector<Question> mQuestions;
+  std::int64_t mNextQuestion = 1;
+  std::map<std::int64_t, Question> mOpenQuestions;
+  /// Agents that are asked again only after this time.
+  std::map<Common::InstanceId, Timestamp> mSilentAdvisers;
+  /// Learned share of the workers asked that may run a step.
+  double mGrantedShare = 0.5;
   Counts mCounts;
   Disturbance mDisturbance;
 };
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -3766,6 +3766,503 @@
 }
 
 
+Question::~Question() noexcept {
+}
+
+
+void Question::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void Question::__set_step(const TaskName& val) {
+  this->step = val;
+}
+
+void Question::__set_workers(const std::vector<std::string> & val) {
+  this->workers = val;
+}
+
+void Question::__set_timeoutMs(const int64_t val) {
+  this->timeoutMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const Question& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Question::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->step.read(iprot);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->workers.clear();
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->workers.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
+            {
+              xfer += iprot->readString(this->workers[_i148]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.workers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->timeoutMs);
+          this->__isset.timeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Question::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Question");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->step.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
+    std::vector<std::string> ::const_iterator _iter149;
+    for (_iter149 = this->workers.begin(); _iter149 != this->workers.end(); ++_iter149)
+    {
+      xfer += oprot->writeString((*_iter149));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->timeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Question &a, Question &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.step, b.step);
+  swap(a.workers, b.workers);
+  swap(a.timeoutMs, b.timeoutMs);
+  swap(a.__isset, b.__isset);
+}
+
+Question::Question(const Question& other150) {
+  number = other150.number;
+  step = other150.step;
+  workers = other150.workers;
+  timeoutMs = other150.timeoutMs;
+  __isset = other150.__isset;
+}
+Question::Question(Question&& other151) noexcept {
+  number = other151.number;
+  step = std::move(other151.step);
+  workers = std::move(other151.workers);
+  timeoutMs = other151.timeoutMs;
+  __isset = other151.__isset;
+}
+Question& Question::operator=(const Question& other152) {
+  number = other152.number;
+  step = other152.step;
+  workers = other152.workers;
+  timeoutMs = other152.timeoutMs;
+  __isset = other152.__isset;
+  return *this;
+}
+Question& Question::operator=(Question&& other153) noexcept {
+  number = other153.number;
+  step = std::move(other153.step);
+  workers = std::move(other153.workers);
+  timeoutMs = other153.timeoutMs;
+  __isset = other153.__isset;
+  return *this;
+}
+void Question::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Question(";
+  out << "number=" << to_string(number);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "workers=" << to_string(workers);
+  out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ")";
+}
+
+
+Grant::~Grant() noexcept {
+}
+
+
+void Grant::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void Grant::__set_ticket(const std::string& val) {
+  this->ticket = val;
+}
+std::ostream& operator<<(std::ostream& out, const Grant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Grant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ticket);
+          this->__isset.ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Grant");
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->ticket);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Grant &a, Grant &b) {
+  using ::std::swap;
+  swap(a.worker, b.worker);
+  swap(a.ticket, b.ticket);
+  swap(a.__isset, b.__isset);
+}
+
+Grant::Grant(const Grant& other154) {
+  worker = other154.worker;
+  ticket = other154.ticket;
+  __isset = other154.__isset;
+}
+Grant::Grant(Grant&& other155) noexcept {
+  worker = std::move(other155.worker);
+  ticket = std::move(other155.ticket);
+  __isset = other155.__isset;
+}
+Grant& Grant::operator=(const Grant& other156) {
+  worker = other156.worker;
+  ticket = other156.ticket;
+  __isset = other156.__isset;
+  return *this;
+}
+Grant& Grant::operator=(Grant&& other157) noexcept {
+  worker = std::move(other157.worker);
+  ticket = std::move(other157.ticket);
+  __isset = other157.__isset;
+  return *this;
+}
+void Grant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Grant(";
+  out << "worker=" << to_string(worker);
+  out << ", " << "ticket=" << to_string(ticket);
+  out << ")";
+}
+
+
+AdviceAnswer::~AdviceAnswer() noexcept {
+}
+
+
+void AdviceAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void AdviceAnswer::__set_answered(const bool val) {
+  this->answered = val;
+}
+
+void AdviceAnswer::__set_grants(const std::vector<Grant> & val) {
+  this->grants = val;
+}
+
+void AdviceAnswer::__set_validMs(const int64_t val) {
+  this->validMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const AdviceAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AdviceAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answered);
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->grants.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += this->grants[_i162].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->validMs);
+          this->__isset.validMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AdviceAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AdviceAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answered);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<Grant> ::const_iterator _iter163;
+    for (_iter163 = this->grants.begin(); _iter163 != this->grants.end(); ++_iter163)
+    {
+      xfer += (*_iter163).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("validMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->validMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AdviceAnswer &a, AdviceAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.answered, b.answered);
+  swap(a.grants, b.grants);
+  swap(a.validMs, b.validMs);
+  swap(a.__isset, b.__isset);
+}
+
+AdviceAnswer::AdviceAnswer(const AdviceAnswer& other164) {
+  number = other164.number;
+  answered = other164.answered;
+  grants = other164.grants;
+  validMs = other164.validMs;
+  __isset = other164.__isset;
+}
+AdviceAnswer::AdviceAnswer(AdviceAnswer&& other165) noexcept {
+  number = other165.number;
+  answered = other165.answered;
+  grants = std::move(other165.grants);
+  validMs = other165.validMs;
+  __isset = other165.__isset;
+}
+AdviceAnswer& AdviceAnswer::operator=(const AdviceAnswer& other166) {
+  number = other166.number;
+  answered = other166.answered;
+  grants = other166.grants;
+  validMs = other166.validMs;
+  __isset = other166.__isset;
+  return *this;
+}
+AdviceAnswer& AdviceAnswer::operator=(AdviceAnswer&& other167) noexcept {
+  number = other167.number;
+  answered = other167.answered;
+  grants = std::move(other167.grants);
+  validMs = other167.validMs;
+  __isset = other167.__isset;
+  return *this;
+}
+void AdviceAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AdviceAnswer(";
+  out << "number=" << to_string(number);
+  out << ", " << "answered=" << to_string(answered);
+  out << ", " << "grants=" << to_string(grants);
+  out << ", " << "validMs=" << to_string(validMs);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -3797,6 +4294,10 @@
 void Report::__set_term(const int64_t val) {
   this->term = val;
 }
+
+void Report::__set_advice(const std::vector<AdviceAnswer> & val) {
+  this->advice = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -3853,14 +4354,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->workers.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->workers.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->workers[_i148].read(iprot);
+              xfer += this->workers[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3873,14 +4374,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->results.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->results.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->results[_i153].read(iprot);
+              xfer += this->results[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3893,14 +4394,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endedLives.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->endedLives.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->endedLives.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->endedLives[_i158].read(iprot);
+              xfer += this->endedLives[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3917,6 +4418,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->advice.clear();
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->advice.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
+            {
+              xfer += this->advice[_i187].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.advice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3949,10 +4470,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerView> ::const_iterator _iter159;
-    for (_iter159 = this->workers.begin(); _iter159 != this->workers.end(); ++_iter159)
+    std::vector<WorkerView> ::const_iterator _iter188;
+    for (_iter188 = this->workers.begin(); _iter188 != this->workers.end(); ++_iter188)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3961,10 +4482,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter160;
-    for (_iter160 = this->results.begin(); _iter160 != this->results.end(); ++_iter160)
+    std::vector<OrderResult> ::const_iterator _iter189;
+    for (_iter189 = this->results.begin(); _iter189 != this->results.end(); ++_iter189)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3973,10 +4494,10 @@
   xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endedLives.size()));
-    std::vector<Life> ::const_iterator _iter161;
-    for (_iter161 = this->endedLives.begin(); _iter161 != this->endedLives.end(); ++_iter161)
+    std::vector<Life> ::const_iterator _iter190;
+    for (_iter190 = this->endedLives.begin(); _iter190 != this->endedLives.end(); ++_iter190)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3986,6 +4507,18 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("advice", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->advice.size()));
+    std::vector<AdviceAnswer> ::const_iterator _iter191;
+    for (_iter191 = this->advice.begin(); _iter191 != this->advice.end(); ++_iter191)
+    {
+      xfer += (*_iter191).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4000,49 +4533,54 @@
   swap(a.results, b.results);
   swap(a.endedLives, b.endedLives);
   swap(a.term, b.term);
+  swap(a.advice, b.advice);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other162) {
-  agentMicros = other162.agentMicros;
-  instance = other162.instance;
-  dataCentre = other162.dataCentre;
-  workers = other162.workers;
-  results = other162.results;
-  endedLives = other162.endedLives;
-  term = other162.term;
-  __isset = other162.__isset;
-}
-Report::Report(Report&& other163) noexcept {
-  agentMicros = other163.agentMicros;
-  instance = std::move(other163.instance);
-  dataCentre = std::move(other163.dataCentre);
-  workers = std::move(other163.workers);
-  results = std::move(other163.results);
-  endedLives = std::move(other163.endedLives);
-  term = other163.term;
-  __isset = other163.__isset;
-}
-Report& Report::operator=(const Report& other164) {
-  agentMicros = other164.agentMicros;
-  instance = other164.instance;
-  dataCentre = other164.dataCentre;
-  workers = other164.workers;
-  results = other164.results;
-  endedLives = other164.endedLives;
-  term = other164.term;
-  __isset = other164.__isset;
+Report::Report(const Report& other192) {
+  agentMicros = other192.agentMicros;
+  instance = other192.instance;
+  dataCentre = other192.dataCentre;
+  workers = other192.workers;
+  results = other192.results;
+  endedLives = other192.endedLives;
+  term = other192.term;
+  advice = other192.advice;
+  __isset = other192.__isset;
+}
+Report::Report(Report&& other193) noexcept {
+  agentMicros = other193.agentMicros;
+  instance = std::move(other193.instance);
+  dataCentre = std::move(other193.dataCentre);
+  workers = std::move(other193.workers);
+  results = std::move(other193.results);
+  endedLives = std::move(other193.endedLives);
+  term = other193.term;
+  advice = std::move(other193.advice);
+  __isset = other193.__isset;
+}
+Report& Report::operator=(const Report& other194) {
+  agentMicros = other194.agentMicros;
+  instance = other194.instance;
+  dataCentre = other194.dataCentre;
+  workers = other194.workers;
+  results = other194.results;
+  endedLives = other194.endedLives;
+  term = other194.term;
+  advice = other194.advice;
+  __isset = other194.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other165) noexcept {
-  agentMicros = other165.agentMicros;
-  instance = std::move(other165.instance);
-  dataCentre = std::move(other165.dataCentre);
-  workers = std::move(other165.workers);
-  results = std::move(other165.results);
-  endedLives = std::move(other165.endedLives);
-  term = other165.term;
-  __isset = other165.__isset;
+Report& Report::operator=(Report&& other195) noexcept {
+  agentMicros = other195.agentMicros;
+  instance = std::move(other195.instance);
+  dataCentre = std::move(other195.dataCentre);
+  workers = std::move(other195.workers);
+  results = std::move(other195.results);
+  endedLives = std::move(other195.endedLives);
+  term = other195.term;
+  advice = std::move(other195.advice);
+  __isset = other195.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -4055,6 +4593,7 @@
   out << ", " << "results=" << to_string(results);
   out << ", " << "endedLives=" << to_string(endedLives);
   out << ", " << "term=" << to_string(term);
+  out << ", " << "advice=" << to_string(advice);
   out << ")";
 }
 
@@ -4287,58 +4826,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other166) {
-  number = other166.number;
-  kind = other166.kind;
-  worker = other166.worker;
-  born = other166.born;
-  task = other166.task;
-  run = other166.run;
-  payload = other166.payload;
-  checkpoint = other166.checkpoint;
-  percent = other166.percent;
-  ticket = other166.ticket;
-  __isset = other166.__isset;
+Order::Order(const Order& other196) {
+  number = other196.number;
+  kind = other196.kind;
+  worker = other196.worker;
+  born = other196.born;
+  task = other196.task;
+  run = other196.run;
+  payload = other196.payload;
+  checkpoint = other196.checkpoint;
+  percent = other196.percent;
+  ticket = other196.ticket;
+  __isset = other196.__isset;
 }
-Order::Order(Order&& other167) noexcept {
-  number = other167.number;
-  kind = other167.kind;
-  worker = std::move(other167.worker);
-  born = other167.born;
-  task = std::move(other167.task);
-  run = other167.run;
-  payload = std::move(other167.payload);
-  checkpoint = std::move(other167.checkpoint);
-  percent = other167.percent;
-  ticket = std::move(other167.ticket);
-  __isset = other167.__isset;
+Order::Order(Order&& other197) noexcept {
+  number = other197.number;
+  kind = other197.kind;
+  worker = std::move(other197.worker);
+  born = other197.born;
+  task = std::move(other197.task);
+  run = other197.run;
+  payload = std::move(other197.payload);
+  checkpoint = std::move(other197.checkpoint);
+  percent = other197.percent;
+  ticket = std::move(other197.ticket);
+  __isset = other197.__isset;
 }
-Order& Order::operator=(const Order& other168) {
-  number = other168.number;
-  kind = other168.kind;
-  worker = other168.worker;
-  born = other168.born;
-  task = other168.task;
-  run = other168.run;
-  payload = other168.payload;
-  checkpoint = other168.checkpoint;
-  percent = other168.percent;
-  ticket = other168.ticket;
-  __isset = other168.__isset;
+Order& Order::operator=(const Order& other198) {
+  number = other198.number;
+  kind = other198.kind;
+  worker = other198.worker;
+  born = other198.born;
+  task = other198.task;
+  run = other198.run;
+  payload = other198.payload;
+  checkpoint = other198.checkpoint;
+  percent = other198.percent;
+  ticket = other198.ticket;
+  __isset = other198.__isset;
   return *this;
 }
-Order& Order::operator=(Order&& other169) noexcept {
-  number = other169.number;
-  kind = other169.kind;
-  worker = std::move(other169.worker);
-  born = other169.born;
-  task = std::move(other169.task);
-  run = other169.run;
-  payload = std::move(other169.payload);
-  checkpoint = std::move(other169.checkpoint);
-  percent = other169.percent;
-  ticket = std::move(other169.ticket);
-  __isset = other169.__isset;
+Order& Order::operator=(Order&& other199) noexcept {
+  number = other199.number;
+  kind = other199.kind;
+  worker = std::move(other199.worker);
+  born = other199.born;
+  task = std::move(other199.task);
+  run = other199.run;
+  payload = std::move(other199.payload);
+  checkpoint = std::move(other199.checkpoint);
+  percent = other199.percent;
+  ticket = std::move(other199.ticket);
+  __isset = other199.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -4467,30 +5006,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAck::WorkerAck(const WorkerAck& other170) {
-  worker = other170.worker;
-  born = other170.born;
-  number = other170.number;
-  __isset = other170.__isset;
+WorkerAck::WorkerAck(const WorkerAck& other200) {
+  worker = other200.worker;
+  born = other200.born;
+  number = other200.number;
+  __isset = other200.__isset;
 }
-WorkerAck::WorkerAck(WorkerAck&& other171) noexcept {
-  worker = std::move(other171.worker);
-  born = other171.born;
-  number = other171.number;
-  __isset = other171.__isset;
+WorkerAck::WorkerAck(WorkerAck&& other201) noexcept {
+  worker = std::move(other201.worker);
+  born = other201.born;
+  number = other201.number;
+  __isset = other201.__isset;
 }
-WorkerAck& WorkerAck::operator=(const WorkerAck& other172) {
-  worker = other172.worker;
-  born = other172.born;
-  number = other172.number;
-  __isset = other172.__isset;
+WorkerAck& WorkerAck::operator=(const WorkerAck& other202) {
+  worker = other202.worker;
+  born = other202.born;
+  number = other202.number;
+  __isset = other202.__isset;
   return *this;
 }
-WorkerAck& WorkerAck::operator=(WorkerAck&& other173) noexcept {
-  worker = std::move(other173.worker);
-  born = other173.born;
-  number = other173.number;
-  __isset = other173.__isset;
+WorkerAck& WorkerAck::operator=(WorkerAck&& other203) noexcept {
+  worker = std::move(other203.worker);
+  born = other203.born;
+  number = other203.number;
+  __isset = other203.__isset;
   return *this;
 }
 void WorkerAck::printTo(std::ostream& out) const {
@@ -4530,6 +5069,10 @@
 void Directive::__set_known(const std::vector<WorkerView> & val) {
   this->known = val;
 }
+
+void Directive::__set_questions(const std::vector<Question> & val) {
+  this->questions = val;
+}
 std::ostream& operator<<(std::ostream& out, const Directive& obj)
 {
   obj.printTo(out);
@@ -4586,14 +5129,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->orders.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->orders.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->orders[_i178].read(iprot);
+              xfer += this->orders[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4606,14 +5149,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->acks.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->acks.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->acks[_i183].read(iprot);
+              xfer += this->acks[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4626,14 +5169,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->known.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->known.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->known[_i188].read(iprot);
+              xfer += this->known[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4642,6 +5185,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->questions.clear();
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->questions.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
+            {
+              xfer += this->questions[_i223].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.questions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4674,10 +5237,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter189;
-    for (_iter189 = this->orders.begin(); _iter189 != this->orders.end(); ++_iter189)
+    std::vector<Order> ::const_iterator _iter224;
+    for (_iter224 = this->orders.begin(); _iter224 != this->orders.end(); ++_iter224)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4686,10 +5249,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<WorkerAck> ::const_iterator _iter190;
-    for (_iter190 = this->acks.begin(); _iter190 != this->acks.end(); ++_iter190)
+    std::vector<WorkerAck> ::const_iterator _iter225;
+    for (_iter225 = this->acks.begin(); _iter225 != this->acks.end(); ++_iter225)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter225).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4698,10 +5261,22 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<WorkerView> ::const_iterator _iter191;
-    for (_iter191 = this->known.begin(); _iter191 != this->known.end(); ++_iter191)
+    std::vector<WorkerView> ::const_iterator _iter226;
+    for (_iter226 = this->known.begin(); _iter226 != this->known.end(); ++_iter226)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter226).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("questions", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->questions.size()));
+    std::vector<Question> ::const_iterator _iter227;
+    for (_iter227 = this->questions.begin(); _iter227 != this->questions.end(); ++_iter227)
+    {
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4720,45 +5295,50 @@
   swap(a.orders, b.orders);
   swap(a.acks, b.acks);
   swap(a.known, b.known);
+  swap(a.questions, b.questions);
   swap(a.__isset, b.__isset);
 }
 
-Directive::Directive(const Directive& other192) {
-  term = other192.term;
-  echoMicros = other192.echoMicros;
-  holdMicros = other192.holdMicros;
-  orders = other192.orders;
-  acks = other192.acks;
-  known = other192.known;
-  __isset = other192.__isset;
-}
-Directive::Directive(Directive&& other193) noexcept {
-  term = other193.term;
-  echoMicros = other193.echoMicros;
-  holdMicros = other193.holdMicros;
-  orders = std::move(other193.orders);
-  acks = std::move(other193.acks);
-  known = std::move(other193.known);
-  __isset = other193.__isset;
-}
-Directive& Directive::operator=(const Directive& other194) {
-  term = other194.term;
-  echoMicros = other194.echoMicros;
-  holdMicros = other194.holdMicros;
-  orders = other194.orders;
-  acks = other194.acks;
-  known = other194.known;
-  __isset = other194.__isset;
+Directive::Directive(const Directive& other228) {
+  term = other228.term;
+  echoMicros = other228.echoMicros;
+  holdMicros = other228.holdMicros;
+  orders = other228.orders;
+  acks = other228.acks;
+  known = other228.known;
+  questions = other228.questions;
+  __isset = other228.__isset;
+}
+Directive::Directive(Directive&& other229) noexcept {
+  term = other229.term;
+  echoMicros = other229.echoMicros;
+  holdMicros = other229.holdMicros;
+  orders = std::move(other229.orders);
+  acks = std::move(other229.acks);
+  known = std::move(other229.known);
+  questions = std::move(other229.questions);
+  __isset = other229.__isset;
+}
+Directive& Directive::operator=(const Directive& other230) {
+  term = other230.term;
+  echoMicros = other230.echoMicros;
+  holdMicros = other230.holdMicros;
+  orders = other230.orders;
+  acks = other230.acks;
+  known = other230.known;
+  questions = other230.questions;
+  __isset = other230.__isset;
   return *this;
 }
-Directive& Directive::operator=(Directive&& other195) noexcept {
-  term = other195.term;
-  echoMicros = other195.echoMicros;
-  holdMicros = other195.holdMicros;
-  orders = std::move(other195.orders);
-  acks = std::move(other195.acks);
-  known = std::move(other195.known);
-  __isset = other195.__isset;
+Directive& Directive::operator=(Directive&& other231) noexcept {
+  term = other231.term;
+  echoMicros = other231.echoMicros;
+  holdMicros = other231.holdMicros;
+  orders = std::move(other231.orders);
+  acks = std::move(other231.acks);
+  known = std::move(other231.known);
+  questions = std::move(other231.questions);
+  __isset = other231.__isset;
   return *this;
 }
 void Directive::printTo(std::ostream& out) const {
@@ -4770,6 +5350,7 @@
   out << ", " << "orders=" << to_string(orders);
   out << ", " << "acks=" << to_string(acks);
   out << ", " << "known=" << to_string(known);
+  out << ", " << "questions=" << to_string(questions);
   out << ")";
 }
 
@@ -4917,38 +5498,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusQuery::StatusQuery(const StatusQuery& other196) {
-  number = other196.number;
-  job = other196.job;
-  queue = other196.queue;
-  candidate = other196.candidate;
-  instance = other196.instance;
-  __isset = other196.__isset;
-}
-StatusQuery::StatusQuery(StatusQuery&& other197) noexcept {
-  number = other197.number;
-  job = std::move(other197.job);
-  queue = std::move(other197.queue);
-  candidate = other197.candidate;
-  instance = std::move(other197.instance);
-  __isset = other197.__isset;
-}
-StatusQuery& StatusQuery::operator=(const StatusQuery& other198) {
-  number = other198.number;
-  job = other198.job;
-  queue = other198.queue;
-  candidate = other198.candidate;
-  instance = other198.instance;
-  __isset = other198.__isset;
+StatusQuery::StatusQuery(const StatusQuery& other232) {
+  number = other232.number;
+  job = other232.job;
+  queue = other232.queue;
+  candidate = other232.candidate;
+  instance = other232.instance;
+  __isset = other232.__isset;
+}
+StatusQuery::StatusQuery(StatusQuery&& other233) noexcept {
+  number = other233.number;
+  job = std::move(other233.job);
+  queue = std::move(other233.queue);
+  candidate = other233.candidate;
+  instance = std::move(other233.instance);
+  __isset = other233.__isset;
+}
+StatusQuery& StatusQuery::operator=(const StatusQuery& other234) {
+  number = other234.number;
+  job = other234.job;
+  queue = other234.queue;
+  candidate = other234.candidate;
+  instance = other234.instance;
+  __isset = other234.__isset;
   return *this;
 }
-StatusQuery& StatusQuery::operator=(StatusQuery&& other199) noexcept {
-  number = other199.number;
-  job = std::move(other199.job);
-  queue = std::move(other199.queue);
-  candidate = other199.candidate;
-  instance = std::move(other199.instance);
-  __isset = other199.__isset;
+StatusQuery& StatusQuery::operator=(StatusQuery&& other235) noexcept {
+  number = other235.number;
+  job = std::move(other235.job);
+  queue = std::move(other235.queue);
+  candidate = other235.candidate;
+  instance = std::move(other235.instance);
+  __isset = other235.__isset;
   return *this;
 }
 void StatusQuery::printTo(std::ostream& out) const {
@@ -5089,34 +5670,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other200) noexcept {
-  number = other200.number;
-  known = other200.known;
-  state = other200.state;
-  pending = other200.pending;
-  __isset = other200.__isset;
-}
-StatusReply::StatusReply(StatusReply&& other201) noexcept {
-  number = other201.number;
-  known = other201.known;
-  state = other201.state;
-  pending = other201.pending;
-  __isset = other201.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other202) noexcept {
-  number = other202.number;
-  known = other202.known;
-  state = other202.state;
-  pending = other202.pending;
-  __isset = other202.__isset;
+StatusReply::StatusReply(const StatusReply& other236) noexcept {
+  number = other236.number;
+  known = other236.known;
+  state = other236.state;
+  pending = other236.pending;
+  __isset = other236.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other237) noexcept {
+  number = other237.number;
+  known = other237.known;
+  state = other237.state;
+  pending = other237.pending;
+  __isset = other237.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other238) noexcept {
+  number = other238.number;
+  known = other238.known;
+  state = other238.state;
+  pending = other238.pending;
+  __isset = other238.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other203) noexcept {
-  number = other203.number;
-  known = other203.known;
-  state = other203.state;
-  pending = other203.pending;
-  __isset = other203.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other239) noexcept {
+  number = other239.number;
+  known = other239.known;
+  state = other239.state;
+  pending = other239.pending;
+  __isset = other239.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -5264,34 +5845,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other204) {
-  report = other204.report;
-  directive = other204.directive;
-  statusQuery = other204.statusQuery;
-  statusReply = other204.statusReply;
-  __isset = other204.__isset;
-}
-Message::Message(Message&& other205) noexcept {
-  report = std::move(other205.report);
-  directive = std::move(other205.directive);
-  statusQuery = std::move(other205.statusQuery);
-  statusReply = std::move(other205.statusReply);
-  __isset = other205.__isset;
-}
-Message& Message::operator=(const Message& other206) {
-  report = other206.report;
-  directive = other206.directive;
-  statusQuery = other206.statusQuery;
-  statusReply = other206.statusReply;
-  __isset = other206.__isset;
+Message::Message(const Message& other240) {
+  report = other240.report;
+  directive = other240.directive;
+  statusQuery = other240.statusQuery;
+  statusReply = other240.statusReply;
+  __isset = other240.__isset;
+}
+Message::Message(Message&& other241) noexcept {
+  report = std::move(other241.report);
+  directive = std::move(other241.directive);
+  statusQuery = std::move(other241.statusQuery);
+  statusReply = std::move(other241.statusReply);
+  __isset = other241.__isset;
+}
+Message& Message::operator=(const Message& other242) {
+  report = other242.report;
+  directive = other242.directive;
+  statusQuery = other242.statusQuery;
+  statusReply = other242.statusReply;
+  __isset = other242.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other207) noexcept {
-  report = std::move(other207.report);
-  directive = std::move(other207.directive);
-  statusQuery = std::move(other207.statusQuery);
-  statusReply = std::move(other207.statusReply);
-  __isset = other207.__isset;
+Message& Message::operator=(Message&& other243) noexcept {
+  report = std::move(other243.report);
+  directive = std::move(other243.directive);
+  statusQuery = std::move(other243.statusQuery);
+  statusReply = std::move(other243.statusReply);
+  __isset = other243.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -57,6 +57,12 @@
 
 class OrderResult;
 
+class Question;
+
+class Grant;
+
+class AdviceAnswer;
+
 class Report;
 
 class Order;
@@ -1405,8 +1411,189 @@
 
 std::ostream& operator<<(std::ostream& out, const OrderResult& obj);
 
+typedef struct _Question__isset {
+  _Question__isset() : number(false), step(false), workers(false), timeoutMs(false) {}
+  bool number :1;
+  bool step :1;
+  bool workers :1;
+  bool timeoutMs :1;
+} _Question__isset;
+
+class Question : public virtual ::apache::thrift::TBase {
+ public:
+
+  Question(const Question&);
+  Question(Question&&) noexcept;
+  Question& operator=(const Question&);
+  Question& operator=(Question&&) noexcept;
+  Question() noexcept
+           : number(0),
+             timeoutMs(0) {
+  }
+
+  virtual ~Question() noexcept;
+  int64_t number;
+  TaskName step;
+  std::vector<std::string>  workers;
+  int64_t timeoutMs;
+
+  _Question__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_step(const TaskName& val);
+
+  void __set_workers(const std::vector<std::string> & val);
+
+  void __set_timeoutMs(const int64_t val);
+
+  bool operator == (const Question & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(workers == rhs.workers))
+      return false;
+    if (!(timeoutMs == rhs.timeoutMs))
+      return false;
+    return true;
+  }
+  bool operator != (const Question &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Question & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Question &a, Question &b);
+
+std::ostream& operator<<(std::ostream& out, const Question& obj);
+
+typedef struct _Grant__isset {
+  _Grant__isset() : worker(false), ticket(false) {}
+  bool worker :1;
+  bool ticket :1;
+} _Grant__isset;
+
+class Grant : public virtual ::apache::thrift::TBase {
+ public:
+
+  Grant(const Grant&);
+  Grant(Grant&&) noexcept;
+  Grant& operator=(const Grant&);
+  Grant& operator=(Grant&&) noexcept;
+  Grant() noexcept
+        : worker(),
+          ticket() {
+  }
+
+  virtual ~Grant() noexcept;
+  std::string worker;
+  std::string ticket;
+
+  _Grant__isset __isset;
+
+  void __set_worker(const std::string& val);
+
+  void __set_ticket(const std::string& val);
+
+  bool operator == (const Grant & rhs) const
+  {
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(ticket == rhs.ticket))
+      return false;
+    return true;
+  }
+  bool operator != (const Grant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Grant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Grant &a, Grant &b);
+
+std::ostream& operator<<(std::ostream& out, const Grant& obj);
+
+typedef struct _AdviceAnswer__isset {
+  _AdviceAnswer__isset() : number(false), answered(false), grants(false), validMs(false) {}
+  bool number :1;
+  bool answered :1;
+  bool grants :1;
+  bool validMs :1;
+} _AdviceAnswer__isset;
+
+class AdviceAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  AdviceAnswer(const AdviceAnswer&);
+  AdviceAnswer(AdviceAnswer&&) noexcept;
+  AdviceAnswer& operator=(const AdviceAnswer&);
+  AdviceAnswer& operator=(AdviceAnswer&&) noexcept;
+  AdviceAnswer() noexcept
+               : number(0),
+                 answered(0),
+                 validMs(0) {
+  }
+
+  virtual ~AdviceAnswer() noexcept;
+  int64_t number;
+  bool answered;
+  std::vector<Grant>  grants;
+  int64_t validMs;
+
+  _AdviceAnswer__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_answered(const bool val);
+
+  void __set_grants(const std::vector<Grant> & val);
+
+  void __set_validMs(const int64_t val);
+
+  bool operator == (const AdviceAnswer & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(answered == rhs.answered))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    if (!(validMs == rhs.validMs))
+      return false;
+    return true;
+  }
+  bool operator != (const AdviceAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AdviceAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AdviceAnswer &a, AdviceAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const AdviceAnswer& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : agentMicros(false), instance(false), dataCentre(false), workers(false), results(false), endedLives(false), term(false) {}
+  _Report__isset() : agentMicros(false), instance(false), dataCentre(false), workers(false), results(false), endedLives(false), term(false), advice(false) {}
   bool agentMicros :1;
   bool instance :1;
   bool dataCentre :1;
@@ -1414,6 +1601,7 @@
   bool results :1;
   bool endedLives :1;
   bool term :1;
+  bool advice :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -1438,6 +1626,7 @@
   std::vector<OrderResult>  results;
   std::vector<Life>  endedLives;
   int64_t term;
+  std::vector<AdviceAnswer>  advice;
 
   _Report__isset __isset;
 
@@ -1455,6 +1644,8 @@
 
   void __set_term(const int64_t val);
 
+  void __set_advice(const std::vector<AdviceAnswer> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(agentMicros == rhs.agentMicros))
@@ -1471,6 +1662,8 @@
       return false;
     if (!(term == rhs.term))
       return false;
+    if (!(advice == rhs.advice))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -1656,13 +1849,14 @@
 std::ostream& operator<<(std::ostream& out, const WorkerAck& obj);
 
 typedef struct _Directive__isset {
-  _Directive__isset() : term(false), echoMicros(false), holdMicros(false), orders(false), acks(false), known(false) {}
+  _Directive__isset() : term(false), echoMicros(false), holdMicros(false), orders(false), acks(false), known(false), questions(false) {}
   bool term :1;
   bool echoMicros :1;
   bool holdMicros :1;
   bool orders :1;
   bool acks :1;
   bool known :1;
+  bool questions :1;
 } _Directive__isset;
 
 class Directive : public virtual ::apache::thrift::TBase {
@@ -1685,6 +1879,7 @@
   std::vector<Order>  orders;
   std::vector<WorkerAck>  acks;
   std::vector<WorkerView>  known;
+  std::vector<Question>  questions;
 
   _Directive__isset __isset;
 
@@ -1700,6 +1895,8 @@
 
   void __set_known(const std::vector<WorkerView> & val);
 
+  void __set_questions(const std::vector<Question> & val);
+
   bool operator == (const Directive & rhs) const
   {
     if (!(term == rhs.term))
@@ -1714,6 +1911,8 @@
       return false;
     if (!(known == rhs.known))
       return false;
+    if (!(questions == rhs.questions))
+      return false;
     return true;
   }
   bool operator != (const Directive &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -160,6 +160,28 @@
   2: i32 result,
 }
 
+// Asks which of the workers may run the step; the index of the task is 0.
+struct Question {
+  1: i64 number,
+  2: TaskName step,
+  3: list<string> workers,
+  4: i64 timeoutMs,
+}
+
+struct Grant {
+  1: string worker,
+  2: string ticket,
+}
+
+struct AdviceAnswer {
+  1: i64 number,
+  // False if the service did not answer the agent.
+  2: bool answered,
+  3: list<Grant> grants,
+  // Life of the tickets; 0 if the answer does not say.
+  4: i64 validMs,
+}
+
 struct Report {
   1: i64 agentMicros,
   2: string instance,
@@ -168,6 +190,7 @@
   5: list<OrderResult> results,
   6: list<Life> endedLives,
   7: i64 term,
+  8: list<AdviceAnswer> advice,
 }
 
 struct Order {
@@ -199,6 +222,7 @@
   // Sent to an agent that has just started: the workers it had, so that it need not wait for their
   // announcements.
   6: list<WorkerView> known,
+  7: list<Question> questions,
 }
 
 // Number 0 is sent regularly and only says that the entry lives.
--- a/Source/UnitTests/Node/World.h
+++ b/Source/UnitTests/Node/World.h
@@ -8,6 +8,7 @@
 #include "Net/HttpClient.h"
 #include "Node/Agent.h"
 #include "Node/Entry.h"
+#include "UnitTests/Support/FreeAddress.h"
 
 namespace NodeTests {
 
@@ -267,20 +268,13 @@
     mStore.put("tables", "1");
   }
 
-  static std::string freeAddress(boost::asio::io_context& aIo)
-  {
-    Net::Tcp::acceptor acceptor(aIo,
-                                Net::Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return Net::AddressText(acceptor.local_endpoint());
-  }
-
   Machine& addEntry(const std::string& aName)
   {
     Machine& machine = addMachine(aName);
     machine.mSettings.mEntry = true;
-    machine.mSettings.mCallers = freeAddress(mIo);
-    machine.mSettings.mReadiness = freeAddress(mIo);
-    machine.mSettings.mPeers = freeAddress(mIo);
+    machine.mSettings.mCallers = TestSupport::FreeAddress(mIo);
+    machine.mSettings.mReadiness = TestSupport::FreeAddress(mIo);
+    machine.mSettings.mPeers = TestSupport::FreeAddress(mIo);
     machine.mSettings.mGrace = 5s;
     machine.mEntry = std::make_unique<Entry>(*machine.mContext);
     REQUIRE(machine.mEntry->start());
@@ -293,11 +287,13 @@
     FakeWorker& worker = *mWorkers.back();
     Machine& machine = addMachine("agent-" + aName);
     machine.mSettings.mAgent = true;
-    machine.mSettings.mAnnouncements = freeAddress(mIo);
+    machine.mSettings.mAnnouncements = TestSupport::FreeAddress(mIo);
     machine.mAgent = std::make_unique<Agent>(
-      *machine.mContext, [this, &worker](const std::string&, const Common::WorkerId&) {
+      *machine.mContext,
+      [this, &worker](const std::string&, const Common::WorkerId&) {
         return std::make_unique<FakeWorkerPort>(mIo, worker);
-      });
+      },
+      nullptr);
     REQUIRE(machine.mAgent->start());
     mClients.push_back(std::make_unique<Net::HttpClient>(mIo, machine.mSettings.mAnnouncements));
     mClients.back()->call({ "POST", "/beat", aName, {} }, 1s, [](const Net::CallResult&) {});
--- a/Source/UnitTests/Platform/FormatTests.cpp
+++ b/Source/UnitTests/Platform/FormatTests.cpp
@@ -28,7 +28,8 @@
 
 const std::string kTables =
   R"({"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/q/","service":"s1","max_attempts":2,)"
-  R"("priority":2,"stretch_factor":1.5,"target_duration_ms":600,"timeout_ms":3000}],)"
+  R"("priority":2,"stretch_factor":1.5,"target_duration_ms":600,"timeout_ms":3000,)"
+  R"("advice":{"decide_ms":300.0,"each_ms":0.5,"valid_ms":3000}}],)"
   R"("services":[{"name":"s1","enforces_capacity":true}],"limits":{"max_body_bytes":1000}})";
 
 const std::string kHeartbeat =
@@ -217,6 +218,11 @@
   REQUIRE(tables->mRoutes.at(0).mQueue.mPriority == 2);
   REQUIRE(tables->mRoutes.at(0).mQueue.mSlack == std::chrono::milliseconds(600));
   REQUIRE(tables->mLimits.mBodyBytes == 1000);
+  const auto advice = tables->mRoutes.at(0).mQueue.mAdvice;
+  REQUIRE(advice);
+  REQUIRE(advice->mDecide == std::chrono::milliseconds(300));
+  REQUIRE(advice->mEach == std::chrono::microseconds(500));
+  REQUIRE(advice->mValid == std::chrono::seconds(3));
 
   SECTION("the longest prefix of the host decides")
   {
