Probe a worker after its penalty although lasting tasks run there

Cause: a worker that failed its tasks was probed only once nothing ran on it. Lasting tasks never end, so a worker that hosted one got no further task.

Change: only tasks that started after the penalty count as probes, and a lasting one that is at work does not.

Test: "a lasting task that went on all the while does not keep the probe away" fails without the change.

--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -204,6 +204,20 @@
          AddedPressureFits(aState, aWorker, aStep.mImage, cores);
 }
 
+/// After a penalty the worker is probed with one task at a time. Tasks from before are no probes,
+/// and a lasting one that is at work shows nothing more by going on.
+bool
+IsProbed(const Worker& aWorker)
+{
+  constexpr Percent kAtWork{ 100 };
+  return std::any_of(aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskRef& aRef) {
+    const Task& task = TaskAt(aRef);
+    const bool works =
+      StepOf(aRef).mLasting && task.mPhase == TaskPhase::Running && task.mPercent >= kAtWork;
+    return task.mSince >= aWorker.mHealth.mClosedUntil && !works;
+  });
+}
+
 bool
 MayHost(const State& aState,
         const Worker& aWorker,
@@ -218,8 +232,7 @@
       aNow.mTime < aWorker.mHealth.mClosedUntil || aNow.mTime >= aWorker.mLeaseEnd) {
     return false;
   }
-  // After a penalty the worker is probed with one task at a time.
-  if (aWorker.mHealth.mPenalty > Duration{ 0 } && !aWorker.mTasks.empty()) {
+  if (aWorker.mHealth.mPenalty > Duration{ 0 } && IsProbed(aWorker)) {
     return false;
   }
   if (!step.mLabel.empty() &&
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -314,4 +314,22 @@
       REQUIRE(fixture.place().size() == 3);
     }
   }
+
+  SECTION("a lasting task that went on all the while does not keep the probe away")
+  {
+    fixture.addJob("watch", { AStep().lasting().build() });
+    const auto lasting = fixture.place();
+    REQUIRE(lasting.size() == 1);
+    fixture.confirm(lasting);
+    auto view = fixture.view("w1", 100'000);
+    view.mRunning = { Fixture::running(lasting[0], 100) };
+    fixture.report(view);
+    for (const char* job : { "a", "b", "c" }) {
+      JudgeWorker(fixture.mState, fixture.worker("w1"), JobId(job), true, fixture.now());
+    }
+    fixture.addJob("d", { AStep().tasks(4).build() });
+    fixture.advance(std::chrono::seconds(4));
+    fixture.report(view);
+    REQUIRE(fixture.place().size() == 1);
+  }
 }
