Remove nine settings that had no effect

Cause: limits.http_threads, rpc_threads, http_write_timeout_ms, rpc_timeout_ms and region_link_kbit_per_s and times.announce_ms, caller_skew_ms, clock_error_ms and first_contact_jitter_ms were checked and then ignored, so an operator who set one was misled. A file that still has one now gets the error for unknown keys, with the nearest name.

times.suspect_after_ms was compared with announce_ms; announcements travel with heartbeats, so it is compared with heartbeat_ms now.

Tests: examples that used limits.http_threads use limits.joins_per_s, with the same kinds of findings. The test that compares the page with the keys wanted more than 50; 49 are left, and it now wants exactly that many.

--- a/Source/Core/Config/CheckSettings.cpp
+++ b/Source/Core/Config/CheckSettings.cpp
@@ -90,10 +90,10 @@
                    "an earlier owner may grant keys for that long");
   aChecker.greater("times.suspect_after_ms",
                    aTimes.mSuspectAfter,
-                   "times.announce_ms",
-                   aTimes.mAnnounce,
+                   "times.heartbeat_ms",
+                   aTimes.mHeartbeat,
                    1,
-                   "a member that announces in time must not be suspected");
+                   "a member whose heartbeat comes in time must not be suspected");
   aChecker.greater("times.gone_after_ms",
                    aTimes.mGoneAfter,
                    "times.suspect_after_ms",
--- a/Source/Core/Config/Keys.cpp
+++ b/Source/Core/Config/Keys.cpp
@@ -124,7 +124,6 @@
 LimitKeys()
 {
   const std::string limits = "limits";
-  const IntegerRange threads{ 1, 1024 };
   const IntegerRange timeout{ 1, 600'000 };
   const auto in = [](auto aMember) {
     return [=](Settings & aSettings) -> auto&
@@ -137,24 +136,15 @@
     Kib(limits, "max_body_kib", { 0, 15 * 1024LL }, in(&Limits::mMaxBody)),
     Kib(limits, "stored_response_kib", { 0, 1024 }, in(&Limits::mStoredResponse)),
     Kib(limits, "segment_kib", { 1, 1000 }, in(&Limits::mSegment)),
-    Count<std::uint32_t>(limits, "http_threads", "", threads, in(&Limits::mHttpThreads)),
-    Count<std::uint32_t>(limits, "rpc_threads", "", threads, in(&Limits::mRpcThreads)),
     Count<std::uint32_t>(
       limits, "max_connections", "", { 1, 100'000 }, in(&Limits::mMaxConnections)),
     Count<std::uint32_t>(
       limits, "store_calls_per_s", "calls/s", { 1, 10'000 }, in(&Limits::mStoreCallsPerSecond)),
     Count<std::uint32_t>(
       limits, "joins_per_s", "calls/s", { 1, 10'000 }, in(&Limits::mJoinsPerSecond)),
-    Count<std::uint32_t>(limits,
-                         "region_link_kbit_per_s",
-                         "kbit/s",
-                         { 1, 100'000'000 },
-                         in(&Limits::mRegionLinkKbitPerSecond)),
     Milliseconds(limits, "http_read_timeout_ms", timeout, in(&Limits::mHttpReadTimeout)),
-    Milliseconds(limits, "http_write_timeout_ms", timeout, in(&Limits::mHttpWriteTimeout)),
     Milliseconds(limits, "keep_alive_ms", timeout, in(&Limits::mKeepAlive)),
     Milliseconds(limits, "connect_timeout_ms", timeout, in(&Limits::mConnectTimeout)),
-    Milliseconds(limits, "rpc_timeout_ms", timeout, in(&Limits::mRpcTimeout)),
     Milliseconds(limits, "store_timeout_ms", timeout, in(&Limits::mStoreTimeout)),
   };
 }
@@ -181,17 +171,13 @@
     key("restart_margin_ms", any, &Times::mRestartMargin),
     key("claim_majority_ms", wait, &Times::mClaimMajority),
     key("claim_takeover_wait_ms", wait, &Times::mClaimTakeoverWait),
-    key("caller_skew_ms", any, &Times::mCallerSkew),
-    key("clock_error_ms", any, &Times::mClockError),
     key("key_retention_ms", { 1000, kDayMs }, &Times::mKeyRetention),
     key("outcome_retention_ms", { 1000, kDayMs }, &Times::mOutcomeRetention),
-    key("announce_ms", period, &Times::mAnnounce),
     key("suspect_after_ms", wait, &Times::mSuspectAfter),
     key("gone_after_ms", wait, &Times::mGoneAfter),
     key("gossip_ms", period, &Times::mGossip),
     key("segment_window_ms", { 0, 1000 }, &Times::mSegmentWindow),
     key("progress_write_ms", { 10, 60'000 }, &Times::mProgressWrite),
-    key("first_contact_jitter_ms", { 0, 600'000 }, &Times::mFirstContactJitter),
     key("shutdown_grace_ms", { 0, 3'600'000 }, &Times::mShutdownGrace),
   };
 }
--- a/Source/Core/Config/Settings.h
+++ b/Source/Core/Config/Settings.h
@@ -90,17 +90,12 @@
   Common::Bytes mMaxBody{ 15LL << 20 };
   Common::Bytes mStoredResponse{ 64LL << 10 };
   Common::Bytes mSegment{ 512LL << 10 };
-  std::uint32_t mHttpThreads = 32;
-  std::uint32_t mRpcThreads = 16;
   std::uint32_t mMaxConnections = 1024;
   std::uint32_t mStoreCallsPerSecond = 50;
   std::uint32_t mJoinsPerSecond = 50;
-  std::uint32_t mRegionLinkKbitPerSecond = 30'000;
   Duration mHttpReadTimeout{ std::chrono::seconds(10) };
-  Duration mHttpWriteTimeout{ std::chrono::seconds(10) };
   Duration mKeepAlive{ std::chrono::seconds(30) };
   Duration mConnectTimeout{ std::chrono::milliseconds(500) };
-  Duration mRpcTimeout{ std::chrono::seconds(2) };
   Duration mStoreTimeout{ std::chrono::seconds(2) };
 };
 
@@ -120,21 +115,15 @@
   Duration mClaimMajority{ std::chrono::seconds(3) };
   /// A new owner refuses claims for this long after a majority accepted its epoch.
   Duration mClaimTakeoverWait{ std::chrono::seconds(4) };
-  /// Skew of a caller's clock that is accepted in a key time.
-  Duration mCallerSkew{ std::chrono::seconds(5) };
-  /// Error between the clocks of our own instances.
-  Duration mClockError{ std::chrono::seconds(1) };
   Duration mKeyRetention{ std::chrono::minutes(10) };
   /// Time for which an agent keeps request ids and their outcomes.
   Duration mOutcomeRetention{ std::chrono::minutes(2) };
-  Duration mAnnounce{ std::chrono::seconds(1) };
   Duration mSuspectAfter{ std::chrono::seconds(2) };
   Duration mGoneAfter{ std::chrono::seconds(3) };
   Duration mGossip{ std::chrono::milliseconds(600) };
   /// Submissions of this long are packed into one segment.
   Duration mSegmentWindow{ std::chrono::milliseconds(20) };
   Duration mProgressWrite{ std::chrono::seconds(1) };
-  Duration mFirstContactJitter{ std::chrono::seconds(5) };
   Duration mShutdownGrace{ std::chrono::seconds(30) };
 };
 
--- a/Source/ProcessBench/Fleet.cpp
+++ b/Source/ProcessBench/Fleet.cpp
@@ -119,11 +119,8 @@
   text << "role = \"" << aName << "\"\n[instance]\nname = \"" << aName
        << "\"\ndata_centre = \"dc1\"\nregion = \"north\"\n"
        << (isEntry ? "" : "worker = \"worker-1\"\n") << "[listen]\nhttp_port = " << aHttp
-       << "\nrpc_port = " << aRpc << "\n[store]\naddresses = [\"127.0.0.1:" << aStore
-       << "\"]\n"
-       // One thread serves one connection, so a flood needs as many as it has connections.
-       << (isEntry ? "[limits]\nhttp_threads = 512\n" : "")
-       << "[times]\nfirst_contact_jitter_ms = 200\nshutdown_grace_ms = 10000\n"
+       << "\nrpc_port = " << aRpc << "\n[store]\naddresses = [\"127.0.0.1:" << aStore << "\"]\n"
+       << "[times]\nshutdown_grace_ms = 10000\n"
        << "[[data_centre]]\nname = \"dc1\"\nregion = \"north\"\n[[peer]]\nname = \""
        << (isEntry ? "agent" : "entry")
        << "\"\ndata_centre = \"dc1\"\nregion = \"north\"\naddress = \"127.0.0.1:" << aPeerRpc
--- a/Source/UnitTests/Config/SettingsTests.cpp
+++ b/Source/UnitTests/Config/SettingsTests.cpp
@@ -103,14 +103,14 @@
   std::string text = Replaced(kSettings, "rack = ", "rak = ");
   text = Replaced(text, "10.0.0.9:9000", "store.example:9000");
   text = Replaced(text, "region = \"south\"\naddress", "region = \"north\"\naddress");
-  REQUIRE(Problems(text, { "times.tenure_ms=3000", "nonsense", "limits.http_threads=0" }) ==
+  REQUIRE(Problems(text, { "times.tenure_ms=3000", "nonsense", "limits.joins_per_s=0" }) ==
           "s:6:1: instance: unknown key \"rak\"; did you mean \"rack\"?\n"
           "s:13:13: store: each item of \"addresses\" must be a numeric IP address with a port\n"
           "s:22:1: peer \"entry-1\": data centre \"dc2\" is in region \"south\", not \"north\"\n"
           "--set:1:1: key \"times.tenure_ms\" must be greater than 3 times \"times.heartbeat_ms\": "
           "a few lost heartbeats must not stop tasks\n"
           "--set:2:1: an override must have the form section.key=value\n"
-          "--set:3:1: limits: key \"http_threads\" is 0; it must be from 1 to 1024\n");
+          "--set:3:1: limits: key \"joins_per_s\" is 0; it must be from 1 to 10000\n");
 
   SECTION("an empty file lacks the required keys")
   {
@@ -154,7 +154,7 @@
   REQUIRE(
     with("times.gone_after_ms=1500").find("must be greater than \"times.suspect_after_ms\"") !=
     std::string::npos);
-  REQUIRE(with("times.gossip_ms=1\n[limits]\nhttp_threads=9").find("must be an integer") !=
+  REQUIRE(with("times.gossip_ms=1\n[limits]\njoins_per_s=9").find("must be an integer") !=
           std::string::npos);
 }
 
@@ -164,7 +164,7 @@
   std::stringstream page;
   page << file.rdbuf();
   const std::vector<Config::SettingKey> keys = Config::SettingKeys();
-  REQUIRE(keys.size() > 50);
+  REQUIRE(keys.size() == 49);
   std::size_t rows = 0;
   for (const Config::SettingKey& key : keys) {
     const std::string row =
