Let ibisctl read a deployment from its store and trace ids over logs

Cause: on the users' platform no process serves the operators' HTTP interface, so that ibisctl could show nothing there, and following an id meant grep over the logs of all machines.

Change: `ibisctl store status|jobs|job|workers|tables` reads the records of the store through the same client and formats as the daemon (Node/Survey). `ibisctl trace ID LOG...` merges the lines that name an id. The stand-in for the store that the tests need answers reads over HTTP, two entries a page.

Ruled out: an operators' interface in the entries. All that lasts is in the store already, and a request to an entry would say less while it is cut off.

Tests: Platform/StoreCommandTests, Ibisctl/LogTraceTests.

--- a/Source/Ibisctl/Command.h
+++ b/Source/Ibisctl/Command.h
@@ -59,6 +59,9 @@
 JobsCommands();
 std::vector<Command>
 FleetCommands();
+/// Commands for a deployment whose state is in the platform's store.
+std::vector<Command>
+StoreCommands();
 
 /// Reports a usage error found by a command itself.
 int
--- a/Source/Ibisctl/FleetCommands.cpp
+++ b/Source/Ibisctl/FleetCommands.cpp
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Ibisctl/Command.h"
+#include "Ibisctl/LogTrace.h"
 #include "Ibisctl/Trace.h"
 
 namespace Ibisctl {
@@ -9,6 +10,9 @@
 
 using nlohmann::json;
 
+/// Positional arguments of a trace: the id and the logs of some hundred processes.
+constexpr std::size_t kMaxLogs = 1'000;
+
 /// A command that prints one list of the server.
 std::function<int(Session&)>
 ListOf(std::string aPath, std::vector<std::string> aColumns)
@@ -62,9 +66,35 @@
            : answer.error();
 }
 
+/// What the log files say about the id of a job, task or worker.
+int
+TraceLogs(Session& aSession)
+{
+  std::vector<LogText> logs;
+  const std::vector<std::string>& arguments = aSession.mArguments.mPositional;
+  for (std::size_t i = 1; i < arguments.size(); ++i) {
+    auto text = ReadFile(arguments[i]);
+    if (!text) {
+      aSession.mError << "ibisctl: " << text.error() << '\n';
+      return kUsage;
+    }
+    logs.push_back({ arguments[i], std::move(*text) });
+  }
+  const std::string text = RenderLogTrace(logs, arguments[0]);
+  if (text.empty()) {
+    aSession.mError << "ibisctl: no line names \"" << arguments[0] << "\"\n";
+    return kNegative;
+  }
+  aSession.mOut << text;
+  return kSuccess;
+}
+
 int
 ShowTrace(Session& aSession)
 {
+  if (aSession.mArguments.mPositional.size() > 1) {
+    return TraceLogs(aSession);
+  }
   const std::string id = aSession.mArguments.mPositional[0];
   const auto answer = Ask(aSession, "GET", "traces/" + EncodePathPart(id));
   if (!answer) {
@@ -123,7 +153,13 @@
       {},
       ListOf("usage",
              { "team", "client", "route", "price_micro", "count", "slot_ms", "core_ms" }) },
-    { "trace", "ID", "print the spans of a trace", 1, 1, {}, &ShowTrace },
+    { "trace",
+      "ID [LOG]...",
+      "print the spans of a trace, or the lines of log files that name an id",
+      1,
+      kMaxLogs,
+      {},
+      &ShowTrace },
     { "drain",
       "INSTANCE",
       "let an instance finish its work and take no more",
--- a/Source/Ibisctl/Run.cpp
+++ b/Source/Ibisctl/Run.cpp
@@ -37,7 +37,8 @@
                        TablesCommands(),
                        TablesEditCommands(),
                        JobsCommands(),
-                       FleetCommands() }) {
+                       FleetCommands(),
+                       StoreCommands() }) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
   return commands;
--- /dev/null
+++ b/Source/UnitTests/Platform/StoreServer.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Common/Base64.h"
+#include "Net/HttpServer.h"
+#include "UnitTests/Support/FreeAddress.h"
+#include "platform/Json.h"
+
+namespace PlatformTests {
+
+/// Stands in for the platform's store on a thread of its own. It answers reads of entries that were
+/// put before it started, two to a page.
+class StoreServer
+{
+public:
+  explicit StoreServer(std::map<std::string, std::string> aEntries)
+    : mEntries(std::move(aEntries))
+    , mAddress(TestSupport::FreeAddress(mIo))
+    , mServer(mIo, {}, [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
+      aRespond(answer(aRequest));
+    })
+  {
+    listening = mServer.listen(mAddress).has_value();
+    mThread = std::thread([this] { mIo.run(); });
+  }
+  ~StoreServer()
+  {
+    mIo.stop();
+    mThread.join();
+  }
+  StoreServer(const StoreServer&) = delete;
+  StoreServer& operator=(const StoreServer&) = delete;
+
+  const std::string& address() const { return mAddress; }
+  bool listening = false;
+
+private:
+  /// The value of a query's field.
+  static std::string field(const std::string& aTarget, const std::string& aName)
+  {
+    const std::size_t start = aTarget.find(aName + '=');
+    if (start == std::string::npos) {
+      return {};
+    }
+    const std::size_t from = start + aName.size() + 1;
+    return aTarget.substr(from, aTarget.find('&', from) - from);
+  }
+
+  Platform::Json item(const std::string& aKey) const
+  {
+    return { { "key", aKey },
+             { "value", Common::EncodeBase64(mEntries.at(aKey)) },
+             { "revision", 7 },
+             { "created", 7 },
+             { "lease", 0 } };
+  }
+
+  Net::HttpResponse answer(const Net::HttpRequest& aRequest) const
+  {
+    Platform::Json body = { { "store_revision", 9 } };
+    if (aRequest.mTarget.starts_with("/-/kv-key")) {
+      const std::string key = field(aRequest.mTarget, "key");
+      if (!mEntries.contains(key)) {
+        return { 404, "{}", {} };
+      }
+      body.update(item(key));
+      return { 200, body.dump(), {} };
+    }
+    const std::string prefix = field(aRequest.mTarget, "prefix");
+    body["items"] = Platform::Json::array();
+    body["has_more"] = false;
+    constexpr std::size_t kPage = 2;
+    for (auto entry = mEntries.upper_bound(field(aRequest.mTarget, "after"));
+         entry != mEntries.end();
+         ++entry) {
+      if (!entry->first.starts_with(prefix)) {
+        continue;
+      }
+      if (body["items"].size() == kPage) {
+        body["has_more"] = true;
+        break;
+      }
+      body["items"].push_back(item(entry->first));
+    }
+    return { 200, body.dump(), {} };
+  }
+
+  std::map<std::string, std::string> mEntries;
+  boost::asio::io_context mIo;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork{
+    mIo.get_executor()
+  };
+  std::string mAddress;
+  Net::HttpServer mServer;
+  std::thread mThread;
+};
+
+} // namespace PlatformTests
