--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -418,6 +418,7 @@
   }
   std::sort(candidates.begin(), candidates.end());
   std::vector<WorkerNumber> workers;
+  workers.reserve(candidates.size());
   for (const auto& [later, cost, number] : candidates) {
     workers.push_back(number);
   }
--- a/Source/Ibisctl/StoreCommands.cpp
+++ b/Source/Ibisctl/StoreCommands.cpp
@@ -14,8 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::int64_t kBytesPerMib = 1 << 20;
-
 std::string
 StateOf(const Node::SurveyedJob& aJob)
 {
--- a/Source/UnitTests/Platform/StoreCommandTests.cpp
+++ b/Source/UnitTests/Platform/StoreCommandTests.cpp
@@ -114,7 +114,7 @@
 TEST_CASE("Operators read a deployment from its store", "[Platform]")
 {
   StoreServer store(Deployment());
-  REQUIRE(store.listening);
+  REQUIRE(store.isListening());
 
   SECTION("its status names the coordinator and counts jobs by state")
   {
--- a/Source/UnitTests/Platform/StoreServer.h
+++ b/Source/UnitTests/Platform/StoreServer.h
@@ -26,7 +26,7 @@
       aRespond(answer(aRequest));
     })
   {
-    listening = mServer.listen(mAddress).has_value();
+    mListening = mServer.listen(mAddress).has_value();
     mThread = std::thread([this] { mIo.run(); });
   }
   ~StoreServer()
@@ -38,7 +38,7 @@
   StoreServer& operator=(const StoreServer&) = delete;
 
   const std::string& address() const { return mAddress; }
-  bool listening = false;
+  bool isListening() const { return mListening; }
 
 private:
   /// The value of a query's field.
@@ -98,6 +98,7 @@
   };
   std::string mAddress;
   Net::HttpServer mServer;
+  bool mListening = false;
   std::thread mThread;
 };
 
