Place short tasks beside lasting ones

Cause: a task that neither lasts nor fills went to the worker with the fewest reserved cores. Those are the workers without lasting tasks, where tasks that fill disturb nobody, and there it took the cores that they use.

Change: such a task prefers workers with lasting tasks, then those where little fills.

Test: "Short tasks leave the workers without lasting tasks to those that fill" fails without the change.

--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -19,6 +19,10 @@
 /// Cost of pressure on lasting tasks against that of a worker with no core left for fills.
 constexpr double kPressureWeight = 3.0;
 
+/// Weights of a task that neither lasts nor fills, against that of the cores that fills use.
+constexpr double kUsedWeight = 0.3;
+constexpr double kBesideLastingWeight = 0.5;
+
 /// Against the loss of several tasks of a step with one worker.
 constexpr double kSameStepWeight = 0.3;
 constexpr double kFirstLastingWeight = 1.5;
@@ -311,20 +315,22 @@
   if (!step.mDataRack.empty() && step.mDataRack != aWorker.mRack.str()) {
     cost += 10.0;
   }
-  const double lastingCores = static_cast<double>(aWorker.mUsed.mCores.value()) / capacity;
+  const double usedCores = static_cast<double>(aWorker.mUsed.mCores.value()) / capacity;
   if (step.mLasting) {
     // A worker without lasting tasks takes any image that fills, so that few workers should have
     // them.
     cost +=
       kSameStepWeight * TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) -
-      lastingCores + (aWorker.mLasting.value() == 0 ? kFirstLastingWeight : 0.0);
+      usedCores + (aWorker.mLasting.value() == 0 ? kFirstLastingWeight : 0.0);
     cost += TakesLastRoom(aRooms, aWorker, step) ? kLastRoomWeight : 0.0;
   } else if (step.mFills) {
     const double cores = static_cast<double>(step.mNeed.mCores.value()) / 1000.0;
     cost += kPressureWeight * AddedPressure(aState, aWorker, step.mImage, cores) -
             static_cast<double>(RoomForFills(aState, aWorker)) / capacity;
   } else {
-    cost += lastingCores + 0.3 * static_cast<double>(aWorker.mFilling.value()) / capacity;
+    // Only tasks that fill disturb lasting ones, so that the others leave them the workers without.
+    cost += kUsedWeight * usedCores + static_cast<double>(aWorker.mFilling.value()) / capacity -
+            kBesideLastingWeight * static_cast<double>(aWorker.mLasting.value()) / capacity;
   }
   return cost;
 }
--- a/Source/UnitTests/Scheduling/SharingTests.cpp
+++ b/Source/UnitTests/Scheduling/SharingTests.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "Fixture.h"
@@ -216,3 +218,30 @@
   // Six of ten reserved cores are idle by the policy's share.
   REQUIRE(fixture.place().size() == 3);
 }
+
+TEST_CASE("Short tasks leave the workers without lasting tasks to those that fill", "[Scheduling]")
+{
+  // Load pattern: lasting tasks on half of the fleet, short tasks all the time, and a burst of
+  // tasks that fill. On the workers without lasting tasks a fill disturbs nobody.
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addWorker("w2");
+  fixture.addJob("watch", { AStep().cores(8'000).lasting(milliseconds(100)).build() });
+  const auto lasting = fixture.place();
+  REQUIRE(lasting.size() == 1);
+  fixture.confirm(lasting);
+  fixture.addJob("quote", { AStep().tasks(6).cores(500).build() });
+  for (const Order& order : fixture.place()) {
+    REQUIRE(order.mLife == lasting[0].mLife);
+  }
+
+  SECTION("but not where they would not fit")
+  {
+    fixture.addJob("more", { AStep().tasks(6).cores(2'000).build() });
+    const auto orders = fixture.place();
+    REQUIRE(orders.size() == 6);
+    REQUIRE(std::any_of(orders.begin(), orders.end(), [&](const Order& aOrder) {
+      return aOrder.mLife != lasting[0].mLife;
+    }));
+  }
+}
