--- a/Source/Core/Node/CallerDesk.cpp
+++ b/Source/Core/Node/CallerDesk.cpp
@@ -150,7 +150,7 @@
     refuseInvalid(aJob, *problem, aRespond);
     return;
   }
-  if (!mStoreConnected) {
+  if (!mStoreConnected && !mLink.isConnected()) {
     Log(Level::Info,
         "entry",
         "submission answered",
@@ -173,6 +173,27 @@
   write(submission);
 }
 
+void
+CallerDesk::writeAnyway(const Store::Transaction& aTransaction,
+                        Duration aTimeout,
+                        CoordinatorLink::Written aDone)
+{
+  if (!mStoreConnected) {
+    mLink.write(aTransaction, aTimeout, std::move(aDone));
+    return;
+  }
+  mContext.mStore.write(aTransaction,
+                        aTimeout,
+                        [this, aTransaction, aTimeout, done = std::move(aDone)](
+                          const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
+                          if (aResult || aResult.error().mError != Store::StoreError::Unavailable) {
+                            done(aResult);
+                            return;
+                          }
+                          mLink.write(aTransaction, aTimeout, done);
+                        });
+}
+
 void
 CallerDesk::write(const std::shared_ptr<Submission>& aSubmission)
 {
@@ -189,7 +210,7 @@
   transaction.mPuts = {
     { SubmissionKey(aSubmission->mJob), Wire::Encode(aSubmission->mRecord), std::nullopt }
   };
-  mContext.mStore.write(
+  writeAnyway(
     transaction,
     std::min(mContext.mTimes.mStoreCall, aSubmission->mDeadline - now),
     [this, aSubmission](const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
@@ -230,7 +251,8 @@
       return;
     case Store::StoreError::Unavailable:
     case Store::StoreError::LeaseLapsed:
-      if (!aSubmission->mMayBeWritten && mContext.now() - aSubmission->mArrived >= kRefusedFor) {
+      if (!aSubmission->mMayBeWritten &&
+          (!mStoreConnected || mContext.now() - aSubmission->mArrived >= kRefusedFor)) {
         finish(aSubmission, Unavailable("the store turns calls away"));
         return;
       }
@@ -336,6 +358,11 @@
 void
 CallerDesk::cancel(const Common::JobId& aJob, Timestamp aDeadline, Respond aRespond)
 {
+  if (!mStoreConnected) {
+    // The condition of the write tells whether there is a submission.
+    writeCancel(aJob, Store::Version{ 0 }, aDeadline, std::move(aRespond));
+    return;
+  }
   mContext.mStore.read(
     SubmissionKey(aJob),
     mContext.mTimes.mStoreCall,
@@ -368,39 +395,41 @@
                             { CancelKey(aJob), Store::Version{ 0 } } };
   transaction.mPuts = { { CancelKey(aJob), Wire::Encode(record), std::nullopt } };
   const bool known = aSubmission.value() != 0;
-  mContext.mStore.write(transaction,
-                        std::min(mContext.mTimes.mStoreCall, aDeadline - now),
-                        [this, aJob, aSubmission, aDeadline, known, respond = std::move(aRespond)](
-                          const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
-                          const CallerAnswer done = Simple(known ? Kind::Cancelled : Kind::Unknown);
-                          if (aResult) {
-                            Log(Level::Info,
-                                "entry",
-                                "cancel written",
-                                { { "job", aJob.str() }, { "known", known ? "yes" : "no" } });
-                            respond(done);
-                            return;
-                          }
-                          if (aResult.error().mError == Store::StoreError::Unavailable) {
-                            respond(Unavailable("the store turns calls away"));
-                            return;
-                          }
-                          if (aResult.error().mError == Store::StoreError::Conflict) {
-                            Store::Version submission;
-                            for (const Store::Entry& entry : aResult.error().mActual) {
-                              if (entry.mKey == CancelKey(aJob)) {
-                                respond(done);
-                                return;
-                              }
-                              submission = entry.mVersion;
-                            }
-                            // The submission arrived in between.
-                            writeCancel(aJob, submission, aDeadline, respond);
-                            return;
-                          }
-                          // Without an answer the same write is tried again; it has an effect once.
-                          writeCancel(aJob, aSubmission, aDeadline, respond);
-                        });
+  writeAnyway(transaction,
+              std::min(mContext.mTimes.mStoreCall, aDeadline - now),
+              [this, aJob, aSubmission, aDeadline, known, respond = std::move(aRespond)](
+                const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
+                const CallerAnswer done = Simple(known ? Kind::Cancelled : Kind::Unknown);
+                if (aResult) {
+                  Log(Level::Info,
+                      "entry",
+                      "cancel written",
+                      { { "job", aJob.str() }, { "known", known ? "yes" : "no" } });
+                  respond(done);
+                  return;
+                }
+                if (aResult.error().mError == Store::StoreError::Unavailable) {
+                  respond(Unavailable("the store turns calls away"));
+                  return;
+                }
+                if (aResult.error().mError == Store::StoreError::Conflict) {
+                  Store::Version submission;
+                  bool cancelled = false;
+                  for (const Store::Entry& entry : aResult.error().mActual) {
+                    cancelled = cancelled || entry.mKey == CancelKey(aJob);
+                    submission = entry.mKey == SubmissionKey(aJob) ? entry.mVersion : submission;
+                  }
+                  if (cancelled) {
+                    respond(Simple(submission.value() != 0 ? Kind::Cancelled : Kind::Unknown));
+                    return;
+                  }
+                  // The submission arrived in between, or was not looked up.
+                  writeCancel(aJob, submission, aDeadline, respond);
+                  return;
+                }
+                // Without an answer the same write is tried again; it has an effect once.
+                writeCancel(aJob, aSubmission, aDeadline, respond);
+              });
 }
 
 } // namespace Node
--- a/Source/Core/Node/CallerDesk.h
+++ b/Source/Core/Node/CallerDesk.h
@@ -31,6 +31,10 @@
               const Common::JobId& aJob,
               const CallerCall& aCall,
               Respond aRespond);
+  /// Writes directly, or through the coordinator's process while the store turns this one away.
+  void writeAnyway(const Store::Transaction& aTransaction,
+                   Duration aTimeout,
+                   CoordinatorLink::Written aDone);
   void write(const std::shared_ptr<Submission>& aSubmission);
   void takeWrite(const std::shared_ptr<Submission>& aSubmission,
                  const tl::expected<Store::Version, Store::WriteFailure>& aResult);
--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -374,4 +374,71 @@
   return advice;
 }
 
+Wire::RelayedWrite
+ToWire(std::int64_t aNumber, const Store::Transaction& aTransaction)
+{
+  Wire::RelayedWrite write;
+  write.number = aNumber;
+  for (const Store::Expectation& expectation : aTransaction.mExpected) {
+    Wire::StoreVersion row;
+    row.key = expectation.mKey;
+    row.version = expectation.mVersion.value();
+    write.expected.push_back(std::move(row));
+  }
+  for (const Store::Put& put : aTransaction.mPuts) {
+    Wire::StorePut row;
+    row.key = put.mKey;
+    row.value = put.mValue;
+    write.puts.push_back(std::move(row));
+  }
+  return write;
+}
+
+Store::Transaction
+FromWire(const Wire::RelayedWrite& aWrite)
+{
+  Store::Transaction transaction;
+  for (const Wire::StoreVersion& row : aWrite.expected) {
+    transaction.mExpected.push_back({ row.key, Store::Version{ row.version } });
+  }
+  for (const Wire::StorePut& row : aWrite.puts) {
+    transaction.mPuts.push_back({ row.key, row.value, std::nullopt });
+  }
+  return transaction;
+}
+
+Wire::RelayedResult
+ToWire(std::int64_t aNumber, const tl::expected<Store::Version, Store::WriteFailure>& aResult)
+{
+  Wire::RelayedResult result;
+  result.number = aNumber;
+  result.written = aResult.has_value();
+  if (aResult) {
+    result.version = aResult->value();
+    return result;
+  }
+  result.error = static_cast<std::int32_t>(aResult.error().mError);
+  for (const Store::Entry& entry : aResult.error().mActual) {
+    Wire::StoreVersion row;
+    row.key = entry.mKey;
+    row.version = entry.mVersion.value();
+    result.actual.push_back(std::move(row));
+  }
+  return result;
+}
+
+tl::expected<Store::Version, Store::WriteFailure>
+FromWire(const Wire::RelayedResult& aResult)
+{
+  if (aResult.written) {
+    return Store::Version{ aResult.version };
+  }
+  Store::WriteFailure failure;
+  failure.mError = static_cast<Store::StoreError>(aResult.error);
+  for (const Wire::StoreVersion& row : aResult.actual) {
+    failure.mActual.push_back({ row.key, {}, Store::Version{ row.version } });
+  }
+  return tl::unexpected(failure);
+}
+
 } // namespace Node
--- a/Source/Core/Node/Convert.h
+++ b/Source/Core/Node/Convert.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Scheduling/State.h"
+#include "Store/AsyncStore.h"
 #include "Wire/Codec.h"
 
 /// Between the types of the decisions and those of the records and messages.
@@ -35,6 +36,16 @@
 ToWire(const Scheduling::Question& aQuestion, Common::Duration aTimeout);
 Wire::AdviceAnswer
 ToWire(std::int64_t aQuestion, const std::optional<Scheduling::Advice>& aAdvice);
+/// Erasures and leases are not relayed.
+Wire::RelayedWrite
+ToWire(std::int64_t aNumber, const Store::Transaction& aTransaction);
+Store::Transaction
+FromWire(const Wire::RelayedWrite& aWrite);
+Wire::RelayedResult
+ToWire(std::int64_t aNumber, const tl::expected<Store::Version, Store::WriteFailure>& aResult);
+/// Entries after a conflict have no values.
+tl::expected<Store::Version, Store::WriteFailure>
+FromWire(const Wire::RelayedResult& aResult);
 /// Nothing if the service did not answer.
 std::optional<Scheduling::Advice>
 FromWire(const Wire::AdviceAnswer& aAnswer);
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -193,9 +193,41 @@
     takeReport(found->second, std::move(message->report));
   } else if (message->__isset.statusQuery) {
     answerStatus(found->second, message->statusQuery);
+  } else if (message->__isset.relayedWrite) {
+    relay(aLink, message->relayedWrite);
   }
 }
 
+void
+Coordinator::relay(Net::Link* aLink, const Wire::RelayedWrite& aWrite)
+{
+  const auto answer = [this, aLink, number = aWrite.number](
+                        const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
+    Log(Level::Info,
+        "coordinator",
+        "relayed a write",
+        { { "number", std::to_string(number) },
+          { "result",
+            aResult ? "written" : std::to_string(static_cast<int>(aResult.error().mError)) } });
+    const auto peer = mPeers.find(aLink);
+    if (peer != mPeers.end()) {
+      Wire::Message message;
+      message.__set_relayedResult(ToWire(number, aResult));
+      peer->second.mLink->send(Wire::Encode(message));
+    }
+  };
+  // Entries write nothing but submissions and cancels.
+  const bool allowed = std::all_of(aWrite.puts.begin(), aWrite.puts.end(), [](const auto& aPut) {
+    return ParseJobKey(aPut.key).has_value();
+  });
+  // While the store does not answer this process either, the entry should tell its caller at once.
+  if (!allowed || !mJobs || !mJobs->isConnected()) {
+    answer(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unavailable, {} }));
+    return;
+  }
+  mContext.mStore.write(FromWire(aWrite), mContext.mTimes.mStoreCall, answer);
+}
+
 void
 Coordinator::takeReport(Peer& aPeer, Wire::Report aReport)
 {
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -73,6 +73,8 @@
   void takeReport(Peer& aPeer, Wire::Report aReport);
   void apply(const Wire::Report& aReport, Timestamp aTaken);
   void answerStatus(Peer& aPeer, const Wire::StatusQuery& aQuery);
+  /// Makes the write of an entry that the store turns away.
+  void relay(Net::Link* aLink, const Wire::RelayedWrite& aWrite);
   void dropPeer(Net::Link* aLink);
 
   void readWorkers();
--- a/Source/Core/Node/CoordinatorLink.cpp
+++ b/Source/Core/Node/CoordinatorLink.cpp
@@ -114,6 +114,39 @@
   send(message);
 }
 
+void
+CoordinatorLink::write(const Store::Transaction& aTransaction, Duration aTimeout, Written aDone)
+{
+  if (!mLink) {
+    boost::asio::post(mContext.mIo, [done = std::move(aDone)] {
+      done(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unavailable, {} }));
+    });
+    return;
+  }
+  const std::int64_t number = mNext++;
+  mWrites[number] = { std::move(aDone), mContext.now() + aTimeout };
+  Wire::Message message;
+  message.__set_relayedWrite(ToWire(number, aTransaction));
+  send(message);
+}
+
+void
+CoordinatorLink::failWrites(Timestamp aNow)
+{
+  std::vector<Written> failed;
+  for (auto write = mWrites.begin(); write != mWrites.end();) {
+    if (write->second.mUntil <= aNow) {
+      failed.push_back(std::move(write->second.mDone));
+      write = mWrites.erase(write);
+    } else {
+      ++write;
+    }
+  }
+  for (const Written& done : failed) {
+    done(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unknown, {} }));
+  }
+}
+
 void
 CoordinatorLink::takeMessage(const std::string& aBytes)
 {
@@ -128,6 +161,11 @@
       node.mapped().mDone(message->statusReply);
     }
   }
+  if (message->__isset.relayedResult) {
+    if (auto node = mWrites.extract(message->relayedResult.number)) {
+      node.mapped().mDone(FromWire(message->relayedResult));
+    }
+  }
 }
 
 void
@@ -157,6 +195,7 @@
     while (!mQuestions.empty() && mQuestions.begin()->second.mUntil <= now) {
       mQuestions.extract(mQuestions.begin()).mapped().mDone(std::nullopt);
     }
+    failWrites(now);
     everyCheck();
   });
 }
@@ -169,6 +208,7 @@
   for (auto& [number, waiting] : questions) {
     waiting.mDone(std::nullopt);
   }
+  failWrites(Timestamp::max());
 }
 
 } // namespace Node
--- a/Source/Core/Node/CoordinatorLink.h
+++ b/Source/Core/Node/CoordinatorLink.h
@@ -31,7 +31,19 @@
            const Common::RouteId& aQueue,
            std::function<void(std::optional<Wire::StatusReply>)> aDone);
 
+  bool isConnected() const { return mLink != nullptr; }
+
+  using Written = std::function<void(tl::expected<Store::Version, Store::WriteFailure>)>;
+  /// Asks the coordinator's process to make a write, which must be idempotent. Unavailable means
+  /// that nothing was done, Unknown that no answer came.
+  void write(const Store::Transaction& aTransaction, Duration aTimeout, Written aDone);
+
 private:
+  struct WaitingWrite
+  {
+    Written mDone;
+    Timestamp mUntil;
+  };
   struct Waiting
   {
     std::function<void(std::optional<Wire::StatusReply>)> mDone;
@@ -45,6 +57,8 @@
   void everyCheck();
   void keepAlive();
   void failAll();
+  /// Ends the writes that wait longer than until aNow without knowing whether they took effect.
+  void failWrites(Timestamp aNow);
 
   Context& mContext;
   std::string mAddress;
@@ -53,6 +67,7 @@
   bool mCandidate = true;
   std::int64_t mNext = 1;
   std::map<std::int64_t, Waiting> mQuestions;
+  std::map<std::int64_t, WaitingWrite> mWrites;
   boost::asio::steady_timer mConnectTimer;
   boost::asio::steady_timer mCheckTimer;
   Timestamp mLastSent;
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -5711,6 +5711,646 @@
 }
 
 
+StoreVersion::~StoreVersion() noexcept {
+}
+
+
+void StoreVersion::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StoreVersion::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreVersion");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreVersion &a, StoreVersion &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+StoreVersion::StoreVersion(const StoreVersion& other240) {
+  key = other240.key;
+  version = other240.version;
+  __isset = other240.__isset;
+}
+StoreVersion::StoreVersion(StoreVersion&& other241) noexcept {
+  key = std::move(other241.key);
+  version = other241.version;
+  __isset = other241.__isset;
+}
+StoreVersion& StoreVersion::operator=(const StoreVersion& other242) {
+  key = other242.key;
+  version = other242.version;
+  __isset = other242.__isset;
+  return *this;
+}
+StoreVersion& StoreVersion::operator=(StoreVersion&& other243) noexcept {
+  key = std::move(other243.key);
+  version = other243.version;
+  __isset = other243.__isset;
+  return *this;
+}
+void StoreVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreVersion(";
+  out << "key=" << to_string(key);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+StorePut::~StorePut() noexcept {
+}
+
+
+void StorePut::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StorePut::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const StorePut& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StorePut::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StorePut::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StorePut");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StorePut &a, StorePut &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+StorePut::StorePut(const StorePut& other244) {
+  key = other244.key;
+  value = other244.value;
+  __isset = other244.__isset;
+}
+StorePut::StorePut(StorePut&& other245) noexcept {
+  key = std::move(other245.key);
+  value = std::move(other245.value);
+  __isset = other245.__isset;
+}
+StorePut& StorePut::operator=(const StorePut& other246) {
+  key = other246.key;
+  value = other246.value;
+  __isset = other246.__isset;
+  return *this;
+}
+StorePut& StorePut::operator=(StorePut&& other247) noexcept {
+  key = std::move(other247.key);
+  value = std::move(other247.value);
+  __isset = other247.__isset;
+  return *this;
+}
+void StorePut::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StorePut(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+RelayedWrite::~RelayedWrite() noexcept {
+}
+
+
+void RelayedWrite::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void RelayedWrite::__set_expected(const std::vector<StoreVersion> & val) {
+  this->expected = val;
+}
+
+void RelayedWrite::__set_puts(const std::vector<StorePut> & val) {
+  this->puts = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedWrite& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedWrite::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->expected.clear();
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->expected.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
+            {
+              xfer += this->expected[_i252].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.expected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->puts.clear();
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->puts.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
+            {
+              xfer += this->puts[_i257].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.puts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedWrite::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedWrite");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
+    std::vector<StoreVersion> ::const_iterator _iter258;
+    for (_iter258 = this->expected.begin(); _iter258 != this->expected.end(); ++_iter258)
+    {
+      xfer += (*_iter258).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("puts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->puts.size()));
+    std::vector<StorePut> ::const_iterator _iter259;
+    for (_iter259 = this->puts.begin(); _iter259 != this->puts.end(); ++_iter259)
+    {
+      xfer += (*_iter259).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedWrite &a, RelayedWrite &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.expected, b.expected);
+  swap(a.puts, b.puts);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedWrite::RelayedWrite(const RelayedWrite& other260) {
+  number = other260.number;
+  expected = other260.expected;
+  puts = other260.puts;
+  __isset = other260.__isset;
+}
+RelayedWrite::RelayedWrite(RelayedWrite&& other261) noexcept {
+  number = other261.number;
+  expected = std::move(other261.expected);
+  puts = std::move(other261.puts);
+  __isset = other261.__isset;
+}
+RelayedWrite& RelayedWrite::operator=(const RelayedWrite& other262) {
+  number = other262.number;
+  expected = other262.expected;
+  puts = other262.puts;
+  __isset = other262.__isset;
+  return *this;
+}
+RelayedWrite& RelayedWrite::operator=(RelayedWrite&& other263) noexcept {
+  number = other263.number;
+  expected = std::move(other263.expected);
+  puts = std::move(other263.puts);
+  __isset = other263.__isset;
+  return *this;
+}
+void RelayedWrite::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedWrite(";
+  out << "number=" << to_string(number);
+  out << ", " << "expected=" << to_string(expected);
+  out << ", " << "puts=" << to_string(puts);
+  out << ")";
+}
+
+
+RelayedResult::~RelayedResult() noexcept {
+}
+
+
+void RelayedResult::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void RelayedResult::__set_written(const bool val) {
+  this->written = val;
+}
+
+void RelayedResult::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void RelayedResult::__set_error(const int32_t val) {
+  this->error = val;
+}
+
+void RelayedResult::__set_actual(const std::vector<StoreVersion> & val) {
+  this->actual = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->written);
+          this->__isset.written = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->error);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->actual.clear();
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->actual.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
+            {
+              xfer += this->actual[_i268].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.actual = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedResult");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("written", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->written);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->error);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("actual", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->actual.size()));
+    std::vector<StoreVersion> ::const_iterator _iter269;
+    for (_iter269 = this->actual.begin(); _iter269 != this->actual.end(); ++_iter269)
+    {
+      xfer += (*_iter269).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedResult &a, RelayedResult &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.written, b.written);
+  swap(a.version, b.version);
+  swap(a.error, b.error);
+  swap(a.actual, b.actual);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedResult::RelayedResult(const RelayedResult& other270) {
+  number = other270.number;
+  written = other270.written;
+  version = other270.version;
+  error = other270.error;
+  actual = other270.actual;
+  __isset = other270.__isset;
+}
+RelayedResult::RelayedResult(RelayedResult&& other271) noexcept {
+  number = other271.number;
+  written = other271.written;
+  version = other271.version;
+  error = other271.error;
+  actual = std::move(other271.actual);
+  __isset = other271.__isset;
+}
+RelayedResult& RelayedResult::operator=(const RelayedResult& other272) {
+  number = other272.number;
+  written = other272.written;
+  version = other272.version;
+  error = other272.error;
+  actual = other272.actual;
+  __isset = other272.__isset;
+  return *this;
+}
+RelayedResult& RelayedResult::operator=(RelayedResult&& other273) noexcept {
+  number = other273.number;
+  written = other273.written;
+  version = other273.version;
+  error = other273.error;
+  actual = std::move(other273.actual);
+  __isset = other273.__isset;
+  return *this;
+}
+void RelayedResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedResult(";
+  out << "number=" << to_string(number);
+  out << ", " << "written=" << to_string(written);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "error=" << to_string(error);
+  out << ", " << "actual=" << to_string(actual);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -5734,6 +6374,16 @@
   this->statusReply = val;
 __isset.statusReply = true;
 }
+
+void Message::__set_relayedWrite(const RelayedWrite& val) {
+  this->relayedWrite = val;
+__isset.relayedWrite = true;
+}
+
+void Message::__set_relayedResult(const RelayedResult& val) {
+  this->relayedResult = val;
+__isset.relayedResult = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -5794,6 +6444,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relayedWrite.read(iprot);
+          this->__isset.relayedWrite = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relayedResult.read(iprot);
+          this->__isset.relayedResult = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5831,6 +6497,16 @@
     xfer += this->statusReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relayedWrite) {
+    xfer += oprot->writeFieldBegin("relayedWrite", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->relayedWrite.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.relayedResult) {
+    xfer += oprot->writeFieldBegin("relayedResult", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->relayedResult.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5842,37 +6518,47 @@
   swap(a.directive, b.directive);
   swap(a.statusQuery, b.statusQuery);
   swap(a.statusReply, b.statusReply);
+  swap(a.relayedWrite, b.relayedWrite);
+  swap(a.relayedResult, b.relayedResult);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other240) {
-  report = other240.report;
-  directive = other240.directive;
-  statusQuery = other240.statusQuery;
-  statusReply = other240.statusReply;
-  __isset = other240.__isset;
-}
-Message::Message(Message&& other241) noexcept {
-  report = std::move(other241.report);
-  directive = std::move(other241.directive);
-  statusQuery = std::move(other241.statusQuery);
-  statusReply = std::move(other241.statusReply);
-  __isset = other241.__isset;
-}
-Message& Message::operator=(const Message& other242) {
-  report = other242.report;
-  directive = other242.directive;
-  statusQuery = other242.statusQuery;
-  statusReply = other242.statusReply;
-  __isset = other242.__isset;
+Message::Message(const Message& other274) {
+  report = other274.report;
+  directive = other274.directive;
+  statusQuery = other274.statusQuery;
+  statusReply = other274.statusReply;
+  relayedWrite = other274.relayedWrite;
+  relayedResult = other274.relayedResult;
+  __isset = other274.__isset;
+}
+Message::Message(Message&& other275) noexcept {
+  report = std::move(other275.report);
+  directive = std::move(other275.directive);
+  statusQuery = std::move(other275.statusQuery);
+  statusReply = std::move(other275.statusReply);
+  relayedWrite = std::move(other275.relayedWrite);
+  relayedResult = std::move(other275.relayedResult);
+  __isset = other275.__isset;
+}
+Message& Message::operator=(const Message& other276) {
+  report = other276.report;
+  directive = other276.directive;
+  statusQuery = other276.statusQuery;
+  statusReply = other276.statusReply;
+  relayedWrite = other276.relayedWrite;
+  relayedResult = other276.relayedResult;
+  __isset = other276.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other243) noexcept {
-  report = std::move(other243.report);
-  directive = std::move(other243.directive);
-  statusQuery = std::move(other243.statusQuery);
-  statusReply = std::move(other243.statusReply);
-  __isset = other243.__isset;
+Message& Message::operator=(Message&& other277) noexcept {
+  report = std::move(other277.report);
+  directive = std::move(other277.directive);
+  statusQuery = std::move(other277.statusQuery);
+  statusReply = std::move(other277.statusReply);
+  relayedWrite = std::move(other277.relayedWrite);
+  relayedResult = std::move(other277.relayedResult);
+  __isset = other277.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -5882,6 +6568,8 @@
   out << ", " << "directive="; (__isset.directive ? (out << to_string(directive)) : (out << "<null>"));
   out << ", " << "statusQuery="; (__isset.statusQuery ? (out << to_string(statusQuery)) : (out << "<null>"));
   out << ", " << "statusReply="; (__isset.statusReply ? (out << to_string(statusReply)) : (out << "<null>"));
+  out << ", " << "relayedWrite="; (__isset.relayedWrite ? (out << to_string(relayedWrite)) : (out << "<null>"));
+  out << ", " << "relayedResult="; (__isset.relayedResult ? (out << to_string(relayedResult)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -75,6 +75,14 @@
 
 class StatusReply;
 
+class StoreVersion;
+
+class StorePut;
+
+class RelayedWrite;
+
+class RelayedResult;
+
 class Message;
 
 typedef struct _TaskName__isset {
@@ -2070,12 +2078,247 @@
 
 std::ostream& operator<<(std::ostream& out, const StatusReply& obj);
 
+typedef struct _StoreVersion__isset {
+  _StoreVersion__isset() : key(false), version(false) {}
+  bool key :1;
+  bool version :1;
+} _StoreVersion__isset;
+
+class StoreVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreVersion(const StoreVersion&);
+  StoreVersion(StoreVersion&&) noexcept;
+  StoreVersion& operator=(const StoreVersion&);
+  StoreVersion& operator=(StoreVersion&&) noexcept;
+  StoreVersion() noexcept
+               : key(),
+                 version(0) {
+  }
+
+  virtual ~StoreVersion() noexcept;
+  std::string key;
+  int64_t version;
+
+  _StoreVersion__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const StoreVersion & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreVersion &a, StoreVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreVersion& obj);
+
+typedef struct _StorePut__isset {
+  _StorePut__isset() : key(false), value(false) {}
+  bool key :1;
+  bool value :1;
+} _StorePut__isset;
+
+class StorePut : public virtual ::apache::thrift::TBase {
+ public:
+
+  StorePut(const StorePut&);
+  StorePut(StorePut&&) noexcept;
+  StorePut& operator=(const StorePut&);
+  StorePut& operator=(StorePut&&) noexcept;
+  StorePut() noexcept
+           : key(),
+             value() {
+  }
+
+  virtual ~StorePut() noexcept;
+  std::string key;
+  std::string value;
+
+  _StorePut__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const StorePut & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const StorePut &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StorePut & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StorePut &a, StorePut &b);
+
+std::ostream& operator<<(std::ostream& out, const StorePut& obj);
+
+typedef struct _RelayedWrite__isset {
+  _RelayedWrite__isset() : number(false), expected(false), puts(false) {}
+  bool number :1;
+  bool expected :1;
+  bool puts :1;
+} _RelayedWrite__isset;
+
+class RelayedWrite : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedWrite(const RelayedWrite&);
+  RelayedWrite(RelayedWrite&&) noexcept;
+  RelayedWrite& operator=(const RelayedWrite&);
+  RelayedWrite& operator=(RelayedWrite&&) noexcept;
+  RelayedWrite() noexcept
+               : number(0) {
+  }
+
+  virtual ~RelayedWrite() noexcept;
+  int64_t number;
+  std::vector<StoreVersion>  expected;
+  std::vector<StorePut>  puts;
+
+  _RelayedWrite__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_expected(const std::vector<StoreVersion> & val);
+
+  void __set_puts(const std::vector<StorePut> & val);
+
+  bool operator == (const RelayedWrite & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(expected == rhs.expected))
+      return false;
+    if (!(puts == rhs.puts))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedWrite &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedWrite & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedWrite &a, RelayedWrite &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedWrite& obj);
+
+typedef struct _RelayedResult__isset {
+  _RelayedResult__isset() : number(false), written(false), version(false), error(false), actual(false) {}
+  bool number :1;
+  bool written :1;
+  bool version :1;
+  bool error :1;
+  bool actual :1;
+} _RelayedResult__isset;
+
+class RelayedResult : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedResult(const RelayedResult&);
+  RelayedResult(RelayedResult&&) noexcept;
+  RelayedResult& operator=(const RelayedResult&);
+  RelayedResult& operator=(RelayedResult&&) noexcept;
+  RelayedResult() noexcept
+                : number(0),
+                  written(0),
+                  version(0),
+                  error(0) {
+  }
+
+  virtual ~RelayedResult() noexcept;
+  int64_t number;
+  bool written;
+  int64_t version;
+  int32_t error;
+  std::vector<StoreVersion>  actual;
+
+  _RelayedResult__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_written(const bool val);
+
+  void __set_version(const int64_t val);
+
+  void __set_error(const int32_t val);
+
+  void __set_actual(const std::vector<StoreVersion> & val);
+
+  bool operator == (const RelayedResult & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(written == rhs.written))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    if (!(actual == rhs.actual))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedResult &a, RelayedResult &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedResult& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : report(false), directive(false), statusQuery(false), statusReply(false) {}
+  _Message__isset() : report(false), directive(false), statusQuery(false), statusReply(false), relayedWrite(false), relayedResult(false) {}
   bool report :1;
   bool directive :1;
   bool statusQuery :1;
   bool statusReply :1;
+  bool relayedWrite :1;
+  bool relayedResult :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -2093,6 +2336,8 @@
   Directive directive;
   StatusQuery statusQuery;
   StatusReply statusReply;
+  RelayedWrite relayedWrite;
+  RelayedResult relayedResult;
 
   _Message__isset __isset;
 
@@ -2104,6 +2349,10 @@
 
   void __set_statusReply(const StatusReply& val);
 
+  void __set_relayedWrite(const RelayedWrite& val);
+
+  void __set_relayedResult(const RelayedResult& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -2122,6 +2371,14 @@
       return false;
     else if (__isset.statusReply && !(statusReply == rhs.statusReply))
       return false;
+    if (__isset.relayedWrite != rhs.__isset.relayedWrite)
+      return false;
+    else if (__isset.relayedWrite && !(relayedWrite == rhs.relayedWrite))
+      return false;
+    if (__isset.relayedResult != rhs.__isset.relayedResult)
+      return false;
+    else if (__isset.relayedResult && !(relayedResult == rhs.relayedResult))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -242,10 +242,40 @@
   4: i64 pending,
 }
 
+struct StoreVersion {
+  1: string key,
+  2: i64 version,
+}
+
+struct StorePut {
+  1: string key,
+  2: binary value,
+}
+
+// A conditional write of an entry that the store turns away; the coordinator's process makes it.
+struct RelayedWrite {
+  1: i64 number,
+  2: list<StoreVersion> expected,
+  3: list<StorePut> puts,
+}
+
+struct RelayedResult {
+  1: i64 number,
+  2: bool written,
+  // Version of the write.
+  3: i64 version,
+  // Number of Store::StoreError if it was not written.
+  4: i32 error,
+  // After a conflict: the entries of expected that exist.
+  5: list<StoreVersion> actual,
+}
+
 // Exactly one field is set.
 struct Message {
   1: optional Report report,
   2: optional Directive directive,
   3: optional StatusQuery statusQuery,
   4: optional StatusReply statusReply,
+  5: optional RelayedWrite relayedWrite,
+  6: optional RelayedResult relayedResult,
 }
--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -307,4 +307,85 @@
   std::int64_t mLastLease = 0;
 };
 
+/// One machine's way to a store that others use as well.
+class GatedStore final : public Store::AsyncStore
+{
+public:
+  GatedStore(boost::asio::io_context& aIo, Store::AsyncStore& aStore)
+    : mIo(aIo)
+    , mStore(aStore)
+  {
+  }
+
+  /// The store turns this machine's calls away.
+  bool mClosed = false;
+
+  void read(const std::string& aKey,
+            Duration aTimeout,
+            std::function<void(Store::Result<std::optional<Store::Entry>>)> aDone) override
+  {
+    mClosed ? refuse(aDone) : mStore.read(aKey, aTimeout, std::move(aDone));
+  }
+  void readPage(const std::string& aPrefix,
+                const std::string& aAfter,
+                Duration aTimeout,
+                Store::Done<Store::Page> aDone) override
+  {
+    mClosed ? refuse(aDone) : mStore.readPage(aPrefix, aAfter, aTimeout, std::move(aDone));
+  }
+  void watch(
+    const std::string& aPrefix,
+    Store::Version aAfter,
+    Duration aWait,
+    std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)> aDone) override
+  {
+    if (mClosed) {
+      boost::asio::post(mIo, [aDone] { aDone(tl::unexpected(Store::WatchError::NoAnswer)); });
+      return;
+    }
+    // A watch that waits is cut when the store turns the machine away.
+    mStore.watch(aPrefix, aAfter, aWait, [this, aDone](auto aResult) {
+      aDone(mClosed ? tl::expected<Store::WatchResult, Store::WatchError>(
+                        tl::unexpected(Store::WatchError::NoAnswer))
+                    : std::move(aResult));
+    });
+  }
+  void write(const Store::Transaction& aTransaction,
+             Duration aTimeout,
+             std::function<void(tl::expected<Store::Version, Store::WriteFailure>)> aDone) override
+  {
+    if (mClosed) {
+      boost::asio::post(mIo, [aDone] {
+        aDone(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unavailable, {} }));
+      });
+      return;
+    }
+    mStore.write(aTransaction, aTimeout, std::move(aDone));
+  }
+  void grantLease(Duration aTimeToLive,
+                  Duration aTimeout,
+                  Store::Done<Store::GrantedLease> aDone) override
+  {
+    mClosed ? refuse(aDone) : mStore.grantLease(aTimeToLive, aTimeout, std::move(aDone));
+  }
+  void renewLease(Store::LeaseId aLease, Duration aTimeout, Store::Done<void> aDone) override
+  {
+    mClosed ? refuse(aDone) : mStore.renewLease(aLease, aTimeout, std::move(aDone));
+  }
+  void endLease(Store::LeaseId aLease, Duration aTimeout, Store::Done<void> aDone) override
+  {
+    mClosed ? refuse(aDone) : mStore.endLease(aLease, aTimeout, std::move(aDone));
+  }
+
+private:
+  template<typename Value>
+  void refuse(const std::function<void(Store::Result<Value>)>& aDone)
+  {
+    boost::asio::post(mIo, [aDone] { aDone(tl::unexpected(Store::StoreError::Unavailable)); });
+  }
+
+  boost::asio::io_context& mIo;
+  Store::AsyncStore& mStore;
+};
+
 } // namespace NodeTests
--- a/Source/UnitTests/Node/FleetTests.cpp
+++ b/Source/UnitTests/Node/FleetTests.cpp
@@ -194,3 +194,65 @@
   world.mStore.applyLate();
   REQUIRE(HasCompleted(world, "a"));
 }
+
+TEST_CASE("An entry that the store turns away passes submissions and cancels on", "[Node]")
+{
+  World world;
+  world.addEntry("e1");
+  REQUIRE(world.runUntil([&] { return world.coordinator() == "e1"; }, 2s));
+  World::Machine& second = world.addEntry("e2");
+  FakeWorker& worker = world.addWorker("w1");
+  worker.mTaskTime = 500ms;
+  world.run(300ms);
+  CoordinatorLink link(*second.mContext);
+  link.follow(world.mMachines.at("e1").mSettings.mPeers);
+  CallerDesk desk(*second.mContext, link);
+  desk.takeTables(std::make_shared<const QueueTables>(*world.mFormats.mReadTables("1")));
+  world.run(200ms);
+  second.mGate->mClosed = true;
+  const auto call = [&](CallerCall::Kind aKind, const std::string& aPath) {
+    CallerCall asked;
+    asked.mKind = aKind;
+    asked.mHost = "h";
+    asked.mPath = aPath;
+    std::optional<CallerAnswer> answer;
+    desk.answer(asked, [&](const CallerAnswer& aAnswer) { answer = aAnswer; });
+    (void)world.runUntil([&] { return answer.has_value(); }, 4s);
+    REQUIRE(answer);
+    return answer->mKind;
+  };
+  using Answer = CallerAnswer::Kind;
+
+  SECTION("whether it has noticed yet or not")
+  {
+    desk.setStoreConnected(GENERATE(true, false));
+    REQUIRE(call(CallerCall::Kind::Submit, "/q/a") == Answer::Accepted);
+    REQUIRE(world.runUntil([&] { return HasCompleted(world, "a"); }, 4s));
+    // The same id again is the same job.
+    REQUIRE(call(CallerCall::Kind::Submit, "/q/a") == Answer::Accepted);
+  }
+
+  SECTION("a cancel ends the job, and one of an unknown id keeps it out")
+  {
+    REQUIRE(call(CallerCall::Kind::Submit, "/q/a") == Answer::Accepted);
+    REQUIRE(call(CallerCall::Kind::Cancel, "/q/a") == Answer::Cancelled);
+    REQUIRE(call(CallerCall::Kind::Cancel, "/q/a") == Answer::Cancelled);
+    REQUIRE(call(CallerCall::Kind::Cancel, "/q/b") == Answer::Unknown);
+    REQUIRE(call(CallerCall::Kind::Submit, "/q/b") == Answer::Unknown);
+  }
+
+  SECTION("if the store turns the coordinator away too, the caller hears so at once")
+  {
+    world.mMachines.at("e1").mGate->mClosed = true;
+    world.run(2500ms);
+    const auto asked = std::chrono::steady_clock::now();
+    REQUIRE(call(CallerCall::Kind::Submit, "/q/a") == Answer::Unavailable);
+    REQUIRE(std::chrono::steady_clock::now() - asked < 300ms);
+  }
+
+  SECTION("if the coordinator is gone before it answers, the outcome is not known")
+  {
+    world.mStore.mMode = FakeStore::Mode::Silent;
+    REQUIRE(call(CallerCall::Kind::Submit, "/q/a") == Answer::Undecided);
+  }
+}
--- a/Source/UnitTests/Node/World.h
+++ b/Source/UnitTests/Node/World.h
@@ -255,7 +255,7 @@
   struct Machine
   {
     Settings mSettings;
-    std::unique_ptr<FakeStore> mOwnStore;
+    std::unique_ptr<GatedStore> mGate;
     std::unique_ptr<Context> mContext;
     std::unique_ptr<Entry> mEntry;
     std::unique_ptr<Agent> mAgent;
@@ -351,8 +351,9 @@
   {
     Machine& machine = mMachines[aName];
     machine.mSettings.mInstance = Common::InstanceId(aName);
+    machine.mGate = std::make_unique<GatedStore>(mIo, mStore);
     machine.mContext = std::make_unique<Context>(
-      Context{ mIo, mClock, machine.mSettings, mTimes, mFormats, mStore, mCounters });
+      Context{ mIo, mClock, machine.mSettings, mTimes, mFormats, *machine.mGate, mCounters });
     return machine;
   }
 };
