--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -342,7 +342,7 @@
 }
 
 const Step&
-StepOf(const Ready& aReady)
+StepStateOf(const Ready& aReady)
 {
   return aReady.mJob->mOccurrences.at(aReady.mOccurrence).mSteps[aReady.mStep];
 }
@@ -365,7 +365,7 @@
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     const Worker& worker = aState.mWorkers[number];
     if ((!aRack.empty() && worker.mRack.str() != aRack) ||
-        (aQueue.mAdvice && !HasTicket(StepOf(aReady), number, aNow)) ||
+        (aQueue.mAdvice && !HasTicket(StepStateOf(aReady), number, aNow)) ||
         !MayHost(aState, worker, aReady, aQueue, starved, aNow)) {
       continue;
     }
@@ -395,7 +395,7 @@
 void
 AskAbout(State& aState, const Ready& aReady, const QueueSpec& aQueue, bool aSoon, const Now& aNow)
 {
-  const Step& step = StepOf(aReady);
+  const Step& step = StepStateOf(aReady);
   const auto task = std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
     return aTask.mPhase == TaskPhase::Waiting;
   });
