Keep one percent encoder, one LowerCase and one MiB

Common/Text and Common/Units have them now. The store client keeps slashes in keys as before. No behaviour changes.

--- a/Source/Core/Common/Units.h
+++ b/Source/Core/Common/Units.h
@@ -39,6 +39,8 @@
 };
 
 using Bytes = Quantity<struct BytesTag>;
+/// Bytes in a MiB.
+inline constexpr std::int64_t kMib = 1 << 20;
 /// Thousandths of a processor core.
 using MilliCores = Quantity<struct MilliCoresTag>;
 using Accelerators = Quantity<struct AcceleratorsTag>;
--- a/Source/Core/Http/Message.cpp
+++ b/Source/Core/Http/Message.cpp
@@ -89,24 +89,6 @@
   return std::nullopt;
 }
 
-std::string
-PercentEncoded(std::string_view aText)
-{
-  constexpr std::string_view kDigits = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char c : aText) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) != 0 || c == '-' || c == '.' || c == '_' || c == '~') {
-      encoded += c;
-    } else {
-      encoded += '%';
-      encoded += kDigits[byte >> 4];
-      encoded += kDigits[byte & 0xf];
-    }
-  }
-  return encoded;
-}
-
 std::string
 PercentDecoded(std::string_view aText)
 {
--- a/Source/Core/Http/Message.h
+++ b/Source/Core/Http/Message.h
@@ -54,10 +54,6 @@
 std::optional<std::string>
 QueryValue(std::string_view aTarget, std::string_view aName);
 
-/// aText with every character outside of RFC 3986's unreserved set percent-encoded.
-std::string
-PercentEncoded(std::string_view aText);
-
 std::string
 PercentDecoded(std::string_view aText);
 
--- a/Source/Core/Http/PlatformWorker.cpp
+++ b/Source/Core/Http/PlatformWorker.cpp
@@ -1,4 +1,5 @@
 #include "Http/PlatformWorker.h"
+#include "Common/Text.h"
 
 #include <map>
 
@@ -114,7 +115,7 @@
                      const std::string& aAction,
                      const std::string& aBody)
 {
-  return call("POST", "/v1/tasks/" + PercentEncoded(aTask.str()) + '/' + aAction, aBody);
+  return call("POST", "/v1/tasks/" + Common::PercentEncoded(aTask.str()) + '/' + aAction, aBody);
 }
 
 PlatformWorker::Result<void>
--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "Common/Text.h"
+
 namespace Net {
 
 namespace Beast = boost::beast;
@@ -22,16 +24,6 @@
 /// Room for one read of a header; most fit in it.
 constexpr std::size_t kReadBytes = 4096;
 
-std::string
-LowerCase(std::string_view aText)
-{
-  std::string lower(aText);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char aChar) {
-    return static_cast<char>(std::tolower(aChar));
-  });
-  return lower;
-}
-
 class Session;
 
 } // namespace
@@ -210,7 +202,7 @@
     request.mBody = std::move(message.body());
     for (const auto& field : message) {
       request.mHeaders.emplace_back(
-        LowerCase({ field.name_string().data(), field.name_string().size() }),
+        Common::LowerCase({ field.name_string().data(), field.name_string().size() }),
         std::string(field.value()));
     }
     mKeepAlive = message.keep_alive();
--- a/Source/Core/Node/Convert.cpp
+++ b/Source/Core/Node/Convert.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-constexpr std::int64_t kBytesPerMb = 1 << 20;
-
 std::int64_t
 Millis(Common::Duration aDuration)
 {
@@ -18,7 +16,7 @@
   Wire::StepSpec step;
   step.tasks = static_cast<std::int32_t>(aStep.mTasks);
   step.milliCores = aStep.mNeed.mCores.value();
-  step.memoryMb = aStep.mNeed.mMemory.value() / kBytesPerMb;
+  step.memoryMb = aStep.mNeed.mMemory.value() / Common::kMib;
   step.accelerators = static_cast<std::int32_t>(aStep.mNeed.mAccelerators.value());
   step.estimateMs = Millis(aStep.mEstimate);
   step.after.assign(aStep.mAfter.begin(), aStep.mAfter.end());
@@ -43,7 +41,7 @@
   Scheduling::StepSpec step;
   step.mTasks = static_cast<std::uint32_t>(aStep.tasks);
   step.mNeed.mCores = Common::MilliCores{ aStep.milliCores };
-  step.mNeed.mMemory = Common::Bytes{ aStep.memoryMb * kBytesPerMb };
+  step.mNeed.mMemory = Common::Bytes{ aStep.memoryMb * Common::kMib };
   step.mNeed.mAccelerators = Common::Accelerators{ aStep.accelerators };
   step.mEstimate = std::chrono::milliseconds(aStep.estimateMs);
   step.mAfter.assign(aStep.after.begin(), aStep.after.end());
@@ -180,7 +178,7 @@
   view.rack = aView.mRack.str();
   view.labels = aView.mLabels;
   view.milliCores = aView.mCapacity.mCores.value();
-  view.memoryMb = aView.mCapacity.mMemory.value() / kBytesPerMb;
+  view.memoryMb = aView.mCapacity.mMemory.value() / Common::kMib;
   view.accelerators = static_cast<std::int32_t>(aView.mCapacity.mAccelerators.value());
   view.leaving = aView.mLeaving;
   view.remainingMs = Millis(aView.mRemaining);
@@ -220,7 +218,7 @@
   view.mRack = Common::RackId(aView.rack);
   view.mLabels = aView.labels;
   view.mCapacity.mCores = Common::MilliCores{ aView.milliCores };
-  view.mCapacity.mMemory = Common::Bytes{ aView.memoryMb * kBytesPerMb };
+  view.mCapacity.mMemory = Common::Bytes{ aView.memoryMb * Common::kMib };
   view.mCapacity.mAccelerators = Common::Accelerators{ aView.accelerators };
   view.mLeaving = aView.leaving;
   view.mRemaining = std::chrono::milliseconds(aView.remainingMs);
--- a/Source/Core/StoreHttp/HttpStore.cpp
+++ b/Source/Core/StoreHttp/HttpStore.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Common/Base64.h"
+#include "Common/Text.h"
 #include "StoreHttp/Paths.h"
 
 namespace StoreHttp {
@@ -193,7 +194,7 @@
 Store::Result<std::vector<Store::Entry>>
 HttpStore::readPrefix(const std::string& aPrefix, std::size_t aLimit)
 {
-  const std::string path = std::string(kKeysPath) + "?prefix=" + PercentEncode(aPrefix) +
+  const std::string path = std::string(kKeysPath) + "?prefix=" + Common::PercentEncoded(aPrefix) +
                            "&limit=" + std::to_string(aLimit);
   return mConnections->sendJson(
     Kind::Read,
@@ -272,7 +273,7 @@
 HttpStore::watch(const std::string& aPrefix, Store::Version aAfter, Common::Duration aTimeout)
 {
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout).count();
-  const std::string path = std::string(kWatchPath) + "?prefix=" + PercentEncode(aPrefix) +
+  const std::string path = std::string(kWatchPath) + "?prefix=" + Common::PercentEncoded(aPrefix) +
                            "&after=" + std::to_string(aAfter.value()) +
                            "&timeout_ms=" + std::to_string(millis);
   return mConnections->sendJson(
--- a/Source/Core/StoreHttp/Paths.cpp
+++ b/Source/Core/StoreHttp/Paths.cpp
@@ -2,37 +2,9 @@
 
 #include <charconv>
 
-namespace StoreHttp {
-
-namespace {
-
-bool
-IsUnreserved(char aLetter)
-{
-  return (aLetter >= 'a' && aLetter <= 'z') || (aLetter >= 'A' && aLetter <= 'Z') ||
-         (aLetter >= '0' && aLetter <= '9') ||
-         std::string_view("-._~").find(aLetter) != std::string_view::npos;
-}
-
-} // namespace
+#include "Common/Text.h"
 
-std::string
-PercentEncode(std::string_view aText)
-{
-  constexpr std::string_view kDigits = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char letter : aText) {
-    if (IsUnreserved(letter)) {
-      encoded += letter;
-      continue;
-    }
-    const auto byte = static_cast<unsigned char>(letter);
-    encoded += '%';
-    encoded += kDigits[byte >> 4U];
-    encoded += kDigits[byte & 15U];
-  }
-  return encoded;
-}
+namespace StoreHttp {
 
 std::optional<std::int64_t>
 ParseNumber(std::string_view aText)
@@ -48,7 +20,7 @@
 std::string
 KeyPath(const std::string& aKey)
 {
-  return std::string(kKeysPath) + "/" + PercentEncode(aKey);
+  return std::string(kKeysPath) + "/" + Common::PercentEncoded(aKey);
 }
 
 std::string
--- a/Source/Core/StoreHttp/Paths.h
+++ b/Source/Core/StoreHttp/Paths.h
@@ -15,10 +15,6 @@
 inline constexpr const char* kWatchPath = "/v1/watch";
 inline constexpr const char* kVersionHeader = "Store-Version";
 
-/// Encodes every byte but unreserved letters, so that a key with slashes is one path segment.
-std::string
-PercentEncode(std::string_view aText);
-
 /// A whole decimal number of at least 0, or empty.
 std::optional<std::int64_t>
 ParseNumber(std::string_view aText);
--- a/Source/Core/Tables/Fields.cpp
+++ b/Source/Core/Tables/Fields.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr std::int64_t kKib = 1 << 10;
-constexpr std::int64_t kMib = 1 << 20;
+using Common::kMib;
 
 std::string
 Boolean(bool aValue)
--- a/Source/Core/Tables/Fleet.cpp
+++ b/Source/Core/Tables/Fleet.cpp
@@ -16,7 +16,7 @@
 std::vector<Amount>
 AmountsOf(const PoolLimits& aLimits)
 {
-  constexpr std::int64_t kMib = 1 << 20;
+  using Common::kMib;
   return { { "slots", aLimits.mSlots.value() },
            { "connections", aLimits.mConnections.value() },
            { "milli_cores", aLimits.mResources.mCores.value() },
--- a/Source/Core/Tables/ReadPools.cpp
+++ b/Source/Core/Tables/ReadPools.cpp
@@ -11,7 +11,7 @@
 using Toml::TableReader;
 using Toml::Value;
 
-constexpr std::int64_t kMib = 1 << 20;
+using Common::kMib;
 
 /// Upper ends of the ranges for the amounts of one worker or of a team.
 struct AmountRanges
--- a/Source/Core/Tables/ReadRoutes.cpp
+++ b/Source/Core/Tables/ReadRoutes.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 
+#include "Common/Text.h"
 #include "Tables/Reading.h"
-#include "Tables/Text.h"
 
 namespace Tables {
 
@@ -63,7 +63,7 @@
   if (!host) {
     return;
   }
-  aMatch.mHost = LowerCase(*host);
+  aMatch.mHost = Common::LowerCase(*host);
   if (!IsHost(aMatch.mHost)) {
     aReader.error("host",
                   "key \"host\" must be a host name without port, or \"*.\" and a host name");
@@ -143,7 +143,7 @@
                                        "visible ASCII characters");
       continue;
     }
-    aMatch.mHeaders.push_back({ LowerCase(member.mName), *value });
+    aMatch.mHeaders.push_back({ Common::LowerCase(member.mName), *value });
   }
   std::sort(aMatch.mHeaders.begin(), aMatch.mHeaders.end());
   const auto sameName = [](const HeaderMatch& aLeft, const HeaderMatch& aRight) {
--- a/Source/Core/Tables/RouteIndex.cpp
+++ b/Source/Core/Tables/RouteIndex.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
-#include "Tables/Text.h"
+#include "Common/Text.h"
 
 namespace Tables {
 
@@ -16,7 +16,7 @@
   // The colons of an IPv6 address stand in brackets; those of the port behind them.
   const std::size_t bracket = aHost.find(']');
   const std::size_t colon = aHost.find(':', bracket == std::string_view::npos ? 0 : bracket);
-  std::string host = LowerCase(aHost.substr(0, colon));
+  std::string host = Common::LowerCase(aHost.substr(0, colon));
   if (!host.empty() && host.back() == '.') {
     host.pop_back();
   }
@@ -34,7 +34,7 @@
 bool
 EqualIgnoringCase(std::string_view aLower, std::string_view aText)
 {
-  return aLower.size() == aText.size() && aLower == LowerCase(aText);
+  return aLower.size() == aText.size() && aLower == Common::LowerCase(aText);
 }
 
 bool
--- a/Source/Ibisctl/ApiClient.cpp
+++ b/Source/Ibisctl/ApiClient.cpp
@@ -112,25 +112,4 @@
   return tl::unexpected(std::move(failure));
 }
 
-std::string
-EncodePathPart(const std::string& aText)
-{
-  constexpr char kDigits[] = "0123456789ABCDEF";
-  constexpr std::string_view kMarks = "-._~";
-  std::string encoded;
-  for (const char character : aText) {
-    const auto code = static_cast<unsigned char>(character);
-    if ((character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
-        (character >= '0' && character <= '9') ||
-        kMarks.find(character) != std::string_view::npos) {
-      encoded += character;
-    } else {
-      encoded += '%';
-      encoded += kDigits[code >> 4U];
-      encoded += kDigits[code & 0xfU];
-    }
-  }
-  return encoded;
-}
-
 } // namespace Ibisctl
--- a/Source/Ibisctl/ApiClient.h
+++ b/Source/Ibisctl/ApiClient.h
@@ -59,8 +59,4 @@
   std::chrono::milliseconds mTimeout;
 };
 
-/// aText with everything but letters, digits, '-', '.', '_' and '~' percent-encoded.
-std::string
-EncodePathPart(const std::string& aText);
-
 } // namespace Ibisctl
--- a/Source/Ibisctl/FleetCommands.cpp
+++ b/Source/Ibisctl/FleetCommands.cpp
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "Common/Text.h"
 #include "Ibisctl/Command.h"
 #include "Ibisctl/LogTrace.h"
 #include "Ibisctl/Trace.h"
@@ -96,7 +97,7 @@
     return TraceLogs(aSession);
   }
   const std::string id = aSession.mArguments.mPositional[0];
-  const auto answer = Ask(aSession, "GET", "traces/" + EncodePathPart(id));
+  const auto answer = Ask(aSession, "GET", "traces/" + Common::PercentEncoded(id));
   if (!answer) {
     return answer.error();
   }
--- a/Source/Ibisctl/JobsCommands.cpp
+++ b/Source/Ibisctl/JobsCommands.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Common/Text.h"
 #include "Ibisctl/Command.h"
 
 namespace Ibisctl {
@@ -128,7 +129,7 @@
   }
   const auto start = std::chrono::steady_clock::now();
   milliseconds pause = kFirstPause;
-  const std::string path = "jobs/" + EncodePathPart(aId);
+  const std::string path = "jobs/" + Common::PercentEncoded(aId);
   int failures = 0;
   for (;;) {
     const auto answer = aSession.mApi.call("GET", path);
@@ -213,7 +214,7 @@
 Show(Session& aSession)
 {
   const auto answer =
-    Ask(aSession, "GET", "jobs/" + EncodePathPart(aSession.mArguments.mPositional[0]));
+    Ask(aSession, "GET", "jobs/" + Common::PercentEncoded(aSession.mArguments.mPositional[0]));
   if (!answer) {
     return answer.error();
   }
@@ -225,7 +226,7 @@
 Cancel(Session& aSession)
 {
   const std::string id = aSession.mArguments.mPositional[0];
-  const auto answer = Ask(aSession, "DELETE", "jobs/" + EncodePathPart(id));
+  const auto answer = Ask(aSession, "DELETE", "jobs/" + Common::PercentEncoded(id));
   if (!answer) {
     return answer.error();
   }
--- a/Source/UnitTests/Http/LoopbackTests.cpp
+++ b/Source/UnitTests/Http/LoopbackTests.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "Common/Text.h"
 #include "Http/Announcement.h"
 #include "Http/Client.h"
 #include "Http/PlatformWorker.h"
@@ -256,7 +257,7 @@
   REQUIRE(Http::QueryValue("/a?x=1&name=a%2Fb&flag", "name") == "a/b");
   REQUIRE(Http::QueryValue("/a?x=1&flag", "flag") == "");
   REQUIRE_FALSE(Http::QueryValue("/a?x=1", "y"));
-  REQUIRE(Http::PercentDecoded(Http::PercentEncoded("job 1/%2F\xff")) == "job 1/%2F\xff");
+  REQUIRE(Http::PercentDecoded(Common::PercentEncoded("job 1/%2F\xff")) == "job 1/%2F\xff");
   REQUIRE(Http::IsHopHeader("Transfer-encoding"));
 }
 
