Find a step in one place and check what may host it once

StepAt replaces eleven copies of the look-up through job, occurrence and step. MayHost and MayEverHost had the same checks of connection, pool and label; MayHost calls MayEverHost now. It checks besides that the worker has not ended and could hold the task when empty, which follows from being connected and from having that much room left, so no decision changes.

--- a/Source/Core/Scheduling/Advice.cpp
+++ b/Source/Core/Scheduling/Advice.cpp
@@ -16,7 +16,7 @@
 FindStep(State& aState, const TaskName& aName)
 {
   const auto ref = FindTask(aState, aName);
-  return ref ? &ref->mJob->mOccurrences.at(ref->mOccurrence).mSteps[ref->mStep] : nullptr;
+  return ref ? &StepAt(*ref) : nullptr;
 }
 
 /// An agent that has no question open; the service takes one call of each machine at a time.
@@ -61,12 +61,12 @@
 
 void
 AskForAdvice(State& aState,
-             const TaskRef& aStep,
+             const TaskRef& aFirstTask,
              const AdviceTimes& aTimes,
              std::span<const WorkerNumber> aWorkers,
              const Now& aNow)
 {
-  Step& step = aStep.mJob->mOccurrences.at(aStep.mOccurrence).mSteps[aStep.mStep];
+  Step& step = StepAt(aFirstTask);
   const Common::InstanceId agent = FreeAdviser(aState, aNow);
   if (step.mAsked || aWorkers.empty() || agent.empty()) {
     return;
@@ -79,7 +79,7 @@
                                        aState.mPolicy.mAskedAtOnce });
   Question question;
   question.mNumber = aState.mNextQuestion++;
-  question.mStep = NameOf({ aStep.mJob, aStep.mOccurrence, aStep.mStep, 0 });
+  question.mStep = NameOf(aFirstTask);
   question.mAgent = agent;
   for (const WorkerNumber worker : aWorkers.first(asked)) {
     question.mWorkers.push_back(aState.mWorkers[worker].mLife);
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -324,10 +324,16 @@
   });
 }
 
+Step&
+StepAt(const TaskRef& aRef)
+{
+  return aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep];
+}
+
 Task&
 TaskAt(const TaskRef& aRef)
 {
-  return aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mTasks[aRef.mIndex];
+  return StepAt(aRef).mTasks[aRef.mIndex];
 }
 
 const StepSpec&
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -222,6 +222,17 @@
   });
 }
 
+/// True if the worker could run tasks of the step at some time.
+bool
+MayEverHost(const Worker& aWorker, const StepSpec& aStep, const QueueSpec& aQueue)
+{
+  const bool labelled = aStep.mLabel.empty() ||
+                        std::find(aWorker.mLabels.begin(), aWorker.mLabels.end(), aStep.mLabel) !=
+                          aWorker.mLabels.end();
+  return aWorker.mConnected && aWorker.mListed && !aWorker.mGone && !aWorker.mLeaving &&
+         aWorker.mPool == aQueue.mPool && labelled && Fits(ReservedBy(aStep), aWorker.mCapacity);
+}
+
 bool
 MayHost(const State& aState,
         const Worker& aWorker,
@@ -231,19 +242,14 @@
         const Now& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
-  if (!aWorker.mConnected || !aWorker.mListed || !aWorker.mRecorded || !aWorker.mResponding ||
-      aWorker.mLeaving || aWorker.mPool != aQueue.mPool || aNow.mTime < aWorker.mNoRoomUntil ||
-      aNow.mTime < aWorker.mHealth.mClosedUntil || aNow.mTime >= aWorker.mLeaseEnd) {
+  if (!MayEverHost(aWorker, step, aQueue) || !aWorker.mRecorded || !aWorker.mResponding ||
+      aNow.mTime < aWorker.mNoRoomUntil || aNow.mTime < aWorker.mHealth.mClosedUntil ||
+      aNow.mTime >= aWorker.mLeaseEnd) {
     return false;
   }
   if (aWorker.mHealth.mPenalty > Duration{ 0 } && IsProbed(aWorker)) {
     return false;
   }
-  if (!step.mLabel.empty() &&
-      std::find(aWorker.mLabels.begin(), aWorker.mLabels.end(), step.mLabel) ==
-        aWorker.mLabels.end()) {
-    return false;
-  }
   if (!Fits(ReservedBy(step), aWorker.mCapacity - aWorker.mUsed)) {
     return false;
   }
@@ -341,10 +347,11 @@
   return aReady.mIdleJob && aNow.mTime - aTask.mSince >= aState.mPolicy.mStarved;
 }
 
-const Step&
-StepStateOf(const Ready& aReady)
+/// The first task of the step.
+TaskRef
+FirstTask(const Ready& aReady)
 {
-  return aReady.mJob->mOccurrences.at(aReady.mOccurrence).mSteps[aReady.mStep];
+  return { aReady.mJob, aReady.mOccurrence, aReady.mStep, 0 };
 }
 
 WorkerNumber
@@ -365,7 +372,7 @@
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     const Worker& worker = aState.mWorkers[number];
     if ((!aRack.empty() && worker.mRack.str() != aRack) ||
-        (aQueue.mAdvice && !HasTicket(StepStateOf(aReady), number, aNow)) ||
+        (aQueue.mAdvice && !HasTicket(StepAt(FirstTask(aReady)), number, aNow)) ||
         !MayHost(aState, worker, aReady, aQueue, starved, aNow)) {
       continue;
     }
@@ -378,24 +385,13 @@
   return best;
 }
 
-/// True if the worker could run tasks of the step at some time.
-bool
-MayEverHost(const Worker& aWorker, const StepSpec& aStep, const QueueSpec& aQueue)
-{
-  const bool labelled = aStep.mLabel.empty() ||
-                        std::find(aWorker.mLabels.begin(), aWorker.mLabels.end(), aStep.mLabel) !=
-                          aWorker.mLabels.end();
-  return aWorker.mConnected && aWorker.mListed && !aWorker.mGone && !aWorker.mLeaving &&
-         aWorker.mPool == aQueue.mPool && labelled && Fits(ReservedBy(aStep), aWorker.mCapacity);
-}
-
 /// Asks for tickets if tasks of the step could start with one, or if aSoon says that the step is
 /// among the next ones, so that room which becomes free does not wait for the answer. What was
 /// granted and denied stays, so a question names every worker that the step may ever run on.
 void
 AskAbout(State& aState, const Ready& aReady, const QueueSpec& aQueue, bool aSoon, const Now& aNow)
 {
-  const Step& step = StepStateOf(aReady);
+  const Step& step = StepAt(FirstTask(aReady));
   const auto task = std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
     return aTask.mPhase == TaskPhase::Waiting;
   });
@@ -444,7 +440,7 @@
   order.mTask = NameOf(aRef);
   order.mRun = aRun;
   order.mCheckpoint = task.mCheckpoint;
-  const Step& step = aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep];
+  const Step& step = StepAt(aRef);
   if (const auto ticket = step.mTickets.find(task.mWorker); ticket != step.mTickets.end()) {
     order.mTicket = ticket->second.mText;
   }
@@ -462,7 +458,7 @@
 void
 PlaceGang(State& aState, const Ready& aReady, const QueueSpec& aQueue, const Now& aNow)
 {
-  Step& step = aReady.mJob->mOccurrences.at(aReady.mOccurrence).mSteps[aReady.mStep];
+  Step& step = StepAt(FirstTask(aReady));
   if (step.mWaiting != step.mTasks.size()) {
     // Members of the last run have not all ended.
     return;
@@ -586,7 +582,7 @@
   task.mMissingSince = Timestamp{};
   task.mMissingLists = 0;
   task.mStopAnswered = Timestamp{};
-  ++aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mWaiting;
+  ++StepAt(aRef).mWaiting;
 }
 
 void
@@ -598,7 +594,7 @@
 {
   Task& task = TaskAt(aRef);
   if (task.mPhase == TaskPhase::Waiting) {
-    --aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mWaiting;
+    --StepAt(aRef).mWaiting;
   }
   LeaveWorker(aState, aRef);
   task.mPhase = aPhase;
@@ -657,7 +653,7 @@
       AskAbout(aState, ready, queue, advised++ < aState.mPolicy.mAskedAhead, aNow);
       continue;
     }
-    Step& step = ready.mJob->mOccurrences.at(ready.mOccurrence).mSteps[ready.mStep];
+    Step& step = StepAt(FirstTask(ready));
     std::string placed;
     for (std::uint32_t i = 0; i < step.mTasks.size() && step.mWaiting > 0; ++i) {
       if (step.mTasks[i].mPhase != TaskPhase::Waiting) {
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -125,7 +125,7 @@
     return static_cast<std::uint32_t>(TaskAt(aRef).mFailedRuns.size());
   }
   std::uint32_t failures = 0;
-  for (const Task& task : aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep].mTasks) {
+  for (const Task& task : StepAt(aRef).mTasks) {
     failures += static_cast<std::uint32_t>(task.mFailedRuns.size());
   }
   return failures;
@@ -472,7 +472,7 @@
       break;
     case OrderResult::Ticket:
       ++aState.mCounts.mTicketRejections;
-      ref->mJob->mOccurrences.at(ref->mOccurrence).mSteps[ref->mStep].mTickets.erase(task.mWorker);
+      StepAt(*ref).mTickets.erase(task.mWorker);
       break;
     case OrderResult::NotSent:
     case OrderResult::Late:
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -105,6 +105,8 @@
 
 // Shared by the files of this library.
 
+Step&
+StepAt(const TaskRef& aRef);
 Task&
 TaskAt(const TaskRef& aRef);
 const StepSpec&
@@ -147,10 +149,10 @@
 /// True if the service has denied the worker the step.
 bool
 IsDenied(const Step& aStep, WorkerNumber aWorker);
-/// Asks about the workers, best first, unless no agent is free to ask.
+/// Asks about the step of its first task and the workers, best first, unless no agent is free.
 void
 AskForAdvice(State& aState,
-             const TaskRef& aStep,
+             const TaskRef& aFirstTask,
              const AdviceTimes& aTimes,
              std::span<const WorkerNumber> aWorkers,
              const Now& aNow);
