--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -104,6 +104,8 @@
   void updateCounters();
 
   void flushSoon();
+  /// aNow: no later flush is to take its place before this one.
+  void flushAfter(Duration aDelay, bool aNow);
   void flush();
   /// The records of the flush on its way must be written again.
   void markUnwritten();
--- a/Source/Core/Node/CoordinatorLink.cpp
+++ b/Source/Core/Node/CoordinatorLink.cpp
@@ -42,7 +42,7 @@
     mLink->close();
     mLink.reset();
   }
-  failAll();
+  failUntil(Timestamp::max());
   connect();
 }
 
@@ -70,7 +70,7 @@
                        mLink->start({ [this](const std::string& aBytes) { takeMessage(aBytes); },
                                       [this] {
                                         mLink.reset();
-                                        failAll();
+                                        failUntil(Timestamp::max());
                                         scheduleConnect();
                                       } });
                        keepAlive();
@@ -108,10 +108,24 @@
   query.number = mNext++;
   query.job = aJob.str();
   query.queue = aQueue.str();
-  mQuestions[query.number] = { std::move(aDone), mContext.now() + mContext.mTimes.mAsk };
   Wire::Message message;
   message.__set_statusQuery(query);
-  send(message);
+  call(query.number,
+       message,
+       mContext.mTimes.mAsk,
+       [done = std::move(aDone)](const Wire::Message* aAnswer) {
+         done(aAnswer != nullptr ? std::make_optional(aAnswer->statusReply) : std::nullopt);
+       });
+}
+
+void
+CoordinatorLink::call(std::int64_t aNumber,
+                      Wire::Message& aMessage,
+                      Duration aTimeout,
+                      Answered aDone)
+{
+  mCalls[aNumber] = { std::move(aDone), mContext.now() + aTimeout };
+  send(aMessage);
 }
 
 void
@@ -124,26 +138,31 @@
     return;
   }
   const std::int64_t number = mNext++;
-  mWrites[number] = { std::move(aDone), mContext.now() + aTimeout };
   Wire::Message message;
   message.__set_relayedWrite(ToWire(number, aTransaction));
-  send(message);
+  call(number, message, aTimeout, [done = std::move(aDone)](const Wire::Message* aAnswer) {
+    if (aAnswer == nullptr) {
+      done(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unknown, {} }));
+      return;
+    }
+    done(FromWire(aAnswer->relayedResult));
+  });
 }
 
 void
-CoordinatorLink::failWrites(Timestamp aNow)
+CoordinatorLink::failUntil(Timestamp aNow)
 {
-  std::vector<Written> failed;
-  for (auto write = mWrites.begin(); write != mWrites.end();) {
-    if (write->second.mUntil <= aNow) {
-      failed.push_back(std::move(write->second.mDone));
-      write = mWrites.erase(write);
+  std::vector<Answered> failed;
+  for (auto waiting = mCalls.begin(); waiting != mCalls.end();) {
+    if (waiting->second.mUntil <= aNow) {
+      failed.push_back(std::move(waiting->second.mDone));
+      waiting = mCalls.erase(waiting);
     } else {
-      ++write;
+      ++waiting;
     }
   }
-  for (const Written& done : failed) {
-    done(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unknown, {} }));
+  for (const Answered& done : failed) {
+    done(nullptr);
   }
 }
 
@@ -156,15 +175,11 @@
       Observability::Level::Warning, "entry", "dropped a message that cannot be read");
     return;
   }
-  if (message->__isset.statusReply) {
-    if (auto node = mQuestions.extract(message->statusReply.number)) {
-      node.mapped().mDone(message->statusReply);
-    }
-  }
-  if (message->__isset.relayedResult) {
-    if (auto node = mWrites.extract(message->relayedResult.number)) {
-      node.mapped().mDone(FromWire(message->relayedResult));
-    }
+  const std::int64_t number = message->__isset.statusReply     ? message->statusReply.number
+                              : message->__isset.relayedResult ? message->relayedResult.number
+                                                               : 0;
+  if (auto waiting = mCalls.extract(number)) {
+    waiting.mapped().mDone(&*message);
   }
 }
 
@@ -192,23 +207,9 @@
     if (mLink && now - mLastSent >= kKeepAlive) {
       keepAlive();
     }
-    while (!mQuestions.empty() && mQuestions.begin()->second.mUntil <= now) {
-      mQuestions.extract(mQuestions.begin()).mapped().mDone(std::nullopt);
-    }
-    failWrites(now);
+    failUntil(now);
     everyCheck();
   });
 }
 
-void
-CoordinatorLink::failAll()
-{
-  auto questions = std::move(mQuestions);
-  mQuestions.clear();
-  for (auto& [number, waiting] : questions) {
-    waiting.mDone(std::nullopt);
-  }
-  failWrites(Timestamp::max());
-}
-
 } // namespace Node
--- a/Source/Core/Node/CoordinatorLink.h
+++ b/Source/Core/Node/CoordinatorLink.h
@@ -39,14 +39,11 @@
   void write(const Store::Transaction& aTransaction, Duration aTimeout, Written aDone);
 
 private:
-  struct WaitingWrite
-  {
-    Written mDone;
-    Timestamp mUntil;
-  };
+  /// Takes the answer, nothing if none came in time.
+  using Answered = std::function<void(const Wire::Message*)>;
   struct Waiting
   {
-    std::function<void(std::optional<Wire::StatusReply>)> mDone;
+    Answered mDone;
     Timestamp mUntil;
   };
 
@@ -56,9 +53,10 @@
   void send(Wire::Message& aMessage);
   void everyCheck();
   void keepAlive();
-  void failAll();
-  /// Ends the writes that wait longer than until aNow without knowing whether they took effect.
-  void failWrites(Timestamp aNow);
+  /// Sends the message with this number and waits for the one that answers it.
+  void call(std::int64_t aNumber, Wire::Message& aMessage, Duration aTimeout, Answered aDone);
+  /// Ends the calls that wait until aNow or earlier without an answer.
+  void failUntil(Timestamp aNow);
 
   Context& mContext;
   std::string mAddress;
@@ -66,8 +64,7 @@
   bool mConnecting = false;
   bool mCandidate = true;
   std::int64_t mNext = 1;
-  std::map<std::int64_t, Waiting> mQuestions;
-  std::map<std::int64_t, WaitingWrite> mWrites;
+  std::map<std::int64_t, Waiting> mCalls;
   boost::asio::steady_timer mConnectTimer;
   boost::asio::steady_timer mCheckTimer;
   Timestamp mLastSent;
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -52,9 +52,15 @@
   if (mFlushArmedNow || (mFlushArmed && !now)) {
     return;
   }
+  flushAfter(now ? mContext.mTimes.mFlushNow : mContext.mTimes.mFlush, now);
+}
+
+void
+Coordinator::flushAfter(Duration aDelay, bool aNow)
+{
   mFlushArmed = true;
-  mFlushArmedNow = now;
-  mFlushTimer.expires_after(now ? mContext.mTimes.mFlushNow : mContext.mTimes.mFlush);
+  mFlushArmedNow = aNow;
+  mFlushTimer.expires_after(aDelay);
   mFlushTimer.async_wait([this, round = mRound](boost::system::error_code aError) {
     if (!aError && round == mRound) {
       mFlushArmed = false;
@@ -160,16 +166,7 @@
       mElection.doubt();
       return;
     }
-    mFlushArmed = true;
-    mFlushArmedNow = true;
-    mFlushTimer.expires_after(mContext.mTimes.mStoreRetry);
-    mFlushTimer.async_wait([this, round = mRound](boost::system::error_code aError) {
-      if (!aError && round == mRound) {
-        mFlushArmed = false;
-        mFlushArmedNow = false;
-        flush();
-      }
-    });
+    flushAfter(mContext.mTimes.mStoreRetry, true);
     return;
   }
   mRecordsVersion = *aResult;
--- a/Source/Core/Node/Tables.h
+++ b/Source/Core/Node/Tables.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,15 +15,6 @@
   Scheduling::QueueSpec mQueue;
   std::string mHost;
   std::string mPrefix;
-  Common::Duration mTimeout{ 0 };
-};
-
-struct PoolSpec
-{
-  Common::PoolId mName;
-  /// The workers themselves reject what does not fit.
-  bool mGuarded = true;
-  bool mStandby = false;
 };
 
 struct CallerLimits
@@ -40,7 +30,6 @@
 {
   Common::Revision mRevision;
   std::vector<QueueRoute> mRoutes;
-  std::map<Common::PoolId, PoolSpec> mPools;
   CallerLimits mLimits;
 };
 
