Name the run in the log lines of orders that were not carried out

- agent: "order not carried out" has kind, job, run and result in words
- coordinator: "start not carried out" and "repeated unresolved orders"
- "run lost with its worker", "run stands still" and "run is missing on its worker" name the run, as OPERATIONS.md said already, and a lost run the reason

No decision is changed. An order that was done while the agent stops was logged as "not carried out"; it is no longer.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -347,52 +347,55 @@
 void
 Agent::executeOrder(const Wire::Order& aOrder)
 {
-  const auto [known, isNew] = mOrderStates.try_emplace(aOrder.number);
+  const Scheduling::Order order = FromWire(aOrder);
+  const auto [known, isNew] = mOrderStates.try_emplace(order.mNumber);
   if (!isNew) {
     if (known->second) {
-      finishOrder(aOrder.number, *known->second);
+      finishOrder(order, *known->second);
     }
     return;
   }
   while (mOrderStates.size() > kMaxOrderResults && mOrderStates.begin()->second) {
     mOrderStates.erase(mOrderStates.begin());
   }
-  const Scheduling::Order order = FromWire(aOrder);
   const auto found = mWorkers.find(order.mLifetime);
   if (found == mWorkers.end() || mStopping) {
-    finishOrder(aOrder.number,
+    finishOrder(order,
                 mEndedLifetimes.contains(order.mLifetime) ? Scheduling::OrderResult::LifetimeEnded
                                                           : Scheduling::OrderResult::NotSent);
     return;
   }
   found->second.mDriver->executeOrder(
-    order,
-    aOrder.payload,
-    [this, number = aOrder.number, term = mTerm](Scheduling::OrderResult aResult) {
+    order, aOrder.payload, [this, order, term = mTerm](Scheduling::OrderResult aResult) {
       if (term == mTerm) {
-        finishOrder(number, aResult);
+        finishOrder(order, aResult);
       }
     });
 }
 
 void
-Agent::finishOrder(std::int64_t aNumber, Scheduling::OrderResult aResult)
+Agent::finishOrder(const Scheduling::Order& aOrder, Scheduling::OrderResult aResult)
 {
-  mOrderStates[aNumber] = aResult;
+  mOrderStates[aOrder.mNumber] = aResult;
   Wire::OrderResult result;
-  result.number = aNumber;
+  result.number = aOrder.mNumber;
   result.result = static_cast<std::int32_t>(aResult);
   mOrderResults.push_back(result);
   mContext.mCounters
     .counter("ibis_agent_orders", "result=\"" + std::to_string(static_cast<int>(aResult)) + '"')
     .add();
-  if (aResult != Scheduling::OrderResult::Done || mStopping) {
+  if (aResult != Scheduling::OrderResult::Done) {
     Log(Level::Info,
         "agent",
         "order not carried out",
-        { { "order", std::to_string(aNumber) },
-          { "result", std::to_string(static_cast<int>(aResult)) },
+        { { "order", std::to_string(aOrder.mNumber) },
+          { "kind", std::string(Scheduling::KindText(aOrder.mKind)) },
+          { "job", aOrder.mTask.mJob.str() },
+          { "run", Scheduling::DescribeRun(aOrder.mTask, aOrder.mRun, aOrder.mLifetime) },
+          { "result", std::string(Scheduling::ResultText(aResult)) },
           { "term", std::to_string(mTerm.value()) } });
+  }
+  if (aResult != Scheduling::OrderResult::Done || mStopping) {
     reportSoon();
   }
 }
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -51,7 +51,7 @@
   void handleDirective(const Wire::Directive& aDirective);
   void executeOrder(const Wire::Order& aOrder);
   void requestAdvice(const Wire::Question& aQuestion);
-  void finishOrder(std::int64_t aNumber, Scheduling::OrderResult aResult);
+  void finishOrder(const Scheduling::Order& aOrder, Scheduling::OrderResult aResult);
   /// Posts a report. Everything else that happens before it runs goes into the same report.
   void reportSoon();
   void report();
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -473,6 +473,13 @@
       orders.begin(), orders.end(), [](const Wire::Order& aLeft, const Wire::Order& aRight) {
         return aLeft.number < aRight.number;
       });
+    Log(Level::Info,
+        "coordinator",
+        "repeated unresolved orders",
+        { { "agent", aPeer.mAgent.str() },
+          { "orders", std::to_string(orders.size()) },
+          { "first", std::to_string(orders.front().number) },
+          { "last", std::to_string(orders.back().number) } });
     sendDirective(aPeer, std::move(orders));
   }
 }
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -92,6 +92,58 @@
   return "cancelled";
 }
 
+std::string_view
+KindText(OrderKind aKind)
+{
+  switch (aKind) {
+    case OrderKind::Start:
+      return "start";
+    case OrderKind::Stop:
+      return "stop";
+    case OrderKind::Throttle:
+      break;
+  }
+  return "throttle";
+}
+
+std::string_view
+ResultText(OrderResult aResult)
+{
+  switch (aResult) {
+    case OrderResult::Done:
+      return "done";
+    case OrderResult::NoCapacity:
+      return "no capacity";
+    case OrderResult::StaleRun:
+      return "stale run";
+    case OrderResult::LeaseExpired:
+      return "lease expired";
+    case OrderResult::Fenced:
+      return "fenced";
+    case OrderResult::Unhealthy:
+      return "unhealthy";
+    case OrderResult::Invalid:
+      return "invalid";
+    case OrderResult::LifetimeEnded:
+      return "lifetime ended";
+    case OrderResult::NotSent:
+      return "not sent";
+    case OrderResult::TicketRejected:
+      return "ticket rejected";
+    case OrderResult::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
+std::string
+DescribeRun(const TaskName& aTask, RunNumber aRun, const WorkerLifetime& aLifetime)
+{
+  return std::to_string(aTask.mOccurrence) + '.' + std::to_string(aTask.mStep) + ' ' +
+         std::to_string(aTask.mIndex) + ':' + std::to_string(aRun.value()) + '@' +
+         aLifetime.mWorker.str();
+}
+
 std::optional<std::string>
 ValidateJob(const JobSpec& aSpec)
 {
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -213,6 +213,9 @@
   Throttle = 3,
 };
 
+std::string_view
+KindText(OrderKind aKind);
+
 enum class OrderResult : std::uint8_t
 {
   Done = 1,
@@ -239,6 +242,13 @@
   TicketRejected = 11,
 };
 
+std::string_view
+ResultText(OrderResult aResult);
+
+/// Formats a run for the log as "OCCURRENCE.STEP INDEX:RUN@WORKER".
+std::string
+DescribeRun(const TaskName& aTask, RunNumber aRun, const WorkerLifetime& aLifetime);
+
 struct Order
 {
   std::int64_t mNumber = 0;
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -44,8 +44,10 @@
   const std::set<TaskRef> tasks = worker.mTasks;
   for (const TaskRef& ref : tasks) {
     ++aState.mCounts.mLostRuns;
-    aState.mLogEntries.push_back(
-      { "run lost with its worker", ref.mJob->mSpec.mJob, worker.mLifetime.mWorker.str() });
+    aState.mLogEntries.push_back({ "run lost with its worker",
+                                   ref.mJob->mSpec.mJob,
+                                   DescribeRun(NameOf(ref), TaskAt(ref).mRun, worker.mLifetime) +
+                                     ": " + std::string(aReason) });
     SetWaiting(aState, ref, aNow);
   }
 }
@@ -181,9 +183,7 @@
     aState.mLogEntries.push_back(
       { "run failed",
         job.mSpec.mJob,
-        std::to_string(aEnd.mTask.mOccurrence) + '.' + std::to_string(aEnd.mTask.mStep) + ' ' +
-          std::to_string(aEnd.mTask.mIndex) + ':' + std::to_string(aEnd.mRun.value()) + '@' +
-          aState.mWorkers[aWorker].mLifetime.mWorker.str() });
+        DescribeRun(aEnd.mTask, aEnd.mRun, aState.mWorkers[aWorker].mLifetime) });
   }
   const auto queue = aState.mQueues.find(job.mSpec.mQueue);
   const bool attemptsExhausted = failed && !step.mLongRunning && queue != aState.mQueues.end() &&
@@ -466,6 +466,12 @@
     }
     return;
   }
+  if (aResult != OrderResult::Done) {
+    aState.mLogEntries.push_back({ "start not carried out",
+                                   order.mTask.mJob,
+                                   DescribeRun(order.mTask, order.mRun, order.mLifetime) + ": " +
+                                     std::string(ResultText(aResult)) });
+  }
   switch (aResult) {
     case OrderResult::Done:
       if (task.mPhase == TaskPhase::Starting) {
@@ -556,7 +562,7 @@
       }
       aState.mLogEntries.push_back({ missing ? "run is missing on its worker" : "run stands still",
                                      ref.mJob->mSpec.mJob,
-                                     lifetime.mWorker.str() });
+                                     DescribeRun(NameOf(ref), task.mRun, lifetime) });
       task.mListedByWorker = task.mListedByWorker && !missing;
       task.mPhase = TaskPhase::Stopping;
       task.mStopOrdered = aNow.mMonotonic;
