Add a failing test for a task that is started twice after an agent's restart

The test kills an agent right after its worker began two tasks and starts it again 0.5 s later; the tasks are then started on the other worker too.

The agents of the test cluster know their worker's address from their settings now, as on the platform; without it a restarted agent waits for the worker's next heartbeat.

--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -180,6 +180,30 @@
   REQUIRE(first.mRunning.empty());
 }
 
+TEST_CASE("A task is not started twice after its agent was killed and restarted", "[Node]")
+{
+  // The agent's new process answered a repeated start order with "not sent", although its
+  // predecessor had started the run (docs/incidents/korouhev-grown-inc1.md).
+  TestCluster cluster;
+  cluster.mTiming.mReportInterval = 1000ms;
+  cluster.addEntry("e1");
+  FakeWorker& first = cluster.addWorker("w1");
+  first.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil([&] { return first.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(200ms);
+  Submit(cluster, "a");
+  REQUIRE(cluster.runUntil([&] { return first.mStarts == 2; }, 3s));
+  cluster.kill("agent-w1");
+  FakeWorker& second = cluster.addWorker("w2");
+  second.mTaskTime = 60s;
+  // The other worker is ready for the tasks when the agent comes back.
+  cluster.run(500ms);
+  cluster.startAgent(first);
+
+  REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 3s));
+  REQUIRE(first.mRunning.size() + second.mRunning.size() == 2);
+}
+
 TEST_CASE("A delayed write does not replace a newer record", "[Node]")
 {
   // An unanswered write took effect seconds after the next one and replaced its records, so the
--- a/Source/UnitTests/Node/TestCluster.h
+++ b/Source/UnitTests/Node/TestCluster.h
@@ -292,25 +292,49 @@
   {
     mWorkers.push_back(std::make_unique<FakeWorker>(aName));
     FakeWorker& worker = *mWorkers.back();
-    Process& process = addProcess("agent-" + aName);
+    const Process& process = startAgent(worker);
+    mClients.push_back(
+      std::make_unique<Net::HttpClient>(mIo, process.mSettings.mAnnouncementAddress));
+    mClients.back()->call({ "POST", "/beat", aName, {} }, 1s, [](const Net::CallResult&) {});
+    return worker;
+  }
+
+  /// Starts an agent process beside the worker, which has not announced itself to it yet.
+  Process& startAgent(FakeWorker& aWorker)
+  {
+    Process& process = addProcess("agent-" + aWorker.mName);
     process.mSettings.mRunsAgent = true;
     process.mSettings.mAnnouncementAddress = TestSupport::FreeAddress(mIo);
+    process.mSettings.mWorkerAddress = aWorker.mName;
     process.mAgent = std::make_unique<Agent>(
       *process.mContext,
-      [this, &worker](const std::string&, const Common::WorkerId&) {
-        return std::make_unique<FakeWorkerPort>(mIo, worker);
+      [this, &aWorker](const std::string&, const Common::WorkerId&) {
+        return std::make_unique<FakeWorkerPort>(mIo, aWorker);
       },
       nullptr);
     REQUIRE(process.mAgent->start());
-    mClients.push_back(
-      std::make_unique<Net::HttpClient>(mIo, process.mSettings.mAnnouncementAddress));
-    mClients.back()->call({ "POST", "/beat", aName, {} }, 1s, [](const Net::CallResult&) {});
-    return worker;
+    return process;
   }
 
   /// Destroys a process without stopping it, as after a power failure.
   void kill(const std::string& aName) { mProcesses.erase(aName); }
 
+  /// Tasks of which more than one run is on a worker now.
+  std::set<Scheduling::TaskName> tasksRunningTwice()
+  {
+    std::set<Scheduling::TaskName> running;
+    std::set<Scheduling::TaskName> twice;
+    for (const auto& worker : mWorkers) {
+      worker->endDueRuns();
+      for (const FakeWorker::Run& run : worker->mRunning) {
+        if (!running.insert(run.mTask).second) {
+          twice.insert(run.mTask);
+        }
+      }
+    }
+    return twice;
+  }
+
   void run(std::chrono::milliseconds aTime)
   {
     mIo.restart();
