Do not take a restarted agent's answer for what its predecessor did

Cause: an agent reports the results of starts with its next periodic report, so a kill loses those of the last 400 ms. The coordinator repeats unresolved orders over the new connection. The new process has neither polled its worker nor a lease, and answered "not sent" for the start that its predecessor had carried out; the coordinator took that as proof that the run does not exist and started the task elsewhere 3.5 ms later. The class: a process without the memory of its predecessor gives a definitive negative answer about it. WorkerDriver had the rule already for its own repeated attempts.

Ruled out by the logs: a worker or lease taken for ended (no "run lost with its worker"), another coordinator (term 1 throughout).

Change: repeated orders are marked. The result of a repeated start counts only if it says that the run began or that the lifetime ended; after any other the run is stopped before the task starts again. So that no work is lost, the agent keeps a repeated start until the worker's first lists, which show the run, or until it has a lease to send it with. A stop of the run, the end of the lifetime or of the term ends the wait.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -48,11 +48,12 @@
 
 Agent::~Agent()
 {
-  for (auto& [lifetime, worker] : mWorkers) {
-    worker.mDriver->close();
-  }
   if (mLink) {
     mLink->close();
+    mLink.reset();
+  }
+  for (auto& [lifetime, worker] : mWorkers) {
+    worker.mDriver->close();
   }
 }
 
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -460,28 +460,20 @@
 Coordinator::resendOrders(Peer& aPeer)
 {
   std::vector<Wire::Order> orders;
-  for (const auto& [number, order] : mState.mOutstandingOrders) {
-    const auto worker = mState.mWorkerIndex.find(order.mLifetime);
-    if (worker == mState.mWorkerIndex.end() ||
-        mState.mWorkers[worker->second].mAgent != aPeer.mAgent) {
-      continue;
-    }
+  for (const Scheduling::Order& order : Scheduling::RepeatOrders(mState, aPeer.mAgent)) {
     orders.push_back(toWireOrder(order));
   }
-  if (!orders.empty()) {
-    std::sort(
-      orders.begin(), orders.end(), [](const Wire::Order& aLeft, const Wire::Order& aRight) {
-        return aLeft.number < aRight.number;
-      });
-    Log(Level::Info,
-        "coordinator",
-        "repeated unresolved orders",
-        { { "agent", aPeer.mAgent.str() },
-          { "orders", std::to_string(orders.size()) },
-          { "first", std::to_string(orders.front().number) },
-          { "last", std::to_string(orders.back().number) } });
-    sendDirective(aPeer, std::move(orders));
+  if (orders.empty()) {
+    return;
   }
+  Log(Level::Info,
+      "coordinator",
+      "repeated unresolved orders",
+      { { "agent", aPeer.mAgent.str() },
+        { "orders", std::to_string(orders.size()) },
+        { "first", std::to_string(orders.front().number) },
+        { "last", std::to_string(orders.back().number) } });
+  sendDirective(aPeer, std::move(orders));
 }
 
 void
--- a/Source/Core/Node/WireConversion.cpp
+++ b/Source/Core/Node/WireConversion.cpp
@@ -308,6 +308,7 @@
   order.payload = aPayload;
   order.checkpoint = aOrder.mCheckpoint;
   order.ticket = aOrder.mTicket;
+  order.repeated = aOrder.mRepeated;
   order.percent = static_cast<std::int32_t>(aOrder.mPercent.value());
   return order;
 }
@@ -323,6 +324,7 @@
   order.mRun = Scheduling::RunNumber{ aOrder.run };
   order.mCheckpoint = aOrder.checkpoint;
   order.mTicket = aOrder.ticket;
+  order.mRepeated = aOrder.repeated;
   order.mPercent = Scheduling::Percent{ aOrder.percent };
   return order;
 }
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -1,11 +1,15 @@
 #include "Node/WorkerDriver.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "Observability/Log.h"
 
 namespace Node {
 
 namespace {
 
+using Scheduling::OrderKind;
 using Scheduling::OrderResult;
 
 /// No task is started if the lease ends sooner than this.
@@ -26,6 +30,17 @@
 /// A poll has failed if it takes this much longer than the time that the worker was asked to wait.
 constexpr std::chrono::milliseconds kPollTimeoutMargin{ 700 };
 
+/// True if the worker lists the run that the order starts, as running or as ended.
+bool
+ListsRun(const Scheduling::WorkerView& aView, const Scheduling::Order& aOrder)
+{
+  const auto isRun = [&aOrder](const auto& aListed) {
+    return aListed.mTask == aOrder.mTask && aListed.mRun == aOrder.mRun;
+  };
+  return std::any_of(aView.mRunning.begin(), aView.mRunning.end(), isRun) ||
+         std::any_of(aView.mEnded.begin(), aView.mEnded.end(), isRun);
+}
+
 } // namespace
 
 WorkerDriver::WorkerDriver(Context& aContext,
@@ -66,6 +81,7 @@
 {
   mClosed = true;
   mTimer.cancel();
+  abandonRepeatedStarts([](const auto&) { return true; });
 }
 
 void
@@ -91,6 +107,7 @@
   mTerm = aTerm;
   mView.mHasTaskList = false;
   mAcknowledged = Scheduling::EndNumber{ 0 };
+  abandonRepeatedStarts([](const auto&) { return true; });
   if (!mPolling) {
     mTimer.cancel();
     poll();
@@ -102,6 +119,7 @@
 {
   if (mView.mResponding && aReportTime >= mRespondingSince) {
     mLeaseEnd = std::max(mLeaseEnd, aLeaseEnd);
+    resolveRepeatedStarts();
   }
 }
 
@@ -208,6 +226,7 @@
   ++mView.mTaskListNumber;
   mView.mRunning = std::move(aResult.mRunning);
   mView.mEnded = std::move(aResult.mEnded);
+  resolveRepeatedStarts();
   if (hasNews) {
     mCallbacks.mOnViewChanged();
   }
@@ -268,14 +287,63 @@
   pending->mPayload = aPayload;
   pending->mDone = std::move(aDone);
   pending->mTerm = mTerm;
+  if (aOrder.mKind == OrderKind::Start && aOrder.mRepeated && !mClosed) {
+    mRepeatedStarts.push_back(pending);
+    resolveRepeatedStarts();
+    return;
+  }
+  if (aOrder.mKind == OrderKind::Stop) {
+    abandonRepeatedStarts([&aOrder](const Scheduling::Order& aStart) {
+      return aStart.mTask == aOrder.mTask && aStart.mRun == aOrder.mRun;
+    });
+  }
   send(pending);
 }
 
+void
+WorkerDriver::abandonRepeatedStarts(const std::function<bool(const Scheduling::Order&)>& aCondition)
+{
+  const auto starts = std::exchange(mRepeatedStarts, {});
+  for (const auto& pending : starts) {
+    if (aCondition(pending->mOrder)) {
+      pending->mDone(OrderResult::Unknown);
+    } else {
+      mRepeatedStarts.push_back(pending);
+    }
+  }
+}
+
+void
+WorkerDriver::resolveRepeatedStarts()
+{
+  if (!mView.mHasTaskList) {
+    return;
+  }
+  const auto starts = std::exchange(mRepeatedStarts, {});
+  for (const auto& pending : starts) {
+    if (ListsRun(mView, pending->mOrder)) {
+      pending->mDone(OrderResult::Done);
+    } else if (canStart() || mView.mLeaving) {
+      send(pending);
+    } else {
+      mRepeatedStarts.push_back(pending);
+    }
+  }
+}
+
+bool
+WorkerDriver::canStart() const
+{
+  // No task may start on a worker once the heartbeat that says it is leaving was acknowledged.
+  return leaseEndOnWorkerClock() && mLeaseEnd - mContext.now() >= kMinLeaseForStart &&
+         !mView.mLeaving;
+}
+
 void
 WorkerDriver::send(const std::shared_ptr<PendingOrder>& aPending)
 {
   if (mClosed || aPending->mTerm != mTerm) {
-    aPending->mDone(aPending->mFinishedAttempts == 0 ? OrderResult::NotSent : OrderResult::Unknown);
+    aPending->mDone(aPending->hasEarlierAttempts() ? OrderResult::Unknown : OrderResult::NotSent);
     return;
   }
   const Scheduling::Order& order = aPending->mOrder;
@@ -284,24 +352,25 @@
     self->handleOrderAnswer(aPending, aAnswer);
   };
   const Duration timeout = mContext.mTiming.mOrderCallTimeout;
-  if (order.mKind == Scheduling::OrderKind::Start) {
-    const auto leaseEnd = leaseEndOnWorkerClock();
-    // No task may start on a worker once the heartbeat that says it is leaving was acknowledged.
-    if (!leaseEnd || mLeaseEnd - mContext.now() < kMinLeaseForStart || mView.mLeaving) {
-      aPending->mDone(aPending->mFinishedAttempts == 0 ? OrderResult::NotSent
-                                                       : OrderResult::Unknown);
+  if (order.mKind == OrderKind::Start) {
+    if (!canStart()) {
+      aPending->mDone(aPending->hasEarlierAttempts() ? OrderResult::Unknown : OrderResult::NotSent);
       return;
     }
     ++mOrdersInFlight;
-    mPort->start(
-      mTerm,
-      { order.mTask, order.mRun, aPending->mPayload, order.mCheckpoint, order.mTicket, *leaseEnd },
-      timeout,
-      done);
+    mPort->start(mTerm,
+                 { order.mTask,
+                   order.mRun,
+                   aPending->mPayload,
+                   order.mCheckpoint,
+                   order.mTicket,
+                   *leaseEndOnWorkerClock() },
+                 timeout,
+                 done);
     return;
   }
   ++mOrdersInFlight;
-  if (order.mKind == Scheduling::OrderKind::Stop) {
+  if (order.mKind == OrderKind::Stop) {
     mPort->stop(mTerm, order.mTask, order.mRun, timeout, done);
   } else {
     mPort->throttle(mTerm, order.mTask, order.mRun, order.mPercent, timeout, done);
@@ -315,22 +384,16 @@
   if (!mClosed) {
     recordWorkerTime(aAnswer.mWorkerTime);
   }
+  const bool hadEarlierAttempts = aPending->hasEarlierAttempts();
   ++aPending->mFinishedAttempts;
   if (aAnswer.mResult == OrderResult::Unknown && aPending->mFinishedAttempts < kMaxOrderAttempts &&
       !mClosed) {
     send(aPending);
     return;
   }
-  const bool isRepeatedStart =
-    aPending->mFinishedAttempts > 1 && aPending->mOrder.mKind == Scheduling::OrderKind::Start;
-  if (isRepeatedStart && aAnswer.mResult == OrderResult::StaleRun) {
-    // An earlier attempt started the run, which has already ended; the worker's lists say how.
-    aPending->mDone(OrderResult::Done);
-    return;
-  }
-  // The worker may still execute an earlier attempt whose answer was lost.
-  const bool mayStillStart = isRepeatedStart && aAnswer.mResult != OrderResult::Done;
-  aPending->mDone(mayStillStart ? OrderResult::Unknown : aAnswer.mResult);
+  const bool isRepeatedStart = hadEarlierAttempts && aPending->mOrder.mKind == OrderKind::Start;
+  aPending->mDone(isRepeatedStart ? Scheduling::ResultOfRepeatedStart(aAnswer.mResult)
+                                  : aAnswer.mResult);
 }
 
 } // namespace Node
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -46,8 +47,9 @@
   /// The coordinator has recorded the ended runs up to and including aUpTo; the next poll
   /// acknowledges them to the worker.
   void acknowledgeEnds(Scheduling::EndNumber aUpTo);
-  /// Sends an order, again if its answer was lost. aDone is called once, with Unknown if none of
-  /// the attempts was answered.
+  /// Sends an order, again if its answer was lost. A repeated start waits until the worker has sent
+  /// its lists and has a lease. aDone is called once, with Unknown if none of the attempts was
+  /// answered.
   void executeOrder(const Scheduling::Order& aOrder,
                     const std::string& aPayload,
                     std::function<void(Scheduling::OrderResult)> aDone);
@@ -68,6 +70,9 @@
     /// Term in which the order was given; it is not sent in a later one.
     Common::Epoch mTerm;
     int mFinishedAttempts = 0;
+
+    /// An earlier attempt may have been carried out, or may still be.
+    bool hasEarlierAttempts() const { return mFinishedAttempts > 0 || mOrder.mRepeated; }
   };
 
   void poll();
@@ -82,6 +87,12 @@
   /// worker's clock is known.
   std::optional<WorkerTime> leaseEndOnWorkerClock() const;
   void recordWorkerTime(const std::optional<WorkerTime>& aWorkerTime);
+  /// Completes the repeated starts whose runs the worker lists, and sends the others if the lease
+  /// allows starts.
+  void resolveRepeatedStarts();
+  /// Completes those for which aCondition holds with Unknown.
+  void abandonRepeatedStarts(const std::function<bool(const Scheduling::Order&)>& aCondition);
+  bool canStart() const;
   void send(const std::shared_ptr<PendingOrder>& aPending);
   void handleOrderAnswer(const std::shared_ptr<PendingOrder>& aPending, const OrderAnswer& aAnswer);
 
@@ -106,6 +117,8 @@
   /// Polls with a refused connection since the last successful poll.
   int mRefusedPolls = 0;
   std::size_t mOrdersInFlight = 0;
+  /// Repeated starts that are neither sent nor found in the worker's lists.
+  std::vector<std::shared_ptr<PendingOrder>> mRepeatedStarts;
   bool mClosed = false;
   bool mPolling = false;
 };
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -136,6 +136,21 @@
   return "unknown";
 }
 
+OrderResult
+ResultOfRepeatedStart(OrderResult aResult)
+{
+  switch (aResult) {
+    case OrderResult::Done:
+    // The run was started and has ended, or was stopped; the worker's lists say how.
+    case OrderResult::StaleRun:
+      return OrderResult::Done;
+    case OrderResult::LifetimeEnded:
+      return OrderResult::LifetimeEnded;
+    default:
+      return OrderResult::Unknown;
+  }
+}
+
 std::string
 DescribeRun(const TaskName& aTask, RunNumber aRun, const WorkerLifetime& aLifetime)
 {
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -245,6 +245,11 @@
 std::string_view
 ResultText(OrderResult aResult);
 
+/// What the result of the last attempt to start a run says about the run if an earlier attempt may
+/// have been carried out, or may still be. Only Done, Unknown or LifetimeEnded.
+OrderResult
+ResultOfRepeatedStart(OrderResult aResult);
+
 /// Formats a run for the log as "OCCURRENCE.STEP INDEX:RUN@WORKER".
 std::string
 DescribeRun(const TaskName& aTask, RunNumber aRun, const WorkerLifetime& aLifetime);
@@ -259,6 +264,9 @@
   std::string mCheckpoint;
   Percent mPercent;
   std::string mTicket;
+  /// The order was sent to the agent before, perhaps to an earlier process of it, and the result is
+  /// not known.
+  bool mRepeated = false;
 };
 
 /// Request to the advice service: which of these workers may run the step. An agent sends it.
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -424,6 +424,23 @@
   }
 }
 
+std::vector<Order>
+RepeatOrders(SchedulerState& aState, const Common::InstanceId& aAgent)
+{
+  std::vector<Order> orders;
+  for (auto& [number, order] : aState.mOutstandingOrders) {
+    const auto worker = aState.mWorkerIndex.find(order.mLifetime);
+    if (worker != aState.mWorkerIndex.end() && aState.mWorkers[worker->second].mAgent == aAgent) {
+      order.mRepeated = true;
+      orders.push_back(order);
+    }
+  }
+  std::sort(orders.begin(), orders.end(), [](const Order& aLeft, const Order& aRight) {
+    return aLeft.mNumber < aRight.mNumber;
+  });
+  return orders;
+}
+
 void
 ApplyOrderResult(SchedulerState& aState,
                  std::int64_t aOrder,
@@ -470,9 +487,11 @@
     aState.mLogEntries.push_back({ "start not carried out",
                                    order.mTask.mJob,
                                    DescribeRun(order.mTask, order.mRun, order.mLifetime) + ": " +
-                                     std::string(ResultText(aResult)) });
+                                     std::string(ResultText(aResult)) +
+                                     (order.mRepeated ? ", repeated" : "") });
   }
-  switch (aResult) {
+  // The agent's present process may not know what an earlier one did with the order.
+  switch (order.mRepeated ? ResultOfRepeatedStart(aResult) : aResult) {
     case OrderResult::Done:
       if (task.mPhase == TaskPhase::Starting) {
         task.mPhase = TaskPhase::Running;
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "Scheduling/State.h"
 
@@ -75,6 +76,11 @@
 void
 MarkAgentDisconnected(SchedulerState& aState, const Common::InstanceId& aAgent);
 
+/// Orders without a result to the workers of the agent, in the order of their numbers, to be sent
+/// over its new connection.
+std::vector<Order>
+RepeatOrders(SchedulerState& aState, const Common::InstanceId& aAgent);
+
 /// Applies the result of an order; a second result of an order is ignored.
 void
 ApplyOrderResult(SchedulerState& aState,
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -4641,6 +4641,10 @@
 void Order::__set_ticket(const std::string& val) {
   this->ticket = val;
 }
+
+void Order::__set_repeated(const bool val) {
+  this->repeated = val;
+}
 std::ostream& operator<<(std::ostream& out, const Order& obj)
 {
   obj.printTo(out);
@@ -4749,6 +4753,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeated);
+          this->__isset.repeated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4806,6 +4818,10 @@
   xfer += oprot->writeString(this->ticket);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("repeated", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->repeated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4823,6 +4839,7 @@
   swap(a.checkpoint, b.checkpoint);
   swap(a.percent, b.percent);
   swap(a.ticket, b.ticket);
+  swap(a.repeated, b.repeated);
   swap(a.__isset, b.__isset);
 }
 
@@ -4837,6 +4854,7 @@
   checkpoint = other196.checkpoint;
   percent = other196.percent;
   ticket = other196.ticket;
+  repeated = other196.repeated;
   __isset = other196.__isset;
 }
 Order::Order(Order&& other197) noexcept {
@@ -4850,6 +4868,7 @@
   checkpoint = std::move(other197.checkpoint);
   percent = other197.percent;
   ticket = std::move(other197.ticket);
+  repeated = other197.repeated;
   __isset = other197.__isset;
 }
 Order& Order::operator=(const Order& other198) {
@@ -4863,6 +4882,7 @@
   checkpoint = other198.checkpoint;
   percent = other198.percent;
   ticket = other198.ticket;
+  repeated = other198.repeated;
   __isset = other198.__isset;
   return *this;
 }
@@ -4877,6 +4897,7 @@
   checkpoint = std::move(other199.checkpoint);
   percent = other199.percent;
   ticket = std::move(other199.ticket);
+  repeated = other199.repeated;
   __isset = other199.__isset;
   return *this;
 }
@@ -4893,6 +4914,7 @@
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "percent=" << to_string(percent);
   out << ", " << "ticket=" << to_string(ticket);
+  out << ", " << "repeated=" << to_string(repeated);
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -1691,7 +1691,7 @@
 std::ostream& operator<<(std::ostream& out, const Report& obj);
 
 typedef struct _Order__isset {
-  _Order__isset() : number(false), kind(false), worker(false), born(false), task(false), run(false), payload(false), checkpoint(false), percent(false), ticket(false) {}
+  _Order__isset() : number(false), kind(false), worker(false), born(false), task(false), run(false), payload(false), checkpoint(false), percent(false), ticket(false), repeated(false) {}
   bool number :1;
   bool kind :1;
   bool worker :1;
@@ -1702,6 +1702,7 @@
   bool checkpoint :1;
   bool percent :1;
   bool ticket :1;
+  bool repeated :1;
 } _Order__isset;
 
 class Order : public virtual ::apache::thrift::TBase {
@@ -1720,7 +1721,8 @@
           payload(),
           checkpoint(),
           percent(0),
-          ticket() {
+          ticket(),
+          repeated(0) {
   }
 
   virtual ~Order() noexcept;
@@ -1734,6 +1736,7 @@
   std::string checkpoint;
   int32_t percent;
   std::string ticket;
+  bool repeated;
 
   _Order__isset __isset;
 
@@ -1757,6 +1760,8 @@
 
   void __set_ticket(const std::string& val);
 
+  void __set_repeated(const bool val);
+
   bool operator == (const Order & rhs) const
   {
     if (!(number == rhs.number))
@@ -1779,6 +1784,8 @@
       return false;
     if (!(ticket == rhs.ticket))
       return false;
+    if (!(repeated == rhs.repeated))
+      return false;
     return true;
   }
   bool operator != (const Order &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -214,6 +214,8 @@
   8: string checkpoint,
   9: i32 percent,
   10: string ticket,
+  // Sent before without a result, perhaps to an earlier process of the agent.
+  11: bool repeated,
 }
 
 struct WorkerAck {
--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -201,7 +201,9 @@
   cluster.startAgent(first);
 
   REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 3s));
-  REQUIRE(first.mRunning.size() + second.mRunning.size() == 2);
+  // The runs were neither lost nor stopped.
+  REQUIRE(first.mRunning.size() == 2);
+  REQUIRE(first.mEnded.empty());
 }
 
 TEST_CASE("A delayed write does not replace a newer record", "[Node]")
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -101,6 +101,76 @@
   }
 }
 
+TEST_CASE("A task whose start was repeated is not started elsewhere while its run may exist",
+          "[Scheduling]")
+{
+  // The agent's new process answers for itself; the process before it may have started the run.
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addWorker("w2", 500);
+  fixture.addJob("a", { MakeStep().build() });
+  const auto starts = fixture.place();
+  REQUIRE(starts.size() == 1);
+  fixture.addWorker("w3");
+  const auto repeated = RepeatOrders(fixture.mState, Common::InstanceId("agent-w1"));
+  REQUIRE(repeated.size() == 1);
+  REQUIRE(repeated[0].mNumber == starts[0].mNumber);
+  REQUIRE(repeated[0].mRepeated);
+  REQUIRE(RepeatOrders(fixture.mState, Common::InstanceId("agent-w2")).empty());
+  const auto answer = [&](OrderResult aResult) {
+    ApplyOrderResult(fixture.mState, starts[0].mNumber, aResult, fixture.now());
+  };
+
+  SECTION("a negative result stops the run first")
+  {
+    answer(GENERATE(OrderResult::NotSent,
+                    OrderResult::NoCapacity,
+                    OrderResult::LeaseExpired,
+                    OrderResult::Fenced,
+                    OrderResult::Unhealthy,
+                    OrderResult::Invalid,
+                    OrderResult::TicketRejected,
+                    OrderResult::Unknown));
+    const auto orders = fixture.takeOrders();
+    REQUIRE(orders.size() == 1);
+    REQUIRE(orders[0].mKind == OrderKind::Stop);
+    REQUIRE(orders[0].mRun == starts[0].mRun);
+    REQUIRE(fixture.place().empty());
+
+    SECTION("and the task starts again once the worker lists its end")
+    {
+      auto view = fixture.view("w1");
+      view.mEnded = { Fixture::ended(starts[0], 1, EndKind::Stopped) };
+      fixture.report(view);
+      REQUIRE(fixture.place().size() == 1);
+    }
+
+    SECTION("and an end that the worker lists meanwhile counts")
+    {
+      auto view = fixture.view("w1");
+      view.mEnded = { Fixture::ended(starts[0], 1, EndKind::Done) };
+      fixture.report(view);
+      REQUIRE(fixture.mState.mJobs.at(JobId("a"))->mState == JobState::Completed);
+    }
+  }
+
+  SECTION("a run that was started and has ended counts as started")
+  {
+    answer(OrderResult::StaleRun);
+    REQUIRE(fixture.place().empty());
+    auto view = fixture.view("w1");
+    view.mEnded = { Fixture::ended(starts[0], 1, EndKind::Done) };
+    fixture.report(view);
+    REQUIRE(fixture.mState.mJobs.at(JobId("a"))->mState == JobState::Completed);
+  }
+
+  SECTION("the end of the worker's lifetime ends the run")
+  {
+    answer(OrderResult::LifetimeEnded);
+    REQUIRE(fixture.place().size() == 1);
+  }
+}
+
 TEST_CASE("Reports about a silent worker do not extend its lease", "[Scheduling]")
 {
   // An agent does not extend the lease of a worker that does not answer, so reports about it must
