Repeat only starts that are still awaited to a reconnected agent

Callers could see a task run twice (its lease had ended, it was started on another worker, and the old start was then delivered after all), or the start of a task whose job was cancelled. The stop of the run was repeated beside it, over another connection to the worker, so that either could come first.

Change: a start is repeated only while its task waits for just this run; other starts without a result are dropped.

Measured: the three sections of the new test failed before (the start was repeated in each) and pass now.

--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -362,6 +362,18 @@
   aState.mWorkers[number].mHasNewUsage = true;
 }
 
+/// True if the run that the order starts is still wanted and neither confirmed nor being stopped.
+bool
+AwaitsStart(SchedulerState& aState, const Order& aOrder, WorkerNumber aWorker)
+{
+  const auto ref = FindTask(aState, aOrder.mTask);
+  if (!ref) {
+    return false;
+  }
+  const Task& task = TaskAt(*ref);
+  return task.mPhase == TaskPhase::Starting && task.mWorker == aWorker && task.mRun == aOrder.mRun;
+}
+
 } // namespace
 
 WorkerView
@@ -428,11 +440,17 @@
 RepeatOrders(SchedulerState& aState, const Common::InstanceId& aAgent)
 {
   std::vector<Order> orders;
-  for (auto& [number, order] : aState.mOutstandingOrders) {
+  for (auto entry = aState.mOutstandingOrders.begin(); entry != aState.mOutstandingOrders.end();) {
+    Order& order = entry->second;
     const auto worker = aState.mWorkerIndex.find(order.mLifetime);
-    if (worker != aState.mWorkerIndex.end() && aState.mWorkers[worker->second].mAgent == aAgent) {
+    if (worker == aState.mWorkerIndex.end() || aState.mWorkers[worker->second].mAgent != aAgent) {
+      ++entry;
+    } else if (order.mKind == OrderKind::Start && !AwaitsStart(aState, order, worker->second)) {
+      entry = aState.mOutstandingOrders.erase(entry);
+    } else {
       order.mRepeated = true;
       orders.push_back(order);
+      ++entry;
     }
   }
   std::sort(orders.begin(), orders.end(), [](const Order& aLeft, const Order& aRight) {
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -77,7 +77,7 @@
 MarkAgentDisconnected(SchedulerState& aState, const Common::InstanceId& aAgent);
 
 /// Orders without a result to the workers of the agent, in the order of their numbers, to be sent
-/// over its new connection.
+/// over its new connection. Starts that are not awaited any more are dropped.
 std::vector<Order>
 RepeatOrders(SchedulerState& aState, const Common::InstanceId& aAgent);
 
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -171,6 +171,50 @@
   }
 }
 
+TEST_CASE("A start of a run that was given up is not repeated to a reconnected agent",
+          "[Scheduling]")
+{
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addJob("a", { MakeStep().build() });
+  const auto starts = fixture.place();
+  REQUIRE(starts.size() == 1);
+  fixture.addWorker("w2");
+  MarkAgentDisconnected(fixture.mState, Common::InstanceId("agent-w1"));
+  const auto repeatedStarts = [&] {
+    auto orders = RepeatOrders(fixture.mState, Common::InstanceId("agent-w1"));
+    std::erase_if(orders, [](const Order& aOrder) { return aOrder.mKind != OrderKind::Start; });
+    return orders;
+  };
+
+  SECTION("after its lease ended and the task started elsewhere")
+  {
+    fixture.advance(milliseconds(5100));
+    fixture.report(fixture.view("w2"));
+    CheckTimeouts(fixture.mState, fixture.now());
+    const auto again = fixture.place();
+    REQUIRE(again.size() == 1);
+    REQUIRE(again[0].mLifetime.mWorker.str() == "w2");
+    REQUIRE(repeatedStarts().empty());
+  }
+
+  SECTION("after it was not confirmed in time and was stopped")
+  {
+    fixture.advance(milliseconds(4100));
+    CheckTimeouts(fixture.mState, fixture.now());
+    REQUIRE(repeatedStarts().empty());
+    const auto orders = RepeatOrders(fixture.mState, Common::InstanceId("agent-w1"));
+    REQUIRE(orders.size() == 1);
+    REQUIRE(orders[0].mKind == OrderKind::Stop);
+  }
+
+  SECTION("after the job was cancelled")
+  {
+    CancelJob(fixture.mState, *fixture.mState.mJobs.at(JobId("a")), fixture.now());
+    REQUIRE(repeatedStarts().empty());
+  }
+}
+
 TEST_CASE("Reports about a silent worker do not extend its lease", "[Scheduling]")
 {
   // An agent does not extend the lease of a worker that does not answer, so reports about it must
