--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -7,12 +8,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "FakeWorker.h"
 #include "Store/AsyncStore.h"
 
 namespace NodeTests {
 
-using Common::Duration;
-
 /// An in-memory store with selectable faults. Its callbacks run on the event loop.
 class FakeStore final : public Store::AsyncStore
 {
@@ -48,6 +48,11 @@
   }
 
   bool contains(const std::string& aKey) const { return mEntries.contains(aKey); }
+  std::optional<std::string> value(const std::string& aKey) const
+  {
+    const auto found = mEntries.find(aKey);
+    return found == mEntries.end() ? std::nullopt : std::make_optional(found->second.mValue);
+  }
   void put(const std::string& aKey, const std::string& aValue)
   {
     (void)apply({ {}, { { aKey, aValue, std::nullopt } }, {} });
@@ -210,6 +215,11 @@
   tl::expected<Store::Version, Store::WriteFailure> apply(const Store::Transaction& aTransaction)
   {
     expireLeases();
+    for (const auto& put : aTransaction.mPuts) {
+      if (put.mLease && !mLeaseEnds.contains(*put.mLease)) {
+        return tl::unexpected(Store::WriteFailure{ Store::StoreError::LeaseLapsed, {} });
+      }
+    }
     std::vector<Store::Entry> actual;
     bool conflict = false;
     for (const auto& expected : aTransaction.mExpected) {
@@ -227,6 +237,7 @@
     mVersion += Store::Version{ 1 };
     for (const auto& put : aTransaction.mPuts) {
       mEntries[put.mKey] = { put.mKey, put.mValue, mVersion };
+      mLeaseOfKey.erase(put.mKey);
       if (put.mLease) {
         mLeaseOfKey[put.mKey] = *put.mLease;
       }
@@ -272,13 +283,19 @@
     }
     Store::WatchResult result;
     result.mUpTo = mVersion;
-    for (const Change& change : mChanges) {
-      if (change.mVersion > aAfter && change.mKey.starts_with(aPrefix)) {
-        if (change.mEntry) {
-          result.mChanged.push_back(*change.mEntry);
-        } else {
-          result.mErased.push_back(change.mKey);
-        }
+    // Versions rise in the list.
+    auto change =
+      std::partition_point(mChanges.begin(), mChanges.end(), [aAfter](const Change& aChange) {
+        return aChange.mVersion <= aAfter;
+      });
+    for (; change != mChanges.end(); ++change) {
+      if (!change->mKey.starts_with(aPrefix)) {
+        continue;
+      }
+      if (change->mEntry) {
+        result.mChanged.push_back(*change->mEntry);
+      } else {
+        result.mErased.push_back(change->mKey);
       }
     }
     const bool hasChanges = !result.mChanged.empty() || !result.mErased.empty();
@@ -310,13 +327,14 @@
   std::int64_t mLastLease = 0;
 };
 
-/// One process's access to a shared store, which can be made to reject this process only.
+/// One process's access to a shared store, which can be made to reject this process only. Answers
+/// are delivered on the loop of the process.
 class StoreProxy final : public Store::AsyncStore
 {
 public:
-  StoreProxy(boost::asio::io_context& aIo, Store::AsyncStore& aStore)
-    : mIo(aIo)
-    , mStore(aStore)
+  StoreProxy(Store::AsyncStore& aStore, ProcessLoop& aProcess)
+    : mStore(aStore)
+    , mProcess(aProcess)
   {
   }
 
@@ -327,14 +345,14 @@
             Duration aTimeout,
             std::function<void(Store::Result<std::optional<Store::Entry>>)> aDone) override
   {
-    mRejecting ? reject(aDone) : mStore.read(aKey, aTimeout, std::move(aDone));
+    mRejecting ? reject(aDone) : mStore.read(aKey, aTimeout, onProcess(aDone));
   }
   void readPage(const std::string& aPrefix,
                 const std::string& aAfter,
                 Duration aTimeout,
                 Store::Done<Store::Page> aDone) override
   {
-    mRejecting ? reject(aDone) : mStore.readPage(aPrefix, aAfter, aTimeout, std::move(aDone));
+    mRejecting ? reject(aDone) : mStore.readPage(aPrefix, aAfter, aTimeout, onProcess(aDone));
   }
   void watch(
     const std::string& aPrefix,
@@ -343,14 +361,14 @@
     std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)> aDone) override
   {
     if (mRejecting) {
-      boost::asio::post(mIo, [aDone] { aDone(tl::unexpected(Store::WatchError::NoAnswer)); });
+      onProcess(aDone)(tl::unexpected(Store::WatchError::NoAnswer));
       return;
     }
     // A pending watch ends without an answer when the store begins to reject the process.
-    mStore.watch(aPrefix, aAfter, aWait, [this, aDone](auto aResult) {
-      aDone(mRejecting ? tl::expected<Store::WatchResult, Store::WatchError>(
-                           tl::unexpected(Store::WatchError::NoAnswer))
-                       : std::move(aResult));
+    mStore.watch(aPrefix, aAfter, aWait, [this, done = onProcess(aDone)](auto aResult) {
+      done(mRejecting ? tl::expected<Store::WatchResult, Store::WatchError>(
+                          tl::unexpected(Store::WatchError::NoAnswer))
+                      : std::move(aResult));
     });
   }
   void write(const Store::Transaction& aTransaction,
@@ -358,37 +376,43 @@
              std::function<void(tl::expected<Store::Version, Store::WriteFailure>)> aDone) override
   {
     if (mRejecting) {
-      boost::asio::post(mIo, [aDone] {
-        aDone(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unavailable, {} }));
-      });
+      onProcess(aDone)(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unavailable, {} }));
       return;
     }
-    mStore.write(aTransaction, aTimeout, std::move(aDone));
+    mStore.write(aTransaction, aTimeout, onProcess(aDone));
   }
   void grantLease(Duration aTimeToLive,
                   Duration aTimeout,
                   Store::Done<Store::GrantedLease> aDone) override
   {
-    mRejecting ? reject(aDone) : mStore.grantLease(aTimeToLive, aTimeout, std::move(aDone));
+    mRejecting ? reject(aDone) : mStore.grantLease(aTimeToLive, aTimeout, onProcess(aDone));
   }
   void renewLease(Store::LeaseId aLease, Duration aTimeout, Store::Done<void> aDone) override
   {
-    mRejecting ? reject(aDone) : mStore.renewLease(aLease, aTimeout, std::move(aDone));
+    mRejecting ? reject(aDone) : mStore.renewLease(aLease, aTimeout, onProcess(aDone));
   }
   void endLease(Store::LeaseId aLease, Duration aTimeout, Store::Done<void> aDone) override
   {
-    mRejecting ? reject(aDone) : mStore.endLease(aLease, aTimeout, std::move(aDone));
+    mRejecting ? reject(aDone) : mStore.endLease(aLease, aTimeout, onProcess(aDone));
   }
 
 private:
   template<typename Value>
   void reject(const std::function<void(Store::Result<Value>)>& aDone)
   {
-    boost::asio::post(mIo, [aDone] { aDone(tl::unexpected(Store::StoreError::Unavailable)); });
+    onProcess(aDone)(tl::unexpected(Store::StoreError::Unavailable));
+  }
+
+  template<typename Answer>
+  std::function<void(Answer)> onProcess(const std::function<void(Answer)>& aDone)
+  {
+    return [&process = mProcess, aDone](Answer aAnswer) {
+      process.deliver([aDone, answer = std::move(aAnswer)]() mutable { aDone(std::move(answer)); });
+    };
   }
 
-  boost::asio::io_context& mIo;
   Store::AsyncStore& mStore;
+  ProcessLoop& mProcess;
 };
 
 } // namespace NodeTests
--- a/Source/UnitTests/Node/TestCluster.h
+++ b/Source/UnitTests/Node/TestCluster.h
@@ -3,8 +3,11 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <sstream>
+#include <thread>
 
 #include "FakeStore.h"
+#include "FakeWorker.h"
 #include "Net/HttpClient.h"
 #include "Node/Agent.h"
 #include "Node/Entry.h"
@@ -12,199 +15,9 @@
 
 namespace NodeTests {
 
-using namespace Node;
-using namespace std::chrono_literals;
-
-/// A worker whose tasks end after a fixed time. It counts violations that only a worker can see:
-/// runs whose lease ended and tasks that were started twice.
-class FakeWorker
-{
-public:
-  struct Run
-  {
-    Scheduling::TaskName mTask;
-    Scheduling::RunNumber mRun;
-    std::chrono::steady_clock::time_point mStartTime;
-  };
-
-  explicit FakeWorker(std::string aName)
-    : mName(std::move(aName))
-  {
-  }
-
-  WorkerTime clock() const
-  {
-    return WorkerTime{ std::chrono::duration_cast<std::chrono::milliseconds>(
-                         std::chrono::steady_clock::now().time_since_epoch())
-                         .count() };
-  }
-
-  /// Ends the runs that have finished or whose lease has ended.
-  void endDueRuns()
-  {
-    const auto now = std::chrono::steady_clock::now();
-    std::vector<Run> remaining;
-    for (const Run& run : mRunning) {
-      const bool leaseExpired = clock() >= mLeaseEnd;
-      if (leaseExpired || now - run.mStartTime >= mTaskTime) {
-        mEnded.push_back(
-          { Scheduling::EndNumber{ ++mLastEndNumber },
-            run.mTask,
-            run.mRun,
-            leaseExpired ? Scheduling::EndKind::LeaseExpired : Scheduling::EndKind::Done,
-            "" });
-        ++(leaseExpired ? mExpiredRuns : mCompletedRuns);
-      } else {
-        remaining.push_back(run);
-      }
-    }
-    mRunning = remaining;
-  }
-
-  std::string mName;
-  std::chrono::milliseconds mTaskTime{ 100 };
-  bool mUnresponsive = false;
-  /// Highest term seen; calls of lower terms are rejected.
-  Common::Epoch mHighestTerm;
-  WorkerTime mLeaseEnd;
-  std::vector<Run> mRunning;
-  std::vector<Scheduling::EndedTask> mEnded;
-  std::int64_t mLastEndNumber = 0;
-  int mStarts = 0;
-  int mCompletedRuns = 0;
-  int mExpiredRuns = 0;
-  /// Starts of a task of which another run was still running.
-  int mDuplicateStarts = 0;
-  std::set<Scheduling::TaskName> mStartedTasks;
-};
-
-class FakeWorkerPort final : public WorkerPort
-{
-public:
-  FakeWorkerPort(boost::asio::io_context& aIo, FakeWorker& aWorker)
-    : mIo(aIo)
-    , mWorker(aWorker)
-  {
-  }
-
-  void start(Common::Epoch aTerm,
-             const StartTaskRequest& aRequest,
-             Duration aTimeout,
-             std::function<void(OrderAnswer)> aDone) override
-  {
-    executeOrder(aTerm, aTimeout, aDone, [this, aRequest] {
-      for (const auto& run : mWorker.mRunning) {
-        if (run.mTask == aRequest.mTask && run.mRun == aRequest.mRun) {
-          return Scheduling::OrderResult::Done;
-        }
-        mWorker.mDuplicateStarts += run.mTask == aRequest.mTask ? 1 : 0;
-      }
-      if (aRequest.mLeaseEnd <= mWorker.clock()) {
-        return Scheduling::OrderResult::LeaseExpired;
-      }
-      mWorker.mLeaseEnd = std::max(mWorker.mLeaseEnd, aRequest.mLeaseEnd);
-      mWorker.mRunning.push_back(
-        { aRequest.mTask, aRequest.mRun, std::chrono::steady_clock::now() });
-      ++mWorker.mStarts;
-      mWorker.mStartedTasks.insert(aRequest.mTask);
-      return Scheduling::OrderResult::Done;
-    });
-  }
-
-  void stop(Common::Epoch aTerm,
-            const Scheduling::TaskName& aTask,
-            Scheduling::RunNumber aRun,
-            Duration aTimeout,
-            std::function<void(OrderAnswer)> aDone) override
-  {
-    executeOrder(aTerm, aTimeout, aDone, [this, aTask, aRun] {
-      std::erase_if(mWorker.mRunning, [&](const FakeWorker::Run& aOther) {
-        const bool same = aOther.mTask == aTask && aOther.mRun == aRun;
-        if (same) {
-          mWorker.mEnded.push_back({ Scheduling::EndNumber{ ++mWorker.mLastEndNumber },
-                                     aTask,
-                                     aRun,
-                                     Scheduling::EndKind::Stopped,
-                                     "" });
-        }
-        return same;
-      });
-      return Scheduling::OrderResult::Done;
-    });
-  }
-
-  void throttle(Common::Epoch aTerm,
-                const Scheduling::TaskName&,
-                Scheduling::RunNumber,
-                Scheduling::Percent,
-                Duration aTimeout,
-                std::function<void(OrderAnswer)> aDone) override
-  {
-    executeOrder(aTerm, aTimeout, aDone, [] { return Scheduling::OrderResult::Done; });
-  }
-
-  void poll(Common::Epoch aTerm,
-            Scheduling::EndNumber aAcknowledged,
-            std::optional<WorkerTime> aLeaseEnd,
-            Duration,
-            Duration aTimeout,
-            std::function<void(tl::expected<PollResult, PollError>)> aDone) override
-  {
-    if (mWorker.mUnresponsive) {
-      callAfter(aTimeout, [aDone] { aDone(tl::unexpected(PollError::NoAnswer)); });
-      return;
-    }
-    if (aTerm < mWorker.mHighestTerm) {
-      callAfter(1ms, [aDone] { aDone(tl::unexpected(PollError::Fenced)); });
-      return;
-    }
-    mWorker.endDueRuns();
-    mWorker.mHighestTerm = aTerm;
-    std::erase_if(mWorker.mEnded, [&](const auto& aEnd) { return aEnd.mNumber <= aAcknowledged; });
-    if (aLeaseEnd) {
-      mWorker.mLeaseEnd = std::max(mWorker.mLeaseEnd, *aLeaseEnd);
-    }
-    PollResult result;
-    result.mWorkerTime = mWorker.clock();
-    for (const auto& run : mWorker.mRunning) {
-      const auto ran = std::chrono::steady_clock::now() - run.mStartTime;
-      result.mRunning.push_back(
-        { run.mTask, run.mRun, "", Scheduling::Percent{ 100 * ran / mWorker.mTaskTime }, 0 });
-    }
-    result.mEnded = mWorker.mEnded;
-    callAfter(20ms, [aDone, result] { aDone(result); });
-  }
-
-private:
-  template<typename Function>
-  void callAfter(Duration aDelay, Function aFunction)
-  {
-    const auto timer = std::make_shared<boost::asio::steady_timer>(mIo);
-    timer->expires_after(aDelay);
-    timer->async_wait([timer, aFunction](boost::system::error_code) { aFunction(); });
-  }
-
-  void executeOrder(Common::Epoch aTerm,
-                    Duration aTimeout,
-                    const std::function<void(OrderAnswer)>& aDone,
-                    const std::function<Scheduling::OrderResult()>& aExecute)
-  {
-    if (mWorker.mUnresponsive) {
-      callAfter(aTimeout, [aDone] { aDone({ Scheduling::OrderResult::Unknown, {} }); });
-      return;
-    }
-    mWorker.endDueRuns();
-    const auto result = aTerm < mWorker.mHighestTerm ? Scheduling::OrderResult::Fenced : aExecute();
-    mWorker.mHighestTerm = std::max(mWorker.mHighestTerm, aTerm);
-    callAfter(1ms, [aDone, result, clock = mWorker.clock()] { aDone({ result, clock }); });
-  }
-
-  boost::asio::io_context& mIo;
-  FakeWorker& mWorker;
-};
-
-/// Formats for tests: the body of a submission is ignored, every announcement is a heartbeat whose
-/// body is the worker's id and address, and tables consist of their revision number.
+/// Formats for tests: the body of a submission is ignored, every announcement is a heartbeat, and
+/// tables consist of their revision number. The body of a heartbeat is "ID [START SEQUENCE ADDRESS
+/// MILLICORES]"; the address of a worker is its id if the body names none.
 inline Formats
 TestFormats()
 {
@@ -242,50 +55,66 @@
   formats.mIsReadinessProbe = [](const Net::HttpRequest&) { return true; };
   formats.mParseAnnouncement =
     [](const Net::HttpRequest& aRequest) -> tl::expected<WorkerAnnouncement, std::string> {
+    std::istringstream body(aRequest.mBody);
+    std::string id;
+    std::int64_t start = 1;
     WorkerAnnouncement announcement;
     Scheduling::WorkerView& view = announcement.mHeartbeat.mView;
-    view.mLifetime = { Common::WorkerId(aRequest.mBody), Scheduling::LifetimeStart{ 1 } };
-    view.mAddress = aRequest.mBody;
+    std::int64_t milliCores = 16'000;
+    body >> id;
+    view.mAddress = id;
+    if (body >> start) {
+      body >> announcement.mHeartbeat.mSequence >> view.mAddress >> milliCores;
+    } else {
+      start = 1;
+    }
+    view.mLifetime = { Common::WorkerId(id), Scheduling::LifetimeStart{ start } };
     view.mPool = Common::PoolId("pool");
-    view.mCapacity.mCores = Common::MilliCores{ 16'000 };
+    view.mCapacity.mCores = Common::MilliCores{ milliCores };
     announcement.mWorker = view.mLifetime.mWorker;
     return announcement;
   };
   return formats;
 }
 
-/// Entries, agents and fake workers in one process, connected over loopback.
+/// Entries, agents and fake workers in one process, connected over loopback. Each of the processes
+/// has its own event loop, and the store and the workers share another one.
 class TestCluster
 {
 public:
   /// An entry or an agent with its own access to the store.
   struct Process
   {
+    ProcessLoop mLoop;
     Settings mSettings;
     std::unique_ptr<StoreProxy> mStoreProxy;
     std::unique_ptr<Context> mContext;
     std::unique_ptr<Entry> mEntry;
     std::unique_ptr<Agent> mAgent;
+    /// The process gets no processor time.
+    bool mFrozen = false;
   };
 
   TestCluster()
-    : mStore(mIo)
-    , mFormats(TestFormats())
+    : mFormats(TestFormats())
+    , mStore(mIo)
   {
     mStore.put("tables", "1");
   }
 
+  /// Starts an entry, at the addresses of its earlier process if it had one.
   Process& addEntry(const std::string& aName)
   {
-    Process& process = addProcess(aName);
-    process.mSettings.mRunsEntry = true;
-    process.mSettings.mCallerAddress = TestSupport::FreeAddress(mIo);
-    process.mSettings.mReadinessAddress = TestSupport::FreeAddress(mIo);
-    process.mSettings.mPeerAddress = TestSupport::FreeAddress(mIo);
-    process.mSettings.mShutdownGrace = 5s;
-    process.mEntry = std::make_unique<Entry>(*process.mContext);
-    REQUIRE(process.mEntry->start());
-    return process;
+    return startProcess(aName, [this](Process& aProcess, Settings& aSettings) {
+      aSettings.mRunsEntry = true;
+      if (aSettings.mPeerAddress.empty()) {
+        aSettings.mCallerAddress = TestSupport::FreeAddress(mIo);
+        aSettings.mReadinessAddress = TestSupport::FreeAddress(mIo);
+        aSettings.mPeerAddress = TestSupport::FreeAddress(mIo);
+      }
+      aProcess.mEntry = std::make_unique<Entry>(*aProcess.mContext);
+      return aProcess.mEntry->start().has_value();
+    });
   }
 
   FakeWorker& addWorker(const std::string& aName)
@@ -302,22 +131,34 @@
   /// Starts an agent process beside the worker, which has not announced itself to it yet.
   Process& startAgent(FakeWorker& aWorker)
   {
-    Process& process = addProcess("agent-" + aWorker.mName);
-    process.mSettings.mRunsAgent = true;
-    process.mSettings.mAnnouncementAddress = TestSupport::FreeAddress(mIo);
-    process.mSettings.mWorkerAddress = aWorker.mName;
-    process.mAgent = std::make_unique<Agent>(
-      *process.mContext,
-      [this, &aWorker](const std::string&, const Common::WorkerId&) {
-        return std::make_unique<FakeWorkerPort>(mIo, aWorker);
-      },
-      nullptr);
-    REQUIRE(process.mAgent->start());
-    return process;
+    const std::string name = "agent-" + aWorker.mName;
+    return startProcess(name, [this, &aWorker](Process& aProcess, Settings& aSettings) {
+      aSettings.mRunsAgent = true;
+      if (aSettings.mAnnouncementAddress.empty()) {
+        aSettings.mAnnouncementAddress = TestSupport::FreeAddress(mIo);
+      }
+      aSettings.mWorkerAddress = aWorker.mName;
+      aProcess.mAgent = std::make_unique<Agent>(
+        *aProcess.mContext,
+        [this, &aProcess, &aWorker](const std::string&, const Common::WorkerId& aId) {
+          return std::make_unique<FakeWorkerPort>(mIo, aProcess.mLoop, aWorker, aId.str());
+        },
+        nullptr);
+      return aProcess.mAgent->start().has_value();
+    });
   }
 
-  /// Destroys a process without stopping it, as after a power failure.
-  void kill(const std::string& aName) { mProcesses.erase(aName); }
+  /// Ends a process without stopping it, as after a power failure. Its connections are closed, and
+  /// none of its handlers runs any more.
+  void kill(const std::string& aName)
+  {
+    auto process = mProcesses.extract(aName);
+    process.mapped().mLoop.mKilled = true;
+    process.mapped().mAgent.reset();
+    process.mapped().mEntry.reset();
+    // Calls of the process that are under way refer to its loop.
+    mKilled.push_back(std::move(process));
+  }
 
   /// Tasks of which more than one run is on a worker now.
   std::set<Scheduling::TaskName> tasksRunningTwice()
@@ -337,8 +178,12 @@
 
   void run(std::chrono::milliseconds aTime)
   {
-    mIo.restart();
-    mIo.run_for(aTime);
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    do {
+      if (pollOnce() == 0) {
+        std::this_thread::sleep_for(500us);
+      }
+    } while (std::chrono::steady_clock::now() < end);
   }
 
   /// Runs the event loop until the condition holds. Returns false if it does not within aTimeout.
@@ -357,36 +202,83 @@
   /// Instance that the store names as coordinator; "" if there is none.
   std::string coordinatorInstance()
   {
-    std::string name;
-    mStore.read(
-      "ibis/coordinator", 1s, [&name](const Store::Result<std::optional<Store::Entry>>& aEntry) {
-        if (aEntry && *aEntry) {
-          name = Wire::Decode<Wire::CoordinatorRecord>((*aEntry)->mValue)->instance;
-        }
-      });
-    run(5ms);
-    return name;
+    const auto value = mStore.value("ibis/coordinator");
+    const auto record = value ? Wire::Decode<Wire::CoordinatorRecord>(*value) : std::nullopt;
+    return record ? record->instance : "";
   }
 
-  boost::asio::io_context mIo;
-  FakeStore mStore;
   Formats mFormats;
   Common::SystemClock mClock;
   TimingConstants mTiming;
   Observability::Counters mCounters;
+  /// Called with the name of a process before its handlers run, and with "" before those of the
+  /// store and the workers.
+  std::function<void(const std::string&)> mOnSwitch;
+  /// Changes the settings of a process before it starts.
+  std::function<void(Settings&)> mChangeSettings;
   std::map<std::string, Process> mProcesses;
+
+private:
+  // Calls under way refer to the loops of the processes, so mIo is destroyed before these.
+  std::vector<std::map<std::string, Process>::node_type> mKilled;
+  /// Addresses of the processes that were started.
+  std::map<std::string, Settings> mSettings;
+
+public:
+  boost::asio::io_context mIo;
+  FakeStore mStore;
   std::vector<std::unique_ptr<FakeWorker>> mWorkers;
   std::vector<std::unique_ptr<Net::HttpClient>> mClients;
 
 private:
-  Process& addProcess(const std::string& aName)
+  Process& startProcess(const std::string& aName,
+                        const std::function<bool(Process&, Settings&)>& aStart)
   {
-    Process& process = mProcesses[aName];
-    process.mSettings.mInstance = Common::InstanceId(aName);
-    process.mStoreProxy = std::make_unique<StoreProxy>(mIo, mStore);
-    process.mContext = std::make_unique<Context>(Context{
-      mIo, mClock, process.mSettings, mTiming, mFormats, *process.mStoreProxy, mCounters });
-    return process;
+    // Another connection may have been given an address of the earlier process meanwhile.
+    constexpr int kAttempts = 5;
+    for (int attempt = 0; attempt < kAttempts; ++attempt) {
+      Process& process = mProcesses[aName];
+      process.mSettings = attempt == 0 ? mSettings[aName] : Settings{};
+      process.mSettings.mInstance = Common::InstanceId(aName);
+      process.mSettings.mShutdownGrace = 5s;
+      process.mStoreProxy = std::make_unique<StoreProxy>(mStore, process.mLoop);
+      process.mContext = std::make_unique<Context>(Context{ process.mLoop.mIo,
+                                                            mClock,
+                                                            process.mSettings,
+                                                            mTiming,
+                                                            mFormats,
+                                                            *process.mStoreProxy,
+                                                            mCounters });
+      if (mChangeSettings) {
+        mChangeSettings(process.mSettings);
+      }
+      if (aStart(process, process.mSettings)) {
+        mSettings[aName] = process.mSettings;
+        return process;
+      }
+      kill(aName);
+    }
+    throw std::runtime_error("cannot start " + aName);
+  }
+
+  std::size_t pollOnce()
+  {
+    std::size_t handlers = pollLoop(mIo, "");
+    for (auto& [name, process] : mProcesses) {
+      if (!process.mFrozen) {
+        handlers += pollLoop(process.mLoop.mIo, name);
+      }
+    }
+    return handlers;
+  }
+
+  std::size_t pollLoop(boost::asio::io_context& aIo, const std::string& aName)
+  {
+    if (mOnSwitch) {
+      mOnSwitch(aName);
+    }
+    aIo.restart();
+    return aIo.poll();
   }
 };
 
