--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -284,3 +284,60 @@
     REQUIRE(call(JobRequest::Kind::Submit, "/q/a") == ResponseKind::Undecided);
   }
 }
+
+TEST_CASE("A new coordinator waits for the workers on every page of the records", "[Node]")
+{
+  // Workers beyond the first page of the records were unknown to a new coordinator, which started
+  // their tasks elsewhere at once (soak seed 23).
+  TestCluster cluster;
+  cluster.addEntry("e1");
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e1"; }, 2s));
+  cluster.addEntry("e2");
+  FakeWorker& last = cluster.addWorker("z");
+  last.mTaskTime = 60s;
+  Submit(cluster, "a");
+  REQUIRE(cluster.runUntil([&] { return last.mStarts == 2; }, 3s));
+  const std::vector<std::string> others = { "w1", "w2", "w3", "w4", "w5", "w6" };
+  for (const std::string& other : others) {
+    cluster.addWorker(other);
+  }
+  const auto isRecorded = [&](const std::string& aWorker) {
+    return cluster.mStore.contains(
+      WorkerKey({ Common::WorkerId(aWorker), Scheduling::LifetimeStart{ 1 } }));
+  };
+  REQUIRE(cluster.runUntil(
+    [&] { return isRecorded("z") && std::all_of(others.begin(), others.end(), isRecorded); }, 3s));
+  cluster.kill("e1");
+  cluster.kill("agent-z");
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e2"; }, 4s));
+  REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 2s));
+  REQUIRE(last.mRunning.size() == 2);
+}
+
+TEST_CASE("A start that a worker's next lifetime carried out is not repeated elsewhere", "[Node]")
+{
+  // A repeated start call reached a new lifetime under the same id. When the agent learned of that
+  // lifetime, the coordinator took the run for lost (soak seed 5).
+  TestCluster cluster;
+  cluster.addEntry("e1");
+  FakeWorker& first = cluster.addWorker("w1");
+  first.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil([&] { return first.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(200ms);
+  int dropped = 0;
+  first.mDelivery = [&dropped] {
+    ++dropped;
+    return FakeWorker::Delivery::Dropped;
+  };
+  Submit(cluster, "a");
+  // Both starts and a poll.
+  REQUIRE(cluster.runUntil([&] { return dropped == 3; }, 500ms));
+  FakeWorker& second = cluster.addWorker("w2");
+  second.mTaskTime = 60s;
+  cluster.run(200ms);
+  first.crash();
+  first.restart("w1", Scheduling::LifetimeStart{ 2 });
+  first.mDelivery = nullptr;
+  REQUIRE(cluster.runUntil([&] { return first.mStarts == 2; }, 1s));
+  REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 3s));
+}
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -55,6 +55,48 @@
   }
 }
 
+TEST_CASE("A run that is stopped because another run is done occupies its worker until it ends",
+          "[Scheduling]")
+{
+  // Its capacity was given away at once, so the worker got more than it has (soak seeds 1, 6, 7).
+  Fixture fixture;
+  fixture.addWorker("w1", 1'000);
+  fixture.addJob("a", { MakeStep().build() });
+  const auto first = fixture.place();
+  fixture.confirm(first);
+  MarkAgentDisconnected(fixture.mState, Common::InstanceId("agent-w1"));
+  fixture.advance(milliseconds(5100));
+  CheckTimeouts(fixture.mState, fixture.now());
+  fixture.addWorker("w2", 1'000);
+  const auto second = fixture.place();
+  REQUIRE(second.size() == 1);
+  fixture.confirm(second);
+  auto runningView = fixture.view("w2", 1'000);
+  runningView.mRunning = { Fixture::running(second[0]) };
+  fixture.report(runningView);
+
+  auto doneView = fixture.view("w1", 1'000);
+  doneView.mEnded = { Fixture::ended(first[0], 1, EndKind::Done) };
+  fixture.report(doneView);
+  const auto stops = fixture.takeOrders();
+  REQUIRE(stops.size() == 1);
+  REQUIRE(stops[0].mKind == OrderKind::Stop);
+  REQUIRE(stops[0].mLifetime.mWorker.str() == "w2");
+
+  fixture.addJob("b", { MakeStep().tasks(2).build() });
+  const auto onFreeWorker = fixture.place();
+  REQUIRE(onFreeWorker.size() == 1);
+  REQUIRE(onFreeWorker[0].mLifetime.mWorker.str() == "w1");
+
+  auto stoppedView = fixture.view("w2", 1'000);
+  stoppedView.mEnded = { Fixture::ended(second[0], 1, EndKind::Stopped) };
+  fixture.confirm(stops);
+  fixture.report(stoppedView);
+  const auto onStoppedWorker = fixture.place();
+  REQUIRE(onStoppedWorker.size() == 1);
+  REQUIRE(onStoppedWorker[0].mLifetime.mWorker.str() == "w2");
+}
+
 TEST_CASE("A task of an unreachable worker starts elsewhere only after its lease", "[Scheduling]")
 {
   Fixture fixture;
