Read all pages of the worker records when a term begins

Workers on later pages were unknown, so that the coordinator did not wait for their leases and started their tasks elsewhere at once; callers would see a task run twice.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -114,6 +114,7 @@
   mReadRetryTimer.cancel();
   mJobWatcher.reset();
   mRecoveredProgress.clear();
+  mWorkerCursor.clear();
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
   mEarlyReports.clear();
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -138,6 +138,8 @@
   int mCallGeneration = 0;
   Scheduling::SchedulerState mState;
   std::unordered_map<Common::JobId, Scheduling::Progress> mRecoveredProgress;
+  /// Last key of the worker records read so far.
+  std::string mWorkerCursor;
   /// Last key of the progress records read so far.
   std::string mProgressCursor;
   /// Jobs whose cancellation was seen before their submission.
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -68,7 +68,7 @@
 {
   mContext.mStore.readPage(
     kWorkerPrefix,
-    "",
+    mWorkerCursor,
     mContext.mTiming.mStoreCallTimeout,
     [this, generation = mCallGeneration](Store::Result<Store::Page> aPage) {
       if (generation != mCallGeneration) {
@@ -85,6 +85,7 @@
                                  std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift) +
                                  mContext.mTiming.mLeaseSafetyMargin;
       for (const Store::Entry& entry : aPage->mEntries) {
+        mWorkerCursor = entry.mKey;
         if (const auto record = Wire::Decode<Wire::WorkerRecord>(entry.mValue)) {
           Scheduling::AddRecordedWorker(
             mState,
@@ -93,6 +94,10 @@
             leaseEnd);
         }
       }
+      if (aPage->mMore && !aPage->mEntries.empty()) {
+        readWorkers();
+        return;
+      }
       readModel();
     });
 }
