Stop unlisted runs of an ended lifetime on the worker's next one

Change: runs that no list of the old lifetime named are stopped on the next lifetime before their tasks start again; a stop also keeps the worker from carrying out a start that is still on its way. Runs that the old lifetime listed are lost with it at once, as before. A lifetime that ends before the next one is known is not covered: a start that arrives seconds after the worker's restart can still begin a second run.

--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -52,12 +52,37 @@
   }
 }
 
+/// Stops runs that no list of the worker named on its next lifetime: calls name the worker only, so
+/// that a start which was answered late may have reached that lifetime.
+void
+MoveUnlistedRuns(SchedulerState& aState,
+                 WorkerNumber aWorker,
+                 WorkerNumber aNextLifetime,
+                 const CurrentTime& aNow)
+{
+  const std::set<TaskRef> tasks = aState.mWorkers[aWorker].mTasks;
+  for (const TaskRef& ref : tasks) {
+    Task& task = TaskAt(ref);
+    if (task.mListedByWorker) {
+      continue;
+    }
+    AssignToWorker(aState, ref, aNextLifetime, TaskPhase::Stopping, aNow);
+    task.mStopOrdered = aNow.mMonotonic;
+    OrderStop(aState, aState.mWorkers[aNextLifetime].mLifetime, NameOf(ref), task.mRun);
+  }
+}
+
+/// aNextLifetime is the next lifetime of the same worker; kNoWorker if it is not known.
 void
 EndLifetime(SchedulerState& aState,
             WorkerNumber aWorker,
+            WorkerNumber aNextLifetime,
             std::string_view aReason,
             const CurrentTime& aNow)
 {
+  if (aNextLifetime != kNoWorker) {
+    MoveUnlistedRuns(aState, aWorker, aNextLifetime, aNow);
+  }
   LoseRuns(aState, aWorker, aReason, aNow);
   Worker& worker = aState.mWorkers[aWorker];
   worker.mLifetimeEnded = true;
@@ -315,17 +340,18 @@
           Timestamp aLeaseEnd,
           const CurrentTime& aNow)
 {
+  const WorkerNumber number = FindOrAddWorker(aState, aView.mLifetime);
   // A newer lifetime of the same worker, or at the same address of the agent, ends the older ones.
-  for (auto& [lifetime, number] : aState.mWorkerIndex) {
-    const Worker& other = aState.mWorkers[number];
+  for (const auto& [lifetime, otherNumber] : aState.mWorkerIndex) {
+    const Worker& other = aState.mWorkers[otherNumber];
+    const bool sameWorker = lifetime.mWorker == aView.mLifetime.mWorker;
     const bool sameAddress =
       !aView.mAddress.empty() && other.mAgent == aAgent && other.mAddress == aView.mAddress;
-    if ((lifetime.mWorker == aView.mLifetime.mWorker || sameAddress) &&
-        lifetime.mStartedAt < aView.mLifetime.mStartedAt) {
-      EndLifetime(aState, number, "the worker restarted", aNow);
+    if ((sameWorker || sameAddress) && lifetime.mStartedAt < aView.mLifetime.mStartedAt) {
+      EndLifetime(
+        aState, otherNumber, sameWorker ? number : kNoWorker, "the worker restarted", aNow);
     }
   }
-  const WorkerNumber number = FindOrAddWorker(aState, aView.mLifetime);
   Worker& worker = aState.mWorkers[number];
   worker.mAgent = aAgent;
   CopyDescription(worker, aView);
@@ -415,7 +441,16 @@
   for (const WorkerLifetime& lifetime : aEndedLifetimes) {
     const auto found = aState.mWorkerIndex.find(lifetime);
     if (found != aState.mWorkerIndex.end()) {
-      EndLifetime(aState, found->second, "its lifetime ended", aNow);
+      const WorkerNumber number = found->second;
+      const auto next = std::find_if(aViews.begin(), aViews.end(), [&](const WorkerView& aView) {
+        return aView.mLifetime.mWorker == lifetime.mWorker &&
+               aView.mLifetime.mStartedAt > lifetime.mStartedAt;
+      });
+      EndLifetime(aState,
+                  number,
+                  next == aViews.end() ? kNoWorker : FindOrAddWorker(aState, next->mLifetime),
+                  "its lifetime ended",
+                  aNow);
     }
   }
   for (const WorkerView& view : aViews) {
