Keep the capacity of a superseded run reserved until it ends

Its capacity was free at once, although a stop takes up to mMaxTaskStopTime; the next start came on top of it, which a worker without a capacity check of its own accepts.

Change: such a run occupies its worker until the worker lists its end, no longer lists it after the stop has settled, or loses all its runs.

--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -38,17 +38,6 @@
 /// workers have capacity.
 constexpr double kFreeLabelShare = 0.2;
 
-/// Resources that a task of the step reserves; a best-effort task reserves no cores.
-Common::Resources
-ReservedBy(const StepSpec& aStep)
-{
-  Common::Resources need = aStep.mNeed;
-  if (aStep.mBestEffort) {
-    need.mCores = Common::MilliCores{ 0 };
-  }
-  return need;
-}
-
 struct ReadyStep
 {
   Job* mJob = nullptr;
@@ -552,6 +541,16 @@
 
 } // namespace
 
+Common::Resources
+ReservedBy(const StepSpec& aStep)
+{
+  Common::Resources need = aStep.mNeed;
+  if (aStep.mBestEffort) {
+    need.mCores = Common::MilliCores{ 0 };
+  }
+  return need;
+}
+
 bool
 FitsOnAnotherWorker(const SchedulerState& aState, const TaskRef& aTask, const CurrentTime& aNow)
 {
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -28,6 +28,32 @@
   aWorker.mCapacity = aView.mCapacity;
 }
 
+/// Releases the resources of the superseded runs for which aHasEnded holds.
+template<typename Condition>
+void
+ReleaseSupersededRuns(Worker& aWorker, const Condition& aHasEnded)
+{
+  std::erase_if(aWorker.mSupersededRuns, [&](const SupersededRun& aRun) {
+    const bool ended = aHasEnded(aRun);
+    if (ended) {
+      aWorker.mUsed = aWorker.mUsed - aRun.mReserved;
+    }
+    return ended;
+  });
+}
+
+/// Stops the current run of a task that another run has completed.
+void
+StopSupersededRun(SchedulerState& aState, const TaskRef& aRef, const CurrentTime& aNow)
+{
+  const Task& task = TaskAt(aRef);
+  Worker& worker = aState.mWorkers[task.mWorker];
+  const Common::Resources reserved = ReservedBy(StepSpecOf(aRef));
+  worker.mSupersededRuns.push_back({ NameOf(aRef), task.mRun, reserved, aNow.mMonotonic });
+  worker.mUsed = worker.mUsed + reserved;
+  OrderStop(aState, worker.mLifetime, NameOf(aRef), task.mRun);
+}
+
 /// Returns all tasks on the worker to the phase Waiting, because their runs have ended.
 void
 LoseRuns(SchedulerState& aState,
@@ -41,6 +67,7 @@
                                    {},
                                    worker.mLifetime.mWorker.str() + ": " + std::string(aReason) });
   }
+  ReleaseSupersededRuns(worker, [](const auto&) { return true; });
   const std::set<TaskRef> tasks = worker.mTasks;
   for (const TaskRef& ref : tasks) {
     ++aState.mCounts.mLostRuns;
@@ -172,6 +199,9 @@
          const EndedTask& aEnd,
          const CurrentTime& aNow)
 {
+  ReleaseSupersededRuns(aState.mWorkers[aWorker], [&aEnd](const SupersededRun& aRun) {
+    return aRun.mTask == aEnd.mTask && aRun.mRun == aEnd.mRun;
+  });
   const auto ref = FindTask(aState, aEnd.mTask);
   if (!ref) {
     return;
@@ -188,7 +218,7 @@
     if (isCurrentRun) {
       LearnRunTime(aState, *ref, aNow);
     } else if (task.mWorker != kNoWorker) {
-      OrderStop(aState, aState.mWorkers[task.mWorker].mLifetime, aEnd.mTask, task.mRun);
+      StopSupersededRun(aState, *ref, aNow);
     }
     RecordRunEnd(aState, aState.mWorkers[aWorker], job.mSpec.mJob, false, aNow);
     step.mGang ? MarkGangDone(aState, *ref, aNow) : MarkTaskDone(aState, *ref, aNow);
@@ -314,6 +344,10 @@
   for (const RunningTask& running : aView.mRunning) {
     listed.emplace(running.mTask, running.mRun);
   }
+  ReleaseSupersededRuns(aState.mWorkers[aWorker], [&](const SupersededRun& aRun) {
+    return !listed.contains({ aRun.mTask, aRun.mRun }) &&
+           aNow.mMonotonic - aRun.mStopOrdered >= aState.mPolicy.mStopSettleTime;
+  });
   const std::set<TaskRef> tasks = aState.mWorkers[aWorker].mTasks;
   for (const TaskRef& ref : tasks) {
     Task& task = TaskAt(ref);
@@ -593,8 +627,9 @@
 CheckTimeouts(SchedulerState& aState, const CurrentTime& aNow)
 {
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
-    if (!aState.mWorkers[number].mTasks.empty() &&
-        aState.mWorkers[number].mLeaseEnd <= aNow.mMonotonic) {
+    const Worker& worker = aState.mWorkers[number];
+    if ((!worker.mTasks.empty() || !worker.mSupersededRuns.empty()) &&
+        worker.mLeaseEnd <= aNow.mMonotonic) {
       LoseRuns(aState, number, "its lease expired", aNow);
     }
     const std::set<TaskRef> tasks = aState.mWorkers[number].mTasks;
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -132,6 +132,9 @@
 /// Returns a task that is not done to the phase Waiting and frees its capacity on the worker.
 void
 SetWaiting(SchedulerState& aState, const TaskRef& aRef, const CurrentTime& aNow);
+/// Resources that a task of the step reserves; a best-effort task reserves no cores.
+Common::Resources
+ReservedBy(const StepSpec& aStep);
 /// Puts the task on the worker in the given phase and reserves its resources there.
 void
 AssignToWorker(SchedulerState& aState,
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -134,6 +134,16 @@
   Duration mQuarantineTime{ 0 };
 };
 
+/// A run that is being stopped because another run of its task is done. It occupies the worker
+/// until it ends.
+struct SupersededRun
+{
+  TaskName mTask;
+  RunNumber mRun;
+  Common::Resources mReserved;
+  Timestamp mStopOrdered;
+};
+
 struct Worker
 {
   WorkerLifetime mLifetime;
@@ -163,6 +173,8 @@
   /// Processor need of the best-effort tasks on the worker.
   Common::MilliCores mBestEffortCores;
   std::set<TaskRef> mTasks;
+  /// Runs whose tasks are not in mTasks any more; mUsed includes their resources.
+  std::vector<SupersededRun> mSupersededRuns;
   /// Last end that was applied to the state, and last one that the worker may drop.
   EndNumber mLastHandledEnd;
   EndNumber mLastAcknowledgedEnd;
