Add a failing test for a start that overtakes its stop at a reconnect

Callers can see the start of a task whose job was cancelled, or that runs elsewhere. When an agent connects again, handleReport sends a directive with the echo, which extends the lease and makes the agent send the starts that it kept; the stops of the meantime follow in the next directive.

--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -250,6 +250,39 @@
   REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 3s));
 }
 
+TEST_CASE("A start repeated to a restarted agent is withdrawn before its lease is extended",
+          "[Node]")
+{
+  // When the agent connects again, it is granted a lease first and gets the stops of the meantime
+  // after it, so that it sends the start that it kept.
+  TestCluster cluster;
+  cluster.mTiming.mReportInterval = 1000ms;
+  cluster.mTiming.mStoreOutageGrace = 0ms;
+  cluster.addEntry("e1");
+  FakeWorker& worker = cluster.addWorker("w1");
+  worker.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil([&] { return worker.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(200ms);
+  Submit(cluster, "a");
+  REQUIRE(cluster.runUntil([&] { return worker.mStarts == 2; }, 3s));
+  cluster.kill("agent-w1");
+  // The calls of the killed process were lost on their way, and the worker is silent for a while.
+  worker.mRunning.clear();
+  worker.mUnresponsive = true;
+  cluster.run(300ms);
+  cluster.startAgent(worker);
+  cluster.run(200ms);
+  // The coordinator is paused until the agent has dropped the connection.
+  cluster.mStore.mMode = FakeStore::Mode::Silent;
+  cluster.run(3500ms);
+  worker.mUnresponsive = false;
+  cluster.mStore.put(CancelKey(Common::JobId("a")), "");
+  cluster.run(300ms);
+  cluster.mStore.mMode = FakeStore::Mode::Normal;
+  cluster.run(2500ms);
+  REQUIRE(worker.mStarts == 2);
+}
+
 TEST_CASE("A delayed write does not replace a newer record", "[Node]")
 {
   // An unanswered write took effect seconds after the next one and replaced its records, so the
