Add a failing test for order results that a paused coordinator drops

handleReport drops a report while the coordinator is paused or may not act. The agent sends each result once, and the connection stays if the pause is shorter than the peer timeout, so that nothing repeats the orders. Callers could see a refused start delayed by the start timeout, the stop and its settling time (about 6 s), and a best-effort task whose speed is not changed again, because CanThrottle waits for the result.

--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -283,6 +283,30 @@
   REQUIRE(worker.mStarts == 2);
 }
 
+TEST_CASE("Results of orders that arrive while the coordinator is paused are not lost", "[Node]")
+{
+  // The coordinator dropped the report, the agent did not repeat it, and the connection stayed, so
+  // that the orders had no result for the rest of the term.
+  TestCluster cluster;
+  cluster.mTiming.mReportInterval = 600ms;
+  cluster.mTiming.mStoreOutageGrace = 0ms;
+  cluster.mTiming.mCoordinatorLease = 400ms;
+  cluster.mTiming.mLeaseRenewalInterval = 50ms;
+  cluster.mTiming.mLeaseRenewalTimeout = 100ms;
+  cluster.addEntry("e1").mSettings.mMinStoreLease = 400ms;
+  FakeWorker& worker = cluster.addWorker("w1");
+  worker.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil([&] { return worker.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(300ms);
+  Submit(cluster, "a");
+  REQUIRE(cluster.runUntil([&] { return worker.mStarts == 2; }, 3s));
+  cluster.mStore.mMode = FakeStore::Mode::Silent;
+  cluster.run(850ms);
+  cluster.mStore.mMode = FakeStore::Mode::Normal;
+  const auto& outstanding = cluster.mCounters.counter("ibis_orders_outstanding");
+  REQUIRE(cluster.runUntil([&] { return outstanding.value() == 0; }, 3s));
+}
+
 TEST_CASE("A delayed write does not replace a newer record", "[Node]")
 {
   // An unanswered write took effect seconds after the next one and replaced its records, so the
