Add a failing test for a throttled run that a new coordinator adopts

AdoptRun takes the speed of the run as 100, whatever the coordinator before ordered. A run that it had paused is then neither sped up (RaiseSpeed skips speed 100) nor moved (no mPausedSince) nor restarted (best-effort tasks are not checked for standing still), so callers see the job hang.

Seen: no order in 28 s of reports.

--- a/Source/UnitTests/Scheduling/SharingTests.cpp
+++ b/Source/UnitTests/Scheduling/SharingTests.cpp
@@ -193,6 +193,26 @@
   }
 }
 
+TEST_CASE("A task that an earlier coordinator paused goes on", "[Scheduling]")
+{
+  // A new coordinator took each adopted run for one at full speed, so nothing raised the speed of a
+  // paused one, and best-effort tasks are not restarted when they stand still.
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addJob(
+    "best-effort", { MakeStep().cores(2'000).bestEffort().image("heavy").build() }, "render");
+  const RunningTask adopted{
+    { JobId("best-effort"), 0, 0, 0 }, RunNumber{ 7 }, "", Percent{ 25 }, 0
+  };
+  std::vector<Order> orders;
+  for (int i = 0; i < 40 && orders.empty(); ++i) {
+    ReportAndThrottle(fixture, { adopted });
+    CheckTimeouts(fixture.mState, fixture.now());
+    orders = fixture.takeOrders();
+  }
+  REQUIRE(!orders.empty());
+}
+
 TEST_CASE("An image that does not interfere is not throttled", "[Scheduling]")
 {
   // The unloaded tail latency varies with the load of the long-running task itself. Throttling on
