Add a failing test for a throttle order without a certain result

ApplyOrderResult takes any result but Done as "the speed is as before", also Unknown, and the answer of an agent's new process to an order that its predecessor carried out. The run keeps the lower speed to its end, or at speed 0 for good.

--- a/Source/UnitTests/Scheduling/SharingTests.cpp
+++ b/Source/UnitTests/Scheduling/SharingTests.cpp
@@ -213,6 +213,49 @@
   REQUIRE(!orders.empty());
 }
 
+TEST_CASE("A throttle order without a certain result is not taken as not carried out",
+          "[Scheduling]")
+{
+  // The worker carried the order out, but its answer or the agent's process was lost. The scheduler
+  // took the run for one at full speed, and nothing raised its speed again.
+  Fixture fixture;
+  fixture.addWorker("w1");
+  const Order serve = StartLongRunning(fixture);
+  for (int i = 0; i < 10; ++i) {
+    ReportAndThrottle(fixture, { Fixture::running(serve, 100, 15) });
+  }
+  fixture.addJob(
+    "best-effort", { MakeStep().cores(2'000).bestEffort().image("heavy").build() }, "render");
+  const auto bestEffort = fixture.place();
+  REQUIRE(bestEffort.size() == 1);
+  fixture.confirm(bestEffort);
+  std::vector<Order> throttled;
+  for (int i = 0; i < 10 && throttled.empty(); ++i) {
+    ReportAndThrottle(
+      fixture, { Fixture::running(serve, 100, 200), Fixture::running(bestEffort[0], 20, 2000) });
+    throttled = fixture.takeOrders();
+  }
+  REQUIRE(throttled.size() == 1);
+  REQUIRE(throttled[0].mPercent < Percent{ 100 });
+  SECTION("because no attempt was answered")
+  {
+    ApplyOrderResult(fixture.mState, throttled[0].mNumber, OrderResult::Unknown, fixture.now());
+  }
+  SECTION("because an earlier process of the agent carried it out")
+  {
+    REQUIRE(RepeatOrders(fixture.mState, Common::InstanceId("agent-w1")).size() == 1);
+    ApplyOrderResult(fixture.mState, throttled[0].mNumber, OrderResult::NotSent, fixture.now());
+  }
+  std::vector<Order> orders;
+  for (int i = 0; i < 40 && orders.empty(); ++i) {
+    ReportAndThrottle(fixture,
+                      { Fixture::running(serve, 100, 15), Fixture::running(bestEffort[0], 20, 0) });
+    CheckTimeouts(fixture.mState, fixture.now());
+    orders = fixture.takeOrders();
+  }
+  REQUIRE(!orders.empty());
+}
+
 TEST_CASE("An image that does not interfere is not throttled", "[Scheduling]")
 {
   // The unloaded tail latency varies with the load of the long-running task itself. Throttling on
