Add a failing test for a refusal by a restarted agent of the daemon

Unconfirmed starts are repeated with each heartbeat, and an agent's new process refuses them until it has read its worker's list. The owner takes the refusal as the end of the attempt, although the earlier process may have started it, and starts the task elsewhere.

Seen: the next start goes to another worker.

--- a/Source/UnitTests/Jobs/RegressionTests.cpp
+++ b/Source/UnitTests/Jobs/RegressionTests.cpp
@@ -122,3 +122,21 @@
     REQUIRE(StartTasks(*third, At(120s), 10, OnWorker("w3")).at(0).mAttempt > attempt);
   }
 }
+
+TEST_CASE("A refusal by a restarted agent does not end an attempt of its predecessor", "[Jobs]")
+{
+  // Start commands are repeated until a report confirms them. The agent's new process refuses them
+  // until it has read its worker's list, although the process before it may have started the task.
+  JobsState state = Cell();
+  Accept(state, Spec(1));
+  ApplyInventory(state, FullInventory(1, 1, {}), At(0s));
+  const TaskStart start = StartTasks(state, At(0s), 10, OnWorker("w1")).at(0);
+  ApplyInventory(
+    state,
+    { kWorker, 1, false, { Report(start, TaskState::Refused) }, Common::Incarnation(2) },
+    At(1s));
+  REQUIRE(StartTasks(state, At(1s), 10, OnWorker("w2")).empty());
+
+  ApplyInventory(state, FullInventory(2, 2, { Report(start, TaskState::Running) }), At(2s));
+  REQUIRE(StartTasks(state, At(2s), 10, OnWorker("w2")).empty());
+}
