Add a failing test for the record of a worker that ends while it is written

If the write of a worker's record takes effect without an answer, or is answered after the lifetime ended, mRecorded is false while the record is in the store. flush and collectGarbage erase only recorded workers, so the record stays, and each later coordinator holds recovered jobs back for that lifetime until its lease could have ended (about 12 s), unless a later lifetime at its address reports. Callers could see accepted jobs stand still after a takeover.

--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -307,6 +307,32 @@
   REQUIRE(cluster.runUntil([&] { return outstanding.value() == 0; }, 3s));
 }
 
+TEST_CASE("The record of a worker that ends while it is written does not stay in the store",
+          "[Node]")
+{
+  // The write took effect without an answer. The coordinator took the worker for one without a
+  // record, so it never erased it, and each later coordinator held its jobs back for that worker.
+  TestCluster cluster;
+  cluster.mFormats.mParseAnnouncement =
+    [parse = cluster.mFormats.mParseAnnouncement](const Net::HttpRequest& aRequest) {
+      auto announcement = parse(aRequest);
+      announcement->mKind = aRequest.mTarget == "/gone" ? AnnouncementKind::Deregistration
+                                                        : AnnouncementKind::Heartbeat;
+      return announcement;
+    };
+  cluster.addEntry("e1");
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e1"; }, 2s));
+  cluster.run(200ms);
+  cluster.mStore.mMode = FakeStore::Mode::LosingAnswers;
+  cluster.addWorker("w1");
+  const std::string key = WorkerKey({ Common::WorkerId("w1"), Scheduling::LifetimeStart{ 1 } });
+  REQUIRE(cluster.runUntil([&] { return cluster.mStore.contains(key); }, 3s));
+  cluster.mClients.back()->call({ "POST", "/gone", "w1", {} }, 1s, [](const Net::CallResult&) {});
+  cluster.run(300ms);
+  cluster.mStore.mMode = FakeStore::Mode::Normal;
+  REQUIRE(cluster.runUntil([&] { return !cluster.mStore.contains(key); }, 5s));
+}
+
 TEST_CASE("A delayed write does not replace a newer record", "[Node]")
 {
   // An unanswered write took effect seconds after the next one and replaced its records, so the
