--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -206,6 +206,133 @@
   REQUIRE(first.mEnded.empty());
 }
 
+TEST_CASE("A start repeated to a restarted agent does not outlive the coordinator's decision",
+          "[Node]")
+{
+  // The agent keeps a repeated start while its worker is silent. The coordinator gave the run up
+  // when the lease ended and started the tasks elsewhere, without a stop to withdraw the start.
+  TestCluster cluster;
+  cluster.mTiming.mReportInterval = 1000ms;
+  cluster.mTiming.mStoreOutageGrace = 0ms;
+  bool paused = false;
+  SECTION("after a pause of the coordinator")
+  {
+    paused = true;
+  }
+  SECTION("with leases shorter than the time in which a start must be confirmed")
+  {
+    cluster.mTiming.mWorkerLease = 2500ms;
+  }
+  cluster.addEntry("e1");
+  FakeWorker& first = cluster.addWorker("w1");
+  first.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil([&] { return first.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(200ms);
+  Submit(cluster, "a");
+  REQUIRE(cluster.runUntil([&] { return first.mStarts == 2; }, 3s));
+  cluster.kill("agent-w1");
+  // The calls of the killed process were lost on their way, and the worker is silent for a while.
+  first.mRunning.clear();
+  first.mUnresponsive = true;
+  FakeWorker& second = cluster.addWorker("w2");
+  second.mTaskTime = 60s;
+  cluster.run(300ms);
+  cluster.startAgent(first);
+  cluster.run(500ms);
+  if (paused) {
+    cluster.mStore.mMode = FakeStore::Mode::Silent;
+    cluster.run(8000ms);
+    cluster.mStore.mMode = FakeStore::Mode::Normal;
+  }
+  REQUIRE(cluster.runUntil([&] { return second.mStarts == 2; }, 6s));
+  first.mUnresponsive = false;
+
+  REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 3s));
+}
+
+TEST_CASE("A start repeated to a restarted agent is withdrawn before its lease is extended",
+          "[Node]")
+{
+  // When the agent connects again, it is granted a lease first and gets the stops of the meantime
+  // after it, so that it sends the start that it kept.
+  TestCluster cluster;
+  cluster.mTiming.mReportInterval = 1000ms;
+  cluster.mTiming.mStoreOutageGrace = 0ms;
+  cluster.addEntry("e1");
+  FakeWorker& worker = cluster.addWorker("w1");
+  worker.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil([&] { return worker.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(200ms);
+  Submit(cluster, "a");
+  REQUIRE(cluster.runUntil([&] { return worker.mStarts == 2; }, 3s));
+  cluster.kill("agent-w1");
+  // The calls of the killed process were lost on their way, and the worker is silent for a while.
+  worker.mRunning.clear();
+  worker.mUnresponsive = true;
+  cluster.run(300ms);
+  cluster.startAgent(worker);
+  cluster.run(200ms);
+  // The coordinator is paused until the agent has dropped the connection.
+  cluster.mStore.mMode = FakeStore::Mode::Silent;
+  cluster.run(3500ms);
+  worker.mUnresponsive = false;
+  cluster.mStore.put(CancelKey(Common::JobId("a")), "");
+  cluster.run(300ms);
+  cluster.mStore.mMode = FakeStore::Mode::Normal;
+  cluster.run(2500ms);
+  REQUIRE(worker.mStarts == 2);
+}
+
+TEST_CASE("Results of orders that arrive while the coordinator is paused are not lost", "[Node]")
+{
+  // The coordinator dropped the report, the agent did not repeat it, and the connection stayed, so
+  // that the orders had no result for the rest of the term.
+  TestCluster cluster;
+  cluster.mTiming.mReportInterval = 600ms;
+  cluster.mTiming.mStoreOutageGrace = 0ms;
+  cluster.mTiming.mCoordinatorLease = 400ms;
+  cluster.mTiming.mLeaseRenewalInterval = 50ms;
+  cluster.mTiming.mLeaseRenewalTimeout = 100ms;
+  cluster.addEntry("e1").mSettings.mMinStoreLease = 400ms;
+  FakeWorker& worker = cluster.addWorker("w1");
+  worker.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil([&] { return worker.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(300ms);
+  Submit(cluster, "a");
+  REQUIRE(cluster.runUntil([&] { return worker.mStarts == 2; }, 3s));
+  cluster.mStore.mMode = FakeStore::Mode::Silent;
+  cluster.run(850ms);
+  cluster.mStore.mMode = FakeStore::Mode::Normal;
+  const auto& outstanding = cluster.mCounters.counter("ibis_orders_outstanding");
+  REQUIRE(cluster.runUntil([&] { return outstanding.value() == 0; }, 3s));
+}
+
+TEST_CASE("The record of a worker that ends while it is written does not stay in the store",
+          "[Node]")
+{
+  // The write took effect without an answer. The coordinator took the worker for one without a
+  // record, so it never erased it, and each later coordinator held its jobs back for that worker.
+  TestCluster cluster;
+  cluster.mFormats.mParseAnnouncement =
+    [parse = cluster.mFormats.mParseAnnouncement](const Net::HttpRequest& aRequest) {
+      auto announcement = parse(aRequest);
+      announcement->mKind = aRequest.mTarget == "/gone" ? AnnouncementKind::Deregistration
+                                                        : AnnouncementKind::Heartbeat;
+      return announcement;
+    };
+  cluster.addEntry("e1");
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e1"; }, 2s));
+  cluster.run(200ms);
+  cluster.mStore.mMode = FakeStore::Mode::LosingAnswers;
+  cluster.addWorker("w1");
+  const std::string key = WorkerKey({ Common::WorkerId("w1"), Scheduling::LifetimeStart{ 1 } });
+  REQUIRE(cluster.runUntil([&] { return cluster.mStore.contains(key); }, 3s));
+  cluster.mClients.back()->call({ "POST", "/gone", "w1", {} }, 1s, [](const Net::CallResult&) {});
+  cluster.run(300ms);
+  cluster.mStore.mMode = FakeStore::Mode::Normal;
+  REQUIRE(cluster.runUntil([&] { return !cluster.mStore.contains(key); }, 5s));
+}
+
 TEST_CASE("A delayed write does not replace a newer record", "[Node]")
 {
   // An unanswered write took effect seconds after the next one and replaced its records, so the
