Add a failing test for runs to be stopped that occupy no capacity

A new coordinator that finds a run of a cancelled job in a worker's list orders its stop and places other tasks on its capacity at once.

--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -97,6 +97,34 @@
   REQUIRE(onStoppedWorker[0].mLifetime.mWorker.str() == "w2");
 }
 
+TEST_CASE("A listed run that has to be stopped occupies its worker until it ends", "[Scheduling]")
+{
+  // A new coordinator stopped the runs of a cancelled job and gave their capacity away before they
+  // had ended (soak seed 8).
+  Fixture fixture;
+  Job& cancelled = fixture.addJob("a", { MakeStep().build() });
+  CancelJob(fixture.mState, cancelled, fixture.now());
+  Order earlier;
+  earlier.mTask = { JobId("a"), 0, 0, 0 };
+  earlier.mRun = RunNumber{ 1 };
+  auto view = fixture.view("w1", 1'000);
+  view.mRunning = { Fixture::running(earlier) };
+  fixture.report(view);
+  fixture.worker("w1").mRecorded = true;
+  const auto stops = fixture.takeOrders();
+  REQUIRE(stops.size() == 1);
+  REQUIRE(stops[0].mKind == OrderKind::Stop);
+  fixture.confirm(stops);
+
+  fixture.addJob("b", { MakeStep().build() });
+  REQUIRE(fixture.place().empty());
+
+  view.mRunning.clear();
+  view.mEnded = { Fixture::ended(earlier, 1, EndKind::Stopped) };
+  fixture.report(view);
+  REQUIRE(fixture.place().size() == 1);
+}
+
 TEST_CASE("A task of an unreachable worker starts elsewhere only after its lease", "[Scheduling]")
 {
   Fixture fixture;
