Kill and restart agents in the random schedules

The schedules had no agent process that forgets its results and its lease, and no coordinator that repeats its outstanding orders to it. Several agents are now killed at the same moment; the first report of a new process names no worker.

--- a/Source/UnitTests/Node/SoakTests.cpp
+++ b/Source/UnitTests/Node/SoakTests.cpp
@@ -117,7 +117,6 @@
 public:
   explicit Soak(std::uint64_t aSeed)
     : mRandom(aSeed)
-    , mSeed(aSeed)
     , mLogFile("soak-" + std::to_string(aSeed) + ".log")
   {
     std::filesystem::remove(mLogFile);
@@ -354,7 +353,7 @@
   /// Calls entries until one answers with 200 or 410.
   void callUntilDecided(const std::string& aMethod,
                         const std::string& aJob,
-                        std::function<void(unsigned)> aDone)
+                        const std::function<void(unsigned)>& aDone)
   {
     const auto retry = [this, aMethod, aJob, aDone] {
       mCalls.emplace(std::chrono::steady_clock::now() + 150ms,
@@ -853,7 +852,6 @@
   }
 
   std::mt19937_64 mRandom;
-  std::uint64_t mSeed;
   std::string mLogFile;
   boost::log::attributes::mutable_constant<std::string> mInstance{ std::string() };
   TestCluster mCluster;
--- a/Source/UnitTests/Scheduling/ScheduleTests.cpp
+++ b/Source/UnitTests/Scheduling/ScheduleTests.cpp
@@ -24,8 +24,8 @@
 TEST_CASE("Random schedules keep the invariants", "[Scheduling]")
 {
   // Faults: stopped coordinators and ones that stay active after their replacement, disconnected
-  // agents, workers that restart under their old id, orders carried out late or never, outdated
-  // lists, cancelled jobs, failing tasks, lost writes.
+  // agents, agents that are killed and restart, workers that restart under their old id, orders
+  // carried out late or never, outdated lists, cancelled jobs, failing tasks, lost writes.
   REQUIRE(FirstViolation(PlantedFault::None, ScheduleCount(200)) == "");
 }
 
@@ -34,7 +34,8 @@
   const auto fault = GENERATE(PlantedFault::IgnoreLeases,
                               PlantedFault::IgnoreRecords,
                               PlantedFault::TreatTimeoutAsRejected,
-                              PlantedFault::AcknowledgeEarly);
+                              PlantedFault::AcknowledgeEarly,
+                              PlantedFault::ForgetRepeats);
   CAPTURE(static_cast<int>(fault));
   REQUIRE(FirstViolation(fault, 200) != "");
 }
--- a/Source/UnitTests/Scheduling/Simulation.cpp
+++ b/Source/UnitTests/Scheduling/Simulation.cpp
@@ -261,10 +261,20 @@
       aCoordinator.mTerm < agent.mTerm) {
     return;
   }
+  const auto known = agent.mOrderStates.find(aOrder.mNumber);
+  const OrderResult result =
+    known == agent.mOrderStates.end() ? sendOrder(aWorker, aOrder) : known->second;
+  agent.mOrderStates[aOrder.mNumber] = result;
+  agent.mResults.emplace_back(aOrder.mNumber, result);
+}
+
+OrderResult
+Simulation::sendOrder(std::size_t aWorker, const Order& aOrder)
+{
+  const AgentModel& agent = mAgents[aWorker];
   const bool start = aOrder.mKind == OrderKind::Start;
   if (start && agent.mLeaseGrantedUntil <= mTime + milliseconds(300)) {
-    agent.mResults.emplace_back(aOrder.mNumber, OrderResult::NotSent);
-    return;
+    return OrderResult::NotSent;
   }
   if (mFaultsEnabled && random(15) == 0) {
     // The answer is lost; the order is carried out late or never.
@@ -276,12 +286,22 @@
                                  agent.mLeaseGrantedUntil });
     }
     const bool treatedAsRejected = mFault == PlantedFault::TreatTimeoutAsRejected && start;
-    agent.mResults.emplace_back(aOrder.mNumber,
-                                treatedAsRejected ? OrderResult::Unhealthy : OrderResult::Unknown);
-    return;
+    return treatedAsRejected ? OrderResult::Unhealthy : OrderResult::Unknown;
+  }
+  return applyOrder(aWorker, agent.mTerm, aOrder, agent.mLeaseGrantedUntil);
+}
+
+void
+Simulation::repeatOrders(std::size_t aWorker, CoordinatorModel& aCoordinator)
+{
+  const auto orders =
+    RepeatOrders(aCoordinator.mState, Common::InstanceId("a" + std::to_string(aWorker)));
+  for (const Order& order : orders) {
+    if (mFault == PlantedFault::ForgetRepeats) {
+      aCoordinator.mState.mOutstandingOrders.at(order.mNumber).mRepeated = false;
+    }
+    executeOrder(aWorker, aCoordinator, order);
   }
-  agent.mResults.emplace_back(aOrder.mNumber,
-                              applyOrder(aWorker, agent.mTerm, aOrder, agent.mLeaseGrantedUntil));
 }
 
 void
@@ -291,6 +311,9 @@
     AgentModel& agent = mAgents[i];
     WorkerModel& worker = mWorkers[i];
     CoordinatorModel* newest = currentCoordinator();
+    if (mTime < agent.mDownUntil) {
+      continue;
+    }
     if (agent.mDisconnected || newest == nullptr) {
       // An agent that cannot reach the newest coordinator stays with an earlier one while that one
       // is active.
@@ -300,6 +323,7 @@
       agent.mView = {};
       agent.mAcknowledgeUpTo = EndNumber{ 0 };
       agent.mResults.clear();
+      agent.mOrderStates.clear();
     }
     if (agent.mCoordinator == 0) {
       continue;
@@ -404,19 +428,27 @@
         !(agent.mDisconnected && coordinator.mTerm == mTerm && mCoordinators.size() > 1);
       const Common::InstanceId name("a" + std::to_string(i));
       if (!connected) {
+        coordinator.mConnectedAgents.erase(i);
         MarkAgentDisconnected(state, name);
         continue;
       }
       if (mFaultsEnabled && random(5) == 0) {
         continue;
       }
-      std::vector<WorkerView> views{ agent.mView };
+      std::vector<WorkerView> views;
+      if (!agent.mJustStarted) {
+        views.push_back(agent.mView);
+      }
+      agent.mJustStarted = false;
       ApplyReport(state, name, views, {}, mTime + WithDrift(kLeaseTime), now());
       auto results = std::move(agent.mResults);
       agent.mResults.clear();
       for (const auto& [number, result] : results) {
         ApplyOrderResult(state, number, result, now());
       }
+      if (coordinator.mConnectedAgents.insert(i).second) {
+        repeatOrders(i, coordinator);
+      }
       // The answer to the report grants the next lease.
       agent.mLeaseGrantedUntil = std::max<Timestamp>(agent.mLeaseGrantedUntil, mTime + kLeaseTime);
       for (Worker& worker : state.mWorkers) {
@@ -463,6 +495,16 @@
   if (random(40) == 0) {
     agent.mDisconnected = false;
   }
+  if (random(100) == 0) {
+    // Some agents are killed at the same moment and start again. Their workers keep running.
+    for (AgentModel& killed : mAgents) {
+      if (random(2) == 0) {
+        killed = AgentModel{};
+        killed.mJustStarted = true;
+        killed.mDownUntil = mTime + milliseconds(random(600));
+      }
+    }
+  }
   if (random(250) == 0) {
     // The worker crashes and restarts under its old id.
     WorkerModel& worker = mWorkers[static_cast<std::size_t>(random(kWorkerCount))];
--- a/Source/UnitTests/Scheduling/Simulation.h
+++ b/Source/UnitTests/Scheduling/Simulation.h
@@ -28,6 +28,8 @@
   TreatTimeoutAsRejected,
   /// Ends are acknowledged before they are stored.
   AcknowledgeEarly,
+  /// A repeated order is treated as one that was not sent before.
+  ForgetRepeats,
 };
 
 class Simulation
@@ -71,6 +73,12 @@
     EndNumber mAcknowledgeUpTo;
     WorkerView mView;
     std::vector<std::pair<std::int64_t, OrderResult>> mResults;
+    /// Results of this process's orders, by which it answers repeated ones.
+    std::map<std::int64_t, OrderResult> mOrderStates;
+    /// No process runs before this time.
+    Timestamp mDownUntil;
+    /// The process has not reported yet; its first report contains no worker.
+    bool mJustStarted = false;
   };
   struct CoordinatorModel
   {
@@ -79,6 +87,8 @@
     SchedulerState mState;
     Timestamp mValidUntil;
     bool mStopped = false;
+    /// Agents that were connected at the last tick.
+    std::set<std::size_t> mConnectedAgents;
   };
   struct DelayedOrder
   {
@@ -102,6 +112,9 @@
   void tickCoordinators();
   void injectFaults();
   void executeOrder(std::size_t aWorker, CoordinatorModel& aCoordinator, const Order& aOrder);
+  OrderResult sendOrder(std::size_t aWorker, const Order& aOrder);
+  /// Repeats the outstanding orders to an agent that has connected again.
+  void repeatOrders(std::size_t aWorker, CoordinatorModel& aCoordinator);
   OrderResult applyOrder(std::size_t aWorker,
                          Common::Epoch aTerm,
                          const Order& aOrder,
