Add a failing test for a replaced coordinator that starts a new job

While the store does not answer, a coordinator acts beyond its lease for mStoreOutageGrace. When the store answers again, its watch of the jobs may answer before its renewal or its watch of the coordinator's key.

--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -343,3 +343,29 @@
   REQUIRE(cluster.runUntil([&] { return first.mStarts == 2; }, 1s));
   REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 3s));
 }
+
+TEST_CASE("A coordinator without a valid lease does not start new jobs", "[Node]")
+{
+  // When the store answered again after an outage, a coordinator in its grace time saw a new job
+  // before it saw that it had been replaced, and both coordinators started the job's tasks (soak
+  // seed 3).
+  TestCluster cluster;
+  cluster.addEntry("e1");
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e1"; }, 2s));
+  cluster.addEntry("e2");
+  FakeWorker& first = cluster.addWorker("w1");
+  FakeWorker& second = cluster.addWorker("w2");
+  first.mTaskTime = 60s;
+  second.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil(
+    [&] { return first.mHighestTerm.value() > 0 && second.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(200ms);
+  cluster.mProcesses.at("e1").mStoreProxy->mRejecting = true;
+  cluster.mProcesses.at("agent-w1").mStoreProxy->mRejecting = true;
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e2"; }, 4s));
+  REQUIRE(cluster.runUntil([&] { return second.mHighestTerm > first.mHighestTerm; }, 2s));
+  cluster.mProcesses.at("e1").mStoreProxy->mServedPrefix = kJobPrefix;
+  Submit(cluster, "a");
+  REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 2s));
+  REQUIRE(second.mRunning.size() == 2);
+}
--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -340,6 +340,8 @@
 
   /// Whether the store rejects the calls of this process.
   bool mRejecting = false;
+  /// Prefix whose pages and watches are served nevertheless; none if empty.
+  std::string mServedPrefix;
 
   void read(const std::string& aKey,
             Duration aTimeout,
@@ -352,7 +354,7 @@
                 Duration aTimeout,
                 Store::Done<Store::Page> aDone) override
   {
-    mRejecting ? reject(aDone) : mStore.readPage(aPrefix, aAfter, aTimeout, onProcess(aDone));
+    rejects(aPrefix) ? reject(aDone) : mStore.readPage(aPrefix, aAfter, aTimeout, onProcess(aDone));
   }
   void watch(
     const std::string& aPrefix,
@@ -360,15 +362,15 @@
     Duration aWait,
     std::function<void(tl::expected<Store::WatchResult, Store::WatchError>)> aDone) override
   {
-    if (mRejecting) {
+    if (rejects(aPrefix)) {
       onProcess(aDone)(tl::unexpected(Store::WatchError::NoAnswer));
       return;
     }
     // A pending watch ends without an answer when the store begins to reject the process.
-    mStore.watch(aPrefix, aAfter, aWait, [this, done = onProcess(aDone)](auto aResult) {
-      done(mRejecting ? tl::expected<Store::WatchResult, Store::WatchError>(
-                          tl::unexpected(Store::WatchError::NoAnswer))
-                      : std::move(aResult));
+    mStore.watch(aPrefix, aAfter, aWait, [this, aPrefix, done = onProcess(aDone)](auto aResult) {
+      done(rejects(aPrefix) ? tl::expected<Store::WatchResult, Store::WatchError>(
+                                tl::unexpected(Store::WatchError::NoAnswer))
+                            : std::move(aResult));
     });
   }
   void write(const Store::Transaction& aTransaction,
@@ -397,6 +399,11 @@
   }
 
 private:
+  bool rejects(const std::string& aPrefix) const
+  {
+    return mRejecting && (mServedPrefix.empty() || aPrefix != mServedPrefix);
+  }
+
   template<typename Value>
   void reject(const std::function<void(Store::Result<Value>)>& aDone)
   {
