Withdraw starts that an agent keeps when the coordinator gives them up

If the lease of the run ended at the coordinator meanwhile, the task started elsewhere, and the agent sent the old start with its next lease: two runs of one task. And at a reconnect the lease was granted before the stops of the meantime arrived, so that the tasks of a cancelled job could start.

Change: the end of a lease orders stops of the runs that are not confirmed, which go out before any later lease; and an agent that loses its connection gives up the starts that it keeps. The coordinator repeats those that it still awaits.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -253,6 +253,10 @@
 Agent::onLinkLost()
 {
   mLink.reset();
+  // The coordinator may give these starts up meanwhile; it repeats those that it still awaits.
+  for (auto& [lifetime, worker] : mWorkers) {
+    worker.mDriver->abandonRepeatedStarts();
+  }
   if (mStopping) {
     return;
   }
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -81,7 +81,7 @@
 {
   mClosed = true;
   mTimer.cancel();
-  abandonRepeatedStarts([](const auto&) { return true; });
+  abandonRepeatedStarts();
 }
 
 void
@@ -107,7 +107,7 @@
   mTerm = aTerm;
   mView.mHasTaskList = false;
   mAcknowledged = Scheduling::EndNumber{ 0 };
-  abandonRepeatedStarts([](const auto&) { return true; });
+  abandonRepeatedStarts();
   if (!mPolling) {
     mTimer.cancel();
     poll();
@@ -293,7 +293,7 @@
     return;
   }
   if (aOrder.mKind == OrderKind::Stop) {
-    abandonRepeatedStarts([&aOrder](const Scheduling::Order& aStart) {
+    abandonRepeatedStartsIf([&aOrder](const Scheduling::Order& aStart) {
       return aStart.mTask == aOrder.mTask && aStart.mRun == aOrder.mRun;
     });
   }
@@ -301,7 +301,14 @@
 }
 
 void
-WorkerDriver::abandonRepeatedStarts(const std::function<bool(const Scheduling::Order&)>& aCondition)
+WorkerDriver::abandonRepeatedStarts()
+{
+  abandonRepeatedStartsIf([](const Scheduling::Order&) { return true; });
+}
+
+void
+WorkerDriver::abandonRepeatedStartsIf(
+  const std::function<bool(const Scheduling::Order&)>& aCondition)
 {
   const auto starts = std::exchange(mRepeatedStarts, {});
   for (const auto& pending : starts) {
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -54,6 +54,9 @@
                     const std::string& aPayload,
                     std::function<void(Scheduling::OrderResult)> aDone);
 
+  /// Completes all repeated starts that wait with Unknown.
+  void abandonRepeatedStarts();
+
   /// The view without the remaining time of the lease, which changes continuously.
   const Scheduling::WorkerView& view() const { return mView; }
   /// The view with the remaining time of the lease, for a report that is sent now.
@@ -91,7 +94,7 @@
   /// allows starts.
   void resolveRepeatedStarts();
   /// Completes those for which aCondition holds with Unknown.
-  void abandonRepeatedStarts(const std::function<bool(const Scheduling::Order&)>& aCondition);
+  void abandonRepeatedStartsIf(const std::function<bool(const Scheduling::Order&)>& aCondition);
   bool canStart() const;
   void send(const std::shared_ptr<PendingOrder>& aPending);
   void handleOrderAnswer(const std::shared_ptr<PendingOrder>& aPending, const OrderAnswer& aAnswer);
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -422,6 +422,20 @@
   aState.mWorkers[number].mHasNewUsage = true;
 }
 
+/// Orders stops of the runs that are not confirmed, because the agent may send their starts as soon
+/// as it has a lease again.
+void
+WithdrawStarts(SchedulerState& aState, WorkerNumber aWorker)
+{
+  const Worker& worker = aState.mWorkers[aWorker];
+  for (const TaskRef& ref : worker.mTasks) {
+    const Task& task = TaskAt(ref);
+    if (task.mPhase == TaskPhase::Starting) {
+      OrderStop(aState, worker.mLifetime, NameOf(ref), task.mRun);
+    }
+  }
+}
+
 /// True if the run that the order starts is still wanted and neither confirmed nor being stopped.
 bool
 AwaitsStart(SchedulerState& aState, const Order& aOrder, WorkerNumber aWorker)
@@ -630,6 +644,7 @@
     const Worker& worker = aState.mWorkers[number];
     if ((!worker.mTasks.empty() || !worker.mSupersededRuns.empty()) &&
         worker.mLeaseEnd <= aNow.mMonotonic) {
+      WithdrawStarts(aState, number);
       LoseRuns(aState, number, "its lease expired", aNow);
     }
     const std::set<TaskRef> tasks = aState.mWorkers[number].mTasks;
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -262,6 +262,11 @@
     fixture.advance(milliseconds(5100));
     fixture.report(fixture.view("w2"));
     CheckTimeouts(fixture.mState, fixture.now());
+    // The agent may still have the start, so it is withdrawn.
+    const auto stops = fixture.takeOrders();
+    REQUIRE(stops.size() == 1);
+    REQUIRE(stops[0].mKind == OrderKind::Stop);
+    REQUIRE(stops[0].mRun == starts[0].mRun);
     const auto again = fixture.place();
     REQUIRE(again.size() == 1);
     REQUIRE(again[0].mLifetime.mWorker.str() == "w2");
