--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -42,16 +42,26 @@
   });
 }
 
-/// Stops the current run of a task that another run has completed.
+/// Stops a run that is not, or no longer will be, the current run of its task.
 void
-StopSupersededRun(SchedulerState& aState, const TaskRef& aRef, const CurrentTime& aNow)
+StopSupersededRun(SchedulerState& aState,
+                  WorkerNumber aWorker,
+                  const TaskRef& aRef,
+                  RunNumber aRun,
+                  const CurrentTime& aNow)
 {
-  const Task& task = TaskAt(aRef);
-  Worker& worker = aState.mWorkers[task.mWorker];
-  const Common::Resources reserved = ReservedBy(StepSpecOf(aRef));
-  worker.mSupersededRuns.push_back({ NameOf(aRef), task.mRun, reserved, aNow.mMonotonic });
-  worker.mUsed = worker.mUsed + reserved;
-  OrderStop(aState, worker.mLifetime, NameOf(aRef), task.mRun);
+  Worker& worker = aState.mWorkers[aWorker];
+  const TaskName name = NameOf(aRef);
+  const bool isKnown = std::any_of(
+    worker.mSupersededRuns.begin(), worker.mSupersededRuns.end(), [&](const SupersededRun& aOther) {
+      return aOther.mTask == name && aOther.mRun == aRun;
+    });
+  if (!isKnown) {
+    const Common::Resources reserved = ReservedBy(StepSpecOf(aRef));
+    worker.mSupersededRuns.push_back({ name, aRun, reserved, aNow.mMonotonic });
+    worker.mUsed = worker.mUsed + reserved;
+  }
+  OrderStop(aState, worker.mLifetime, name, aRun);
 }
 
 /// Returns all tasks on the worker to the phase Waiting, because their runs have ended.
@@ -218,7 +228,7 @@
     if (isCurrentRun) {
       LearnRunTime(aState, *ref, aNow);
     } else if (task.mWorker != kNoWorker) {
-      StopSupersededRun(aState, *ref, aNow);
+      StopSupersededRun(aState, task.mWorker, *ref, task.mRun, aNow);
     }
     RecordRunEnd(aState, aState.mWorkers[aWorker], job.mSpec.mJob, false, aNow);
     step.mGang ? MarkGangDone(aState, *ref, aNow) : MarkTaskDone(aState, *ref, aNow);
@@ -292,7 +302,6 @@
              const RunningTask& aRunning,
              const CurrentTime& aNow)
 {
-  const WorkerLifetime lifetime = aState.mWorkers[aWorker].mLifetime;
   const auto ref = FindTask(aState, aRunning.mTask);
   if (!ref) {
     // The submission of the job may not have reached this coordinator yet, so the run is left to
@@ -300,10 +309,13 @@
     return;
   }
   Task& task = TaskAt(*ref);
+  const bool isCurrentRun = task.mWorker == aWorker && task.mRun == aRunning.mRun;
   if (HasEnded(ref->mJob->mState) || task.mPhase == TaskPhase::Done) {
     if (aNow.mMonotonic - task.mStopOrdered >= aState.mPolicy.mStopRetryInterval) {
       task.mStopOrdered = aNow.mMonotonic;
-      OrderStop(aState, lifetime, aRunning.mTask, aRunning.mRun);
+      isCurrentRun
+        ? OrderStop(aState, aState.mWorkers[aWorker].mLifetime, aRunning.mTask, aRunning.mRun)
+        : StopSupersededRun(aState, aWorker, *ref, aRunning.mRun, aNow);
     }
     return;
   }
@@ -312,7 +324,7 @@
   }
   if (task.mWorker != aWorker || task.mRun != aRunning.mRun) {
     // A run that was replaced while its worker was unreachable.
-    OrderStop(aState, lifetime, aRunning.mTask, aRunning.mRun);
+    StopSupersededRun(aState, aWorker, *ref, aRunning.mRun, aNow);
     return;
   }
   if (task.mPhase == TaskPhase::Starting) {
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -134,8 +134,8 @@
   Duration mQuarantineTime{ 0 };
 };
 
-/// A run that is being stopped because another run of its task is done. It occupies the worker
-/// until it ends.
+/// A run that is being stopped and is not the current run of its task, for example because another
+/// run is done. It occupies the worker until it ends.
 struct SupersededRun
 {
   TaskName mTask;
