Hold new jobs back while the coordinator's lease is not valid

When the store answered again, its watch of the jobs answered before its renewal; it started a job that had been accepted under its successor, which has no reason to wait for a job that it has not recovered: two runs of one task.

Change: a submission that is read while the lease is not valid is held until it is, and dropped with the state if another coordinator took over. Jobs known before go on as they did; the successor waits for those.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -117,6 +117,7 @@
   mWorkerCursor.clear();
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
+  mHeldSubmissions.clear();
   mEarlyReports.clear();
   mFlushEnds.clear();
   mFlushJobs.clear();
@@ -371,6 +372,7 @@
       return;
     }
     if (isWorking() && mElection.mayAct()) {
+      acceptHeldSubmissions();
       const auto now = mContext.steadyAndUnixNow();
       Scheduling::CheckTimeouts(mState, now);
       Scheduling::ThrottleTasks(mState, now);
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -93,6 +94,8 @@
   void watchJobs();
   void handleJobSnapshot(const std::vector<Store::Entry>& aEntries);
   void handleJobEntry(const Store::Entry& aEntry, bool aRecovered);
+  /// Handles the submissions that arrived while the lease was not valid, if it is valid now.
+  void acceptHeldSubmissions();
   void startWork();
 
   void schedulePlacement();
@@ -144,6 +147,9 @@
   std::string mProgressCursor;
   /// Jobs whose cancellation was seen before their submission.
   std::unordered_set<Common::JobId> mCancelledBeforeSubmission;
+  /// Submissions that were read while the lease was not valid. Another coordinator may have started
+  /// their tasks.
+  std::vector<Store::Entry> mHeldSubmissions;
   std::unique_ptr<PrefixWatcher> mJobWatcher;
   std::map<Net::Link*, Peer> mPeers;
   std::map<Common::InstanceId, EarlyReport> mEarlyReports;
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -1,5 +1,7 @@
 #include "Node/Coordinator.h"
 
+#include <utility>
+
 #include "Node/StoreKeys.h"
 #include "Node/WireConversion.h"
 #include "Observability/Log.h"
@@ -210,6 +212,10 @@
   if (mState.mJobs.contains(key->mJob)) {
     return;
   }
+  if (!aRecovered && !mElection.isLeaseValid()) {
+    mHeldSubmissions.push_back(aEntry);
+    return;
+  }
   const auto record = Wire::Decode<Wire::JobRecord>(aEntry.mValue);
   if (!record || record->job != key->mJob.str()) {
     Log(Level::Warning,
@@ -246,6 +252,18 @@
   }
 }
 
+void
+Coordinator::acceptHeldSubmissions()
+{
+  if (!mElection.isLeaseValid()) {
+    return;
+  }
+  const auto submissions = std::exchange(mHeldSubmissions, {});
+  for (const Store::Entry& entry : submissions) {
+    handleJobEntry(entry, false);
+  }
+}
+
 void
 Coordinator::startWork()
 {
--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -47,6 +47,8 @@
   {
   }
 
+  bool isLeaseValid() const { return mRole == Role::Leader && mContext.now() < mLeaseValidUntil; }
+
   bool mayAct() const
   {
     return mRole == Role::Leader &&
@@ -424,6 +426,12 @@
   return mCore->mayAct();
 }
 
+bool
+Election::isLeaseValid() const
+{
+  return mCore->isLeaseValid();
+}
+
 Common::Epoch
 Election::term() const
 {
--- a/Source/Core/Node/Election.h
+++ b/Source/Core/Node/Election.h
@@ -38,6 +38,9 @@
                           Duration aRoundTrip);
   /// True while this process may act as coordinator.
   bool mayAct() const;
+  /// True while no other process can be coordinator. False during the time for which a coordinator
+  /// goes on without an answer of the store, although mayAct() is true then.
+  bool isLeaseValid() const;
   Common::Epoch term() const;
   /// Precondition of the coordinator's writes: the key is still the one that this process wrote.
   Store::Expectation fencingCondition() const;
