Keep the results of orders that arrive while the coordinator must not act

Agents send each result once, and a pause shorter than the peer timeout keeps the connection, so that nothing repeated the orders: a refused start stood for about 6 s, and a best-effort task whose speed was being changed kept it. The first report of a new connection that was dropped so also kept the orders from being repeated at all.

Change: results of the term are held and applied before the next report; orders are repeated with the first report that is applied.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -1,6 +1,8 @@
 #include "Node/Coordinator.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 
@@ -119,6 +121,7 @@
   mCancelledBeforeSubmission.clear();
   mHeldSubmissions.clear();
   mEarlyReports.clear();
+  mHeldResults.clear();
   mFlushEnds.clear();
   mFlushJobs.clear();
   mFlushInProgress = false;
@@ -257,19 +260,25 @@
     Log(Level::Info, "coordinator", "agent connected", { { "agent", aReport.instance } });
   }
   if (mPhase == Phase::Paused || !mElection.mayAct()) {
+    if (aReport.term == mTerm.value()) {
+      std::move(aReport.results.begin(), aReport.results.end(), std::back_inserter(mHeldResults));
+    }
     return;
   }
   aPeer.mEchoMicros = aReport.agentMicros;
   const Timestamp now = mContext.now();
   if (mPhase == Phase::Recovering) {
+    aPeer.mOrdersRepeated = true;
     mEarlyReports[aPeer.mAgent] = { std::move(aReport), now };
     sendDirective(aPeer, {});
     return;
   }
   const bool agentJustStarted = aReport.workers.empty() && aReport.endedLives.empty();
+  applyOrderResults(std::exchange(mHeldResults, {}));
   applyReport(aReport, now);
-  sendDirective(aPeer, {}, isNew && agentJustStarted);
-  if (isNew) {
+  const bool isFirst = !std::exchange(aPeer.mOrdersRepeated, true);
+  sendDirective(aPeer, {}, isFirst && agentJustStarted);
+  if (isFirst) {
     resendOrders(aPeer);
   }
   schedulePlacement();
@@ -302,7 +311,14 @@
   for (const auto& answer : aReport.advice) {
     Scheduling::ApplyAdvice(mState, answer.number, FromWire(answer), now);
   }
-  for (const auto& result : aReport.results) {
+  applyOrderResults(aReport.results);
+}
+
+void
+Coordinator::applyOrderResults(const std::vector<Wire::OrderResult>& aResults)
+{
+  const auto now = mContext.steadyAndUnixNow();
+  for (const Wire::OrderResult& result : aResults) {
     Scheduling::ApplyOrderResult(
       mState, result.number, static_cast<Scheduling::OrderResult>(result.result), now);
   }
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -58,6 +58,8 @@
     Common::InstanceId mAgent;
     /// The agent's clock in its last report, which the next directive echoes.
     std::int64_t mEchoMicros = 0;
+    /// The orders without a result were repeated over this connection, or there were none.
+    bool mOrdersRepeated = false;
     /// The peer is another process that can become the coordinator.
     bool mIsCandidate = false;
   };
@@ -80,6 +82,7 @@
   void handleMessage(Net::Link* aLink, const std::string& aBytes);
   void handleReport(Peer& aPeer, Wire::Report aReport);
   void applyReport(const Wire::Report& aReport, Timestamp aReceivedAt);
+  void applyOrderResults(const std::vector<Wire::OrderResult>& aResults);
   void answerStatusQuery(Peer& aPeer, const Wire::StatusQuery& aQuery);
   /// Makes a write on behalf of an entry whose own calls the store refuses.
   void relayWrite(Net::Link* aLink, const Wire::RelayedWrite& aWrite);
@@ -153,6 +156,9 @@
   std::unique_ptr<PrefixWatcher> mJobWatcher;
   std::map<Net::Link*, Peer> mPeers;
   std::map<Common::InstanceId, EarlyReport> mEarlyReports;
+  /// Results of orders in reports that arrived while this process must not act. Agents send each
+  /// result once.
+  std::vector<Wire::OrderResult> mHeldResults;
   std::optional<QueueTables> mTables;
   boost::asio::steady_timer mTickTimer;
   boost::asio::steady_timer mFlushTimer;
