--- a/Source/UnitTests/Node/Soak.h
+++ b/Source/UnitTests/Node/Soak.h
@@ -138,8 +138,9 @@
     settings.mFile = mLogFile;
     Observability::StartLog(settings);
     const auto core = boost::log::core::get();
-    core->remove_global_attribute(core->get_global_attributes().find("Instance"));
-    core->add_global_attribute("Instance", mInstance);
+    auto attributes = core->get_global_attributes();
+    attributes["Instance"] = mInstance;
+    core->set_global_attributes(attributes);
     mCluster.mFormats = SoakFormats();
     mCluster.mTiming.mWorkerLease = kWorkerLease;
     mCluster.mTiming.mStoreOutageGrace = kStoreOutageGrace;
