--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -28,6 +28,42 @@
   aWorker.mCapacity = aView.mCapacity;
 }
 
+/// Releases the resources of the superseded runs for which aHasEnded holds.
+template<typename Condition>
+void
+ReleaseSupersededRuns(Worker& aWorker, const Condition& aHasEnded)
+{
+  std::erase_if(aWorker.mSupersededRuns, [&](const SupersededRun& aRun) {
+    const bool ended = aHasEnded(aRun);
+    if (ended) {
+      aWorker.mUsed = aWorker.mUsed - aRun.mReserved;
+    }
+    return ended;
+  });
+}
+
+/// Stops a run that is not, or no longer will be, the current run of its task.
+void
+StopSupersededRun(SchedulerState& aState,
+                  WorkerNumber aWorker,
+                  const TaskRef& aRef,
+                  RunNumber aRun,
+                  const CurrentTime& aNow)
+{
+  Worker& worker = aState.mWorkers[aWorker];
+  const TaskName name = NameOf(aRef);
+  const bool isKnown = std::any_of(
+    worker.mSupersededRuns.begin(), worker.mSupersededRuns.end(), [&](const SupersededRun& aOther) {
+      return aOther.mTask == name && aOther.mRun == aRun;
+    });
+  if (!isKnown) {
+    const Common::Resources reserved = ReservedBy(StepSpecOf(aRef));
+    worker.mSupersededRuns.push_back({ name, aRun, reserved, aNow.mMonotonic });
+    worker.mUsed = worker.mUsed + reserved;
+  }
+  OrderStop(aState, worker.mLifetime, name, aRun);
+}
+
 /// Returns all tasks on the worker to the phase Waiting, because their runs have ended.
 void
 LoseRuns(SchedulerState& aState,
@@ -41,6 +77,7 @@
                                    {},
                                    worker.mLifetime.mWorker.str() + ": " + std::string(aReason) });
   }
+  ReleaseSupersededRuns(worker, [](const auto&) { return true; });
   const std::set<TaskRef> tasks = worker.mTasks;
   for (const TaskRef& ref : tasks) {
     ++aState.mCounts.mLostRuns;
@@ -52,12 +89,37 @@
   }
 }
 
+/// Stops runs that no list of the worker named on its next lifetime: calls name the worker only, so
+/// that a start which was answered late may have reached that lifetime.
+void
+MoveUnlistedRuns(SchedulerState& aState,
+                 WorkerNumber aWorker,
+                 WorkerNumber aNextLifetime,
+                 const CurrentTime& aNow)
+{
+  const std::set<TaskRef> tasks = aState.mWorkers[aWorker].mTasks;
+  for (const TaskRef& ref : tasks) {
+    Task& task = TaskAt(ref);
+    if (task.mListedByWorker) {
+      continue;
+    }
+    AssignToWorker(aState, ref, aNextLifetime, TaskPhase::Stopping, aNow);
+    task.mStopOrdered = aNow.mMonotonic;
+    OrderStop(aState, aState.mWorkers[aNextLifetime].mLifetime, NameOf(ref), task.mRun);
+  }
+}
+
+/// aNextLifetime is the next lifetime of the same worker; kNoWorker if it is not known.
 void
 EndLifetime(SchedulerState& aState,
             WorkerNumber aWorker,
+            WorkerNumber aNextLifetime,
             std::string_view aReason,
             const CurrentTime& aNow)
 {
+  if (aNextLifetime != kNoWorker) {
+    MoveUnlistedRuns(aState, aWorker, aNextLifetime, aNow);
+  }
   LoseRuns(aState, aWorker, aReason, aNow);
   Worker& worker = aState.mWorkers[aWorker];
   worker.mLifetimeEnded = true;
@@ -147,6 +209,9 @@
          const EndedTask& aEnd,
          const CurrentTime& aNow)
 {
+  ReleaseSupersededRuns(aState.mWorkers[aWorker], [&aEnd](const SupersededRun& aRun) {
+    return aRun.mTask == aEnd.mTask && aRun.mRun == aEnd.mRun;
+  });
   const auto ref = FindTask(aState, aEnd.mTask);
   if (!ref) {
     return;
@@ -163,7 +228,7 @@
     if (isCurrentRun) {
       LearnRunTime(aState, *ref, aNow);
     } else if (task.mWorker != kNoWorker) {
-      OrderStop(aState, aState.mWorkers[task.mWorker].mLifetime, aEnd.mTask, task.mRun);
+      StopSupersededRun(aState, task.mWorker, *ref, task.mRun, aNow);
     }
     RecordRunEnd(aState, aState.mWorkers[aWorker], job.mSpec.mJob, false, aNow);
     step.mGang ? MarkGangDone(aState, *ref, aNow) : MarkTaskDone(aState, *ref, aNow);
@@ -237,7 +302,6 @@
              const RunningTask& aRunning,
              const CurrentTime& aNow)
 {
-  const WorkerLifetime lifetime = aState.mWorkers[aWorker].mLifetime;
   const auto ref = FindTask(aState, aRunning.mTask);
   if (!ref) {
     // The submission of the job may not have reached this coordinator yet, so the run is left to
@@ -245,10 +309,13 @@
     return;
   }
   Task& task = TaskAt(*ref);
+  const bool isCurrentRun = task.mWorker == aWorker && task.mRun == aRunning.mRun;
   if (HasEnded(ref->mJob->mState) || task.mPhase == TaskPhase::Done) {
     if (aNow.mMonotonic - task.mStopOrdered >= aState.mPolicy.mStopRetryInterval) {
       task.mStopOrdered = aNow.mMonotonic;
-      OrderStop(aState, lifetime, aRunning.mTask, aRunning.mRun);
+      isCurrentRun
+        ? OrderStop(aState, aState.mWorkers[aWorker].mLifetime, aRunning.mTask, aRunning.mRun)
+        : StopSupersededRun(aState, aWorker, *ref, aRunning.mRun, aNow);
     }
     return;
   }
@@ -257,7 +324,7 @@
   }
   if (task.mWorker != aWorker || task.mRun != aRunning.mRun) {
     // A run that was replaced while its worker was unreachable.
-    OrderStop(aState, lifetime, aRunning.mTask, aRunning.mRun);
+    StopSupersededRun(aState, aWorker, *ref, aRunning.mRun, aNow);
     return;
   }
   if (task.mPhase == TaskPhase::Starting) {
@@ -289,6 +356,10 @@
   for (const RunningTask& running : aView.mRunning) {
     listed.emplace(running.mTask, running.mRun);
   }
+  ReleaseSupersededRuns(aState.mWorkers[aWorker], [&](const SupersededRun& aRun) {
+    return !listed.contains({ aRun.mTask, aRun.mRun }) &&
+           aNow.mMonotonic - aRun.mStopOrdered >= aState.mPolicy.mStopSettleTime;
+  });
   const std::set<TaskRef> tasks = aState.mWorkers[aWorker].mTasks;
   for (const TaskRef& ref : tasks) {
     Task& task = TaskAt(ref);
@@ -315,17 +386,18 @@
           Timestamp aLeaseEnd,
           const CurrentTime& aNow)
 {
+  const WorkerNumber number = FindOrAddWorker(aState, aView.mLifetime);
   // A newer lifetime of the same worker, or at the same address of the agent, ends the older ones.
-  for (auto& [lifetime, number] : aState.mWorkerIndex) {
-    const Worker& other = aState.mWorkers[number];
+  for (const auto& [lifetime, otherNumber] : aState.mWorkerIndex) {
+    const Worker& other = aState.mWorkers[otherNumber];
+    const bool sameWorker = lifetime.mWorker == aView.mLifetime.mWorker;
     const bool sameAddress =
       !aView.mAddress.empty() && other.mAgent == aAgent && other.mAddress == aView.mAddress;
-    if ((lifetime.mWorker == aView.mLifetime.mWorker || sameAddress) &&
-        lifetime.mStartedAt < aView.mLifetime.mStartedAt) {
-      EndLifetime(aState, number, "the worker restarted", aNow);
+    if ((sameWorker || sameAddress) && lifetime.mStartedAt < aView.mLifetime.mStartedAt) {
+      EndLifetime(
+        aState, otherNumber, sameWorker ? number : kNoWorker, "the worker restarted", aNow);
     }
   }
-  const WorkerNumber number = FindOrAddWorker(aState, aView.mLifetime);
   Worker& worker = aState.mWorkers[number];
   worker.mAgent = aAgent;
   CopyDescription(worker, aView);
@@ -362,6 +434,20 @@
   aState.mWorkers[number].mHasNewUsage = true;
 }
 
+/// Orders stops of the runs that are not confirmed, because the agent may send their starts as soon
+/// as it has a lease again.
+void
+WithdrawStarts(SchedulerState& aState, WorkerNumber aWorker)
+{
+  const Worker& worker = aState.mWorkers[aWorker];
+  for (const TaskRef& ref : worker.mTasks) {
+    const Task& task = TaskAt(ref);
+    if (task.mPhase == TaskPhase::Starting) {
+      OrderStop(aState, worker.mLifetime, NameOf(ref), task.mRun);
+    }
+  }
+}
+
 /// True if the run that the order starts is still wanted and neither confirmed nor being stopped.
 bool
 AwaitsStart(SchedulerState& aState, const Order& aOrder, WorkerNumber aWorker)
@@ -415,7 +501,16 @@
   for (const WorkerLifetime& lifetime : aEndedLifetimes) {
     const auto found = aState.mWorkerIndex.find(lifetime);
     if (found != aState.mWorkerIndex.end()) {
-      EndLifetime(aState, found->second, "its lifetime ended", aNow);
+      const WorkerNumber number = found->second;
+      const auto next = std::find_if(aViews.begin(), aViews.end(), [&](const WorkerView& aView) {
+        return aView.mLifetime.mWorker == lifetime.mWorker &&
+               aView.mLifetime.mStartedAt > lifetime.mStartedAt;
+      });
+      EndLifetime(aState,
+                  number,
+                  next == aViews.end() ? kNoWorker : FindOrAddWorker(aState, next->mLifetime),
+                  "its lifetime ended",
+                  aNow);
     }
   }
   for (const WorkerView& view : aViews) {
@@ -558,8 +653,10 @@
 CheckTimeouts(SchedulerState& aState, const CurrentTime& aNow)
 {
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
-    if (!aState.mWorkers[number].mTasks.empty() &&
-        aState.mWorkers[number].mLeaseEnd <= aNow.mMonotonic) {
+    const Worker& worker = aState.mWorkers[number];
+    if ((!worker.mTasks.empty() || !worker.mSupersededRuns.empty()) &&
+        worker.mLeaseEnd <= aNow.mMonotonic) {
+      WithdrawStarts(aState, number);
       LoseRuns(aState, number, "its lease expired", aNow);
     }
     const std::set<TaskRef> tasks = aState.mWorkers[number].mTasks;
