--- a/Source/Core/Node/PrefixWatcher.cpp
+++ b/Source/Core/Node/PrefixWatcher.cpp
@@ -68,13 +68,33 @@
 
   void watch()
   {
-    mContext.mStore.watch(mPrefix,
-                          mVersion,
-                          mWatchWait,
-                          [self = shared_from_this(), generation = mCallGeneration](
-                            tl::expected<Store::WatchResult, Store::WatchError> aResult) {
-                            self->handleWatchResult(std::move(aResult), generation);
-                          });
+    mContext.mStore.watch(
+      mPrefix,
+      mVersion,
+      mWatchWait,
+      [self = shared_from_this(), sent = mContext.now(), generation = mCallGeneration](
+        tl::expected<Store::WatchResult, Store::WatchError> aResult) {
+        if (aResult) {
+          self->logLateAnswer(*aResult, self->mContext.now() - sent);
+        }
+        self->handleWatchResult(std::move(aResult), generation);
+      });
+  }
+
+  /// An answer whose bytes keep coming can complete long after the call's deadline.
+  void logLateAnswer(const Store::WatchResult& aResult, Duration aTook) const
+  {
+    if (aTook <= mWatchWait + mContext.mTiming.mWatchTimeoutMargin) {
+      return;
+    }
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(aTook).count();
+    Observability::Log(Observability::Level::Warning,
+                       "store",
+                       "the changes arrived late",
+                       { { "prefix", mPrefix },
+                         { "took_ms", std::to_string(millis) },
+                         { "changes", std::to_string(aResult.mChanged.size()) },
+                         { "erased", std::to_string(aResult.mErased.size()) } });
   }
 
   void handleWatchResult(tl::expected<Store::WatchResult, Store::WatchError> aResult,
