Add a failing test for large answers that arrive late in a busy process

An answer of the store is read 512 bytes at a time, each in a turn of the event loop of its own: 1 MB takes 1,957 turns, that is 19.6 s at 10 ms a turn. The bound is the time within which a submission has to be visible.

--- a/Source/UnitTests/Net/HttpTests.cpp
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -230,6 +231,46 @@
   }
 }
 
+TEST_CASE("A busy event loop does not delay a large answer for seconds", "[Net]")
+{
+  // A coordinator whose event loop took 10 ms or more a turn read each list of changes in hundreds
+  // of turns, and saw submissions and cancellations up to seven seconds late (seen in
+  // vea-prestamo-grown trouble-1).
+  constexpr std::size_t kLargestPage = 1'000'000;
+  constexpr std::chrono::milliseconds kTurn{ 10 };
+  constexpr std::chrono::milliseconds kVisibleWithin{ 3'000 };
+
+  boost::asio::io_context serverIo;
+  HttpServer server(serverIo, {}, [](const HttpRequest&, const Responder& aRespond) {
+    aRespond({ 200, std::string(kLargestPage, 'x'), {} });
+  });
+  REQUIRE(server.listen("127.0.0.1:0"));
+
+  boost::asio::io_context io;
+  HttpClient client(io, AddressText(server.address()));
+  std::optional<CallResult> result;
+  client.call(
+    { "GET", "/x", "", {} }, 60s, [&](CallResult aResult) { result = std::move(aResult); });
+
+  // Other work takes its turn between any two steps of the call. The server runs until it has
+  // nothing left to do, so that the client never waits for it.
+  std::chrono::milliseconds busyTime{ 0 };
+  std::function<void()> work = [&] {
+    busyTime += kTurn;
+    serverIo.restart();
+    while (serverIo.poll() > 0) {
+    }
+    if (!result) {
+      boost::asio::post(io, work);
+    }
+  };
+  boost::asio::post(io, work);
+  io.run_for(30s);
+  REQUIRE(result);
+  REQUIRE((*result)->mBody.size() == kLargestPage);
+  REQUIRE(busyTime < kVisibleWithin);
+}
+
 TEST_CASE("Links carry whole messages and notice silence", "[Net]")
 {
   boost::asio::io_context io;
