Do not read the clock of a process that has ended when a watch answers

The line for changes that arrive late read the clock before it looked whether the watcher was stopped. In the tests a killed process takes its context with it: valgrind shows an invalid read in 'Another entry takes over when the coordinator dies', and one run of NodeTests ended with a segmentation fault.

--- a/Source/Core/Node/PrefixWatcher.cpp
+++ b/Source/Core/Node/PrefixWatcher.cpp
@@ -74,10 +74,7 @@
       mWatchWait,
       [self = shared_from_this(), sent = mContext.now(), generation = mCallGeneration](
         tl::expected<Store::WatchResult, Store::WatchError> aResult) {
-        if (aResult) {
-          self->logLateAnswer(*aResult, self->mContext.now() - sent);
-        }
-        self->handleWatchResult(std::move(aResult), generation);
+        self->handleWatchResult(std::move(aResult), sent, generation);
       });
   }
 
@@ -98,6 +95,7 @@
   }
 
   void handleWatchResult(tl::expected<Store::WatchResult, Store::WatchError> aResult,
+                         Timestamp aSent,
                          int aGeneration)
   {
     if (mStopped || aGeneration != mCallGeneration) {
@@ -119,6 +117,7 @@
       return;
     }
     recordSuccess();
+    logLateAnswer(*aResult, mContext.now() - aSent);
     mVersion = aResult->mUpTo;
     if (!aResult->mChanged.empty() || !aResult->mErased.empty()) {
       mEvents.mChange(*aResult);
