Log failed reads of a coordinator's recovery

The reads that fail are now logged with their key, pages also with their time, and `recovered` says how long the recovery took.

--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -85,8 +85,10 @@
   void dropPeer(Net::Link* aLink);
 
   void readWorkers();
-  /// Repeats a step of the recovery after mStoreRetryDelay, because the store did not answer.
-  void retryRead(void (Coordinator::*aStep)());
+  /// Repeats a step of the recovery after mStoreRetryDelay, because the read of aKey, a key or a
+  /// prefix, failed.
+  void retryRead(const std::string& aKey, void (Coordinator::*aStep)());
+  std::int64_t millisecondsInTerm() const;
   void readRecordsVersion();
   void readModel();
   void readProgress();
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -31,8 +31,14 @@
 } // namespace
 
 void
-Coordinator::retryRead(void (Coordinator::*aStep)())
+Coordinator::retryRead(const std::string& aKey, void (Coordinator::*aStep)())
 {
+  Log(Level::Warning,
+      "coordinator",
+      "failed to read records",
+      { { "term", std::to_string(mTerm.value()) },
+        { "key", aKey },
+        { "in_term_ms", std::to_string(millisecondsInTerm()) } });
   mReadRetryTimer.expires_after(mContext.mTiming.mStoreRetryDelay);
   mReadRetryTimer.async_wait(
     [this, aStep, generation = mCallGeneration](boost::system::error_code aError) {
@@ -42,6 +48,12 @@
     });
 }
 
+std::int64_t
+Coordinator::millisecondsInTerm() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(mContext.now() - mTermStart).count();
+}
+
 void
 Coordinator::readRecordsVersion()
 {
@@ -55,7 +67,7 @@
         return;
       }
       if (!aEntry) {
-        retryRead(&Coordinator::readRecordsVersion);
+        retryRead(kRecordsKey, &Coordinator::readRecordsVersion);
         return;
       }
       mRecordsVersion = *aEntry ? (*aEntry)->mVersion : Store::Version{ 0 };
@@ -75,7 +87,7 @@
         return;
       }
       if (!aPage) {
-        retryRead(&Coordinator::readWorkers);
+        retryRead(kWorkerPrefix, &Coordinator::readWorkers);
         return;
       }
       // The previous coordinator may have extended leases until its own key expired.
@@ -130,7 +142,7 @@
         return;
       }
       if (!aPage) {
-        retryRead(&Coordinator::readProgress);
+        retryRead(kProgressPrefix, &Coordinator::readProgress);
         return;
       }
       for (const Store::Entry& entry : aPage->mEntries) {
@@ -252,7 +264,8 @@
       { { "term", std::to_string(mTerm.value()) },
         { "jobs", std::to_string(mState.mJobs.size()) },
         { "open", std::to_string(mState.mOpenJobs.size()) },
-        { "workers", std::to_string(mState.mWorkers.size()) } });
+        { "workers", std::to_string(mState.mWorkers.size()) },
+        { "in_term_ms", std::to_string(millisecondsInTerm()) } });
   const auto early = std::move(mEarlyReports);
   mEarlyReports.clear();
   for (const auto& [agent, report] : early) {
--- a/Source/Core/Node/PrefixWatcher.cpp
+++ b/Source/Core/Node/PrefixWatcher.cpp
@@ -41,6 +41,14 @@
       return;
     }
     if (!aPage) {
+      const auto took =
+        std::chrono::duration_cast<std::chrono::milliseconds>(mContext.now() - aSent);
+      Observability::Log(Observability::Level::Warning,
+                         "store",
+                         "failed to read a page",
+                         { { "prefix", mPrefix },
+                           { "entries_before", std::to_string(mEntries.size()) },
+                           { "took_ms", std::to_string(took.count()) } });
       recordFailure();
       retry(&Core::readSnapshot);
       return;
