Read large answers of the store for as long as parts of them arrive

Cause: the recovery reads ibis/job/ in pages of up to 500 entries or about 1 MB. A call had 0.9 s for its whole answer, and with more than 430 jobs a page takes longer on such an entry. The read was repeated for ever, while the entry renewed its key. Entries with 200 Mbit/s recover in 0.07 to 0.18 s.

Evidence: "failed to read a page", prefix ibis/job/, no entries before, 900 ms, four times in a row in a term that ended without "recovered".

Change: the timeout of a call may count anew with each part of the answer. Other calls keep their deadline, as the caller waits for them.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -1,6 +1,8 @@
 #include "Net/HttpClient.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <optional>
 
 #include <sys/socket.h>
@@ -19,6 +21,8 @@
 
 /// Answers above this size are an error of the server; its pages are bounded by about 1 MB.
 constexpr std::uint64_t kMaxAnswerBytes = 8 << 20;
+/// Longest time for an answer that arrives in parts; 1 MB at 1 Mbit/s takes 8 s.
+constexpr std::chrono::seconds kMaxAnswerTime{ 10 };
 /// A server whose machine does not acknowledge data for this long is taken as lost.
 constexpr int kUnansweredMs = 5'000;
 /// Idle connections kept to one server. A step of many tasks starts with so many calls at one time,
@@ -63,9 +67,11 @@
   Call(std::shared_ptr<HttpClient::Core> aCore,
        ClientRequest aRequest,
        Common::Duration aTimeout,
-       CallDone aDone)
+       CallDone aDone,
+       TimeoutScope aScope)
     : mCore(std::move(aCore))
     , mTimeout(aTimeout)
+    , mScope(aScope)
     , mDone(std::move(aDone))
     , mRequest(Http::string_to_verb(aRequest.mMethod), aRequest.mTarget, 11)
   {
@@ -127,13 +133,28 @@
   void read()
   {
     mParser.body_limit(kMaxAnswerBytes);
-    Http::async_read(
+    mParser.eager(true);
+    mReadingSince = std::chrono::steady_clock::now();
+    readPart();
+  }
+
+  void readPart()
+  {
+    Http::async_read_some(
       *mStream, mBuffer, mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
         if (aError) {
           self->finish(tl::unexpected(CallError::NoAnswer));
           return;
         }
-        self->takeAnswer();
+        if (self->mParser.is_done()) {
+          self->takeAnswer();
+          return;
+        }
+        if (self->mScope == TimeoutScope::EachPart) {
+          self->mStream->expires_at(std::min(std::chrono::steady_clock::now() + self->mTimeout,
+                                             self->mReadingSince + kMaxAnswerTime));
+        }
+        self->readPart();
       });
   }
 
@@ -157,6 +178,8 @@
 
   std::shared_ptr<HttpClient::Core> mCore;
   Common::Duration mTimeout;
+  TimeoutScope mScope;
+  std::chrono::steady_clock::time_point mReadingSince;
   CallDone mDone;
   std::unique_ptr<Beast::tcp_stream> mStream;
   Beast::flat_buffer mBuffer;
@@ -178,9 +201,12 @@
 }
 
 void
-HttpClient::call(ClientRequest aRequest, Common::Duration aTimeout, CallDone aDone)
+HttpClient::call(ClientRequest aRequest,
+                 Common::Duration aTimeout,
+                 CallDone aDone,
+                 TimeoutScope aScope)
 {
-  std::make_shared<Call>(mCore, std::move(aRequest), aTimeout, std::move(aDone))->start();
+  std::make_shared<Call>(mCore, std::move(aRequest), aTimeout, std::move(aDone), aScope)->start();
 }
 
 } // namespace Net
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -38,10 +38,19 @@
   NoAnswer,
 };
 
+/// What the timeout of a call limits.
+enum class TimeoutScope
+{
+  WholeCall,
+  /// Each wait for a part of the answer. An answer of 1 MB takes longer over a slow link than a
+  /// server that is down should be waited for.
+  EachPart,
+};
+
 using CallResult = tl::expected<ClientResponse, CallError>;
 using CallDone = std::function<void(CallResult)>;
 
-/// Calls to one HTTP server over a few kept connections. Each call has a deadline; a connection on
+/// Calls to one HTTP server over a few kept connections. Each call has a timeout; a connection on
 /// which a call got no answer is closed. aDone is never called from within call().
 class HttpClient
 {
@@ -51,7 +60,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  void call(ClientRequest aRequest, Common::Duration aTimeout, CallDone aDone);
+  void call(ClientRequest aRequest,
+            Common::Duration aTimeout,
+            CallDone aDone,
+            TimeoutScope aScope = TimeoutScope::WholeCall);
 
   struct Core;
 
--- a/Source/Core/Store/AsyncStore.h
+++ b/Source/Core/Store/AsyncStore.h
@@ -72,7 +72,8 @@
 using Done = std::function<void(Result<Value>)>;
 
 /// The platform's store with transactions. Calls return at once; the answer comes on the event loop
-/// within the timeout. StoreError::Unavailable means that nothing was done.
+/// within the timeout. For pages and watches, whose answers can be large, the timeout counts anew
+/// with each part that arrives. StoreError::Unavailable means that nothing was done.
 class AsyncStore
 {
 public:
--- a/Source/UnitTests/Net/HttpTests.cpp
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "Net/HttpClient.h"
@@ -238,6 +239,63 @@
   }
 }
 
+TEST_CASE("The timeout of a call may count anew with each part of the answer", "[Net]")
+{
+  boost::asio::io_context io;
+  Tcp::acceptor acceptor(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  Tcp::socket socket(io);
+  boost::asio::steady_timer timer(io);
+  int parts = 0;
+  int partsUntilSilence = 6;
+  std::function<void()> sendPart = [&] {
+    if (parts == partsUntilSilence) {
+      return;
+    }
+    const std::string head = parts == 0 ? "HTTP/1.1 200 OK\r\nContent-Length: 6000\r\n\r\n" : "";
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(head + std::string(1000, 'x')), ignored);
+    ++parts;
+    timer.expires_after(60ms);
+    timer.async_wait([&](boost::system::error_code) { sendPart(); });
+  };
+  std::array<char, 1024> request{};
+  acceptor.async_accept(socket, [&](boost::system::error_code) {
+    socket.async_read_some(boost::asio::buffer(request),
+                           [&](boost::system::error_code, std::size_t) { sendPart(); });
+  });
+  HttpClient client(io, AddressText(acceptor.local_endpoint()));
+  std::optional<CallResult> result;
+  const auto call = [&](TimeoutScope aScope) {
+    client.call(
+      { "GET", "/x", "", {} },
+      150ms,
+      [&](CallResult aResult) { result = std::move(aResult); },
+      aScope);
+    io.run_for(600ms);
+    REQUIRE(result);
+  };
+
+  SECTION("an answer that arrives slowly is read whole")
+  {
+    call(TimeoutScope::EachPart);
+    REQUIRE(*result);
+    REQUIRE((*result)->mBody.size() == 6000);
+  }
+
+  SECTION("a server that falls silent in the middle is given up")
+  {
+    partsUntilSilence = 2;
+    call(TimeoutScope::EachPart);
+    REQUIRE(result->error() == CallError::NoAnswer);
+  }
+
+  SECTION("a call whose answer is worthless after its deadline ends then")
+  {
+    call(TimeoutScope::WholeCall);
+    REQUIRE(result->error() == CallError::NoAnswer);
+  }
+}
+
 TEST_CASE("A connection that the server closed while it was idle is not used", "[Net]")
 {
   // Workers close idle connections after 1.5 s; each start on one of them looked as if it had no
