--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -107,6 +107,26 @@
   }
 }
 
+TEST_CASE("A stopping coordinator gives its key back before its process ends", "[Node]")
+{
+  // The process ended between the decision to resign and the call to the store, and there was no
+  // coordinator until the key expired (seen with korouhev-sdileny-grown, trouble-2 --seed
+  // 294795233419).
+  TestCluster cluster;
+  auto& first = cluster.addEntry("e1");
+  // Without a successor it resigns 1.2 s before the grace ends, when its connections are closed.
+  first.mSettings.mShutdownGrace = 4s;
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e1"; }, 2s));
+  bool stopped = false;
+  bool hasKey = true;
+  first.mEntry->stop([&] {
+    stopped = true;
+    hasKey = cluster.mStore.contains(kCoordinatorKey);
+  });
+  REQUIRE(cluster.runUntil([&] { return stopped; }, 4s));
+  REQUIRE_FALSE(hasKey);
+}
+
 TEST_CASE("A restarted instance erases the coordinator's key of its earlier process", "[Node]")
 {
   // After a power failure of all processes, no coordinator could be elected until the lease of the
