Spare connections with an unread request when a stop closes idle ones

A request that arrived while the process was busy lies in the kernel and is reset with its connection.

Change: a connection on which bytes wait to be read is not idle.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -66,10 +66,12 @@
   Session& operator=(const Session&) = delete;
 
   void start() { readHeader(); }
-  /// A request that is on its way is lost unread, which its sender may send again.
+  /// A request that is on its way is lost unread, which its sender may send again. One that has
+  /// arrived is read and answered.
   void closeIfIdle()
   {
-    if (mIdle && mBuffer.size() == 0) {
+    ErrorCode error;
+    if (mIdle && mBuffer.size() == 0 && mStream.socket().available(error) == 0) {
       close();
     }
   }
