Let a stopping coordinator give its key back before its process ends

Cause: the handover counted as done when it was begun, and the process ended in the same turn of the event loop.

Change: it counts as done when the store has answered or the call has timed out.

--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -340,15 +340,18 @@
     const bool wasLeader = mRole == Role::Leader;
     stepDown(true);
     mRole = Role::Resigned;
+    const auto done = [self = shared_from_this(), onResigned = std::move(aDone)] {
+      if (!self->mStopped) {
+        onResigned();
+      }
+    };
     if (!wasLeader) {
-      boost::asio::post(mContext.mIo, std::move(aDone));
+      boost::asio::post(mContext.mIo, done);
       return;
     }
+    // If the call fails, the lease expires by itself.
     mContext.mStore.endLease(
-      mLease, mContext.mTiming.mStoreCallTimeout, [done = std::move(aDone)](Store::Result<void>) {
-        // If the call failed, the lease expires by itself.
-        done();
-      });
+      mLease, mContext.mTiming.mStoreCallTimeout, [done](const Store::Result<void>&) { done(); });
   }
 
   void startTimer(boost::asio::steady_timer& aTimer, Duration aDelay, void (*aStep)(Core&))
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -178,11 +178,11 @@
   // Without a successor the process stays coordinator for as long as it can.
   const bool graceEnding =
     mContext.now() - mStopRequestTime >= mContext.mSettings.mShutdownGrace - kHandOverMargin;
-  if (mHandedOver || (!mCoordinator.hasSuccessor() && !graceEnding)) {
+  if (mHandoverStarted || (!mCoordinator.hasSuccessor() && !graceEnding)) {
     return;
   }
-  mHandedOver = true;
-  mCoordinator.flushAll([this] { mElection.resign([] {}); });
+  mHandoverStarted = true;
+  mCoordinator.flushAll([this] { mElection.resign([this] { mHandedOver = true; }); });
 }
 
 void
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -53,6 +53,9 @@
   std::shared_ptr<const QueueTables> mTables;
   bool mLoggedReady = false;
   bool mStopping = false;
+  bool mHandoverStarted = false;
+  /// The store has answered that the coordinator's key is given back, or the process is not
+  /// coordinator.
   bool mHandedOver = false;
   Timestamp mStopRequestTime;
   std::function<void()> mOnStopped;
