--- a/Source/UnitTests/Node/Soak.h
+++ b/Source/UnitTests/Node/Soak.h
@@ -842,9 +842,9 @@
                                   mCluster.mWorkers.end(),
                                   [](const auto& aWorker) { return aWorker->mRunning.empty(); });
     return idle && std::all_of(mJobs.begin(), mJobs.end(), [](const auto& aJob) {
-             return aJob.second.mCancelRequested
-                      ? aJob.second.mEndState.has_value() || aJob.second.mCancelledAt.has_value()
-                      : aJob.second.mEndState.has_value();
+             const JobInfo& job = aJob.second;
+             return (!job.mAccepted || job.mEndState) && (job.mAccepted || job.mCancelRequested) &&
+                    (!job.mCancelRequested || job.mCancelledAt);
            });
   }
 
@@ -853,8 +853,8 @@
     for (const auto& [id, job] : mJobs) {
       if (!job.mAccepted && !job.mCancelRequested) {
         violate(id + " was not accepted");
-      } else if (!job.mCancelRequested && !job.mEndState) {
-        violate(id + " was accepted and did not complete");
+      } else if (job.mAccepted && !job.mEndState) {
+        violate(id + " was accepted and did not end");
       } else if (job.mCancelRequested && !job.mCancelledAt) {
         violate("the cancellation of " + id + " was not answered");
       }
