Name waiting starts and say when a start was not confirmed

From the review: "repeated start" stood for the driver's own retry, the order's flag and the waiting list; the list is mWaitingStarts now. A start on a worker that leaves is completed where it is seen, without a detour through send(). The coordinator's log line says "start not confirmed", which also holds for a result that is not known.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -48,6 +48,7 @@
 
 Agent::~Agent()
 {
+  // Without a connection, the orders that the drivers complete below schedule no report.
   if (mLink) {
     mLink->close();
     mLink.reset();
@@ -255,7 +256,7 @@
   mLink.reset();
   // The coordinator may give these starts up meanwhile; it repeats those that it still awaits.
   for (auto& [lifetime, worker] : mWorkers) {
-    worker.mDriver->abandonRepeatedStarts();
+    worker.mDriver->abandonWaitingStarts();
   }
   if (mStopping) {
     return;
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -81,7 +81,7 @@
 {
   mClosed = true;
   mTimer.cancel();
-  abandonRepeatedStarts();
+  abandonWaitingStarts();
 }
 
 void
@@ -107,7 +107,7 @@
   mTerm = aTerm;
   mView.mHasTaskList = false;
   mAcknowledged = Scheduling::EndNumber{ 0 };
-  abandonRepeatedStarts();
+  abandonWaitingStarts();
   if (!mPolling) {
     mTimer.cancel();
     poll();
@@ -119,7 +119,7 @@
 {
   if (mView.mResponding && aReportTime >= mRespondingSince) {
     mLeaseEnd = std::max(mLeaseEnd, aLeaseEnd);
-    resolveRepeatedStarts();
+    resolveWaitingStarts();
   }
 }
 
@@ -226,7 +226,7 @@
   ++mView.mTaskListNumber;
   mView.mRunning = std::move(aResult.mRunning);
   mView.mEnded = std::move(aResult.mEnded);
-  resolveRepeatedStarts();
+  resolveWaitingStarts();
   if (hasNews) {
     mCallbacks.mOnViewChanged();
   }
@@ -288,12 +288,12 @@
   pending->mDone = std::move(aDone);
   pending->mTerm = mTerm;
   if (aOrder.mKind == OrderKind::Start && aOrder.mRepeated && !mClosed) {
-    mRepeatedStarts.push_back(pending);
-    resolveRepeatedStarts();
+    mWaitingStarts.push_back(pending);
+    resolveWaitingStarts();
     return;
   }
   if (aOrder.mKind == OrderKind::Stop) {
-    abandonRepeatedStartsIf([&aOrder](const Scheduling::Order& aStart) {
+    abandonWaitingStartsIf([&aOrder](const Scheduling::Order& aStart) {
       return aStart.mTask == aOrder.mTask && aStart.mRun == aOrder.mRun;
     });
   }
@@ -301,39 +301,41 @@
 }
 
 void
-WorkerDriver::abandonRepeatedStarts()
+WorkerDriver::abandonWaitingStarts()
 {
-  abandonRepeatedStartsIf([](const Scheduling::Order&) { return true; });
+  abandonWaitingStartsIf([](const Scheduling::Order&) { return true; });
 }
 
 void
-WorkerDriver::abandonRepeatedStartsIf(
+WorkerDriver::abandonWaitingStartsIf(
   const std::function<bool(const Scheduling::Order&)>& aCondition)
 {
-  const auto starts = std::exchange(mRepeatedStarts, {});
+  const auto starts = std::exchange(mWaitingStarts, {});
   for (const auto& pending : starts) {
     if (aCondition(pending->mOrder)) {
       pending->mDone(OrderResult::Unknown);
     } else {
-      mRepeatedStarts.push_back(pending);
+      mWaitingStarts.push_back(pending);
     }
   }
 }
 
 void
-WorkerDriver::resolveRepeatedStarts()
+WorkerDriver::resolveWaitingStarts()
 {
   if (!mView.mHasTaskList) {
     return;
   }
-  const auto starts = std::exchange(mRepeatedStarts, {});
+  const auto starts = std::exchange(mWaitingStarts, {});
   for (const auto& pending : starts) {
     if (ListsRun(mView, pending->mOrder)) {
       pending->mDone(OrderResult::Done);
-    } else if (canStart() || mView.mLeaving) {
+    } else if (mView.mLeaving) {
+      pending->mDone(OrderResult::Unknown);
+    } else if (canStart()) {
       send(pending);
     } else {
-      mRepeatedStarts.push_back(pending);
+      mWaitingStarts.push_back(pending);
     }
   }
 }
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -47,15 +47,16 @@
   /// The coordinator has recorded the ended runs up to and including aUpTo; the next poll
   /// acknowledges them to the worker.
   void acknowledgeEnds(Scheduling::EndNumber aUpTo);
-  /// Sends an order, again if its answer was lost. A repeated start waits until the worker has sent
-  /// its lists and has a lease. aDone is called once, with Unknown if none of the attempts was
-  /// answered.
+  /// Sends an order, again if its answer was lost. A start that the coordinator repeats waits until
+  /// the worker's lists show the run or there is a lease to send it with; a stop of the run,
+  /// close() and setTerm() end the wait. aDone is called once, with Unknown if none of the attempts
+  /// was answered.
   void executeOrder(const Scheduling::Order& aOrder,
                     const std::string& aPayload,
                     std::function<void(Scheduling::OrderResult)> aDone);
 
   /// Completes all repeated starts that wait with Unknown.
-  void abandonRepeatedStarts();
+  void abandonWaitingStarts();
 
   /// The view without the remaining time of the lease, which changes continuously.
   const Scheduling::WorkerView& view() const { return mView; }
@@ -92,9 +93,9 @@
   void recordWorkerTime(const std::optional<WorkerTime>& aWorkerTime);
   /// Completes the repeated starts whose runs the worker lists, and sends the others if the lease
   /// allows starts.
-  void resolveRepeatedStarts();
+  void resolveWaitingStarts();
   /// Completes those for which aCondition holds with Unknown.
-  void abandonRepeatedStartsIf(const std::function<bool(const Scheduling::Order&)>& aCondition);
+  void abandonWaitingStartsIf(const std::function<bool(const Scheduling::Order&)>& aCondition);
   bool canStart() const;
   void send(const std::shared_ptr<PendingOrder>& aPending);
   void handleOrderAnswer(const std::shared_ptr<PendingOrder>& aPending, const OrderAnswer& aAnswer);
@@ -121,7 +122,7 @@
   int mRefusedPolls = 0;
   std::size_t mOrdersInFlight = 0;
   /// Repeated starts that are neither sent nor found in the worker's lists.
-  std::vector<std::shared_ptr<PendingOrder>> mRepeatedStarts;
+  std::vector<std::shared_ptr<PendingOrder>> mWaitingStarts;
   bool mClosed = false;
   bool mPolling = false;
 };
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -236,7 +236,8 @@
   Unknown = 8,
   /// The worker lifetime has ended.
   LifetimeEnded = 9,
-  /// The worker is leaving or the agent has no valid lease for it, so nothing was sent.
+  /// The worker is leaving or the agent has no valid lease for it, so this agent process has sent
+  /// nothing.
   NotSent = 10,
   /// The ticket is missing or has expired.
   TicketRejected = 11,
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -597,7 +597,7 @@
     return;
   }
   if (aResult != OrderResult::Done) {
-    aState.mLogEntries.push_back({ "start not carried out",
+    aState.mLogEntries.push_back({ "start not confirmed",
                                    order.mTask.mJob,
                                    DescribeRun(order.mTask, order.mRun, order.mLifetime) + ": " +
                                      std::string(ResultText(aResult)) +
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -76,8 +76,9 @@
 void
 MarkAgentDisconnected(SchedulerState& aState, const Common::InstanceId& aAgent);
 
-/// Orders without a result to the workers of the agent, in the order of their numbers, to be sent
-/// over its new connection. Starts that are not awaited any more are dropped.
+/// Marks the orders without a result to the workers of the agent as repeated and returns them in
+/// the order of their numbers, to be sent over its new connection. Starts that are not awaited any
+/// more are dropped.
 std::vector<Order>
 RepeatOrders(SchedulerState& aState, const Common::InstanceId& aAgent);
 
