Order speeds that are not known, and erase records whose write has no result

Cause: an adopted run was taken for one at full speed, and an order without a certain result for one that was not carried out. Change: the speed counts as unknown, and the next review of the worker orders one: 100, or 0 beside a task over its target. - 'The record of a worker that ends while it is written does not stay in the store': each later coordinator held its recovered jobs back for a worker that had left. Cause: only a confirmed write counted as one that has to be erased, and a worker that ended during its write as one without a record. Change: a record counts as perhaps stored from the write on.

--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -84,6 +84,13 @@
     std::size_t mUnlogged = 0;
   };
 
+  /// Workers whose records a flush wrote or erased.
+  struct FlushedWorkers
+  {
+    std::vector<Scheduling::WorkerLifetime> mWritten;
+    std::vector<Scheduling::WorkerLifetime> mErased;
+  };
+
   enum class Phase
   {
     Idle,
@@ -143,9 +150,8 @@
   void flush();
   /// Queues the records of the flush in progress to be written again.
   void markFlushJobsDirty();
-  /// aFlushedWorkers are those whose records the flush wrote or erased. aIncludesAllJobs is false
-  /// if the flush left changed jobs for the next one.
-  void handleFlushResult(const std::vector<Scheduling::WorkerLifetime>& aFlushedWorkers,
+  /// aIncludesAllJobs is false if the flush left changed jobs for the next one.
+  void handleFlushResult(const FlushedWorkers& aWorkers,
                          bool aIncludesAllJobs,
                          const tl::expected<Store::Version, Store::WriteFailure>& aResult);
   /// If the write failed only because an earlier write of this term took effect late, adopts the
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -27,6 +27,13 @@
 /// effect seconds late and must not remove the record of a worker that has reconnected.
 constexpr std::chrono::seconds kWorkerRecordRetention{ 30 };
 
+/// True if the worker's record may be in the store and is of no use any more.
+bool
+HasRecordOfEndedLifetime(const Scheduling::Worker& aWorker)
+{
+  return aWorker.mLifetimeEnded && (aWorker.mRecorded || aWorker.mMayBeRecorded);
+}
+
 } // namespace
 
 void
@@ -38,7 +45,7 @@
   const bool workerRecordsOutdated = std::any_of(
     mState.mWorkers.begin(), mState.mWorkers.end(), [](const Scheduling::Worker& aWorker) {
       return (aWorker.mConnected && aWorker.mHasTaskList && !aWorker.mRecorded) ||
-             (aWorker.mRecorded && aWorker.mLifetimeEnded);
+             HasRecordOfEndedLifetime(aWorker);
     });
   if (mState.mDirtyJobs.empty() && !workerRecordsOutdated) {
     // No record has to be written, so all handled ends can be acknowledged.
@@ -98,22 +105,23 @@
     job->mWriteAtOnce = false;
     mState.mDirtyJobs.erase(job);
   }
-  std::vector<Scheduling::WorkerLifetime> flushedWorkers;
-  for (const Scheduling::Worker& worker : mState.mWorkers) {
+  FlushedWorkers workers;
+  for (Scheduling::Worker& worker : mState.mWorkers) {
     if (worker.mConnected && worker.mHasTaskList && !worker.mRecorded &&
-        flushedWorkers.size() < kMaxWorkersPerWrite) {
+        workers.mWritten.size() < kMaxWorkersPerWrite) {
       Wire::WorkerRecord record;
       record.view = ToWire(Scheduling::ViewOf(worker));
       record.instance = worker.mAgent.str();
       record.dataCentre = worker.mDataCentre.str();
       transaction.mPuts.push_back(
         { WorkerKey(worker.mLifetime), Wire::Encode(record), std::nullopt });
-      flushedWorkers.push_back(worker.mLifetime);
-    } else if (worker.mRecorded && worker.mLifetimeEnded &&
-               transaction.mErased.size() < kMaxWorkersPerWrite) {
+      workers.mWritten.push_back(worker.mLifetime);
+      worker.mMayBeRecorded = true;
+    } else if (HasRecordOfEndedLifetime(worker) &&
+               workers.mErased.size() < kMaxWorkersPerWrite) {
       // If the record stayed, the next coordinator would wait until the worker's lease ends.
       transaction.mErased.push_back(WorkerKey(worker.mLifetime));
-      flushedWorkers.push_back(worker.mLifetime);
+      workers.mErased.push_back(worker.mLifetime);
     }
   }
   mFlushEnds.clear();
@@ -137,10 +145,10 @@
   mFlushStartedAt = mContext.now();
   mContext.mStore.write(transaction,
                         mContext.mTiming.mStoreCallTimeout,
-                        [this, generation = mCallGeneration, flushedWorkers, includesAllJobs](
+                        [this, generation = mCallGeneration, workers, includesAllJobs](
                           const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
                           if (generation == mCallGeneration) {
-                            handleFlushResult(flushedWorkers, includesAllJobs, aResult);
+                            handleFlushResult(workers, includesAllJobs, aResult);
                           }
                         });
 }
@@ -158,7 +166,7 @@
 }
 
 void
-Coordinator::handleFlushResult(const std::vector<Scheduling::WorkerLifetime>& aFlushedWorkers,
+Coordinator::handleFlushResult(const FlushedWorkers& aWorkers,
                                bool aIncludesAllJobs,
                                const tl::expected<Store::Version, Store::WriteFailure>& aResult)
 {
@@ -203,12 +211,14 @@
                   .count()) } });
     }
   }
-  for (const Scheduling::WorkerLifetime& lifetime : aFlushedWorkers) {
-    const auto found = mState.mWorkerIndex.find(lifetime);
-    if (found != mState.mWorkerIndex.end()) {
-      Scheduling::Worker& worker = mState.mWorkers[found->second];
-      worker.mRecorded = !worker.mLifetimeEnded;
-    }
+  // The record of a worker that ended meanwhile is in the store too, and is erased next.
+  for (const Scheduling::WorkerLifetime& lifetime : aWorkers.mWritten) {
+    mState.mWorkers[mState.mWorkerIndex.at(lifetime)].mRecorded = true;
+  }
+  for (const Scheduling::WorkerLifetime& lifetime : aWorkers.mErased) {
+    Scheduling::Worker& worker = mState.mWorkers[mState.mWorkerIndex.at(lifetime)];
+    worker.mRecorded = false;
+    worker.mMayBeRecorded = false;
   }
   if (aIncludesAllJobs) {
     for (const auto& [lifetime, number] : mFlushEnds) {
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -640,6 +640,7 @@
   task.mListedByWorker = false;
   task.mSpeed = Percent{ 100 };
   task.mOrderedSpeed = Percent{ 100 };
+  task.mSpeedIsKnown = true;
   task.mPausedSince = Timestamp{};
   task.mMissingSince = Timestamp{};
   task.mMissingLists = 0;
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -293,8 +293,7 @@
   task.mRun = aRunning.mRun;
   AssignToWorker(aState, aRef, aWorker, TaskPhase::Running, aNow);
   task.mListedByWorker = true;
-  task.mSpeed = Percent{ 100 };
-  task.mOrderedSpeed = Percent{ 100 };
+  task.mSpeedIsKnown = !StepSpecOf(aRef).mBestEffort;
 }
 
 void
@@ -586,10 +585,13 @@
   if (order.mKind == OrderKind::Throttle) {
     if (aResult == OrderResult::Done) {
       task.mSpeed = order.mPercent;
+      task.mSpeedIsKnown = true;
       host.mTailRooms.reset();
       task.mPausedSince = order.mPercent.value() == 0 ? aNow.mMonotonic : Timestamp{};
     } else {
       task.mOrderedSpeed = task.mSpeed;
+      task.mSpeedIsKnown =
+        task.mSpeedIsKnown && aResult != OrderResult::Unknown && !order.mRepeated;
     }
     return;
   }
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -47,6 +47,9 @@
   /// Speed limit that the worker confirmed, and the one ordered last; 100 is full speed.
   Percent mSpeed{ 100 };
   Percent mOrderedSpeed{ 100 };
+  /// False if an order without a certain result, or one of an earlier coordinator, may have changed
+  /// the speed.
+  bool mSpeedIsKnown = true;
   /// As in RunningTask.
   std::int64_t mUsage = 0;
   /// Time of the start order, or the time since which the task waits.
@@ -172,6 +175,8 @@
   bool mConnected = false;
   /// The record of this lifetime is in the store, so that a later coordinator waits for the worker.
   bool mRecorded = false;
+  /// A write of the record may have taken effect, although its result is not known.
+  bool mMayBeRecorded = false;
   /// The lifetime has ended and cannot return.
   bool mLifetimeEnded = false;
   /// All runs on the worker have ended by then unless the lease is extended.
--- a/Source/Core/Scheduling/Throttle.cpp
+++ b/Source/Core/Scheduling/Throttle.cpp
@@ -150,6 +150,26 @@
   return !keptShares.empty();
 }
 
+/// Orders a speed for the tasks whose speed is not known: full speed, or 0 beside a task over its
+/// target. Returns whether there are such tasks.
+bool
+OrderUnknownSpeeds(SchedulerState& aState, Worker& aWorker)
+{
+  const bool overTarget =
+    std::any_of(aWorker.mTasks.begin(), aWorker.mTasks.end(), [](const TaskRef& aRef) {
+      return HasTarget(aRef) && TaskAt(aRef).mOverTargetSince != Timestamp{};
+    });
+  bool ordered = false;
+  for (const TaskRef& ref : aWorker.mTasks) {
+    const Task& task = TaskAt(ref);
+    if (!task.mSpeedIsKnown && CanThrottle(task, StepSpecOf(ref))) {
+      OrderThrottle(aState, aWorker.mLifetime, ref, Percent{ overTarget ? 0 : 100 });
+      ordered = true;
+    }
+  }
+  return ordered;
+}
+
 /// Raises the speed of one throttled task if the tasks with targets stay within them. Returns
 /// whether a speed was changed.
 bool
@@ -289,7 +309,8 @@
         aNow.mMonotonic - worker.mSpeedsChangedAt < aState.mPolicy.mThrottleInterval) {
       continue;
     }
-    if (ReduceSpeeds(aState, worker, aNow) || RaiseSpeed(aState, worker)) {
+    if (OrderUnknownSpeeds(aState, worker) || ReduceSpeeds(aState, worker, aNow) ||
+        RaiseSpeed(aState, worker)) {
       worker.mSpeedsChangedAt = aNow.mMonotonic;
       worker.mNeighboursChangedAt = aNow.mMonotonic;
     }
