Start a task of each overdue best-effort job while half of the pool is free

Cause: beside long-running tasks near their targets a best-effort job gets one forced task, at most one in 5 s on a worker and only where all tails are below 0.8 of their targets. A backlog of such jobs has fewer places than jobs.

Change: a job without a running task for 2 s gets one on any worker with the resources while less than half of the pool's cores are reserved. Throttling pauses it if a target is missed.

Test: 'A best-effort job is not left without a running task while half of the pool is free' (failed before).

--- a/Source/Core/Net/Link.cpp
+++ b/Source/Core/Net/Link.cpp
@@ -97,8 +97,7 @@
   }
   const std::string compressed = mCompressor ? mCompressor->compress(aMessage) : std::string();
   const std::string& body = mCompressor ? compressed : aMessage;
-  const auto size =
-    static_cast<std::uint32_t>(body.size()) | (mCompressor ? kCompressedFlag : 0U);
+  const auto size = static_cast<std::uint32_t>(body.size()) | (mCompressor ? kCompressedFlag : 0U);
   std::string framed;
   framed.reserve(body.size() + 4);
   for (int shift = 24; shift >= 0; shift -= 8) {
--- a/Source/Core/Net/Link.h
+++ b/Source/Core/Net/Link.h
@@ -16,7 +16,8 @@
 namespace Net {
 
 /// A connection between two ibisshedd processes that carries whole messages, each with its length
-/// in front, whose highest bit says that the message is compressed. It is closed if nothing arrives for the silence limit, so both sides send regularly.
+/// in front, whose highest bit says that the message is compressed. It is closed if nothing arrives
+/// for the silence limit, so both sides send regularly.
 class Link : public std::enable_shared_from_this<Link>
 {
 public:
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -388,14 +388,13 @@
     finishOrder(order, Scheduling::OrderResult::NotSent);
     return;
   }
-  found->second.mDriver->executeOrder(
-    order,
-    starts ? payload->second : std::string(),
-    [this, order, term = mTerm](Scheduling::OrderResult aResult) {
-      if (term == mTerm) {
-        finishOrder(order, aResult);
-      }
-    });
+  found->second.mDriver->executeOrder(order,
+                                      starts ? payload->second : std::string(),
+                                      [this, order, term = mTerm](Scheduling::OrderResult aResult) {
+                                        if (term == mTerm) {
+                                          finishOrder(order, aResult);
+                                        }
+                                      });
 }
 
 void
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -419,8 +419,8 @@
 {
   Traffic& traffic = mTraffic[aPurpose];
   if (traffic.mCounter == nullptr) {
-    traffic.mCounter = &mContext.mCounters.counter(
-      "ibis_coordinator_bytes", "purpose=\"" + std::string(aPurpose) + '"');
+    traffic.mCounter = &mContext.mCounters.counter("ibis_coordinator_bytes",
+                                                   "purpose=\"" + std::string(aPurpose) + '"');
   }
   traffic.mCounter->add(static_cast<std::int64_t>(aBytes));
   traffic.mUnlogged += aBytes;
@@ -461,23 +461,23 @@
 {
   mTickTimer.expires_after(kTickInterval);
   const Timestamp planned = mContext.now() + kTickInterval;
-  mTickTimer.async_wait([this, planned, generation = mCallGeneration](
-                          boost::system::error_code aError) {
-    if (aError || generation != mCallGeneration) {
-      return;
-    }
-    recordLoad(planned);
-    if (isWorking() && mElection.mayAct()) {
-      acceptHeldSubmissions();
-      const auto now = mContext.steadyAndUnixNow();
-      Scheduling::CheckTimeouts(mState, now);
-      Scheduling::ThrottleTasks(mState, now);
-      placeTasks();
-      updateCounters();
-      collectGarbage();
-    }
-    scheduleTick();
-  });
+  mTickTimer.async_wait(
+    [this, planned, generation = mCallGeneration](boost::system::error_code aError) {
+      if (aError || generation != mCallGeneration) {
+        return;
+      }
+      recordLoad(planned);
+      if (isWorking() && mElection.mayAct()) {
+        acceptHeldSubmissions();
+        const auto now = mContext.steadyAndUnixNow();
+        Scheduling::CheckTimeouts(mState, now);
+        Scheduling::ThrottleTasks(mState, now);
+        placeTasks();
+        updateCounters();
+        collectGarbage();
+      }
+      scheduleTick();
+    });
 }
 
 void
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <unordered_map>
 #include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -117,8 +117,7 @@
         { WorkerKey(worker.mLifetime), Wire::Encode(record), std::nullopt });
       workers.mWritten.push_back(worker.mLifetime);
       worker.mMayBeRecorded = true;
-    } else if (HasRecordOfEndedLifetime(worker) &&
-               workers.mErased.size() < kMaxWorkersPerWrite) {
+    } else if (HasRecordOfEndedLifetime(worker) && workers.mErased.size() < kMaxWorkersPerWrite) {
       // If the record stayed, the next coordinator would wait until the worker's lease ends.
       transaction.mErased.push_back(WorkerKey(worker.mLifetime));
       workers.mErased.push_back(worker.mLifetime);
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -236,12 +236,22 @@
          Fits(ReservedBy(aStep), aWorker.mCapacity);
 }
 
+/// How long a best-effort job has had no running task.
+enum class Starvation
+{
+  None,
+  /// Long enough for a place beside tasks with room below their targets.
+  Starved,
+  /// Long enough for any place with the resources.
+  Overdue,
+};
+
 bool
 CanHostNow(const SchedulerState& aState,
            const Worker& aWorker,
            const ReadyStep& aReady,
            const QueueSpec& aQueue,
-           bool aStarved,
+           Starvation aStarvation,
            const CurrentTime& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
@@ -256,8 +266,9 @@
   if (!Fits(ReservedBy(step), aWorker.mCapacity - aWorker.mUsed)) {
     return false;
   }
-  if (step.mBestEffort && !BestEffortFits(aState, aWorker, step) &&
-      !(aStarved && HasTailHeadroom(aState, aWorker, aNow))) {
+  if (step.mBestEffort && aStarvation != Starvation::Overdue &&
+      !BestEffortFits(aState, aWorker, step) &&
+      !(aStarvation == Starvation::Starved && HasTailHeadroom(aState, aWorker, aNow))) {
     return false;
   }
   return step.mMaxPerWorker == 0 ||
@@ -348,13 +359,34 @@
   return cost;
 }
 
+/// True if less than half of the cores of the pool's workers are reserved.
 bool
-IsStarved(const SchedulerState& aState,
-          const ReadyStep& aReady,
-          const Task& aTask,
-          const CurrentTime& aNow)
+IsHalfFree(const SchedulerState& aState, const Common::PoolId& aPool)
 {
-  return aReady.mJobIsIdle && aNow.mMonotonic - aTask.mPhaseSince >= aState.mPolicy.mStarvedAfter;
+  Common::MilliCores capacity;
+  Common::MilliCores used;
+  for (const Worker& worker : aState.mWorkers) {
+    if (worker.mConnected && !worker.mLeaving && worker.mPool == aPool) {
+      capacity += worker.mCapacity.mCores;
+      used += worker.mUsed.mCores;
+    }
+  }
+  return used + used < capacity;
+}
+
+Starvation
+StarvationOf(const SchedulerState& aState,
+             const ReadyStep& aReady,
+             const QueueSpec& aQueue,
+             const Task& aTask,
+             const CurrentTime& aNow)
+{
+  const Duration waited = aNow.mMonotonic - aTask.mPhaseSince;
+  if (!aReady.mJobIsIdle || waited < aState.mPolicy.mStarvedAfter) {
+    return Starvation::None;
+  }
+  const bool overdue = waited >= aState.mPolicy.mOverdueAfter && IsHalfFree(aState, aQueue.mPool);
+  return overdue ? Starvation::Overdue : Starvation::Starved;
 }
 
 /// Reference to the first task of the step.
@@ -372,7 +404,7 @@
            const std::string& aRack,
            const CurrentTime& aNow)
 {
-  const bool starved = IsStarved(aState, aReady, aTask, aNow);
+  const Starvation starvation = StarvationOf(aState, aReady, aQueue, aTask, aNow);
   // Only long-running tasks need the capacity by label, and there are few of them.
   const bool longRunning = aReady.mJob->mSpec.mSteps[aReady.mStep].mLongRunning;
   const std::map<std::string, LabelCapacity> labelCapacities =
@@ -383,7 +415,7 @@
     const Worker& worker = aState.mWorkers[number];
     if ((!aRack.empty() && worker.mRack.str() != aRack) ||
         (aQueue.mAdvice && !HasTicket(StepAt(FirstTask(aReady)), number, aNow)) ||
-        !CanHostNow(aState, worker, aReady, aQueue, starved, aNow)) {
+        !CanHostNow(aState, worker, aReady, aQueue, starvation, aNow)) {
       continue;
     }
     const double cost = PlacementCost(aState, labelCapacities, worker, aReady, aTask, number);
@@ -414,7 +446,7 @@
     return;
   }
   const StepSpec& spec = aReady.mJob->mSpec.mSteps[aReady.mStep];
-  const bool starved = IsStarved(aState, aReady, *task, aNow);
+  const Starvation starvation = StarvationOf(aState, aReady, aQueue, *task, aNow);
   // Tickets that expire before the answer would arrive are requested again.
   const CurrentTime atAnswer{
     aNow.mMonotonic + aQueue.mAdvice->mDecisionTime + aState.mPolicy.mTicketMargin, aNow.mUnix
@@ -427,7 +459,7 @@
         !CanEverHost(worker, spec, aQueue)) {
       continue;
     }
-    const bool canHostNow = CanHostNow(aState, worker, aReady, aQueue, starved, aNow);
+    const bool canHostNow = CanHostNow(aState, worker, aReady, aQueue, starvation, aNow);
     isNeeded = isNeeded || canHostNow;
     candidates.emplace_back(
       !canHostNow, PlacementCost(aState, {}, worker, aReady, *task, number), number);
@@ -562,7 +594,7 @@
   const WorkerNumber own = TaskAt(aTask).mWorker;
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     if (number != own &&
-        CanHostNow(aState, aState.mWorkers[number], ready, queue->second, false, aNow)) {
+        CanHostNow(aState, aState.mWorkers[number], ready, queue->second, Starvation::None, aNow)) {
       return true;
     }
   }
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -261,6 +261,10 @@
   /// A best-effort job with no running task for this long gets one placed although long-running
   /// tasks may miss their targets; throttling then limits it.
   Duration mStarvedAfter{ std::chrono::milliseconds(1200) };
+  /// With no running task for this long, such a job gets one on any worker while less than half of
+  /// the pool's cores are in use; throttling pauses it if need be. Callers are promised that no job
+  /// is left without a running task for 3 s while there is that much room.
+  Duration mOverdueAfter{ std::chrono::milliseconds(2000) };
   /// Such a forced placement needs a worker on which no tail latency exceeds this multiple of its
   /// target. Two on the same worker are at least mForcedPlacementPause apart, in which throttling
   /// settles.
--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -133,8 +133,7 @@
   shape.mTasks = 300;
   Submit(cluster, "a", shape);
   REQUIRE(cluster.runUntil([&] { return running == 128; }, 4s));
-  Observability::Distribution& rounds =
-    cluster.mCounters.distribution("ibis_placement_round_us");
+  Observability::Distribution& rounds = cluster.mCounters.distribution("ibis_placement_round_us");
   cluster.run(1s);
   const auto before = rounds.snapshot().count();
   cluster.run(2s);
@@ -217,8 +216,8 @@
   {
     cluster.kill("the-last");
     cluster.kill("first");
-    REQUIRE(cluster.runUntil(
-      [&] { return cluster.coordinatorInstance().starts_with("small"); }, 4s));
+    REQUIRE(
+      cluster.runUntil([&] { return cluster.coordinatorInstance().starts_with("small"); }, 4s));
   }
 }
 
--- a/Source/UnitTests/Scheduling/SharingTests.cpp
+++ b/Source/UnitTests/Scheduling/SharingTests.cpp
@@ -193,6 +193,52 @@
   }
 }
 
+TEST_CASE("A best-effort job is not left without a running task while half of the pool is free",
+          "[Scheduling]")
+{
+  // Load pattern: a backlog of best-effort jobs after a loss of all power, on workers whose
+  // long-running tasks are over their targets by their own load. One job at a time got a task, and
+  // others waited for half a minute (seen with the small twin of korouhev-sdileny-large trouble-1).
+  Fixture fixture;
+  fixture.addWorker("w1");
+  const Order serve = StartLongRunning(fixture);
+  const auto report = [&](std::vector<RunningTask> aAlso) {
+    aAlso.push_back(Fixture::running(serve, 100, 60));
+    ReportAndThrottle(fixture, aAlso);
+  };
+  report({});
+  fixture.addJob("first", { MakeStep().cores(500).bestEffort().image("x").build() }, "render");
+  fixture.addJob("second", { MakeStep().cores(500).bestEffort().image("y").build() }, "render");
+  std::set<JobId> started;
+  const auto placeForThreeSeconds = [&] {
+    for (int i = 0; i < 4; ++i) {
+      report({});
+      for (const Order& order : fixture.place()) {
+        started.insert(order.mTask.mJob);
+      }
+    }
+  };
+
+  SECTION("and both start within 3 s")
+  {
+    placeForThreeSeconds();
+    REQUIRE(started == std::set<JobId>{ JobId("first"), JobId("second") });
+  }
+
+  SECTION("but it does wait while more is in use")
+  {
+    const Order other = [&] {
+      fixture.addJob("other", { MakeStep().cores(6'000).longRunning().build() });
+      const auto orders = fixture.place();
+      REQUIRE(orders.size() == 1);
+      fixture.confirm(orders);
+      return orders[0];
+    }();
+    placeForThreeSeconds();
+    REQUIRE(started.empty());
+  }
+}
+
 TEST_CASE("A task that an earlier coordinator paused goes on", "[Scheduling]")
 {
   // A new coordinator took each adopted run for one at full speed, so nothing raised the speed of a
