--- a/Source/Core/Scheduling/TailInterference.h
+++ b/Source/Core/Scheduling/TailInterference.h
@@ -39,8 +39,9 @@
 /// Orders pairs of images, and finds them without copies of the names.
 struct ImagePairLess
 {
-  using is_transparent =
-    void; // NOLINT(readability-identifier-naming): the name that std::map looks for
+  // The name that std::map looks for.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  using is_transparent = void;
 
   template<typename Left, typename Right>
   bool operator()(const Left& aLeft, const Right& aRight) const
