Tell the coordinator at once that an entry stops

Cause: an entry says in its keep-alive whether it can take over, and keep-alives are only sent on a link that is idle for 500 ms. An entry that asks for the states of jobs sends none, so that it stays listed as a successor after its stop began. Ruled out: the end of the grace (it handed over 45 ms after SIGTERM).

Change: the news goes out when it changes. A coordinator that stops after the others stays one until a restarted entry offers itself.

Test: 'A stopping coordinator hands over to another entry', section 'and not to one that has just begun to stop' (failed before).

--- a/Source/Core/Node/CoordinatorLink.cpp
+++ b/Source/Core/Node/CoordinatorLink.cpp
@@ -186,6 +186,15 @@
   }
 }
 
+void
+CoordinatorLink::setCandidate(bool aCandidate)
+{
+  mCandidate = aCandidate;
+  if (mLink) {
+    sendKeepAlive();
+  }
+}
+
 void
 CoordinatorLink::sendKeepAlive()
 {
--- a/Source/Core/Node/CoordinatorLink.h
+++ b/Source/Core/Node/CoordinatorLink.h
@@ -23,7 +23,7 @@
   CoordinatorLink& operator=(const CoordinatorLink&) = delete;
 
   /// Whether this entry offers itself as a successor of the coordinator.
-  void setCandidate(bool aCandidate) { mCandidate = aCandidate; }
+  void setCandidate(bool aCandidate);
   /// Sets the coordinator's address, "" if there is none. A new address ends the pending calls
   /// unanswered.
   void setAddress(const std::string& aAddress);
--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -235,6 +235,32 @@
     REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e2"; }, 1500ms));
   }
 
+  SECTION("and not to one that has just begun to stop")
+  {
+    // The coordinator learned it with the next keep-alive, which an entry that asks for the states
+    // of jobs need not send, and the duty went round three stopping entries in 3 s (seen with
+    // sakba-sched inc-d7ba).
+    cluster.mFormats.mParseJobRequest = [](const Net::HttpRequest&) {
+      JobRequest request;
+      request.mKind = JobRequest::Kind::Show;
+      request.mHost = "h";
+      request.mPath = "/q/x";
+      return request;
+    };
+    auto& second = cluster.addEntry("e2");
+    cluster.run(1000ms);
+    Net::HttpClient caller(cluster.mIo, second.mSettings.mCallerAddress);
+    for (int i = 0; i < 10; ++i) {
+      caller.call({ "GET", "/q/x", "", {} }, 1s, [](const Net::CallResult&) {});
+      cluster.run(50ms);
+    }
+    second.mEntry->stop([] {});
+    cluster.run(50ms);
+    first.mEntry->stop([] {});
+    cluster.run(800ms);
+    REQUIRE(cluster.coordinatorInstance() == "e1");
+  }
+
   SECTION("and stays coordinator while there is no other entry")
   {
     // Both other entries were stopping too, and there was no coordinator for 3 s (seen
