--- a/Source/UnitTests/Platform/FormatTests.cpp
+++ b/Source/UnitTests/Platform/FormatTests.cpp
@@ -19,6 +19,7 @@
   "listen": {"frontend": "10.1.0.13:8161", "readiness": "10.1.0.13:8167"},
   "internal_ports": [7720, 7735], "unknown": {"a": 1},
   "bounds": {"hold_max_ms": 6000, "grace_s": 6.5, "status_s": 120, "stop_ms": 400},
+  "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "link_mbps": 1000.0},
   "platform": {"address": "10.200.1.7:8169", "ttl_min_ms": 1500}
 })";
 
@@ -83,6 +84,8 @@
     REQUIRE(settings->mMaxWorkerLease == std::chrono::seconds(6));
     REQUIRE(settings->mShutdownGrace == std::chrono::milliseconds(6500));
     REQUIRE(settings->mMinStoreLease == std::chrono::milliseconds(1500));
+    REQUIRE(settings->mProcessorShare == Approx(0.25));
+    REQUIRE(settings->mLinkSpeed == Approx(1000.0));
   }
 
   SECTION("all missing and invalid fields are reported together")
