--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -19,7 +19,11 @@
 int
 PlayManySubmissions(Installation& aInstallation, const std::string& aLevel);
 
-inline constexpr Case kCases[] = { { "many-submissions", &PlayManySubmissions },
+int
+PlaySilentChannels(Installation& aInstallation, const std::string& aLevel);
+
+inline constexpr Case kCases[] = { { "silent-channels", &PlaySilentChannels },
+                                   { "many-submissions", &PlayManySubmissions },
                                    { "removed-route", &PlayRemovedRoute },
                                    { "restarted-worker", &PlayRestartedWorker } };
 
--- a/review/standin/Http.cpp
+++ b/review/standin/Http.cpp
@@ -203,8 +203,8 @@
       mSockets.insert(socket);
     }
     ++mThreads;
-    std::thread([this, socket] {
-      serve(socket);
+    std::thread([this, socket, number = mNextNumber++] {
+      serve(socket, number);
       {
         const std::lock_guard lock(mMutex);
         mSockets.erase(socket);
@@ -216,7 +216,20 @@
 }
 
 void
-HttpServer::serve(int aSocket)
+HttpServer::silenceOpenConnections()
+{
+  mFirstSpeaking = mNextNumber.load();
+}
+
+std::size_t
+HttpServer::connections()
+{
+  const std::lock_guard lock(mMutex);
+  return mSockets.size();
+}
+
+void
+HttpServer::serve(int aSocket, std::uint64_t aNumber)
 {
   std::string buffer;
   std::string firstLine;
@@ -225,8 +238,9 @@
     const std::size_t space = firstLine.find(' ');
     request.mMethod = firstLine.substr(0, space);
     request.mTarget = firstLine.substr(space + 1, firstLine.rfind(' ') - space - 1);
-    const auto reply = mHandler(request);
-    if (!reply) {
+    // What is sent on a silent connection does not arrive, and answers do not get back.
+    auto reply = aNumber < mFirstSpeaking ? std::nullopt : mHandler(request);
+    if (!reply || aNumber < mFirstSpeaking) {
       // Unanswered: wait until the peer gives up or the server crashes.
       char byte = 0;
       while (::recv(aSocket, &byte, 1, 0) > 0) {
--- a/review/standin/Http.h
+++ b/review/standin/Http.h
@@ -52,10 +52,13 @@
   /// Closes the listener and resets all connections, as the end of the process does.
   void crash();
   int port() const { return mPort; }
+  /// The connections that are open now stay open and answer nothing any more; new ones work.
+  void silenceOpenConnections();
+  std::size_t connections();
 
 private:
   void accept(int aListener);
-  void serve(int aSocket);
+  void serve(int aSocket, std::uint64_t aNumber);
 
   int mPort;
   Handler mHandler;
@@ -64,6 +67,9 @@
   std::set<int> mSockets;
   std::thread mAcceptThread;
   std::atomic<int> mThreads{ 0 };
+  std::atomic<std::uint64_t> mNextNumber{ 1 };
+  /// Connections with a lower number are silent.
+  std::atomic<std::uint64_t> mFirstSpeaking{ 0 };
 };
 
 /// Sends one request and returns the reply, or nothing if none came in time.
--- a/review/standin/Store.h
+++ b/review/standin/Store.h
@@ -20,6 +20,7 @@
 
   void start() { mServer.start(); }
   int port() const { return mServer.port(); }
+  HttpServer& server() { return mServer; }
   /// A write of the operator; returns its revision.
   std::int64_t put(const std::string& aKey, const std::string& aText);
   /// Decoded value; "" if the key does not exist.
