--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -47,7 +47,17 @@
 {
   const std::lock_guard lock(mMutex);
   for (auto& [task, done] : mDone) {
-    done.mAcknowledged = done.mAcknowledged || (done.mWorker == aWorker && done.mEnd <= aUpTo);
+    done.mAcknowledged = done.mAcknowledged ||
+                         (done.mWorker == aWorker && done.mEnd <= aUpTo && !done.mLapsed);
+  }
+}
+
+void
+Truth::lapse(const std::string& aWorker)
+{
+  const std::lock_guard lock(mMutex);
+  for (auto& [task, done] : mDone) {
+    done.mLapsed = done.mLapsed || (done.mWorker == aWorker && !done.mAcknowledged);
   }
 }
 
@@ -282,6 +292,9 @@
   for (const auto& [task, how] : ends) {
     end(task, how);
   }
+  if (mLeaseEnd > 0 && clock() >= mLeaseEnd && !mEnds.empty()) {
+    mTruth.lapse(mOptions.mId);
+  }
 }
 
 void
--- a/review/standin/Worker.h
+++ b/review/standin/Worker.h
@@ -35,6 +35,8 @@
   void addDone(const std::string& aTask, const std::string& aWorker, std::int64_t aEnd);
   /// The worker's ends up to this one were acknowledged.
   void acknowledge(const std::string& aWorker, std::int64_t aUpTo);
+  /// The worker's lease lapsed: ends that are not acknowledged by now never count as noted.
+  void lapse(const std::string& aWorker);
   /// Returns true if a run of the task had ended as done before this start.
   bool addStart(const std::string& aTask);
   /// Tasks that started after a run of them had ended as done, and that end is acknowledged.
@@ -47,6 +49,7 @@
     std::string mWorker;
     std::int64_t mEnd = 0;
     bool mAcknowledged = false;
+    bool mLapsed = false;
     bool mStartedLater = false;
   };
   mutable std::mutex mMutex;
