--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -168,6 +168,8 @@
     mUp = false;
     ++mLifetime;
     mRuns.clear();
+    // Nobody can take note of the ends of this lifetime any more.
+    mTruth.lapse(mOptions.mId);
   }
   mChanged.notify_all();
   mServer.crash();
