--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -22,7 +22,11 @@
 int
 PlaySilentChannels(Installation& aInstallation, const std::string& aLevel);
 
-inline constexpr Case kCases[] = { { "silent-channels", &PlaySilentChannels },
+int
+PlayLargeSubmissions(Installation& aInstallation, const std::string& aLevel);
+
+inline constexpr Case kCases[] = { { "large-submissions", &PlayLargeSubmissions },
+                                   { "silent-channels", &PlaySilentChannels },
                                    { "many-submissions", &PlayManySubmissions },
                                    { "removed-route", &PlayRemovedRoute },
                                    { "restarted-worker", &PlayRestartedWorker } };
