Keep calls meant for one lifetime of a worker from its next one

Cause: calls name the worker's id, which its next lifetime has as well, and the agent learns of that lifetime only from an answer. The poll that finds it carries the end of the lease on the clock of the earlier lifetime. On the clock that started anew this is far ahead, and the worker takes its longest lease (10 s) where the coordinator counts 5 s and 3%.

Ruled out: a wrong count of the coordinator, extensions behind the cut.

On related paths the same cause had two more effects: acknowledged ends of the earlier lifetime erase ends of the next one that nobody has recorded, and a start over a connection that the restart closed is carried out by the next lifetime.

Change: HttpClient can check a new connection before it sends a request. The client of a worker checks with a poll that grants and acknowledges nothing, and uses the connection only if the expected lifetime answers. A connection ends with the process that accepted it, so that the check holds for all later calls on it. Repeated starts and stops of unlisted runs that find the lifetime ended no longer say that the run cannot exist: the next lifetime may carry out a late start.

The test of such a start used a repeated call, which no longer reaches the next lifetime. It now uses calls that any lifetime carries out late, with the same requirements; without the change for repeated starts and stops it fails.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -48,22 +48,45 @@
 
 struct HttpClient::Core
 {
-  Core(Asio::io_context& aContext, const std::string& aAddress)
+  Core(Asio::io_context& aContext,
+       const std::string& aAddress,
+       std::optional<ConnectionCheck> aCheck)
     : mContext(aContext)
     , mEndpoint(ParseAddress(aAddress))
     , mHost(aAddress)
+    , mCheck(std::move(aCheck))
   {
   }
 
   Asio::io_context& mContext;
   std::optional<Tcp::endpoint> mEndpoint;
   std::string mHost;
+  std::optional<ConnectionCheck> mCheck;
   std::vector<std::unique_ptr<Beast::tcp_stream>> mIdle;
   bool mClosed = false;
 };
 
 namespace {
 
+Http::request<Http::string_body>
+MakeMessage(ClientRequest aRequest, const std::string& aHost)
+{
+  Http::request<Http::string_body> message(
+    Http::string_to_verb(aRequest.mMethod), aRequest.mTarget, 11);
+  message.set(Http::field::host, aHost);
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    message.set(name, value);
+  }
+  if (!aRequest.mBody.empty()) {
+    message.set(Http::field::content_type, "application/json");
+  }
+  message.body() = std::move(aRequest.mBody);
+  if (!message.body().empty() || message.method() == Http::verb::post) {
+    message.prepare_payload();
+  }
+  return message;
+}
+
 class Call : public std::enable_shared_from_this<Call>
 {
 public:
@@ -76,19 +99,8 @@
     , mTimeout(aTimeout)
     , mScope(aScope)
     , mDone(std::move(aDone))
-    , mRequest(Http::string_to_verb(aRequest.mMethod), aRequest.mTarget, 11)
+    , mRequest(MakeMessage(std::move(aRequest), mCore->mHost))
   {
-    mRequest.set(Http::field::host, mCore->mHost);
-    for (const auto& [name, value] : aRequest.mHeaders) {
-      mRequest.set(name, value);
-    }
-    if (!aRequest.mBody.empty()) {
-      mRequest.set(Http::field::content_type, "application/json");
-    }
-    mRequest.body() = std::move(aRequest.mBody);
-    if (!mRequest.body().empty() || mRequest.method() == Http::verb::post) {
-      mRequest.prepare_payload();
-    }
   }
 
   void start()
@@ -103,7 +115,7 @@
       mCore->mIdle.pop_back();
       if (IsUsable(mStream->socket())) {
         mStream->expires_after(mTimeout);
-        write();
+        write(mRequest);
         return;
       }
     }
@@ -116,17 +128,32 @@
         return;
       }
       SetSocketOptions(self->mStream->socket(), kUnansweredMs);
-      self->write();
+      self->handleConnected();
     });
   }
 
 private:
-  void write()
+  void handleConnected()
+  {
+    if (!mCore->mCheck) {
+      write(mRequest);
+      return;
+    }
+    // The functions of the check may refer to the owner of the client.
+    if (mCore->mClosed) {
+      finish(tl::unexpected(CallError::NotSent));
+      return;
+    }
+    mCheckRequest = MakeMessage(mCore->mCheck->mMakeRequest(), mCore->mHost);
+    write(*mCheckRequest);
+  }
+
+  void write(Http::request<Http::string_body>& aMessage)
   {
     Http::async_write(
-      *mStream, mRequest, [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      *mStream, aMessage, [self = shared_from_this()](ErrorCode aError, std::size_t) {
         if (aError) {
-          self->finish(tl::unexpected(CallError::NoAnswer));
+          self->finishWithoutAnswer();
           return;
         }
         self->read();
@@ -135,8 +162,9 @@
 
   void read()
   {
-    mParser.body_limit(kMaxAnswerBytes);
-    mParser.eager(true);
+    mParser.emplace();
+    mParser->body_limit(kMaxAnswerBytes);
+    mParser->eager(true);
     mReadingSince = std::chrono::steady_clock::now();
     readPart();
   }
@@ -144,12 +172,12 @@
   void readPart()
   {
     Http::async_read_some(
-      *mStream, mBuffer, mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      *mStream, mBuffer, *mParser, [self = shared_from_this()](ErrorCode aError, std::size_t) {
         if (aError) {
-          self->finish(tl::unexpected(CallError::NoAnswer));
+          self->finishWithoutAnswer();
           return;
         }
-        if (self->mParser.is_done()) {
+        if (self->mParser->is_done()) {
           self->takeAnswer();
           return;
         }
@@ -165,21 +193,46 @@
   /// Beast reads as much as the buffer has room for, and by itself makes room for 512 bytes only.
   void growBuffer()
   {
-    if (mParser.is_header_done()) {
-      const std::uint64_t left = mParser.content_length_remaining().value_or(kMaxReadBytes);
+    if (mParser->is_header_done()) {
+      const std::uint64_t left = mParser->content_length_remaining().value_or(kMaxReadBytes);
       mBuffer.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(left, kMaxReadBytes)));
     }
   }
 
   void takeAnswer()
   {
-    auto message = mParser.release();
-    if (message.keep_alive() && mCore->mIdle.size() < kMaxIdle && !mCore->mClosed &&
-        mBuffer.size() == 0) {
+    auto message = mParser->release();
+    const bool isReusable = message.keep_alive() && mBuffer.size() == 0;
+    ClientResponse response{ message.result_int(), std::move(message.body()) };
+    if (mCheckRequest) {
+      takeCheckAnswer(std::move(response), isReusable);
+      return;
+    }
+    if (isReusable && mCore->mIdle.size() < kMaxIdle && !mCore->mClosed) {
       mStream->expires_never();
       mCore->mIdle.push_back(std::move(mStream));
     }
-    finish(ClientResponse{ message.result_int(), std::move(message.body()) });
+    finish(std::move(response));
+  }
+
+  void takeCheckAnswer(ClientResponse aResponse, bool aIsReusable)
+  {
+    if (mCore->mClosed || !aIsReusable) {
+      finishWithoutAnswer();
+      return;
+    }
+    if (!mCore->mCheck->mPasses(aResponse)) {
+      aResponse.mFailedCheck = true;
+      finish(std::move(aResponse));
+      return;
+    }
+    mCheckRequest.reset();
+    write(mRequest);
+  }
+
+  void finishWithoutAnswer()
+  {
+    finish(tl::unexpected(mCheckRequest ? CallError::NotSent : CallError::NoAnswer));
   }
 
   void finish(CallResult aResult)
@@ -197,13 +250,17 @@
   std::unique_ptr<Beast::tcp_stream> mStream;
   Beast::flat_buffer mBuffer;
   Http::request<Http::string_body> mRequest;
-  Http::response_parser<Http::string_body> mParser;
+  /// Set while the check of a new connection is under way.
+  std::optional<Http::request<Http::string_body>> mCheckRequest;
+  std::optional<Http::response_parser<Http::string_body>> mParser;
 };
 
 } // namespace
 
-HttpClient::HttpClient(Asio::io_context& aContext, const std::string& aAddress)
-  : mCore(std::make_shared<Core>(aContext, aAddress))
+HttpClient::HttpClient(Asio::io_context& aContext,
+                       const std::string& aAddress,
+                       std::optional<ConnectionCheck> aCheck)
+  : mCore(std::make_shared<Core>(aContext, aAddress, std::move(aCheck)))
 {
 }
 
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,13 +27,27 @@
 {
   unsigned mStatus = 0;
   std::string mBody;
+  /// The request was not sent, because the connection failed its check. This is the server's answer
+  /// to the check.
+  bool mFailedCheck = false;
+};
+
+/// Makes sure that a new connection reaches the expected server, and not another process at the
+/// same address. A connection ends with the process that accepted it, so one check holds for all
+/// requests on it.
+struct ConnectionCheck
+{
+  /// Returns the request that is sent first on the connection.
+  std::function<ClientRequest()> mMakeRequest;
+  /// True if the answer comes from the expected server.
+  std::function<bool(const ClientResponse&)> mPasses;
 };
 
 enum class CallError
 {
   /// The connection was refused; no process listens there.
   Refused,
-  /// No connection came about; nothing was sent.
+  /// No connection came about, or its check was not answered; the request was not sent.
   NotSent,
   /// The request was sent, wholly or in part, and no answer came.
   NoAnswer,
@@ -50,12 +65,15 @@
 using CallResult = tl::expected<ClientResponse, CallError>;
 using CallDone = std::function<void(CallResult)>;
 
-/// Calls to one HTTP server over a few kept connections. Each call has a timeout; a connection on
-/// which a call got no answer is closed. aDone is never called from within call().
+/// Calls to one HTTP server over a few kept connections. Each call has a timeout, which includes
+/// the check of a new connection; a connection on which a call got no answer is closed. aDone is
+/// never called from within call().
 class HttpClient
 {
 public:
-  HttpClient(Asio::io_context& aContext, const std::string& aAddress);
+  HttpClient(Asio::io_context& aContext,
+             const std::string& aAddress,
+             std::optional<ConnectionCheck> aCheck = std::nullopt);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -158,7 +158,7 @@
   const Scheduling::WorkerLifetime lifetime = aView.mLifetime;
   auto driver = std::make_shared<WorkerDriver>(
     mContext,
-    mPortFactory(aView.mAddress, lifetime.mWorker),
+    mPortFactory(aView.mAddress, lifetime),
     aView,
     WorkerDriver::Callbacks{ [this] { reportSoon(); },
                              [this, lifetime](Scheduling::LifetimeStart aNextStart) {
--- a/Source/Core/Node/Ports.cpp
+++ b/Source/Core/Node/Ports.cpp
@@ -2,6 +2,12 @@
 
 namespace Node {
 
+bool
+AreDifferentLifetimes(Scheduling::LifetimeStart aFirst, Scheduling::LifetimeStart aSecond)
+{
+  return aFirst.value() != 0 && aSecond.value() != 0 && aFirst != aSecond;
+}
+
 std::string_view
 ResponseKindText(JobResponse::Kind aKind)
 {
--- a/Source/Core/Node/Ports.h
+++ b/Source/Core/Node/Ports.h
@@ -90,8 +90,14 @@
   std::vector<Scheduling::EndedTask> mEnded;
 };
 
-/// Asynchronous calls to one worker. All of them are idempotent. The worker rejects a call whose
-/// term is lower than the highest it has seen. aDone is called once.
+/// True if both are known and are not the same.
+bool
+AreDifferentLifetimes(Scheduling::LifetimeStart aFirst, Scheduling::LifetimeStart aSecond);
+
+/// Asynchronous calls to one lifetime of a worker. A later lifetime carries none of them out, also
+/// under the same id: what they say of clocks, ends and runs does not hold for it. All of them are
+/// idempotent. The worker rejects a call whose term is lower than the highest it has seen. aDone is
+/// called once.
 class WorkerPort
 {
 public:
@@ -124,7 +130,8 @@
 };
 
 using WorkerPortFactory =
-  std::function<std::unique_ptr<WorkerPort>(const std::string& aAddress, const Common::WorkerId&)>;
+  std::function<std::unique_ptr<WorkerPort>(const std::string& aAddress,
+                                            const Scheduling::WorkerLifetime& aLifetime)>;
 
 /// Calls to the advice service, which decides which workers may run a step and issues tickets for
 /// it.
--- a/Source/Core/Node/Process.cpp
+++ b/Source/Core/Node/Process.cpp
@@ -65,8 +65,8 @@
   } else {
     agent.emplace(
       context,
-      [&](const std::string& aAddress, const Common::WorkerId& aWorker) {
-        return aAdapters.mMakeWorkerPort(io, aAddress, aWorker);
+      [&](const std::string& aAddress, const Scheduling::WorkerLifetime& aLifetime) {
+        return aAdapters.mMakeWorkerPort(io, aAddress, aLifetime);
       },
       aSettings.mAdviceAddress.empty() ? nullptr
                                        : aAdapters.mMakeAdvicePort(io, aSettings.mAdviceAddress));
--- a/Source/Core/Node/Process.h
+++ b/Source/Core/Node/Process.h
@@ -9,14 +9,14 @@
 namespace Node {
 
 /// Factories and formats that the platform adapter provides. The objects run on the process's event
-/// loop. Strings are addresses; the worker id is the one that the worker must confirm.
+/// loop. Strings are addresses; calls to a worker are for the given lifetime only.
 struct Adapters
 {
   std::function<std::unique_ptr<Store::AsyncStore>(boost::asio::io_context&, const std::string&)>
     mMakeStore;
   std::function<std::unique_ptr<WorkerPort>(boost::asio::io_context&,
                                             const std::string&,
-                                            const Common::WorkerId&)>
+                                            const Scheduling::WorkerLifetime&)>
     mMakeWorkerPort;
   std::function<std::unique_ptr<AdvicePort>(boost::asio::io_context&, const std::string&)>
     mMakeAdvicePort;
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -199,8 +199,7 @@
   }
   mFailedPolls = 0;
   mRefusedPolls = 0;
-  if (aResult->mStartedAt.value() != 0 && mView.mLifetime.mStartedAt.value() != 0 &&
-      aResult->mStartedAt != mView.mLifetime.mStartedAt) {
+  if (AreDifferentLifetimes(aResult->mStartedAt, mView.mLifetime.mStartedAt)) {
     const Scheduling::LifetimeStart startedAt = aResult->mStartedAt;
     close();
     mCallbacks.mOnLifetimeEnded(startedAt);
@@ -400,9 +399,14 @@
     send(aPending);
     return;
   }
-  const bool isRepeatedStart = hadEarlierAttempts && aPending->mOrder.mKind == OrderKind::Start;
-  aPending->mDone(isRepeatedStart ? Scheduling::ResultOfRepeatedStart(aAnswer.mResult)
-                                  : aAnswer.mResult);
+  if (!hadEarlierAttempts || aPending->mOrder.mKind != OrderKind::Start) {
+    aPending->mDone(aAnswer.mResult);
+    return;
+  }
+  // The worker's next lifetime may carry out an attempt that got no answer.
+  aPending->mDone(aAnswer.mResult == OrderResult::LifetimeEnded
+                    ? OrderResult::Unknown
+                    : Scheduling::ResultOfRepeatedStart(aAnswer.mResult));
 }
 
 } // namespace Node
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -90,8 +90,8 @@
   }
 }
 
-/// Stops runs that no list of the worker named on its next lifetime: calls name the worker only, so
-/// that a start which was answered late may have reached that lifetime.
+/// Stops runs that no list of the worker named on its next lifetime, which may carry out a start
+/// that got no answer.
 void
 MoveUnlistedRuns(SchedulerState& aState,
                  WorkerNumber aWorker,
@@ -597,9 +597,13 @@
   }
   if (order.mKind == OrderKind::Stop) {
     // If the run existed, the worker lists its end. If its start never arrived, the worker refuses
-    // it from now on, and CheckUnlistedRuns sees that no list names it.
+    // it from now on, and CheckUnlistedRuns sees that no list names it. A run that was never listed
+    // may still be started by the worker's next lifetime; MoveUnlistedRuns handles it once the
+    // agent reports that lifetime.
     if (aResult == OrderResult::LifetimeEnded) {
-      SetWaiting(aState, *ref, aNow);
+      if (task.mListedByWorker) {
+        SetWaiting(aState, *ref, aNow);
+      }
     } else if (aResult == OrderResult::Done && task.mStopAnswered == Timestamp{}) {
       task.mStopAnswered = aNow.mMonotonic;
     }
--- a/Source/UnitTests/Net/HttpTests.cpp
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -318,6 +318,88 @@
   }
 }
 
+TEST_CASE("A client checks each connection before it sends a request", "[Net]")
+{
+  // A server that was replaced at its address carried out requests that were meant for the one
+  // before.
+  boost::asio::io_context io;
+  std::vector<std::string> targets;
+  std::string name = "first";
+  bool answersChecks = true;
+  HttpServer server(
+    io, { .mIdleTime = 100ms }, [&](const HttpRequest& aRequest, const Responder& aRespond) {
+      targets.push_back(aRequest.mTarget);
+      if (answersChecks || aRequest.mTarget != "/name") {
+        aRespond({ 200, aRequest.mTarget == "/name" ? name : "done", {} });
+      }
+    });
+  REQUIRE(server.listen("127.0.0.1:0"));
+  std::optional<HttpClient> client;
+  client.emplace(
+    io,
+    AddressText(server.address()),
+    ConnectionCheck{ [] {
+                      return ClientRequest{ "GET", "/name", "", {} };
+                    },
+                     [](const ClientResponse& aResponse) { return aResponse.mBody == "first"; } });
+  std::optional<CallResult> result;
+  const auto call = [&] {
+    result.reset();
+    client->call(
+      { "GET", "/x", "", {} }, 200ms, [&](CallResult aResult) { result = std::move(aResult); });
+  };
+  const auto run = [&](std::chrono::milliseconds aTime) {
+    io.restart();
+    io.run_for(aTime);
+  };
+  call();
+  run(50ms);
+  REQUIRE((*result)->mBody == "done");
+  REQUIRE_FALSE((*result)->mFailedCheck);
+  REQUIRE(targets == std::vector<std::string>{ "/name", "/x" });
+
+  SECTION("once for all requests on it")
+  {
+    call();
+    run(50ms);
+    REQUIRE((*result)->mBody == "done");
+    REQUIRE(targets == std::vector<std::string>{ "/name", "/x", "/x" });
+  }
+
+  SECTION("and sends nothing to another server")
+  {
+    name = "second";
+    // The first connection is idle for too long.
+    run(400ms);
+    call();
+    run(50ms);
+    REQUIRE((*result)->mFailedCheck);
+    REQUIRE((*result)->mBody == "second");
+    REQUIRE(targets.back() == "/name");
+    REQUIRE(server.connections() == 0);
+  }
+
+  SECTION("and sends nothing if the check is not answered")
+  {
+    answersChecks = false;
+    run(400ms);
+    call();
+    run(400ms);
+    REQUIRE(result->error() == CallError::NotSent);
+    REQUIRE(targets.back() == "/name");
+  }
+
+  SECTION("which ends with the client")
+  {
+    run(400ms);
+    call();
+    client.reset();
+    run(50ms);
+    REQUIRE(result->error() == CallError::NotSent);
+    REQUIRE(targets.size() == 2);
+  }
+}
+
 TEST_CASE("A busy event loop does not delay a large answer for seconds", "[Net]")
 {
   // A coordinator whose event loop took 10 ms or more a turn read each list of changes in hundreds
--- a/Source/UnitTests/Node/FakeWorker.h
+++ b/Source/UnitTests/Node/FakeWorker.h
@@ -65,6 +65,8 @@
     AnswerLost,
     /// Carried out after mLateness, and the answer is lost.
     Late,
+    /// As Late, and also if the worker has started again meanwhile.
+    LateByAnyLifetime,
     /// Neither carried out nor answered.
     Dropped,
     /// Refused without doing anything.
@@ -293,19 +295,19 @@
   }
 };
 
-/// One agent's calls to a worker. A call that was sent is carried out also if the agent's process
-/// is killed before the answer.
+/// One agent's calls to a lifetime of a worker. A call that was sent is carried out also if the
+/// agent's process is killed before the answer.
 class FakeWorkerPort final : public WorkerPort
 {
 public:
   FakeWorkerPort(boost::asio::io_context& aIo,
                  ProcessLoop& aProcess,
                  FakeWorker& aWorker,
-                 std::string aExpectedId)
+                 Scheduling::WorkerLifetime aLifetime)
     : mIo(aIo)
     , mProcess(aProcess)
     , mWorker(aWorker)
-    , mExpectedId(std::move(aExpectedId))
+    , mLifetime(std::move(aLifetime))
   {
   }
 
@@ -351,16 +353,20 @@
             std::function<void(tl::expected<PollResult, PollError>)> aDone) override
   {
     using Answer = tl::expected<PollResult, PollError>;
-    call<Answer>(aTimeout,
-                 20ms,
-                 aDone,
-                 { tl::unexpected(PollError::NoAnswer),
-                   tl::unexpected(PollError::ConnectionRefused),
-                   tl::unexpected(PollError::OtherLifetime),
-                   tl::unexpected(PollError::NoAnswer) },
-                 [&worker = mWorker, aTerm, aAcknowledged, aLeaseEnd](bool) {
-                   return worker.poll(aTerm, aAcknowledged, aLeaseEnd);
-                 });
+    call<Answer>(
+      aTimeout,
+      20ms,
+      aDone,
+      { tl::unexpected(PollError::NoAnswer),
+        tl::unexpected(PollError::ConnectionRefused),
+        tl::unexpected(PollError::OtherLifetime),
+        tl::unexpected(PollError::NoAnswer) },
+      [&worker = mWorker, aTerm, aAcknowledged, aLeaseEnd](bool) {
+        return worker.poll(aTerm, aAcknowledged, aLeaseEnd);
+      },
+      [&worker = mWorker, aTerm] {
+        return worker.poll(aTerm, Scheduling::EndNumber{ 0 }, std::nullopt);
+      });
   }
 
 private:
@@ -378,17 +384,27 @@
                  const std::function<Scheduling::OrderResult(bool)>& aExecute)
   {
     using Scheduling::OrderResult;
-    call<OrderAnswer>(aTimeout,
-                      1ms,
-                      aDone,
-                      { { OrderResult::Unknown, {} },
-                        { OrderResult::Unhealthy, {} },
-                        { OrderResult::LifetimeEnded, {} },
-                        { OrderResult::Unhealthy, {} } },
-                      [&worker = mWorker, aExecute](bool aLate) {
-                        const auto result = aExecute(aLate);
-                        return OrderAnswer{ result, worker.clock() };
-                      });
+    call<OrderAnswer>(
+      aTimeout,
+      1ms,
+      aDone,
+      { { OrderResult::Unknown, {} },
+        { OrderResult::Unhealthy, {} },
+        { OrderResult::LifetimeEnded, {} },
+        { OrderResult::Unhealthy, {} } },
+      [&worker = mWorker, aExecute](bool aLate) {
+        const auto result = aExecute(aLate);
+        return OrderAnswer{ result, worker.clock() };
+      },
+      [] {
+        return OrderAnswer{ OrderResult::LifetimeEnded, {} };
+      });
+  }
+
+  /// The worker has started again under its id.
+  bool reachesOtherLifetime() const
+  {
+    return AreDifferentLifetimes(mWorker.mLifetimeStart, mLifetime.mStartedAt);
   }
 
   template<typename Answer>
@@ -396,7 +412,8 @@
             Duration aAnswerTime,
             const std::function<void(Answer)>& aDone,
             const FailedAnswers<Answer>& aFailed,
-            const std::function<Answer(bool)>& aExecute)
+            const std::function<Answer(bool)>& aExecute,
+            const std::function<Answer()>& aAnswerOfOtherLifetime)
   {
     if (!mWorker.mUp) {
       answerAfter(1ms, aDone, aFailed.mConnectionRefused);
@@ -406,10 +423,14 @@
       answerAfter(aTimeout, aDone, aFailed.mNoAnswer);
       return;
     }
-    if (mWorker.mId != mExpectedId) {
+    if (mWorker.mId != mLifetime.mWorker.str()) {
       answerAfter(1ms, aDone, aFailed.mOtherLifetime);
       return;
     }
+    if (reachesOtherLifetime()) {
+      answerAfter(1ms, aDone, aAnswerOfOtherLifetime());
+      return;
+    }
     const auto delivery = mWorker.mDelivery ? mWorker.mDelivery() : FakeWorker::Delivery::Normal;
     switch (delivery) {
       case FakeWorker::Delivery::Normal:
@@ -419,7 +440,9 @@
         answerAfter(aTimeout, aDone, aFailed.mNoAnswer);
         return;
       case FakeWorker::Delivery::Late:
-        executeLate(mWorker.mLateness(), aExecute);
+      case FakeWorker::Delivery::LateByAnyLifetime:
+        executeLate(
+          mWorker.mLateness(), delivery == FakeWorker::Delivery::LateByAnyLifetime, aExecute);
         answerAfter(aTimeout, aDone, aFailed.mNoAnswer);
         return;
       case FakeWorker::Delivery::Dropped:
@@ -443,13 +466,15 @@
   }
 
   template<typename Execute>
-  void executeLate(std::chrono::milliseconds aDelay, const Execute& aExecute)
+  void executeLate(std::chrono::milliseconds aDelay, bool aByAnyLifetime, const Execute& aExecute)
   {
-    callAfter(aDelay, [&worker = mWorker, generation = mWorker.mConnectionGeneration, aExecute] {
-      if (worker.mUp && worker.mConnectionGeneration == generation) {
-        (void)aExecute(true);
-      }
-    });
+    callAfter(
+      aDelay,
+      [&worker = mWorker, generation = mWorker.mConnectionGeneration, aByAnyLifetime, aExecute] {
+        if (worker.mUp && (aByAnyLifetime || worker.mConnectionGeneration == generation)) {
+          (void)aExecute(true);
+        }
+      });
   }
 
   template<typename Answer>
@@ -472,7 +497,7 @@
   boost::asio::io_context& mIo;
   ProcessLoop& mProcess;
   FakeWorker& mWorker;
-  std::string mExpectedId;
+  Scheduling::WorkerLifetime mLifetime;
 };
 
 } // namespace NodeTests
--- a/Source/UnitTests/Node/TestCluster.h
+++ b/Source/UnitTests/Node/TestCluster.h
@@ -140,8 +140,9 @@
       aSettings.mWorkerAddress = aWorker.mName;
       aProcess.mAgent = std::make_unique<Agent>(
         *aProcess.mContext,
-        [this, &aProcess, &aWorker](const std::string&, const Common::WorkerId& aId) {
-          return std::make_unique<FakeWorkerPort>(mIo, aProcess.mLoop, aWorker, aId.str());
+        [this, &aProcess, &aWorker](const std::string&,
+                                    const Scheduling::WorkerLifetime& aLifetime) {
+          return std::make_unique<FakeWorkerPort>(mIo, aProcess.mLoop, aWorker, aLifetime);
         },
         nullptr);
       return aProcess.mAgent->start().has_value();
