Acknowledge each worker's ends as the records of their jobs are written

Cause: ends were acknowledged only after a write that left no changed job out. A write has room for 16, so that none came while more jobs than that changed in each 150 ms. The jobs of a write were taken by their addresses, so that some could wait without end.

Evidence: in a fleet test of 60 jobs on one worker the longest wait of an end was 2.02 s, until the load was over. Ruled out: a slow store, which answers in 4 ms in the case.

Change: each end waits for the changes of its own job, in the order of its worker. A write takes the oldest changes first and as many as it has room for, and the next one follows at once while more wait. Counters show the number and age of ends that wait and the size of writes.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -132,7 +132,6 @@
   mHeldSubmissions.clear();
   mEarlyReports.clear();
   mHeldResults.clear();
-  mFlushEnds.clear();
   mFlushJobs.clear();
   mFlushInProgress = false;
   mFlushScheduled = false;
@@ -501,6 +500,7 @@
   counters.counter("ibis_jobs").set(static_cast<std::int64_t>(mState.mJobs.size()));
   counters.counter("ibis_jobs_open").set(static_cast<std::int64_t>(mState.mOpenJobs.size()));
   counters.counter("ibis_jobs_unwritten").set(static_cast<std::int64_t>(mState.mDirtyJobs.size()));
+  updateEndCounters();
   counters.counter("ibis_orders_outstanding")
     .set(static_cast<std::int64_t>(mState.mOutstandingOrders.size()));
   counters.counter("ibis_workers_connected")
@@ -522,6 +522,24 @@
   counters.counter("ibis_term_moves").set(static_cast<std::int64_t>(counts.mBestEffortMoves));
 }
 
+void
+Coordinator::updateEndCounters()
+{
+  std::size_t waiting = 0;
+  Duration longestWait{ 0 };
+  for (const Scheduling::Worker& worker : mState.mWorkers) {
+    waiting += worker.mUnrecordedEnds.size();
+    if (!worker.mUnrecordedEnds.empty()) {
+      longestWait =
+        std::max(longestWait, mContext.now() - worker.mUnrecordedEnds.front().mHandledAt);
+    }
+  }
+  Observability::Counters& counters = mContext.mCounters;
+  counters.counter("ibis_ends_unrecorded").set(static_cast<std::int64_t>(waiting));
+  counters.counter("ibis_end_unrecorded_longest_ms")
+    .set(std::chrono::duration_cast<std::chrono::milliseconds>(longestWait).count());
+}
+
 Wire::Order
 Coordinator::toWireOrder(Peer& aPeer, const Scheduling::Order& aOrder) const
 {
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -84,6 +84,15 @@
     std::size_t mUnlogged = 0;
   };
 
+  /// A job whose record a flush writes.
+  struct FlushedJob
+  {
+    Common::JobId mJob;
+    Scheduling::JobState mState;
+    /// Last change of the job that the record includes.
+    std::uint64_t mChange = 0;
+  };
+
   /// Workers whose records a flush wrote or erased.
   struct FlushedWorkers
   {
@@ -143,16 +152,20 @@
   void scheduleTick();
   void logSchedulingEntries();
   void updateCounters();
+  /// Updates the counters of ends that wait for the records of their jobs.
+  void updateEndCounters();
 
   void scheduleFlush();
   /// aUrgent prevents scheduleFlush() from replacing the timer.
   void scheduleFlushAfter(Duration aDelay, bool aUrgent);
   void flush();
+  /// Adds the records of changed jobs, as many as have room, and removes these jobs from the queue.
+  void addChangedJobs(Store::Transaction& aTransaction);
   /// Queues the records of the flush in progress to be written again.
   void markFlushJobsDirty();
-  /// aIncludesAllJobs is false if the flush left changed jobs for the next one.
+  /// Tells the agents which ends their workers may drop since the last flush.
+  void acknowledgeEnds();
   void handleFlushResult(const FlushedWorkers& aWorkers,
-                         bool aIncludesAllJobs,
                          const tl::expected<Store::Version, Store::WriteFailure>& aResult);
   /// If the write failed only because an earlier write of this term took effect late, adopts the
   /// version that kRecordsKey has now and returns true.
@@ -209,10 +222,8 @@
   Store::Version mRecordsVersion;
   /// Callback of flushAll(); empty if none waits.
   std::function<void()> mFlushAllDone;
-  /// Jobs in the flush in progress, with the states that it writes.
-  std::vector<std::pair<Common::JobId, Scheduling::JobState>> mFlushJobs;
-  /// For each worker, the highest end number that the records of the flush in progress cover.
-  std::map<Scheduling::WorkerLifetime, Scheduling::EndNumber> mFlushEnds;
+  /// Jobs in the flush in progress.
+  std::vector<FlushedJob> mFlushJobs;
 };
 
 } // namespace Node
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -1,6 +1,7 @@
 #include "Node/Coordinator.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include <boost/asio/post.hpp>
 
@@ -15,11 +16,14 @@
 using Observability::Level;
 using Observability::Log;
 
-/// Largest numbers of job and worker records in one transaction. A full transaction has
-/// Store::Transaction::kMaxEntries entries (32): 16 job records, 6 new and 6 erased worker records,
-/// the model, kRecordsKey and 2 preconditions.
-constexpr std::size_t kMaxJobsPerWrite = 16;
+/// Largest numbers of new and of erased worker records in one transaction.
 constexpr std::size_t kMaxWorkersPerWrite = 6;
+/// Entries of each transaction beside those of jobs and workers: the model, kRecordsKey and 2
+/// preconditions.
+constexpr std::size_t kOtherEntriesPerWrite = 4;
+/// Job records for which each transaction has room.
+constexpr std::size_t kMinJobsPerWrite =
+  Store::Transaction::kMaxEntries - kOtherEntriesPerWrite - 2 * kMaxWorkersPerWrite;
 constexpr std::chrono::seconds kGarbageCollectionInterval{ 10 };
 /// Shortest time between writes of the model; what was learned in a shorter time is soon relearned.
 constexpr std::chrono::seconds kModelWriteInterval{ 3 };
@@ -48,13 +52,13 @@
              HasRecordOfEndedLifetime(aWorker);
     });
   if (mState.mDirtyJobs.empty() && !workerRecordsOutdated) {
-    // No record has to be written, so all handled ends can be acknowledged.
     for (Scheduling::Worker& worker : mState.mWorkers) {
-      worker.mLastAcknowledgedEnd = worker.mLastHandledEnd;
+      Scheduling::AcknowledgeRecordedEnds(mState, worker);
     }
     return;
   }
   const bool urgent = workerRecordsOutdated || mFlushAllDone != nullptr ||
+                      mState.mDirtyJobs.size() > kMinJobsPerWrite ||
                       std::any_of(mState.mDirtyJobs.begin(),
                                   mState.mDirtyJobs.end(),
                                   [](const Scheduling::Job* aJob) { return aJob->mWriteAtOnce; });
@@ -88,23 +92,6 @@
   }
   Store::Transaction transaction;
   transaction.mExpected = { mElection.fencingCondition(), { kRecordsKey, mRecordsVersion } };
-  std::vector<Scheduling::Job*> dirtyJobs(mState.mDirtyJobs.begin(), mState.mDirtyJobs.end());
-  std::stable_sort(dirtyJobs.begin(),
-                   dirtyJobs.end(),
-                   [](const Scheduling::Job* aLeft, const Scheduling::Job* aRight) {
-                     return aLeft->mWriteAtOnce > aRight->mWriteAtOnce;
-                   });
-  const bool includesAllJobs = dirtyJobs.size() <= kMaxJobsPerWrite;
-  dirtyJobs.resize(std::min(dirtyJobs.size(), kMaxJobsPerWrite));
-  mFlushJobs.clear();
-  for (Scheduling::Job* job : dirtyJobs) {
-    transaction.mPuts.push_back({ ProgressKey(job->mSpec.mJob),
-                                  Wire::Encode(ToRecord(Scheduling::ProgressOf(*job))),
-                                  std::nullopt });
-    mFlushJobs.emplace_back(job->mSpec.mJob, job->mState);
-    job->mWriteAtOnce = false;
-    mState.mDirtyJobs.erase(job);
-  }
   FlushedWorkers workers;
   for (Scheduling::Worker& worker : mState.mWorkers) {
     if (worker.mConnected && worker.mHasTaskList && !worker.mRecorded &&
@@ -123,12 +110,7 @@
       workers.mErased.push_back(worker.mLifetime);
     }
   }
-  mFlushEnds.clear();
-  for (const Scheduling::Worker& worker : mState.mWorkers) {
-    if (worker.mLastHandledEnd > worker.mLastAcknowledgedEnd) {
-      mFlushEnds[worker.mLifetime] = worker.mLastHandledEnd;
-    }
-  }
+  addChangedJobs(transaction);
   if (transaction.mPuts.empty() && transaction.mErased.empty()) {
     return;
   }
@@ -140,33 +122,71 @@
   for (const auto& put : transaction.mPuts) {
     countBytes("records", put.mKey.size() + put.mValue.size());
   }
+  mContext.mCounters.distribution("ibis_record_write_jobs")
+    .record(static_cast<std::int64_t>(mFlushJobs.size()));
   mFlushInProgress = true;
   mFlushStartedAt = mContext.now();
   mContext.mStore.write(transaction,
                         mContext.mTiming.mStoreCallTimeout,
-                        [this, generation = mCallGeneration, workers, includesAllJobs](
+                        [this, generation = mCallGeneration, workers](
                           const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
                           if (generation == mCallGeneration) {
-                            handleFlushResult(workers, includesAllJobs, aResult);
+                            handleFlushResult(workers, aResult);
                           }
                         });
 }
 
+void
+Coordinator::addChangedJobs(Store::Transaction& aTransaction)
+{
+  std::vector<Scheduling::Job*> jobs(mState.mDirtyJobs.begin(), mState.mDirtyJobs.end());
+  // The oldest changes first: a job that changes all the time must not displace the others.
+  std::sort(
+    jobs.begin(), jobs.end(), [](const Scheduling::Job* aLeft, const Scheduling::Job* aRight) {
+      return std::tuple(!aLeft->mWriteAtOnce, aLeft->mFirstUnwrittenChange) <
+             std::tuple(!aRight->mWriteAtOnce, aRight->mFirstUnwrittenChange);
+    });
+  const std::size_t room = Store::Transaction::kMaxEntries - kOtherEntriesPerWrite -
+                           aTransaction.mPuts.size() - aTransaction.mErased.size();
+  jobs.resize(std::min(jobs.size(), room));
+  mFlushJobs.clear();
+  for (Scheduling::Job* job : jobs) {
+    aTransaction.mPuts.push_back({ ProgressKey(job->mSpec.mJob),
+                                   Wire::Encode(ToRecord(Scheduling::ProgressOf(*job))),
+                                   std::nullopt });
+    mFlushJobs.push_back({ job->mSpec.mJob, job->mState, job->mLastChange });
+    job->mWriteAtOnce = false;
+    mState.mDirtyJobs.erase(job);
+  }
+}
+
 void
 Coordinator::markFlushJobsDirty()
 {
-  for (const auto& [id, state] : mFlushJobs) {
-    const auto found = mState.mJobs.find(id);
+  for (const FlushedJob& flushed : mFlushJobs) {
+    const auto found = mState.mJobs.find(flushed.mJob);
     if (found != mState.mJobs.end()) {
-      Scheduling::MarkDirty(mState, *found->second, Scheduling::HasEnded(state));
+      Scheduling::MarkDirty(mState, *found->second, Scheduling::HasEnded(flushed.mState));
     }
   }
   mFlushJobs.clear();
 }
 
+void
+Coordinator::acknowledgeEnds()
+{
+  for (Scheduling::Worker& worker : mState.mWorkers) {
+    if (!Scheduling::AcknowledgeRecordedEnds(mState, worker)) {
+      continue;
+    }
+    if (Peer* peer = findPeer(worker.mAgent)) {
+      sendDirective(*peer, {});
+    }
+  }
+}
+
 void
 Coordinator::handleFlushResult(const FlushedWorkers& aWorkers,
-                               bool aIncludesAllJobs,
                                const tl::expected<Store::Version, Store::WriteFailure>& aResult)
 {
   mFlushInProgress = false;
@@ -190,20 +210,21 @@
     .record((mContext.now() - mFlushStartedAt).count());
   const auto written = std::move(mFlushJobs);
   mFlushJobs.clear();
-  for (const auto& [id, state] : written) {
-    const auto found = mState.mJobs.find(id);
+  for (const FlushedJob& flushed : written) {
+    const auto found = mState.mJobs.find(flushed.mJob);
     if (found == mState.mJobs.end()) {
       continue;
     }
     Scheduling::Job& job = *found->second;
-    job.mDurableState = state;
-    if (Scheduling::HasEnded(state)) {
+    job.mDurableState = flushed.mState;
+    job.mDurableChange = flushed.mChange;
+    if (Scheduling::HasEnded(flushed.mState)) {
       mState.mOpenJobs.erase(&job);
       Log(Level::Info,
           "coordinator",
           "job ended",
-          { { "job", id.str() },
-            { "state", std::string(Scheduling::StateText(state)) },
+          { { "job", flushed.mJob.str() },
+            { "state", std::string(Scheduling::StateText(flushed.mState)) },
             { "age_ms",
               std::to_string(
                 std::chrono::duration_cast<std::chrono::milliseconds>(mContext.now() - job.mArrived)
@@ -219,15 +240,7 @@
     worker.mRecorded = false;
     worker.mMayBeRecorded = false;
   }
-  if (aIncludesAllJobs) {
-    for (const auto& [lifetime, number] : mFlushEnds) {
-      Scheduling::Worker& worker = mState.mWorkers[mState.mWorkerIndex.at(lifetime)];
-      worker.mLastAcknowledgedEnd = std::max(worker.mLastAcknowledgedEnd, number);
-      if (Peer* peer = findPeer(worker.mAgent)) {
-        sendDirective(*peer, {});
-      }
-    }
-  }
+  acknowledgeEnds();
   if (mFlushAllDone && mState.mDirtyJobs.empty()) {
     const auto done = std::move(mFlushAllDone);
     mFlushAllDone = nullptr;
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -310,7 +310,10 @@
     return;
   }
   aJob.mWriteAtOnce = aJob.mWriteAtOnce || aWriteAtOnce;
-  aState.mDirtyJobs.insert(&aJob);
+  aJob.mLastChange = ++aState.mLastChange;
+  if (aState.mDirtyJobs.insert(&aJob).second) {
+    aJob.mFirstUnwrittenChange = aJob.mLastChange;
+  }
 }
 
 void
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -405,6 +405,24 @@
   }
 }
 
+/// Holds the acknowledgement of the end back until the record of its job holds all changes so far.
+void
+AwaitRecord(const SchedulerState& aState,
+            Worker& aWorker,
+            const EndedTask& aEnd,
+            const CurrentTime& aNow)
+{
+  const auto found = aState.mJobs.find(aEnd.mTask.mJob);
+  if (found == aState.mJobs.end()) {
+    return;
+  }
+  const Job& job = *found->second;
+  if (job.mLastChange > job.mDurableChange) {
+    aWorker.mUnrecordedEnds.push_back(
+      { aEnd.mNumber, aEnd.mTask.mJob, job.mLastChange, aNow.mMonotonic });
+  }
+}
+
 void
 ApplyView(SchedulerState& aState,
           const Common::InstanceId& aAgent,
@@ -452,6 +470,7 @@
     if (end.mNumber > worker.mLastHandledEnd) {
       ApplyEnd(aState, number, end, aNow);
       worker.mLastHandledEnd = end.mNumber;
+      AwaitRecord(aState, worker, end, aNow);
     }
   }
   for (const RunningTask& running : aView.mRunning) {
@@ -494,6 +513,24 @@
 
 } // namespace
 
+bool
+AcknowledgeRecordedEnds(const SchedulerState& aState, Worker& aWorker)
+{
+  const auto isRecorded = [&aState](const UnrecordedEnd& aEnd) {
+    const auto found = aState.mJobs.find(aEnd.mJob);
+    return found == aState.mJobs.end() || found->second->mDurableChange >= aEnd.mChange;
+  };
+  auto& waiting = aWorker.mUnrecordedEnds;
+  while (!waiting.empty() && isRecorded(waiting.front())) {
+    waiting.pop_front();
+  }
+  const EndNumber upTo =
+    waiting.empty() ? aWorker.mLastHandledEnd : EndNumber{ waiting.front().mNumber.value() - 1 };
+  const bool advances = upTo > aWorker.mLastAcknowledgedEnd;
+  aWorker.mLastAcknowledgedEnd = std::max(aWorker.mLastAcknowledgedEnd, upTo);
+  return advances;
+}
+
 WorkerView
 ViewOf(const Worker& aWorker)
 {
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -72,6 +72,11 @@
             Timestamp aLeaseEnd,
             const CurrentTime& aNow);
 
+/// Lets the worker drop its ends up to the first one whose record is not in the store yet. Returns
+/// true if these are more than before.
+bool
+AcknowledgeRecordedEnds(const SchedulerState& aState, Worker& aWorker);
+
 /// Marks the workers of the agent as disconnected. Their runs continue until the leases end.
 void
 MarkAgentDisconnected(SchedulerState& aState, const Common::InstanceId& aAgent);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -117,6 +117,11 @@
   bool mStarted = false;
   /// A caller waits for the record, so it is written without delay.
   bool mWriteAtOnce = false;
+  /// Numbers of SchedulerState::mLastChange: of the last change to the record, of the last one that
+  /// is in the store, and of the first one since the record was last put into a write.
+  std::uint64_t mLastChange = 0;
+  std::uint64_t mDurableChange = 0;
+  std::uint64_t mFirstUnwrittenChange = 0;
 };
 
 /// Reference to a task in the state.
@@ -148,6 +153,16 @@
   Timestamp mStopOrdered;
 };
 
+/// An end that waits for the record of its job.
+struct UnrecordedEnd
+{
+  EndNumber mNumber;
+  Common::JobId mJob;
+  /// The change of the job that has to be in the store.
+  std::uint64_t mChange = 0;
+  Timestamp mHandledAt;
+};
+
 /// How much pressure best-effort tasks may add to a long-running task with a tail-latency target.
 struct TailRoom
 {
@@ -193,6 +208,8 @@
   /// Last end that was applied to the state, and last one that the worker may drop.
   EndNumber mLastHandledEnd;
   EndNumber mLastAcknowledgedEnd;
+  /// In the order of their numbers.
+  std::deque<UnrecordedEnd> mUnrecordedEnds;
   WorkerHealth mHealth;
   /// The worker gets no starts before this time, because it did not accept one.
   Timestamp mNoStartsUntil;
@@ -328,6 +345,8 @@
   std::set<Job*> mOpenJobs;
   /// Jobs whose progress record must be written.
   std::set<Job*> mDirtyJobs;
+  /// Number of the last change to a progress record.
+  std::uint64_t mLastChange = 0;
   std::vector<Order> mOrders;
   std::vector<LogEntry> mLogEntries;
   std::int64_t mNextOrder = 1;
--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "Common/Hash.h"
 #include "Node/KeptPayloads.h"
 #include "Node/StoreKeys.h"
 #include "TestCluster.h"
@@ -72,6 +73,41 @@
   }
 }
 
+TEST_CASE("Ends are acknowledged while more jobs change than one write holds", "[Node]")
+{
+  // Ends waited for a write that held all changed jobs, which does not come while many jobs are at
+  // work. Their workers reached the limit of their lists.
+  constexpr int kJobs = 60;
+  constexpr std::chrono::milliseconds kMaxWait{ 1000 };
+  TestCluster cluster;
+  cluster.addEntry("e1");
+  FakeWorker& worker = cluster.addWorker("w1");
+  worker.mTaskTimeOf = [](const Scheduling::TaskName& aTask) {
+    const auto hash = Common::HashBytes(aTask.mJob.str() + std::to_string(aTask.mIndex));
+    return FakeWorker::Milliseconds(100 + hash % 3000);
+  };
+  std::map<Scheduling::EndNumber, std::chrono::steady_clock::time_point> unacknowledged;
+  worker.mOnEnd = [&](const Scheduling::EndedTask& aEnd) {
+    unacknowledged[aEnd.mNumber] = std::chrono::steady_clock::now();
+  };
+  worker.mOnAcknowledged = [&](const Scheduling::EndedTask& aEnd) {
+    unacknowledged.erase(aEnd.mNumber);
+  };
+  for (int i = 0; i < kJobs; ++i) {
+    Submit(cluster, "j" + std::to_string(i), { 16, 10, "" });
+  }
+  std::chrono::steady_clock::duration longestWait{ 0 };
+  REQUIRE(cluster.runUntil(
+    [&] {
+      for (const auto& [number, listedAt] : unacknowledged) {
+        longestWait = std::max(longestWait, std::chrono::steady_clock::now() - listedAt);
+      }
+      return worker.mCompletedRuns == kJobs * 16 && unacknowledged.empty();
+    },
+    10s));
+  REQUIRE(longestWait < kMaxWait);
+}
+
 TEST_CASE("The payload of a job is sent to an agent once", "[Node]")
 {
   // Each start carried the payload. On entries with 2 Mbit/s the orders alone filled the link, and
