--- a/Source/Core/Node/Ports.h
+++ b/Source/Core/Node/Ports.h
@@ -96,8 +96,9 @@
 bool
 AreDifferentLifetimes(Scheduling::LifetimeStart aFirst, Scheduling::LifetimeStart aSecond);
 
-/// Asynchronous calls to one lifetime of a worker. A later lifetime carries none of them out, also
-/// under the same id: what they say of clocks, ends and runs does not hold for it. All of them are
+/// Asynchronous calls to one lifetime of a worker. They are not sent to a later lifetime, also
+/// under the same id: what they say of clocks, ends and runs does not hold for it. Only a call that
+/// got no answer may be carried out late, and then by a later lifetime, too. All calls are
 /// idempotent. The worker rejects a call whose term is lower than the highest it has seen. aDone is
 /// called once.
 class WorkerPort
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -404,7 +404,7 @@
     aPending->mDone(aAnswer.mResult);
     return;
   }
-  // The worker's next lifetime may carry out an attempt that got no answer.
+  // The worker's next lifetime may still carry out an earlier attempt that got no answer.
   aPending->mDone(aAnswer.mResult == OrderResult::LifetimeEnded
                     ? OrderResult::Unknown
                     : Scheduling::ResultOfRepeatedStart(aAnswer.mResult));
