--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -140,7 +140,8 @@
 Coordinator::addChangedJobs(Store::Transaction& aTransaction)
 {
   std::vector<Scheduling::Job*> jobs(mState.mDirtyJobs.begin(), mState.mDirtyJobs.end());
-  // The oldest changes first: a job that changes all the time must not displace the others.
+  // The oldest changes first, after the records that a caller waits for: a job that changes all the
+  // time must not displace the others.
   std::sort(
     jobs.begin(), jobs.end(), [](const Scheduling::Job* aLeft, const Scheduling::Job* aRight) {
       return std::tuple(!aLeft->mWriteAtOnce, aLeft->mFirstUnwrittenChange) <
