Limit the start orders of a placement round to half of the link

Cause: a new coordinator starts all recovered tasks that fit in one round, and after a takeover each agent needs all payloads again: 0.66 to 0.91 MB of orders at once, 2.6 to 3.6 s on that link. The renewals of its lease of 1.5 s wait behind them, the key expires, and the next coordinator recovers for 4 to 5 s and does the same. The class is control traffic that waits behind bulk traffic of its own process.

Ruled out: the store (it answered the other entries all the while); the time of a placement round (11 ms at most); the page of submissions (0.6 MB each way in, read in 4 to 5 s with the renewals answered).

Test: "The orders after a takeover leave room on the link for the coordinator's lease", 150 recovered jobs of 4,000 bytes, link of 2 Mbit/s.

Change: the round stops once its start orders have used up the coordinator's share of the link, half of it, of which 100 ms may be used at once. Urgent tasks start first; the next tick or event goes on. Bytes are counted as they are sent, repeated orders too.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -24,6 +24,11 @@
 constexpr int kPlacementPauseFactor = 3;
 /// Interval of the log entries about the coordinator's load.
 constexpr std::chrono::seconds kLoadInterval{ 2 };
+/// Share of the link for orders, which carry the payloads of jobs. The rest is for the renewal of
+/// the coordinator's lease, reports, records and callers.
+constexpr double kOrderShareOfLink = 0.5;
+/// Size of a start order without its payload.
+constexpr std::int64_t kStartOrderBytes = 200;
 /// Run numbers reserved for each task in one term, so that those of different terms never collide.
 constexpr std::int64_t kRunsPerTerm = 1'000;
 
@@ -32,6 +37,10 @@
 Coordinator::Coordinator(Context& aContext, Election& aElection)
   : mContext(aContext)
   , mElection(aElection)
+  , mOrderShare(MakeLinkShare(aContext.mSettings.mLinkSpeed,
+                              kOrderShareOfLink,
+                              kTickInterval,
+                              aContext.now()))
   , mPlacementTimer(aContext.mIo)
   , mTickTimer(aContext.mIo)
   , mFlushTimer(aContext.mIo)
@@ -396,7 +405,15 @@
     return;
   }
   const auto now = mContext.steadyAndUnixNow();
-  Scheduling::PlaceTasks(mState, now);
+  if (IsLimited(mOrderShare)) {
+    Scheduling::StartBudget budget = startBudget(now.mMonotonic);
+    // The next tick goes on with the rest.
+    if (!Scheduling::PlaceTasks(mState, now, &budget)) {
+      mContext.mCounters.counter("ibis_placement_rounds_cut").add();
+    }
+  } else {
+    Scheduling::PlaceTasks(mState, now);
+  }
   const Duration took = mContext.now() - now.mMonotonic;
   mNextPlacement = mContext.now() + took * kPlacementPauseFactor;
   mLongestPlacement = std::max(mLongestPlacement, took);
@@ -406,12 +423,28 @@
   scheduleFlush();
 }
 
-void
+Scheduling::StartBudget
+Coordinator::startBudget(Timestamp aNow)
+{
+  Scheduling::StartBudget budget;
+  budget.mBytesLeft = static_cast<std::int64_t>(BytesLeft(mOrderShare, aNow));
+  budget.mBytesOf = [this, sent = std::set<std::pair<Common::InstanceId, Common::JobId>>()](
+                      const Scheduling::Job& aJob, const Common::InstanceId& aAgent) mutable {
+    const Peer* const peer = findPeer(aAgent);
+    const bool isKept = peer != nullptr && peer->mKeptPayloads.mPayloads.contains(aJob.mSpec.mJob);
+    const bool isFirst = !isKept && sent.emplace(aAgent, aJob.mSpec.mJob).second;
+    return kStartOrderBytes + (isFirst ? static_cast<std::int64_t>(aJob.mSpec.mPayload.size()) : 0);
+  };
+  return budget;
+}
+
+std::size_t
 Coordinator::send(Net::Link& aLink, const char* aPurpose, const Wire::Message& aMessage)
 {
   const std::string bytes = Wire::Encode(aMessage);
   countBytes(aPurpose, bytes.size());
   aLink.send(bytes);
+  return bytes.size();
 }
 
 void
@@ -637,10 +670,11 @@
       directive.known.push_back(ToWire(Scheduling::ViewOf(worker)));
     }
   }
-  const char* const purpose = directive.orders.empty() ? "directives" : "orders";
+  const bool hasOrders = !directive.orders.empty();
   Wire::Message message;
   message.__set_directive(directive);
-  send(*aPeer.mLink, purpose, message);
+  const std::size_t bytes = send(*aPeer.mLink, hasOrders ? "orders" : "directives", message);
+  Spend(mOrderShare, hasOrders ? bytes : 0);
 }
 
 bool
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -15,6 +15,7 @@
 #include "Net/Link.h"
 #include "Node/Election.h"
 #include "Node/KeptPayloads.h"
+#include "Node/LinkShare.h"
 #include "Node/PrefixWatcher.h"
 #include "Scheduling/Schedule.h"
 
@@ -135,6 +136,8 @@
 
   void schedulePlacement();
   void placeTasks();
+  /// What the starts of a placement round may take of the link now.
+  Scheduling::StartBudget startBudget(Timestamp aNow);
   /// Includes the job's payload in start orders, unless the agent keeps it.
   Wire::Order toWireOrder(Peer& aPeer, const Scheduling::Order& aOrder) const;
   void sendOrders();
@@ -144,8 +147,8 @@
                      std::vector<Wire::Question> aQuestions = {});
   void resendOrders(Peer& aPeer);
   Peer* findPeer(const Common::InstanceId& aAgent);
-  /// Sends the message and counts its bytes by aPurpose.
-  void send(Net::Link& aLink, const char* aPurpose, const Wire::Message& aMessage);
+  /// Sends the message and counts its bytes by aPurpose. Returns their number.
+  std::size_t send(Net::Link& aLink, const char* aPurpose, const Wire::Message& aMessage);
   void countBytes(const char* aPurpose, std::size_t aBytes);
   /// Records how much later than planned the tick runs, and logs the load at intervals.
   void recordLoad(Timestamp aPlannedTick);
@@ -200,6 +203,7 @@
   /// result once.
   std::vector<Wire::OrderResult> mHeldResults;
   std::optional<QueueTables> mTables;
+  LinkShare mOrderShare;
   boost::asio::steady_timer mPlacementTimer;
   boost::asio::steady_timer mTickTimer;
   boost::asio::steady_timer mFlushTimer;
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -515,6 +515,22 @@
   ++aState.mCounts.mStarts;
 }
 
+bool
+IsUsedUp(const StartBudget* aBudget)
+{
+  return aBudget != nullptr && aBudget->mBytesLeft <= 0;
+}
+
+/// To be called once the task has been assigned to a worker.
+void
+ChargeStart(const SchedulerState& aState, const TaskRef& aRef, StartBudget* aBudget)
+{
+  if (aBudget != nullptr) {
+    const Worker& worker = aState.mWorkers[TaskAt(aRef).mWorker];
+    aBudget->mBytesLeft -= aBudget->mBytesOf(*aRef.mJob, worker.mAgent);
+  }
+}
+
 RunNumber
 NextRun(const SchedulerState& aState, const Task& aTask)
 {
@@ -526,6 +542,7 @@
 PlaceGang(SchedulerState& aState,
           const ReadyStep& aReady,
           const QueueSpec& aQueue,
+          StartBudget* aBudget,
           const CurrentTime& aNow)
 {
   Step& step = StepAt(FirstTask(aReady));
@@ -578,7 +595,9 @@
     }
     if (placed == step.mTasks.size()) {
       for (std::uint32_t i = 0; i < placed; ++i) {
-        OrderStart(aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, i }, run, aNow);
+        const TaskRef ref{ aReady.mJob, aReady.mOccurrence, aReady.mStep, i };
+        ChargeStart(aState, ref, aBudget);
+        OrderStart(aState, ref, run, aNow);
       }
       return;
     }
@@ -731,16 +750,19 @@
   AddOrder(aState, std::move(order));
 }
 
-void
-PlaceTasks(SchedulerState& aState, const CurrentTime& aNow)
+bool
+PlaceTasks(SchedulerState& aState, const CurrentTime& aNow, StartBudget* aBudget)
 {
   ExpireAdviceRequests(aState, aNow);
   std::vector<ReadyStep> steps = ReadySteps(aState, aNow);
   std::uint32_t requestedAhead = 0;
   for (ReadyStep& ready : steps) {
+    if (IsUsedUp(aBudget)) {
+      return false;
+    }
     const QueueSpec& queue = *FindQueue(aState, *ready.mJob);
     if (ready.mJob->mSpec.mSteps[ready.mStep].mGang) {
-      PlaceGang(aState, ready, queue, aNow);
+      PlaceGang(aState, ready, queue, aBudget, aNow);
       RequestTickets(
         aState, ready, queue, requestedAhead++ < aState.mPolicy.mStepsRequestedAhead, aNow);
       continue;
@@ -748,6 +770,9 @@
     Step& step = StepAt(FirstTask(ready));
     std::string placed;
     for (std::uint32_t i = 0; i < step.mTasks.size() && step.mWaitingTasks > 0; ++i) {
+      if (IsUsedUp(aBudget)) {
+        break;
+      }
       if (step.mTasks[i].mPhase != TaskPhase::Waiting) {
         continue;
       }
@@ -766,6 +791,7 @@
         aState.mWorkers[worker].mForcedPlacementAt = aNow.mMonotonic;
       }
       AssignToWorker(aState, ref, worker, TaskPhase::Starting, aNow);
+      ChargeStart(aState, ref, aBudget);
       OrderStart(aState, ref, run, aNow);
       ready.mJobIsIdle = false;
       placed += (placed.empty() ? "" : " ") + std::to_string(i) + ':' +
@@ -782,6 +808,7 @@
           std::to_string(ready.mOccurrence) + '.' + std::to_string(ready.mStep) + ' ' + placed });
     }
   }
+  return !IsUsedUp(aBudget);
 }
 
 } // namespace Scheduling
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -99,9 +99,20 @@
 void
 CheckTimeouts(SchedulerState& aState, const CurrentTime& aNow);
 
-/// Starts the waiting tasks that are due and for which a worker has capacity.
-void
-PlaceTasks(SchedulerState& aState, const CurrentTime& aNow);
+/// What the start orders of one placement round may take of the coordinator's link.
+struct StartBudget
+{
+  /// The start that uses up the last bytes is still ordered, and so are all tasks of its gang.
+  std::int64_t mBytesLeft = 0;
+  /// Size of an order that starts a task of the job on a worker of the agent, in bytes.
+  std::function<std::int64_t(const Job&, const Common::InstanceId& aAgent)> mBytesOf;
+};
+
+/// Starts the waiting tasks that are due and for which a worker has capacity, those that come first
+/// if aBudget does not suffice for all. Returns false if it did not. There is no limit if aBudget
+/// is nullptr.
+bool
+PlaceTasks(SchedulerState& aState, const CurrentTime& aNow, StartBudget* aBudget = nullptr);
 
 /// Applies the answer to a request; aAdvice is empty if the service did not answer the agent.
 void
--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -158,6 +158,47 @@
   }
 }
 
+TEST_CASE("The orders after a takeover leave room on the link for the coordinator's lease",
+          "[Node]")
+{
+  // The starts of all recovered jobs filled a link of 2 Mbit/s for seconds. The lease was not
+  // renewed, and each next coordinator lost it in the same way.
+  constexpr double kLinkSpeed = 2;
+  constexpr double kLinkBytesPerSecond = kLinkSpeed * 1'000'000 / 8;
+  constexpr int kJobs = 150;
+  TestCluster cluster;
+  cluster.mChangeSettings = [&](Settings& aSettings) { aSettings.mLinkSpeed = kLinkSpeed; };
+  FakeWorker& worker = cluster.addWorker("w1");
+  worker.mTaskTime = 60s;
+  JobShape shape;
+  shape.mTasks = 1;
+  shape.mMilliCores = 10;
+  shape.mPayload = std::string(Scheduling::kMaxPayloadBytes, 'p');
+  for (int i = 0; i < kJobs; ++i) {
+    Submit(cluster, "j" + std::to_string(i), shape);
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  cluster.addEntry("e1");
+  REQUIRE(cluster.runUntil([&] { return worker.mStarts > 0; }, 4s));
+
+  SECTION("at most half of it is used for them")
+  {
+    constexpr double kBurstSeconds = 0.1;
+    cluster.run(1s);
+    const auto sent =
+      cluster.mCounters.counter("ibis_coordinator_bytes", "purpose=\"orders\"").value();
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - begin;
+    REQUIRE(static_cast<double>(sent) <
+            kLinkBytesPerSecond / 2 * (elapsed.count() + kBurstSeconds) +
+              2 * Scheduling::kMaxPayloadBytes);
+  }
+
+  SECTION("and all tasks start in the time that the link needs for them")
+  {
+    REQUIRE(cluster.runUntil([&] { return worker.mStarts == kJobs; }, 8s));
+  }
+}
+
 TEST_CASE("Reports without news cause no placement round", "[Node]")
 {
   // 240 agents report 600 times a second, and each report caused a round over all waiting steps and
--- a/Source/UnitTests/Scheduling/PriorityTests.cpp
+++ b/Source/UnitTests/Scheduling/PriorityTests.cpp
@@ -50,3 +50,49 @@
     REQUIRE(start.mTask.mJob == JobId("half"));
   }
 }
+
+TEST_CASE("A placement round keeps to its budget of bytes", "[Scheduling]")
+{
+  // Load pattern: many jobs are recovered at once by a coordinator with a slow link.
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addWorker("w2");
+  fixture.addJob("render", { MakeStep().tasks(4).build() }, "render");
+  fixture.addJob("quote", { MakeStep().tasks(3).build() }, "quote");
+  StartBudget budget;
+  budget.mBytesOf = [](const Job&, const Common::InstanceId&) { return 100; };
+
+  SECTION("the most urgent tasks start first, and the others in later rounds")
+  {
+    budget.mBytesLeft = 300;
+    REQUIRE_FALSE(PlaceTasks(fixture.mState, fixture.now(), &budget));
+    const auto first = fixture.takeOrders();
+    REQUIRE(first.size() == 3);
+    for (const Order& start : first) {
+      REQUIRE(start.mTask.mJob == JobId("quote"));
+    }
+    budget.mBytesLeft = 150;
+    REQUIRE_FALSE(PlaceTasks(fixture.mState, fixture.now(), &budget));
+    REQUIRE(fixture.takeOrders().size() == 2);
+    budget.mBytesLeft = 1'000;
+    REQUIRE(PlaceTasks(fixture.mState, fixture.now(), &budget));
+    REQUIRE(fixture.takeOrders().size() == 2);
+  }
+
+  SECTION("nothing starts without bytes left")
+  {
+    budget.mBytesLeft = -50;
+    REQUIRE_FALSE(PlaceTasks(fixture.mState, fixture.now(), &budget));
+    REQUIRE(fixture.takeOrders().empty());
+  }
+
+  SECTION("a gang starts whole")
+  {
+    fixture.addJob("gang", { MakeStep().tasks(4).gang().build() }, "quote");
+    CancelJob(fixture.mState, *fixture.mState.mJobs.at(JobId("quote")), fixture.now());
+    budget.mBytesLeft = 100;
+    REQUIRE_FALSE(PlaceTasks(fixture.mState, fixture.now(), &budget));
+    REQUIRE(fixture.takeOrders().size() == 4);
+    REQUIRE(budget.mBytesLeft == -300);
+  }
+}
