Start long-running tasks on quarantined workers while no other has room

Cause: a worker that failed its tasks gets none for 3 to 20 s, and then one probe at a time, also after it has become sound. If most workers failed for a while, the only room was theirs, and long-running tasks waited for up to 20 s.

Change: a quarantine only keeps tasks away while another worker has room. A long-running task, which has no limit of attempts, starts on a quarantined worker for want of another, at most once in 2 s on each worker. Once such a task is at work 3 s after its start and nothing has failed since, the quarantine ends; 2 + 3 s leave more than half of the 11 s. Short tasks are kept away as before. A wait for quarantined workers is logged at most every 5 s for each step.

Evidence: "Long-running tasks run in time after all workers failed their tasks" replays failures of 1 to 40 s in virtual time. On the code before it fails after 11 to 14 s and 22 to 33 s of failures, e.g.

CHECK( workers.tasksAtWork(service) == kTasks ) 0 == 14 the workers failed for 24 s

and passes now. "Long-running tasks on quarantined workers cost no short jobs" replays the same with and without these starts: no more jobs fail.

--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -37,6 +37,9 @@
 /// Share of the cores of the workers with one label that long-running tasks leave free while other
 /// workers have capacity.
 constexpr double kFreeLabelShare = 0.2;
+/// Weight of a quarantined worker. It is higher than all others together, so that such a worker is
+/// used only while no other has capacity.
+constexpr double kQuarantineWeight = 1000.0;
 
 struct ReadyStep
 {
@@ -215,7 +218,6 @@
 bool
 HasProbe(const Worker& aWorker)
 {
-  constexpr Percent kServingPercent{ 100 };
   return std::any_of(aWorker.mTasks.begin(), aWorker.mTasks.end(), [&](const TaskRef& aRef) {
     const Task& task = TaskAt(aRef);
     const bool serving = StepSpecOf(aRef).mLongRunning && task.mPhase == TaskPhase::Running &&
@@ -224,6 +226,24 @@
   });
 }
 
+/// True if the worker is quarantined, or was and still has to prove that it is sound with the probe
+/// that it runs.
+bool
+IsQuarantined(const Worker& aWorker, const CurrentTime& aNow)
+{
+  const WorkerHealth& health = aWorker.mHealth;
+  return aNow.mMonotonic < health.mQuarantinedUntil ||
+         (health.mQuarantineTime > Duration{ 0 } && HasProbe(aWorker));
+}
+
+/// True if a long-running task without another worker may start on the quarantined worker. It loses
+/// little by a failed start and has no limit of attempts, unlike other tasks.
+bool
+AllowsLongRunningProbe(const SchedulerState& aState, const Worker& aWorker, const CurrentTime& aNow)
+{
+  return aNow.mMonotonic - aWorker.mHealth.mLastStart >= aState.mPolicy.mProbeInterval;
+}
+
 /// True if the worker can run tasks of the step when it has free capacity.
 bool
 CanEverHost(const Worker& aWorker, const StepSpec& aStep, const QueueSpec& aQueue)
@@ -246,21 +266,19 @@
   Overdue,
 };
 
+/// True if the worker can run a task of the step now, apart from a quarantine.
 bool
-CanHostNow(const SchedulerState& aState,
-           const Worker& aWorker,
-           const ReadyStep& aReady,
-           const QueueSpec& aQueue,
-           Starvation aStarvation,
-           const CurrentTime& aNow)
+HasCapacityNow(const SchedulerState& aState,
+               const Worker& aWorker,
+               const ReadyStep& aReady,
+               const QueueSpec& aQueue,
+               Starvation aStarvation,
+               const CurrentTime& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
   if (!CanEverHost(aWorker, step, aQueue) || !aWorker.mRecorded || !aWorker.mResponding ||
       aWorker.mHasUnknownRun || aNow.mMonotonic < aWorker.mNoStartsUntil ||
-      aNow.mMonotonic < aWorker.mHealth.mQuarantinedUntil || aNow.mMonotonic >= aWorker.mLeaseEnd) {
-    return false;
-  }
-  if (aWorker.mHealth.mQuarantineTime > Duration{ 0 } && HasProbe(aWorker)) {
+      aNow.mMonotonic >= aWorker.mLeaseEnd) {
     return false;
   }
   if (!Fits(ReservedBy(step), aWorker.mCapacity - aWorker.mUsed) ||
@@ -276,6 +294,31 @@
          TasksOfStepOn(aWorker, aReady.mJob, aReady.mOccurrence, aReady.mStep) < step.mMaxPerWorker;
 }
 
+bool
+CanHostNow(const SchedulerState& aState,
+           const Worker& aWorker,
+           const ReadyStep& aReady,
+           const QueueSpec& aQueue,
+           Starvation aStarvation,
+           const CurrentTime& aNow)
+{
+  return !IsQuarantined(aWorker, aNow) &&
+         HasCapacityNow(aState, aWorker, aReady, aQueue, aStarvation, aNow);
+}
+
+/// True if the worker can run a task of the step now while no other worker can.
+bool
+CanHostAsLastResort(const SchedulerState& aState,
+                    const Worker& aWorker,
+                    const ReadyStep& aReady,
+                    const QueueSpec& aQueue,
+                    const CurrentTime& aNow)
+{
+  return aReady.mJob->mSpec.mSteps[aReady.mStep].mLongRunning && IsQuarantined(aWorker, aNow) &&
+         AllowsLongRunningProbe(aState, aWorker, aNow) &&
+         HasCapacityNow(aState, aWorker, aReady, aQueue, Starvation::None, aNow);
+}
+
 struct LabelCapacity
 {
   std::int64_t mCapacity = 0;
@@ -425,13 +468,17 @@
     const Worker& worker = aState.mWorkers[number];
     if ((!aRack.empty() && worker.mRack.str() != aRack) ||
         (aQueue.mAdvice && !HasTicket(StepAt(FirstTask(aReady)), number, aNow)) ||
-        !CanHostNow(aState, worker, aReady, aQueue, starvation, aNow) ||
         (isTrial && !CanHostTrial(aState, worker, ref, aNow))) {
       continue;
     }
-    const double cost = isTrial
-                          ? TrialCost(aState, worker, task, aNow)
-                          : PlacementCost(aState, labelCapacities, worker, aReady, task, number);
+    const bool lastResort = CanHostAsLastResort(aState, worker, aReady, aQueue, aNow);
+    if (!lastResort && !CanHostNow(aState, worker, aReady, aQueue, starvation, aNow)) {
+      continue;
+    }
+    const double cost =
+      (lastResort ? kQuarantineWeight : 0.0) +
+      (isTrial ? TrialCost(aState, worker, task, aNow)
+               : PlacementCost(aState, labelCapacities, worker, aReady, task, number));
     if (best == kNoWorker || cost < bestCost) {
       best = number;
       bestCost = cost;
@@ -472,7 +519,8 @@
         !CanEverHost(worker, spec, aQueue)) {
       continue;
     }
-    const bool canHostNow = CanHostNow(aState, worker, aReady, aQueue, starvation, aNow);
+    const bool canHostNow = CanHostNow(aState, worker, aReady, aQueue, starvation, aNow) ||
+                            CanHostAsLastResort(aState, worker, aReady, aQueue, aNow);
     isNeeded = isNeeded || canHostNow;
     candidates.emplace_back(
       !canHostNow, PlacementCost(aState, {}, worker, aReady, *task, number), number);
@@ -496,6 +544,7 @@
   Task& task = TaskAt(aRef);
   task.mRun = aRun;
   task.mPhaseSince = aNow.mMonotonic;
+  aState.mWorkers[task.mWorker].mHealth.mLastStart = aNow.mMonotonic;
   Order order;
   order.mIsTrial = NeedsTrial(aRef);
   if (order.mIsTrial) {
@@ -515,6 +564,39 @@
   ++aState.mCounts.mStarts;
 }
 
+/// Logs that tasks of a long-running step wait because only quarantined workers have capacity.
+void
+LogWaitForQuarantined(SchedulerState& aState,
+                      const ReadyStep& aReady,
+                      const QueueSpec& aQueue,
+                      const CurrentTime& aNow)
+{
+  Step& step = StepAt(FirstTask(aReady));
+  if (!aReady.mJob->mSpec.mSteps[aReady.mStep].mLongRunning ||
+      aNow.mMonotonic - step.mQuarantineLoggedAt < aState.mPolicy.mQuarantineLogInterval) {
+    return;
+  }
+  std::size_t quarantined = 0;
+  for (const Worker& worker : aState.mWorkers) {
+    if (HasCapacityNow(aState, worker, aReady, aQueue, Starvation::None, aNow)) {
+      if (!IsQuarantined(worker, aNow)) {
+        return;
+      }
+      ++quarantined;
+    }
+  }
+  if (quarantined == 0) {
+    return;
+  }
+  step.mQuarantineLoggedAt = aNow.mMonotonic;
+  aState.mLogEntries.push_back({ "long-running tasks wait, only quarantined workers have capacity",
+                                 aReady.mJob->mSpec.mJob,
+                                 std::to_string(aReady.mOccurrence) + '.' +
+                                   std::to_string(aReady.mStep) + ' ' +
+                                   std::to_string(step.mWaitingTasks) + " waiting, " +
+                                   std::to_string(quarantined) + " quarantined workers" });
+}
+
 RunNumber
 NextRun(const SchedulerState& aState, const Task& aTask)
 {
@@ -757,6 +839,7 @@
         if (NeedsTrial(ref) || step.mTasks[i].mCrashChange > ready.mJob->mDurableChange) {
           continue;
         }
+        LogWaitForQuarantined(aState, ready, queue, aNow);
         // All tasks of a step have the same requirements.
         break;
       }
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -293,6 +293,29 @@
   task.mSpeedIsKnown = !StepSpecOf(aRef).mBestEffort;
 }
 
+/// Ends the quarantine of a worker on which a long-running task has been at work for long enough.
+void
+EndQuarantineOnProof(SchedulerState& aState,
+                     Worker& aWorker,
+                     const TaskRef& aRef,
+                     const CurrentTime& aNow)
+{
+  const Task& task = TaskAt(aRef);
+  WorkerHealth& health = aWorker.mHealth;
+  if (health.mQuarantineTime == Duration{ 0 } || !StepSpecOf(aRef).mLongRunning ||
+      task.mPercent < kServingPercent || task.mPhaseSince <= health.mLastFailure ||
+      aNow.mMonotonic - task.mPhaseSince < aState.mPolicy.mProofTime) {
+    return;
+  }
+  health.mQuarantineTime = Duration{ 0 };
+  health.mQuarantinedUntil = aNow.mMonotonic;
+  health.mRecentEnds.clear();
+  ++aState.mPlaceableChanges;
+  aState.mLogEntries.push_back({ "worker runs its tasks again; its quarantine ends",
+                                 aRef.mJob->mSpec.mJob,
+                                 aWorker.mLifetime.mWorker.str() });
+}
+
 void
 ApplyRunning(SchedulerState& aState,
              WorkerNumber aWorker,
@@ -342,6 +365,7 @@
   if (!aRunning.mCheckpoint.empty()) {
     task.mCheckpoint = aRunning.mCheckpoint;
   }
+  EndQuarantineOnProof(aState, aState.mWorkers[aWorker], *ref, aNow);
 }
 
 std::set<std::pair<TaskName, RunNumber>>
@@ -883,6 +907,7 @@
     }
     return;
   }
+  health.mLastFailure = aNow.mMonotonic;
   std::set<Common::JobId> failedJobs;
   std::size_t failures = 0;
   for (const auto& [job, failed] : health.mRecentEnds) {
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -18,6 +18,9 @@
 using WorkerNumber = std::uint32_t;
 constexpr WorkerNumber kNoWorker = UINT32_MAX;
 
+/// Progress of a long-running task that is at work.
+constexpr Percent kServingPercent{ 100 };
+
 enum class TaskPhase : std::uint8_t
 {
   Waiting,
@@ -100,6 +103,8 @@
   std::map<WorkerNumber, Ticket> mTickets;
   /// A request about the step is open.
   bool mAdviceRequested = false;
+  /// Time of the last log entry that says that its tasks wait for quarantined workers.
+  Timestamp mQuarantineLoggedAt;
 };
 
 /// One repetition of the steps of a job.
@@ -150,8 +155,10 @@
   /// Latest ended runs, oldest first: the job, and whether the run failed.
   std::deque<std::pair<Common::JobId, bool>> mRecentEnds;
   Timestamp mQuarantinedUntil;
-  /// Length of the last quarantine; 0 once the worker has completed a run after it.
+  /// Length of the last quarantine; 0 once the worker has proved to be sound.
   Duration mQuarantineTime{ 0 };
+  Timestamp mLastFailure;
+  Timestamp mLastStart;
 };
 
 /// A run that is being stopped and is not the current run of its task, for example because another
@@ -275,6 +282,12 @@
   /// one, up to the maximum.
   Duration mMinQuarantine{ std::chrono::seconds(3) };
   Duration mMaxQuarantine{ std::chrono::seconds(20) };
+  /// While no other worker has capacity, a quarantined one gets a long-running task this long after
+  /// its last start. Its quarantine ends once such a task is at work, mProofTime after its start,
+  /// and nothing has failed since. The two times together are less than half of the 11 s in which
+  /// long-running tasks have to run again after a disturbance.
+  Duration mProbeInterval{ std::chrono::seconds(2) };
+  Duration mProofTime{ std::chrono::seconds(3) };
   /// A worker that refused a start, for example for lack of capacity, gets none for this time, in
   /// which the list that explains the refusal arrives.
   Duration mRefusedStartPause{ std::chrono::milliseconds(250) };
@@ -338,6 +351,8 @@
   /// A ticket is not used in this last part of its lifetime, so that it is still valid when the
   /// start arrives at the worker. The part is at most a quarter of the lifetime.
   Duration mTicketMargin{ std::chrono::milliseconds(250) };
+  /// Least time between two log entries on a step whose tasks wait for quarantined workers.
+  Duration mQuarantineLogInterval{ std::chrono::seconds(5) };
 };
 
 /// Counts of events in this term.
