--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -70,6 +70,7 @@
   if (mTables) {
     setTables(*mTables);
   }
+  watchPredecessor();
   readRecordsVersion();
   scheduleTick();
 }
@@ -126,6 +127,8 @@
   mFlushTimer.cancel();
   mReadRetryTimer.cancel();
   mJobWatcher.reset();
+  mPredecessorWatcher.reset();
+  mStampOutdated = false;
   mRecoveredProgress.clear();
   mWorkerCursor.clear();
   mProgressCursor.clear();
@@ -449,6 +452,9 @@
         { "peers", std::to_string(mPeers.size()) },
         { "open", std::to_string(mState.mOpenJobs.size()) },
         { "unwritten", std::to_string(mState.mDirtyJobs.size()) },
+        { "awaited",
+          std::to_string(
+            Scheduling::RecordedWorkersAwaited(mState, mContext.steadyAndUnixNow()).mCount) },
         { "bytes", bytes },
         { "longest_delay_us", std::to_string(mLongestDelay.count()) },
         { "longest_placement_us", std::to_string(mLongestPlacement.count()) } });
@@ -473,6 +479,9 @@
         Scheduling::CheckTimeouts(mState, now);
         Scheduling::ThrottleTasks(mState, now);
         placeTasks();
+        if (mPredecessorWatcher && !Scheduling::AwaitsRecordedWorkers(mState, now)) {
+          mPredecessorWatcher.reset();
+        }
         updateCounters();
         collectGarbage();
       }
@@ -508,6 +517,9 @@
     .set(std::count_if(mState.mWorkers.begin(),
                        mState.mWorkers.end(),
                        [](const Scheduling::Worker& aWorker) { return aWorker.mConnected; }));
+  counters.counter("ibis_workers_awaited")
+    .set(static_cast<std::int64_t>(
+      Scheduling::RecordedWorkersAwaited(mState, mContext.steadyAndUnixNow()).mCount));
   counters.counter("ibis_term_starts").set(static_cast<std::int64_t>(counts.mStarts));
   counters.counter("ibis_term_room_rejections")
     .set(static_cast<std::int64_t>(counts.mCapacityRejections));
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -119,6 +119,11 @@
   void dropPeer(Net::Link* aLink);
 
   void readWorkers();
+  /// When the leases end of workers that this coordinator has not heard of.
+  Timestamp recordedLeaseEnd() const;
+  /// Waits for the news that the earlier coordinator's process has ended.
+  void watchPredecessor();
+  void handleEndedKey(const std::vector<Store::Entry>& aEntries);
   /// Repeats a step of the recovery after mStoreRetryDelay, because the read of aKey, a key or a
   /// prefix, failed.
   void retryRead(const std::string& aKey, void (Coordinator::*aStep)());
@@ -194,6 +199,10 @@
   /// their tasks.
   std::vector<Store::Entry> mHeldSubmissions;
   std::unique_ptr<PrefixWatcher> mJobWatcher;
+  /// Set while the earlier coordinator may still act and workers are awaited because of it.
+  std::unique_ptr<PrefixWatcher> mPredecessorWatcher;
+  /// The value of kRecordsKey says that earlier coordinators may act for longer than is known now.
+  bool mStampOutdated = false;
   std::map<Net::Link*, Peer> mPeers;
   std::map<Common::InstanceId, EarlyReport> mEarlyReports;
   /// Results of orders in reports that arrived while this process must not act. Agents send each
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -50,7 +50,7 @@
       return (aWorker.mConnected && aWorker.mHasTaskList && !aWorker.mRecorded) ||
              HasNeedlessRecord(aWorker, now);
     });
-  if (mState.mDirtyJobs.empty() && !workerRecordsOutdated) {
+  if (mState.mDirtyJobs.empty() && !workerRecordsOutdated && !mStampOutdated) {
     for (Scheduling::Worker& worker : mState.mWorkers) {
       Scheduling::AcknowledgeRecordedEnds(mState, worker);
     }
@@ -114,14 +114,18 @@
     }
   }
   addChangedJobs(transaction);
-  if (transaction.mPuts.empty() && transaction.mErased.empty()) {
+  if (transaction.mPuts.empty() && transaction.mErased.empty() && !mStampOutdated) {
     return;
   }
   if (mContext.now() >= mNextModelWrite) {
     mNextModelWrite = mContext.now() + kModelWriteInterval;
     transaction.mPuts.push_back({ kModelKey, Wire::Encode(ToModelRecord(mState)), std::nullopt });
   }
-  transaction.mPuts.push_back({ kRecordsKey, std::to_string(mTerm.value()), std::nullopt });
+  Wire::RecordsStamp stamp;
+  stamp.term = mTerm.value();
+  stamp.earlierActMicros = mElection.othersMayStillAct().count();
+  mStampOutdated = false;
+  transaction.mPuts.push_back({ kRecordsKey, Wire::Encode(stamp), std::nullopt });
   for (const auto& put : transaction.mPuts) {
     countBytes("records", put.mKey.size() + put.mValue.size());
   }
@@ -200,6 +204,7 @@
         "failed to write records",
         { { "jobs", std::to_string(mFlushJobs.size()) },
           { "error", std::to_string(static_cast<int>(aResult.error().mError)) } });
+    mStampOutdated = true;
     markFlushJobsDirty();
     if (aResult.error().mError == Store::StoreError::Conflict &&
         !adoptVersionOfLateWrite(aResult.error())) {
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -74,46 +74,114 @@
         return;
       }
       mRecordsVersion = *aEntry ? (*aEntry)->mVersion : Store::Version{ 0 };
+      if (*aEntry) {
+        // Earlier versions wrote only the term, which cannot be decoded.
+        if (const auto stamp = Wire::Decode<Wire::RecordsStamp>((*aEntry)->mValue)) {
+          mElection.noteEarlierMayAct(*stamp);
+        }
+      }
       readWorkers();
     });
 }
 
+Timestamp
+Coordinator::recordedLeaseEnd() const
+{
+  // This one extends leases of agents that report during the recovery.
+  const double drift = 1.0 + mContext.mTiming.mClockDrift;
+  return std::max(mTermStart, mElection.othersActUntil()) +
+         std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift) +
+         mContext.mTiming.mLeaseSafetyMargin;
+}
+
 void
-Coordinator::readWorkers()
+Coordinator::watchPredecessor()
 {
-  mContext.mStore.readPage(
-    kWorkerPrefix,
-    mWorkerCursor,
-    mContext.mTiming.mStoreCallTimeout,
-    [this, generation = mCallGeneration](Store::Result<Store::Page> aPage) {
-      if (generation != mCallGeneration) {
-        return;
-      }
-      if (!aPage) {
-        retryRead(kWorkerPrefix, &Coordinator::readWorkers);
-        return;
-      }
-      // Earlier coordinators may have extended leases until they stopped to act.
-      const double drift = 1.0 + mContext.mTiming.mClockDrift;
-      const Timestamp leaseEnd = mTermStart + mElection.othersMayAct() +
-                                 std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift) +
-                                 mContext.mTiming.mLeaseSafetyMargin;
-      for (const Store::Entry& entry : aPage->mEntries) {
-        mWorkerCursor = entry.mKey;
-        if (const auto record = Wire::Decode<Wire::WorkerRecord>(entry.mValue)) {
-          Scheduling::AddRecordedWorker(
-            mState,
-            FromWire(record->view, Common::DataCentreId(record->dataCentre)),
-            Common::InstanceId(record->instance),
-            leaseEnd);
-        }
-      }
-      if (aPage->mMore && !aPage->mEntries.empty()) {
-        readWorkers();
-        return;
-      }
-      readModel();
+  if (!mElection.awaitedPredecessor()) {
+    return;
+  }
+  mPredecessorWatcher = std::make_unique<PrefixWatcher>(
+    mContext,
+    kEndedKey,
+    mContext.mTiming.mWatchWait,
+    PrefixWatcher::Events{
+      [this](const std::vector<Store::Entry>& aEntries, Store::Version) {
+        handleEndedKey(aEntries);
+      },
+      [this](const Store::WatchResult& aResult) { handleEndedKey(aResult.mChanged); } });
+  mPredecessorWatcher->start();
+}
+
+void
+Coordinator::handleEndedKey(const std::vector<Store::Entry>& aEntries)
+{
+  const auto predecessor = mElection.awaitedPredecessor();
+  const bool hasEnded =
+    predecessor && std::any_of(aEntries.begin(), aEntries.end(), [&](const Store::Entry& aEntry) {
+      return aEntry.mKey == kEndedKey && aEntry.mValue == std::to_string(*predecessor);
     });
+  if (!hasEnded) {
+    return;
+  }
+  const auto now = mContext.steadyAndUnixNow();
+  const Timestamp earlier = recordedLeaseEnd();
+  mElection.notePredecessorEnded();
+  const Timestamp leaseEnd = recordedLeaseEnd();
+  mPredecessorWatcher.reset();
+  if (leaseEnd >= earlier) {
+    // This coordinator itself may have extended leases since.
+    return;
+  }
+  Scheduling::LimitAwaitedLeases(mState, leaseEnd, now);
+  const auto milliseconds = [](Duration aTime) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+  };
+  Log(Level::Info,
+      "coordinator",
+      "the earlier coordinator's process has ended; recorded workers are awaited for less time",
+      { { "term", std::to_string(mTerm.value()) },
+        { "awaited", std::to_string(Scheduling::RecordedWorkersAwaited(mState, now).mCount) },
+        { "awaited_ms", milliseconds(leaseEnd - now.mMonotonic) },
+        { "saved_ms", milliseconds(earlier - leaseEnd) } });
+  // A coordinator that replaces this one soon needs to know.
+  mStampOutdated = true;
+  scheduleFlush();
+}
+
+void
+Coordinator::readWorkers()
+{
+  mContext.mStore.readPage(kWorkerPrefix,
+                           mWorkerCursor,
+                           mContext.mTiming.mStoreCallTimeout,
+                           [this, generation = mCallGeneration](Store::Result<Store::Page> aPage) {
+                             if (generation != mCallGeneration) {
+                               return;
+                             }
+                             if (!aPage) {
+                               retryRead(kWorkerPrefix, &Coordinator::readWorkers);
+                               return;
+                             }
+                             // Earlier coordinators may have extended leases until they stopped to
+                             // act.
+                             const Timestamp leaseEnd = recordedLeaseEnd();
+                             for (const Store::Entry& entry : aPage->mEntries) {
+                               mWorkerCursor = entry.mKey;
+                               if (const auto record =
+                                     Wire::Decode<Wire::WorkerRecord>(entry.mValue)) {
+                                 Scheduling::AddRecordedWorker(
+                                   mState,
+                                   FromWire(record->view, Common::DataCentreId(record->dataCentre)),
+                                   Common::InstanceId(record->instance),
+                                   leaseEnd);
+                               }
+                             }
+                             if (aPage->mMore && !aPage->mEntries.empty()) {
+                               readWorkers();
+                               return;
+                             }
+                             readModel();
+                           });
 }
 
 void
@@ -282,10 +350,19 @@
 {
   mPhase = Phase::Working;
   mRecoveredProgress.clear();
+  const auto early = std::move(mEarlyReports);
+  mEarlyReports.clear();
+  for (const auto& [agent, report] : early) {
+    applyReport(report.mReport, report.mReceivedAt);
+  }
   const auto withoutQueue =
     std::count_if(mState.mOpenJobs.begin(), mState.mOpenJobs.end(), [this](const auto* aJob) {
       return Scheduling::FindQueue(mState, *aJob) == nullptr;
     });
+  const auto now = mContext.steadyAndUnixNow();
+  const Scheduling::AwaitedWorkers awaited = Scheduling::RecordedWorkersAwaited(mState, now);
+  const Duration awaitedTime =
+    awaited.mCount == 0 ? Duration{ 0 } : Duration{ awaited.mLeaseEnd - now.mMonotonic };
   Log(Level::Info,
       "coordinator",
       "recovered",
@@ -294,12 +371,11 @@
         { "open", std::to_string(mState.mOpenJobs.size()) },
         { "without_queue", std::to_string(withoutQueue) },
         { "workers", std::to_string(mState.mWorkers.size()) },
+        { "awaited", std::to_string(awaited.mCount) },
+        { "awaited_ms",
+          std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(awaitedTime).count()) },
         { "in_term_ms", std::to_string(millisecondsInTerm()) } });
-  const auto early = std::move(mEarlyReports);
-  mEarlyReports.clear();
-  for (const auto& [agent, report] : early) {
-    applyReport(report.mReport, report.mReceivedAt);
-  }
 }
 
 } // namespace Node
--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -44,6 +44,22 @@
 
 struct Election::Core : public std::enable_shared_from_this<Core>
 {
+  /// Coordinators before this one. Times are from the start of this term on.
+  struct Others
+  {
+    /// The process before this one, unless it resigned; the nonce is 0 if there is none.
+    std::string mPredecessor;
+    std::int64_t mPredecessorNonce = 0;
+    /// A later process of its instance has started.
+    bool mPredecessorEnded = false;
+    /// How long the predecessor may still act.
+    Duration mPredecessorActs{ 0 };
+    /// How long those before it may still act.
+    Duration mEarlierAct{ 0 };
+
+    Duration longestAct() const { return std::max(mPredecessorActs, mEarlierAct); }
+  };
+
   enum class Role
   {
     Follower,
@@ -58,6 +74,7 @@
     , mEvents(std::move(aEvents))
     , mClaimTimer(aContext.mIo)
     , mRenewalTimer(aContext.mIo)
+    , mEndTimer(aContext.mIo)
     , mNonce(RandomNonce())
   {
   }
@@ -81,6 +98,12 @@
     }
     mStoreRoundTrip = aRoundTrip;
     mKeyExists = aRecord.has_value();
+    mAwaitedEnd = aRecord && aRecord->nonce != mNonce &&
+                      aRecord->predecessor == mContext.mSettings.mInstance.str() &&
+                      aRecord->predecessorNonce != mNonce
+                    ? aRecord->predecessorNonce
+                    : 0;
+    writeAwaitedEnd();
     if (mStopped || mRole == Role::Resigned) {
       return;
     }
@@ -104,6 +127,36 @@
     }
   }
 
+  /// Tells the coordinator that its predecessor, an earlier process of this instance, has ended.
+  void writeAwaitedEnd()
+  {
+    if (mAwaitedEnd == 0 || mAwaitedEnd == mWrittenEnd || mEndWriteInProgress || mStopped) {
+      return;
+    }
+    mEndWriteInProgress = true;
+    Store::Transaction transaction;
+    transaction.mPuts = { { kEndedKey, std::to_string(mAwaitedEnd), std::nullopt } };
+    mContext.mStore.write(transaction,
+                          mContext.mTiming.mStoreCallTimeout,
+                          [self = shared_from_this(), ended = mAwaitedEnd](
+                            const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
+                            self->mEndWriteInProgress = false;
+                            if (self->mStopped) {
+                              return;
+                            }
+                            if (aResult) {
+                              self->log("told the coordinator that its predecessor, an earlier "
+                                        "process of this instance, has ended");
+                              self->mWrittenEnd = ended;
+                              self->writeAwaitedEnd();
+                              return;
+                            }
+                            self->startTimer(self->mEndTimer,
+                                             self->mContext.mTiming.mStoreRetryDelay,
+                                             [](Core& aCore) { aCore.writeAwaitedEnd(); });
+                          });
+  }
+
   /// Erases the key that an earlier process of this instance left behind. That process has ended,
   /// so it cannot act as coordinator any more.
   void eraseKeyOfEarlierProcess()
@@ -123,12 +176,19 @@
         self->log("erasing the coordinator key of an earlier process of this instance");
         Store::Transaction transaction;
         transaction.mExpected = { { kCoordinatorKey, (*aEntry)->mVersion } };
+        transaction.mPuts = { { kEndedKey, std::to_string(record->nonce), std::nullopt } };
         transaction.mErased = { kCoordinatorKey };
-        // If the write fails, the key expires with its lease.
+        // If the write fails, the key expires with its lease, and the record of the next
+        // coordinator names the earlier process.
         self->mContext.mStore.write(
           transaction,
           self->mContext.mTiming.mStoreCallTimeout,
-          [](const tl::expected<Store::Version, Store::WriteFailure>&) {});
+          [self, ended = record->nonce](
+            const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
+            if (aResult) {
+              self->mWrittenEnd = ended;
+            }
+          });
       });
   }
 
@@ -171,7 +231,7 @@
       return;
     }
     std::int64_t lastTerm = 0;
-    Duration othersMayAct{ 0 };
+    Others others;
     mTermVersion = Store::Version{ 0 };
     if (*aTerm) {
       mTermVersion = (*aTerm)->mVersion;
@@ -181,13 +241,11 @@
       }
       lastTerm = record ? record->term : mTermVersion.value();
       mTermNonce = record ? record->nonce : 0;
-      othersMayAct = record && record->__isset.othersActMicros
-                       ? Duration{ record->othersActMicros }
-                       : mContext.mTiming.mCoordinatorLease + mContext.mTiming.mStoreOutageGrace;
+      others = othersBefore(record);
     }
     mResumed = mStateIsCurrent && lastTerm == mTerm.value() && mTermNonce == mNonce;
     if (!mResumed) {
-      mOthersMayAct = othersMayAct;
+      mOthers = others;
     }
     if (!mResumed && mStateIsCurrent) {
       mStateIsCurrent = false;
@@ -203,6 +261,30 @@
       });
   }
 
+  /// What the record of the last term says about the coordinators before a new one.
+  Others othersBefore(const std::optional<Wire::CoordinatorRecord>& aRecord) const
+  {
+    const Duration longest =
+      mContext.mTiming.mCoordinatorLease + mContext.mTiming.mStoreOutageGrace;
+    Others others;
+    if (!aRecord) {
+      others.mEarlierAct = longest;
+      return others;
+    }
+    if (aRecord->__isset.othersActMicros) {
+      others.mEarlierAct = Duration{ aRecord->othersActMicros };
+      return others;
+    }
+    others.mEarlierAct =
+      aRecord->__isset.earlierActMicros ? Duration{ aRecord->earlierActMicros } : longest;
+    others.mPredecessor = aRecord->instance;
+    others.mPredecessorNonce = aRecord->nonce;
+    others.mPredecessorEnded =
+      aRecord->instance == mContext.mSettings.mInstance.str() && aRecord->nonce != mNonce;
+    others.mPredecessorActs = others.mPredecessorEnded ? Duration{ 0 } : longest;
+    return others;
+  }
+
   void handleLease(const Store::Result<Store::GrantedLease>& aLease, Timestamp aSent)
   {
     if (mRole != Role::Claiming || mStopped) {
@@ -220,6 +302,9 @@
     record.instance = mContext.mSettings.mInstance.str();
     record.address = mAddress;
     record.nonce = mNonce;
+    record.predecessor = mOthers.mPredecessor;
+    record.predecessorNonce = mOthers.mPredecessorNonce;
+    record.__set_earlierActMicros((mResumed ? othersMayStillAct() : mOthers.longestAct()).count());
     mRecord = record;
     const std::string value = Wire::Encode(record);
     Store::Transaction transaction;
@@ -379,8 +464,7 @@
       boost::asio::post(mContext.mIo, done);
       return;
     }
-    const Duration othersAct = mTermStart + mOthersMayAct - mContext.now();
-    mRecord.__set_othersActMicros(std::max(othersAct, Duration{ 0 }).count());
+    mRecord.__set_othersActMicros(othersMayStillAct().count());
     Store::Transaction transaction;
     transaction.mExpected = { { kCoordinatorKey, mKeyVersion } };
     transaction.mPuts = { { kTermKey, Wire::Encode(mRecord), std::nullopt } };
@@ -392,6 +476,21 @@
       [done](const tl::expected<Store::Version, Store::WriteFailure>&) { done(); });
   }
 
+  Timestamp othersActUntil() const { return mTermStart + mOthers.longestAct(); }
+
+  Duration othersMayStillAct() const
+  {
+    return std::max<Duration>(othersActUntil() - mContext.now(), Duration{ 0 });
+  }
+
+  void notePredecessorEnded()
+  {
+    // When it ended is not known, except that it is in the past.
+    mOthers.mPredecessorEnded = true;
+    mOthers.mPredecessorActs =
+      std::min<Duration>(mOthers.mPredecessorActs, mContext.now() - mTermStart);
+  }
+
   void startTimer(boost::asio::steady_timer& aTimer, Duration aDelay, void (*aStep)(Core&))
   {
     aTimer.expires_after(aDelay);
@@ -415,6 +514,7 @@
   Events mEvents;
   boost::asio::steady_timer mClaimTimer;
   boost::asio::steady_timer mRenewalTimer;
+  boost::asio::steady_timer mEndTimer;
   /// Distinguishes this process from earlier processes of the same instance.
   std::int64_t mNonce;
   /// Nonce of the process that wrote kTermKey.
@@ -430,9 +530,13 @@
   /// The store did not answer the last lease renewal.
   bool mStoreSilent = false;
   Store::Version mTermVersion;
-  /// Start of this term, and how long after it earlier coordinators may still act.
   Timestamp mTermStart;
-  Duration mOthersMayAct{ 0 };
+  Others mOthers;
+  /// Nonce of the earlier process of this instance that the coordinator waits for, and of the one
+  /// whose end was last written; 0 if there is none.
+  std::int64_t mAwaitedEnd = 0;
+  std::int64_t mWrittenEnd = 0;
+  bool mEndWriteInProgress = false;
   /// Value of kTermKey as this process wrote it.
   Wire::CoordinatorRecord mRecord;
   /// Version of kCoordinatorKey as this process wrote it.
@@ -454,6 +558,7 @@
   mCore->mStopped = true;
   mCore->mClaimTimer.cancel();
   mCore->mRenewalTimer.cancel();
+  mCore->mEndTimer.cancel();
 }
 
 void
@@ -482,10 +587,40 @@
   return mCore->mTerm;
 }
 
+Timestamp
+Election::othersActUntil() const
+{
+  return mCore->othersActUntil();
+}
+
 Duration
-Election::othersMayAct() const
+Election::othersMayStillAct() const
+{
+  return mCore->othersMayStillAct();
+}
+
+std::optional<std::int64_t>
+Election::awaitedPredecessor() const
+{
+  const Core::Others& others = mCore->mOthers;
+  return others.mPredecessorNonce == 0 || others.mPredecessorEnded
+           ? std::nullopt
+           : std::make_optional(others.mPredecessorNonce);
+}
+
+void
+Election::notePredecessorEnded()
 {
-  return mCore->mOthersMayAct;
+  mCore->notePredecessorEnded();
+}
+
+void
+Election::noteEarlierMayAct(const Wire::RecordsStamp& aStamp)
+{
+  if (aStamp.term == mCore->mTerm.value() - 1) {
+    Duration& earlierAct = mCore->mOthers.mEarlierAct;
+    earlierAct = std::min(earlierAct, Duration{ aStamp.earlierActMicros });
+  }
 }
 
 Store::Expectation
--- a/Source/Core/Node/Election.h
+++ b/Source/Core/Node/Election.h
@@ -44,9 +44,18 @@
   Common::Epoch term() const;
   /// Precondition of the coordinator's writes: the key is still the one that this process wrote.
   Store::Expectation fencingCondition() const;
-  /// How long after the start of this term earlier coordinators may still act, for example one that
-  /// the store does not answer.
-  Duration othersMayAct() const;
+  /// Until when earlier coordinators may still act, for example one that the store does not answer.
+  Timestamp othersActUntil() const;
+  /// The same, from now on.
+  Duration othersMayStillAct() const;
+  /// Nonce of the coordinator before this one if it may still act; std::nullopt if it resigned or
+  /// its process is known to have ended.
+  std::optional<std::int64_t> awaitedPredecessor() const;
+  /// To be called when the process of awaitedPredecessor() is known to have ended.
+  void notePredecessorEnded();
+  /// To be called with what the last coordinator wrote with its records: how long those before it
+  /// may act from the start of this term on. Ignored unless it is of the term before this one.
+  void noteEarlierMayAct(const Wire::RecordsStamp& aStamp);
   /// To be called when a conflict suggests that another process holds the key. Steps down and
   /// claims the key again.
   void suspectKeyLost();
--- a/Source/Core/Node/StoreKeys.h
+++ b/Source/Core/Node/StoreKeys.h
@@ -12,6 +12,10 @@
 inline const std::string kCoordinatorKey = "ibis/coordinator";
 /// Holds the CoordinatorRecord of the highest term so far; has no lease, so it never expires.
 inline const std::string kTermKey = "ibis/term";
+/// Nonce, as text, of a coordinator whose process has ended. A later process of its instance writes
+/// it while the present coordinator may still wait for the ended one. What it says stays true, so a
+/// late write can at most hide what a newer one said.
+inline const std::string kEndedKey = "ibis/ended";
 /// Submissions and cancellations, written by entries, or by the coordinator on their behalf.
 inline const std::string kJobPrefix = "ibis/job/";
 /// Progress of each job, written by the coordinator.
@@ -20,7 +24,7 @@
 inline const std::string kWorkerPrefix = "ibis/worker/";
 /// Rewritten together with every write of the coordinator's progress and worker records. Its
 /// version is a precondition of the next write, so a write that reaches the store late, after a
-/// newer one, fails.
+/// newer one, fails. Its value is a RecordsStamp.
 inline const std::string kRecordsKey = "ibis/records";
 /// What the coordinator learned about images and run times.
 inline const std::string kModelKey = "ibis/model";
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -502,6 +502,14 @@
   aState.mWorkers[number].mTailRooms.reset();
 }
 
+/// True while tasks of recovered jobs may run on the worker, which has not reported in this term.
+bool
+IsAwaited(const Worker& aWorker, const CurrentTime& aNow)
+{
+  return aWorker.mRecorded && !aWorker.mHasTaskList && !aWorker.mLifetimeEnded &&
+         aWorker.mLeaseEnd > aNow.mMonotonic;
+}
+
 /// Orders stops of the runs that are not confirmed, because the agent may send their starts as soon
 /// as it has a lease again.
 void
@@ -860,11 +868,33 @@
 AwaitsRecordedWorkers(const SchedulerState& aState, const CurrentTime& aNow)
 {
   return std::any_of(aState.mWorkers.begin(), aState.mWorkers.end(), [&](const Worker& aWorker) {
-    return aWorker.mRecorded && !aWorker.mHasTaskList && !aWorker.mLifetimeEnded &&
-           aWorker.mLeaseEnd > aNow.mMonotonic;
+    return IsAwaited(aWorker, aNow);
   });
 }
 
+AwaitedWorkers
+RecordedWorkersAwaited(const SchedulerState& aState, const CurrentTime& aNow)
+{
+  AwaitedWorkers awaited;
+  for (const Worker& worker : aState.mWorkers) {
+    if (IsAwaited(worker, aNow)) {
+      ++awaited.mCount;
+      awaited.mLeaseEnd = std::max(awaited.mLeaseEnd, worker.mLeaseEnd);
+    }
+  }
+  return awaited;
+}
+
+void
+LimitAwaitedLeases(SchedulerState& aState, Timestamp aLeaseEnd, const CurrentTime& aNow)
+{
+  for (Worker& worker : aState.mWorkers) {
+    if (IsAwaited(worker, aNow)) {
+      worker.mLeaseEnd = std::min(worker.mLeaseEnd, aLeaseEnd);
+    }
+  }
+}
+
 void
 RecordRunEnd(SchedulerState& aState,
              Worker& aWorker,
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -246,6 +246,18 @@
 /// term.
 bool
 AwaitsRecordedWorkers(const SchedulerState& aState, const CurrentTime& aNow);
+/// Recorded workers that have not reported in this term and may still run tasks.
+struct AwaitedWorkers
+{
+  std::size_t mCount = 0;
+  /// When the last of their leases ends.
+  Timestamp mLeaseEnd;
+};
+AwaitedWorkers
+RecordedWorkersAwaited(const SchedulerState& aState, const CurrentTime& aNow);
+/// To be called when it becomes known that no lease of an awaited worker ends later than aLeaseEnd.
+void
+LimitAwaitedLeases(SchedulerState& aState, Timestamp aLeaseEnd, const CurrentTime& aNow);
 /// True if the tasks with tail-latency targets on the worker stay within them when aCores more run
 /// this image.
 bool
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -2066,6 +2066,19 @@
   this->othersActMicros = val;
 __isset.othersActMicros = true;
 }
+
+void CoordinatorRecord::__set_predecessor(const std::string& val) {
+  this->predecessor = val;
+}
+
+void CoordinatorRecord::__set_predecessorNonce(const int64_t val) {
+  this->predecessorNonce = val;
+}
+
+void CoordinatorRecord::__set_earlierActMicros(const int64_t val) {
+  this->earlierActMicros = val;
+__isset.earlierActMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const CoordinatorRecord& obj)
 {
   obj.printTo(out);
@@ -2134,6 +2147,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->predecessor);
+          this->__isset.predecessor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->predecessorNonce);
+          this->__isset.predecessorNonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->earlierActMicros);
+          this->__isset.earlierActMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2172,6 +2209,19 @@
     xfer += oprot->writeI64(this->othersActMicros);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("predecessor", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->predecessor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("predecessorNonce", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->predecessorNonce);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.earlierActMicros) {
+    xfer += oprot->writeFieldBegin("earlierActMicros", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->earlierActMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2184,6 +2234,9 @@
   swap(a.address, b.address);
   swap(a.nonce, b.nonce);
   swap(a.othersActMicros, b.othersActMicros);
+  swap(a.predecessor, b.predecessor);
+  swap(a.predecessorNonce, b.predecessorNonce);
+  swap(a.earlierActMicros, b.earlierActMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -2193,6 +2246,9 @@
   address = other68.address;
   nonce = other68.nonce;
   othersActMicros = other68.othersActMicros;
+  predecessor = other68.predecessor;
+  predecessorNonce = other68.predecessorNonce;
+  earlierActMicros = other68.earlierActMicros;
   __isset = other68.__isset;
 }
 CoordinatorRecord::CoordinatorRecord(CoordinatorRecord&& other69) noexcept {
@@ -2201,6 +2257,9 @@
   address = std::move(other69.address);
   nonce = other69.nonce;
   othersActMicros = other69.othersActMicros;
+  predecessor = std::move(other69.predecessor);
+  predecessorNonce = other69.predecessorNonce;
+  earlierActMicros = other69.earlierActMicros;
   __isset = other69.__isset;
 }
 CoordinatorRecord& CoordinatorRecord::operator=(const CoordinatorRecord& other70) {
@@ -2209,6 +2268,9 @@
   address = other70.address;
   nonce = other70.nonce;
   othersActMicros = other70.othersActMicros;
+  predecessor = other70.predecessor;
+  predecessorNonce = other70.predecessorNonce;
+  earlierActMicros = other70.earlierActMicros;
   __isset = other70.__isset;
   return *this;
 }
@@ -2218,6 +2280,9 @@
   address = std::move(other71.address);
   nonce = other71.nonce;
   othersActMicros = other71.othersActMicros;
+  predecessor = std::move(other71.predecessor);
+  predecessorNonce = other71.predecessorNonce;
+  earlierActMicros = other71.earlierActMicros;
   __isset = other71.__isset;
   return *this;
 }
@@ -2229,6 +2294,132 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "nonce=" << to_string(nonce);
   out << ", " << "othersActMicros="; (__isset.othersActMicros ? (out << to_string(othersActMicros)) : (out << "<null>"));
+  out << ", " << "predecessor=" << to_string(predecessor);
+  out << ", " << "predecessorNonce=" << to_string(predecessorNonce);
+  out << ", " << "earlierActMicros="; (__isset.earlierActMicros ? (out << to_string(earlierActMicros)) : (out << "<null>"));
+  out << ")";
+}
+
+
+RecordsStamp::~RecordsStamp() noexcept {
+}
+
+
+void RecordsStamp::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void RecordsStamp::__set_earlierActMicros(const int64_t val) {
+  this->earlierActMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordsStamp& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordsStamp::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->earlierActMicros);
+          this->__isset.earlierActMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordsStamp::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordsStamp");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("earlierActMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->earlierActMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordsStamp &a, RecordsStamp &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.earlierActMicros, b.earlierActMicros);
+  swap(a.__isset, b.__isset);
+}
+
+RecordsStamp::RecordsStamp(const RecordsStamp& other72) noexcept {
+  term = other72.term;
+  earlierActMicros = other72.earlierActMicros;
+  __isset = other72.__isset;
+}
+RecordsStamp::RecordsStamp(RecordsStamp&& other73) noexcept {
+  term = other73.term;
+  earlierActMicros = other73.earlierActMicros;
+  __isset = other73.__isset;
+}
+RecordsStamp& RecordsStamp::operator=(const RecordsStamp& other74) noexcept {
+  term = other74.term;
+  earlierActMicros = other74.earlierActMicros;
+  __isset = other74.__isset;
+  return *this;
+}
+RecordsStamp& RecordsStamp::operator=(RecordsStamp&& other75) noexcept {
+  term = other75.term;
+  earlierActMicros = other75.earlierActMicros;
+  __isset = other75.__isset;
+  return *this;
+}
+void RecordsStamp::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordsStamp(";
+  out << "term=" << to_string(term);
+  out << ", " << "earlierActMicros=" << to_string(earlierActMicros);
   out << ")";
 }
 
@@ -2393,42 +2584,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other72) {
-  task = other72.task;
-  run = other72.run;
-  checkpoint = other72.checkpoint;
-  percent = other72.percent;
-  usage = other72.usage;
-  fresh = other72.fresh;
-  __isset = other72.__isset;
+RunningTask::RunningTask(const RunningTask& other76) {
+  task = other76.task;
+  run = other76.run;
+  checkpoint = other76.checkpoint;
+  percent = other76.percent;
+  usage = other76.usage;
+  fresh = other76.fresh;
+  __isset = other76.__isset;
 }
-RunningTask::RunningTask(RunningTask&& other73) noexcept {
-  task = std::move(other73.task);
-  run = other73.run;
-  checkpoint = std::move(other73.checkpoint);
-  percent = other73.percent;
-  usage = other73.usage;
-  fresh = other73.fresh;
-  __isset = other73.__isset;
+RunningTask::RunningTask(RunningTask&& other77) noexcept {
+  task = std::move(other77.task);
+  run = other77.run;
+  checkpoint = std::move(other77.checkpoint);
+  percent = other77.percent;
+  usage = other77.usage;
+  fresh = other77.fresh;
+  __isset = other77.__isset;
 }
-RunningTask& RunningTask::operator=(const RunningTask& other74) {
-  task = other74.task;
-  run = other74.run;
-  checkpoint = other74.checkpoint;
-  percent = other74.percent;
-  usage = other74.usage;
-  fresh = other74.fresh;
-  __isset = other74.__isset;
+RunningTask& RunningTask::operator=(const RunningTask& other78) {
+  task = other78.task;
+  run = other78.run;
+  checkpoint = other78.checkpoint;
+  percent = other78.percent;
+  usage = other78.usage;
+  fresh = other78.fresh;
+  __isset = other78.__isset;
   return *this;
 }
-RunningTask& RunningTask::operator=(RunningTask&& other75) noexcept {
-  task = std::move(other75.task);
-  run = other75.run;
-  checkpoint = std::move(other75.checkpoint);
-  percent = other75.percent;
-  usage = other75.usage;
-  fresh = other75.fresh;
-  __isset = other75.__isset;
+RunningTask& RunningTask::operator=(RunningTask&& other79) noexcept {
+  task = std::move(other79.task);
+  run = other79.run;
+  checkpoint = std::move(other79.checkpoint);
+  percent = other79.percent;
+  usage = other79.usage;
+  fresh = other79.fresh;
+  __isset = other79.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -2587,38 +2778,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedTask::EndedTask(const EndedTask& other76) {
-  number = other76.number;
-  task = other76.task;
-  run = other76.run;
-  how = other76.how;
-  checkpoint = other76.checkpoint;
-  __isset = other76.__isset;
-}
-EndedTask::EndedTask(EndedTask&& other77) noexcept {
-  number = other77.number;
-  task = std::move(other77.task);
-  run = other77.run;
-  how = other77.how;
-  checkpoint = std::move(other77.checkpoint);
-  __isset = other77.__isset;
-}
-EndedTask& EndedTask::operator=(const EndedTask& other78) {
-  number = other78.number;
-  task = other78.task;
-  run = other78.run;
-  how = other78.how;
-  checkpoint = other78.checkpoint;
-  __isset = other78.__isset;
+EndedTask::EndedTask(const EndedTask& other80) {
+  number = other80.number;
+  task = other80.task;
+  run = other80.run;
+  how = other80.how;
+  checkpoint = other80.checkpoint;
+  __isset = other80.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other81) noexcept {
+  number = other81.number;
+  task = std::move(other81.task);
+  run = other81.run;
+  how = other81.how;
+  checkpoint = std::move(other81.checkpoint);
+  __isset = other81.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other82) {
+  number = other82.number;
+  task = other82.task;
+  run = other82.run;
+  how = other82.how;
+  checkpoint = other82.checkpoint;
+  __isset = other82.__isset;
   return *this;
 }
-EndedTask& EndedTask::operator=(EndedTask&& other79) noexcept {
-  number = other79.number;
-  task = std::move(other79.task);
-  run = other79.run;
-  how = other79.how;
-  checkpoint = std::move(other79.checkpoint);
-  __isset = other79.__isset;
+EndedTask& EndedTask::operator=(EndedTask&& other83) noexcept {
+  number = other83.number;
+  task = std::move(other83.task);
+  run = other83.run;
+  how = other83.how;
+  checkpoint = std::move(other83.checkpoint);
+  __isset = other83.__isset;
   return *this;
 }
 void EndedTask::printTo(std::ostream& out) const {
@@ -2776,14 +2967,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->labels.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->labels.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readString(this->labels[_i84]);
+              xfer += iprot->readString(this->labels[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2852,14 +3043,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->running.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->running.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->running[_i89].read(iprot);
+              xfer += this->running[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2872,14 +3063,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->ended.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->ended.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->ended[_i94].read(iprot);
+              xfer += this->ended[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2964,10 +3155,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter95;
-    for (_iter95 = this->labels.begin(); _iter95 != this->labels.end(); ++_iter95)
+    std::vector<std::string> ::const_iterator _iter99;
+    for (_iter99 = this->labels.begin(); _iter99 != this->labels.end(); ++_iter99)
     {
-      xfer += oprot->writeString((*_iter95));
+      xfer += oprot->writeString((*_iter99));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3004,10 +3195,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter96;
-    for (_iter96 = this->running.begin(); _iter96 != this->running.end(); ++_iter96)
+    std::vector<RunningTask> ::const_iterator _iter100;
+    for (_iter100 = this->running.begin(); _iter100 != this->running.end(); ++_iter100)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3016,10 +3207,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter97;
-    for (_iter97 = this->ended.begin(); _iter97 != this->ended.end(); ++_iter97)
+    std::vector<EndedTask> ::const_iterator _iter101;
+    for (_iter101 = this->ended.begin(); _iter101 != this->ended.end(); ++_iter101)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3074,94 +3265,94 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerView::WorkerView(const WorkerView& other98) {
-  worker = other98.worker;
-  born = other98.born;
-  pool = other98.pool;
-  rack = other98.rack;
-  labels = other98.labels;
-  milliCores = other98.milliCores;
-  memoryMb = other98.memoryMb;
-  accelerators = other98.accelerators;
-  leaving = other98.leaving;
-  remainingMs = other98.remainingMs;
-  responding = other98.responding;
-  listed = other98.listed;
-  running = other98.running;
-  ended = other98.ended;
-  address = other98.address;
-  leaseLeftMs = other98.leaseLeftMs;
-  listNumber = other98.listNumber;
-  endedCut = other98.endedCut;
-  awaitsHeartbeat = other98.awaitsHeartbeat;
-  __isset = other98.__isset;
-}
-WorkerView::WorkerView(WorkerView&& other99) noexcept {
-  worker = std::move(other99.worker);
-  born = other99.born;
-  pool = std::move(other99.pool);
-  rack = std::move(other99.rack);
-  labels = std::move(other99.labels);
-  milliCores = other99.milliCores;
-  memoryMb = other99.memoryMb;
-  accelerators = other99.accelerators;
-  leaving = other99.leaving;
-  remainingMs = other99.remainingMs;
-  responding = other99.responding;
-  listed = other99.listed;
-  running = std::move(other99.running);
-  ended = std::move(other99.ended);
-  address = std::move(other99.address);
-  leaseLeftMs = other99.leaseLeftMs;
-  listNumber = other99.listNumber;
-  endedCut = other99.endedCut;
-  awaitsHeartbeat = other99.awaitsHeartbeat;
-  __isset = other99.__isset;
-}
-WorkerView& WorkerView::operator=(const WorkerView& other100) {
-  worker = other100.worker;
-  born = other100.born;
-  pool = other100.pool;
-  rack = other100.rack;
-  labels = other100.labels;
-  milliCores = other100.milliCores;
-  memoryMb = other100.memoryMb;
-  accelerators = other100.accelerators;
-  leaving = other100.leaving;
-  remainingMs = other100.remainingMs;
-  responding = other100.responding;
-  listed = other100.listed;
-  running = other100.running;
-  ended = other100.ended;
-  address = other100.address;
-  leaseLeftMs = other100.leaseLeftMs;
-  listNumber = other100.listNumber;
-  endedCut = other100.endedCut;
-  awaitsHeartbeat = other100.awaitsHeartbeat;
-  __isset = other100.__isset;
+WorkerView::WorkerView(const WorkerView& other102) {
+  worker = other102.worker;
+  born = other102.born;
+  pool = other102.pool;
+  rack = other102.rack;
+  labels = other102.labels;
+  milliCores = other102.milliCores;
+  memoryMb = other102.memoryMb;
+  accelerators = other102.accelerators;
+  leaving = other102.leaving;
+  remainingMs = other102.remainingMs;
+  responding = other102.responding;
+  listed = other102.listed;
+  running = other102.running;
+  ended = other102.ended;
+  address = other102.address;
+  leaseLeftMs = other102.leaseLeftMs;
+  listNumber = other102.listNumber;
+  endedCut = other102.endedCut;
+  awaitsHeartbeat = other102.awaitsHeartbeat;
+  __isset = other102.__isset;
+}
+WorkerView::WorkerView(WorkerView&& other103) noexcept {
+  worker = std::move(other103.worker);
+  born = other103.born;
+  pool = std::move(other103.pool);
+  rack = std::move(other103.rack);
+  labels = std::move(other103.labels);
+  milliCores = other103.milliCores;
+  memoryMb = other103.memoryMb;
+  accelerators = other103.accelerators;
+  leaving = other103.leaving;
+  remainingMs = other103.remainingMs;
+  responding = other103.responding;
+  listed = other103.listed;
+  running = std::move(other103.running);
+  ended = std::move(other103.ended);
+  address = std::move(other103.address);
+  leaseLeftMs = other103.leaseLeftMs;
+  listNumber = other103.listNumber;
+  endedCut = other103.endedCut;
+  awaitsHeartbeat = other103.awaitsHeartbeat;
+  __isset = other103.__isset;
+}
+WorkerView& WorkerView::operator=(const WorkerView& other104) {
+  worker = other104.worker;
+  born = other104.born;
+  pool = other104.pool;
+  rack = other104.rack;
+  labels = other104.labels;
+  milliCores = other104.milliCores;
+  memoryMb = other104.memoryMb;
+  accelerators = other104.accelerators;
+  leaving = other104.leaving;
+  remainingMs = other104.remainingMs;
+  responding = other104.responding;
+  listed = other104.listed;
+  running = other104.running;
+  ended = other104.ended;
+  address = other104.address;
+  leaseLeftMs = other104.leaseLeftMs;
+  listNumber = other104.listNumber;
+  endedCut = other104.endedCut;
+  awaitsHeartbeat = other104.awaitsHeartbeat;
+  __isset = other104.__isset;
   return *this;
 }
-WorkerView& WorkerView::operator=(WorkerView&& other101) noexcept {
-  worker = std::move(other101.worker);
-  born = other101.born;
-  pool = std::move(other101.pool);
-  rack = std::move(other101.rack);
-  labels = std::move(other101.labels);
-  milliCores = other101.milliCores;
-  memoryMb = other101.memoryMb;
-  accelerators = other101.accelerators;
-  leaving = other101.leaving;
-  remainingMs = other101.remainingMs;
-  responding = other101.responding;
-  listed = other101.listed;
-  running = std::move(other101.running);
-  ended = std::move(other101.ended);
-  address = std::move(other101.address);
-  leaseLeftMs = other101.leaseLeftMs;
-  listNumber = other101.listNumber;
-  endedCut = other101.endedCut;
-  awaitsHeartbeat = other101.awaitsHeartbeat;
-  __isset = other101.__isset;
+WorkerView& WorkerView::operator=(WorkerView&& other105) noexcept {
+  worker = std::move(other105.worker);
+  born = other105.born;
+  pool = std::move(other105.pool);
+  rack = std::move(other105.rack);
+  labels = std::move(other105.labels);
+  milliCores = other105.milliCores;
+  memoryMb = other105.memoryMb;
+  accelerators = other105.accelerators;
+  leaving = other105.leaving;
+  remainingMs = other105.remainingMs;
+  responding = other105.responding;
+  listed = other105.listed;
+  running = std::move(other105.running);
+  ended = std::move(other105.ended);
+  address = std::move(other105.address);
+  leaseLeftMs = other105.leaseLeftMs;
+  listNumber = other105.listNumber;
+  endedCut = other105.endedCut;
+  awaitsHeartbeat = other105.awaitsHeartbeat;
+  __isset = other105.__isset;
   return *this;
 }
 void WorkerView::printTo(std::ostream& out) const {
@@ -3282,26 +3473,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other102) {
-  task = other102.task;
-  run = other102.run;
-  __isset = other102.__isset;
+Suspect::Suspect(const Suspect& other106) {
+  task = other106.task;
+  run = other106.run;
+  __isset = other106.__isset;
 }
-Suspect::Suspect(Suspect&& other103) noexcept {
-  task = std::move(other103.task);
-  run = other103.run;
-  __isset = other103.__isset;
+Suspect::Suspect(Suspect&& other107) noexcept {
+  task = std::move(other107.task);
+  run = other107.run;
+  __isset = other107.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other104) {
-  task = other104.task;
-  run = other104.run;
-  __isset = other104.__isset;
+Suspect& Suspect::operator=(const Suspect& other108) {
+  task = other108.task;
+  run = other108.run;
+  __isset = other108.__isset;
   return *this;
 }
-Suspect& Suspect::operator=(Suspect&& other105) noexcept {
-  task = std::move(other105.task);
-  run = other105.run;
-  __isset = other105.__isset;
+Suspect& Suspect::operator=(Suspect&& other109) noexcept {
+  task = std::move(other109.task);
+  run = other109.run;
+  __isset = other109.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -3384,14 +3575,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->suspects.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->suspects.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->suspects[_i110].read(iprot);
+              xfer += this->suspects[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3444,10 +3635,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter111;
-    for (_iter111 = this->suspects.begin(); _iter111 != this->suspects.end(); ++_iter111)
+    std::vector<Suspect> ::const_iterator _iter115;
+    for (_iter115 = this->suspects.begin(); _iter115 != this->suspects.end(); ++_iter115)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3476,38 +3667,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Life::Life(const Life& other112) {
-  worker = other112.worker;
-  born = other112.born;
-  suspects = other112.suspects;
-  lateStart = other112.lateStart;
-  leftByPlan = other112.leftByPlan;
-  __isset = other112.__isset;
-}
-Life::Life(Life&& other113) noexcept {
-  worker = std::move(other113.worker);
-  born = other113.born;
-  suspects = std::move(other113.suspects);
-  lateStart = other113.lateStart;
-  leftByPlan = other113.leftByPlan;
-  __isset = other113.__isset;
-}
-Life& Life::operator=(const Life& other114) {
-  worker = other114.worker;
-  born = other114.born;
-  suspects = other114.suspects;
-  lateStart = other114.lateStart;
-  leftByPlan = other114.leftByPlan;
-  __isset = other114.__isset;
+Life::Life(const Life& other116) {
+  worker = other116.worker;
+  born = other116.born;
+  suspects = other116.suspects;
+  lateStart = other116.lateStart;
+  leftByPlan = other116.leftByPlan;
+  __isset = other116.__isset;
+}
+Life::Life(Life&& other117) noexcept {
+  worker = std::move(other117.worker);
+  born = other117.born;
+  suspects = std::move(other117.suspects);
+  lateStart = other117.lateStart;
+  leftByPlan = other117.leftByPlan;
+  __isset = other117.__isset;
+}
+Life& Life::operator=(const Life& other118) {
+  worker = other118.worker;
+  born = other118.born;
+  suspects = other118.suspects;
+  lateStart = other118.lateStart;
+  leftByPlan = other118.leftByPlan;
+  __isset = other118.__isset;
   return *this;
 }
-Life& Life::operator=(Life&& other115) noexcept {
-  worker = std::move(other115.worker);
-  born = other115.born;
-  suspects = std::move(other115.suspects);
-  lateStart = other115.lateStart;
-  leftByPlan = other115.leftByPlan;
-  __isset = other115.__isset;
+Life& Life::operator=(Life&& other119) noexcept {
+  worker = std::move(other119.worker);
+  born = other119.born;
+  suspects = std::move(other119.suspects);
+  lateStart = other119.lateStart;
+  leftByPlan = other119.leftByPlan;
+  __isset = other119.__isset;
   return *this;
 }
 void Life::printTo(std::ostream& out) const {
@@ -3631,30 +3822,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerRecord::WorkerRecord(const WorkerRecord& other116) {
-  view = other116.view;
-  instance = other116.instance;
-  dataCentre = other116.dataCentre;
-  __isset = other116.__isset;
+WorkerRecord::WorkerRecord(const WorkerRecord& other120) {
+  view = other120.view;
+  instance = other120.instance;
+  dataCentre = other120.dataCentre;
+  __isset = other120.__isset;
 }
-WorkerRecord::WorkerRecord(WorkerRecord&& other117) noexcept {
-  view = std::move(other117.view);
-  instance = std::move(other117.instance);
-  dataCentre = std::move(other117.dataCentre);
-  __isset = other117.__isset;
+WorkerRecord::WorkerRecord(WorkerRecord&& other121) noexcept {
+  view = std::move(other121.view);
+  instance = std::move(other121.instance);
+  dataCentre = std::move(other121.dataCentre);
+  __isset = other121.__isset;
 }
-WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other118) {
-  view = other118.view;
-  instance = other118.instance;
-  dataCentre = other118.dataCentre;
-  __isset = other118.__isset;
+WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other122) {
+  view = other122.view;
+  instance = other122.instance;
+  dataCentre = other122.dataCentre;
+  __isset = other122.__isset;
   return *this;
 }
-WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other119) noexcept {
-  view = std::move(other119.view);
-  instance = std::move(other119.instance);
-  dataCentre = std::move(other119.dataCentre);
-  __isset = other119.__isset;
+WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other123) noexcept {
+  view = std::move(other123.view);
+  instance = std::move(other123.instance);
+  dataCentre = std::move(other123.dataCentre);
+  __isset = other123.__isset;
   return *this;
 }
 void WorkerRecord::printTo(std::ostream& out) const {
@@ -3776,30 +3967,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PairModel::PairModel(const PairModel& other120) {
-  neighbour = other120.neighbour;
-  image = other120.image;
-  pressure = other120.pressure;
-  __isset = other120.__isset;
+PairModel::PairModel(const PairModel& other124) {
+  neighbour = other124.neighbour;
+  image = other124.image;
+  pressure = other124.pressure;
+  __isset = other124.__isset;
 }
-PairModel::PairModel(PairModel&& other121) noexcept {
-  neighbour = std::move(other121.neighbour);
-  image = std::move(other121.image);
-  pressure = other121.pressure;
-  __isset = other121.__isset;
+PairModel::PairModel(PairModel&& other125) noexcept {
+  neighbour = std::move(other125.neighbour);
+  image = std::move(other125.image);
+  pressure = other125.pressure;
+  __isset = other125.__isset;
 }
-PairModel& PairModel::operator=(const PairModel& other122) {
-  neighbour = other122.neighbour;
-  image = other122.image;
-  pressure = other122.pressure;
-  __isset = other122.__isset;
+PairModel& PairModel::operator=(const PairModel& other126) {
+  neighbour = other126.neighbour;
+  image = other126.image;
+  pressure = other126.pressure;
+  __isset = other126.__isset;
   return *this;
 }
-PairModel& PairModel::operator=(PairModel&& other123) noexcept {
-  neighbour = std::move(other123.neighbour);
-  image = std::move(other123.image);
-  pressure = other123.pressure;
-  __isset = other123.__isset;
+PairModel& PairModel::operator=(PairModel&& other127) noexcept {
+  neighbour = std::move(other127.neighbour);
+  image = std::move(other127.image);
+  pressure = other127.pressure;
+  __isset = other127.__isset;
   return *this;
 }
 void PairModel::printTo(std::ostream& out) const {
@@ -3904,26 +4095,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ImageModel::ImageModel(const ImageModel& other124) {
-  image = other124.image;
-  value = other124.value;
-  __isset = other124.__isset;
+ImageModel::ImageModel(const ImageModel& other128) {
+  image = other128.image;
+  value = other128.value;
+  __isset = other128.__isset;
 }
-ImageModel::ImageModel(ImageModel&& other125) noexcept {
-  image = std::move(other125.image);
-  value = other125.value;
-  __isset = other125.__isset;
+ImageModel::ImageModel(ImageModel&& other129) noexcept {
+  image = std::move(other129.image);
+  value = other129.value;
+  __isset = other129.__isset;
 }
-ImageModel& ImageModel::operator=(const ImageModel& other126) {
-  image = other126.image;
-  value = other126.value;
-  __isset = other126.__isset;
+ImageModel& ImageModel::operator=(const ImageModel& other130) {
+  image = other130.image;
+  value = other130.value;
+  __isset = other130.__isset;
   return *this;
 }
-ImageModel& ImageModel::operator=(ImageModel&& other127) noexcept {
-  image = std::move(other127.image);
-  value = other127.value;
-  __isset = other127.__isset;
+ImageModel& ImageModel::operator=(ImageModel&& other131) noexcept {
+  image = std::move(other131.image);
+  value = other131.value;
+  __isset = other131.__isset;
   return *this;
 }
 void ImageModel::printTo(std::ostream& out) const {
@@ -4061,34 +4252,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RunTimeModel::RunTimeModel(const RunTimeModel& other128) {
-  queue = other128.queue;
-  image = other128.image;
-  ratio = other128.ratio;
-  samples = other128.samples;
-  __isset = other128.__isset;
-}
-RunTimeModel::RunTimeModel(RunTimeModel&& other129) noexcept {
-  queue = std::move(other129.queue);
-  image = std::move(other129.image);
-  ratio = other129.ratio;
-  samples = other129.samples;
-  __isset = other129.__isset;
-}
-RunTimeModel& RunTimeModel::operator=(const RunTimeModel& other130) {
-  queue = other130.queue;
-  image = other130.image;
-  ratio = other130.ratio;
-  samples = other130.samples;
-  __isset = other130.__isset;
+RunTimeModel::RunTimeModel(const RunTimeModel& other132) {
+  queue = other132.queue;
+  image = other132.image;
+  ratio = other132.ratio;
+  samples = other132.samples;
+  __isset = other132.__isset;
+}
+RunTimeModel::RunTimeModel(RunTimeModel&& other133) noexcept {
+  queue = std::move(other133.queue);
+  image = std::move(other133.image);
+  ratio = other133.ratio;
+  samples = other133.samples;
+  __isset = other133.__isset;
+}
+RunTimeModel& RunTimeModel::operator=(const RunTimeModel& other134) {
+  queue = other134.queue;
+  image = other134.image;
+  ratio = other134.ratio;
+  samples = other134.samples;
+  __isset = other134.__isset;
   return *this;
 }
-RunTimeModel& RunTimeModel::operator=(RunTimeModel&& other131) noexcept {
-  queue = std::move(other131.queue);
-  image = std::move(other131.image);
-  ratio = other131.ratio;
-  samples = other131.samples;
-  __isset = other131.__isset;
+RunTimeModel& RunTimeModel::operator=(RunTimeModel&& other135) noexcept {
+  queue = std::move(other135.queue);
+  image = std::move(other135.image);
+  ratio = other135.ratio;
+  samples = other135.samples;
+  __isset = other135.__isset;
   return *this;
 }
 void RunTimeModel::printTo(std::ostream& out) const {
@@ -4153,14 +4344,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pairs.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->pairs.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->pairs.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->pairs[_i136].read(iprot);
+              xfer += this->pairs[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4173,14 +4364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unloaded.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->unloaded.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->unloaded.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->unloaded[_i141].read(iprot);
+              xfer += this->unloaded[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4193,14 +4384,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->neighbours.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->neighbours.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->neighbours.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->neighbours[_i146].read(iprot);
+              xfer += this->neighbours[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4213,14 +4404,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runTimes.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->runTimes.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->runTimes.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += this->runTimes[_i151].read(iprot);
+              xfer += this->runTimes[_i155].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4249,10 +4440,10 @@
   xfer += oprot->writeFieldBegin("pairs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pairs.size()));
-    std::vector<PairModel> ::const_iterator _iter152;
-    for (_iter152 = this->pairs.begin(); _iter152 != this->pairs.end(); ++_iter152)
+    std::vector<PairModel> ::const_iterator _iter156;
+    for (_iter156 = this->pairs.begin(); _iter156 != this->pairs.end(); ++_iter156)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4261,10 +4452,10 @@
   xfer += oprot->writeFieldBegin("unloaded", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unloaded.size()));
-    std::vector<ImageModel> ::const_iterator _iter153;
-    for (_iter153 = this->unloaded.begin(); _iter153 != this->unloaded.end(); ++_iter153)
+    std::vector<ImageModel> ::const_iterator _iter157;
+    for (_iter157 = this->unloaded.begin(); _iter157 != this->unloaded.end(); ++_iter157)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4273,10 +4464,10 @@
   xfer += oprot->writeFieldBegin("neighbours", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->neighbours.size()));
-    std::vector<ImageModel> ::const_iterator _iter154;
-    for (_iter154 = this->neighbours.begin(); _iter154 != this->neighbours.end(); ++_iter154)
+    std::vector<ImageModel> ::const_iterator _iter158;
+    for (_iter158 = this->neighbours.begin(); _iter158 != this->neighbours.end(); ++_iter158)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4285,10 +4476,10 @@
   xfer += oprot->writeFieldBegin("runTimes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runTimes.size()));
-    std::vector<RunTimeModel> ::const_iterator _iter155;
-    for (_iter155 = this->runTimes.begin(); _iter155 != this->runTimes.end(); ++_iter155)
+    std::vector<RunTimeModel> ::const_iterator _iter159;
+    for (_iter159 = this->runTimes.begin(); _iter159 != this->runTimes.end(); ++_iter159)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4308,34 +4499,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelRecord::ModelRecord(const ModelRecord& other156) {
-  pairs = other156.pairs;
-  unloaded = other156.unloaded;
-  neighbours = other156.neighbours;
-  runTimes = other156.runTimes;
-  __isset = other156.__isset;
-}
-ModelRecord::ModelRecord(ModelRecord&& other157) noexcept {
-  pairs = std::move(other157.pairs);
-  unloaded = std::move(other157.unloaded);
-  neighbours = std::move(other157.neighbours);
-  runTimes = std::move(other157.runTimes);
-  __isset = other157.__isset;
-}
-ModelRecord& ModelRecord::operator=(const ModelRecord& other158) {
-  pairs = other158.pairs;
-  unloaded = other158.unloaded;
-  neighbours = other158.neighbours;
-  runTimes = other158.runTimes;
-  __isset = other158.__isset;
+ModelRecord::ModelRecord(const ModelRecord& other160) {
+  pairs = other160.pairs;
+  unloaded = other160.unloaded;
+  neighbours = other160.neighbours;
+  runTimes = other160.runTimes;
+  __isset = other160.__isset;
+}
+ModelRecord::ModelRecord(ModelRecord&& other161) noexcept {
+  pairs = std::move(other161.pairs);
+  unloaded = std::move(other161.unloaded);
+  neighbours = std::move(other161.neighbours);
+  runTimes = std::move(other161.runTimes);
+  __isset = other161.__isset;
+}
+ModelRecord& ModelRecord::operator=(const ModelRecord& other162) {
+  pairs = other162.pairs;
+  unloaded = other162.unloaded;
+  neighbours = other162.neighbours;
+  runTimes = other162.runTimes;
+  __isset = other162.__isset;
   return *this;
 }
-ModelRecord& ModelRecord::operator=(ModelRecord&& other159) noexcept {
-  pairs = std::move(other159.pairs);
-  unloaded = std::move(other159.unloaded);
-  neighbours = std::move(other159.neighbours);
-  runTimes = std::move(other159.runTimes);
-  __isset = other159.__isset;
+ModelRecord& ModelRecord::operator=(ModelRecord&& other163) noexcept {
+  pairs = std::move(other163.pairs);
+  unloaded = std::move(other163.unloaded);
+  neighbours = std::move(other163.neighbours);
+  runTimes = std::move(other163.runTimes);
+  __isset = other163.__isset;
   return *this;
 }
 void ModelRecord::printTo(std::ostream& out) const {
@@ -4441,26 +4632,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderResult::OrderResult(const OrderResult& other160) noexcept {
-  number = other160.number;
-  result = other160.result;
-  __isset = other160.__isset;
+OrderResult::OrderResult(const OrderResult& other164) noexcept {
+  number = other164.number;
+  result = other164.result;
+  __isset = other164.__isset;
 }
-OrderResult::OrderResult(OrderResult&& other161) noexcept {
-  number = other161.number;
-  result = other161.result;
-  __isset = other161.__isset;
+OrderResult::OrderResult(OrderResult&& other165) noexcept {
+  number = other165.number;
+  result = other165.result;
+  __isset = other165.__isset;
 }
-OrderResult& OrderResult::operator=(const OrderResult& other162) noexcept {
-  number = other162.number;
-  result = other162.result;
-  __isset = other162.__isset;
+OrderResult& OrderResult::operator=(const OrderResult& other166) noexcept {
+  number = other166.number;
+  result = other166.result;
+  __isset = other166.__isset;
   return *this;
 }
-OrderResult& OrderResult::operator=(OrderResult&& other163) noexcept {
-  number = other163.number;
-  result = other163.result;
-  __isset = other163.__isset;
+OrderResult& OrderResult::operator=(OrderResult&& other167) noexcept {
+  number = other167.number;
+  result = other167.result;
+  __isset = other167.__isset;
   return *this;
 }
 void OrderResult::printTo(std::ostream& out) const {
@@ -4539,14 +4730,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->workers.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->workers.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += iprot->readString(this->workers[_i168]);
+              xfer += iprot->readString(this->workers[_i172]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4591,10 +4782,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter169;
-    for (_iter169 = this->workers.begin(); _iter169 != this->workers.end(); ++_iter169)
+    std::vector<std::string> ::const_iterator _iter173;
+    for (_iter173 = this->workers.begin(); _iter173 != this->workers.end(); ++_iter173)
     {
-      xfer += oprot->writeString((*_iter169));
+      xfer += oprot->writeString((*_iter173));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4618,34 +4809,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Question::Question(const Question& other170) {
-  number = other170.number;
-  step = other170.step;
-  workers = other170.workers;
-  timeoutMs = other170.timeoutMs;
-  __isset = other170.__isset;
-}
-Question::Question(Question&& other171) noexcept {
-  number = other171.number;
-  step = std::move(other171.step);
-  workers = std::move(other171.workers);
-  timeoutMs = other171.timeoutMs;
-  __isset = other171.__isset;
-}
-Question& Question::operator=(const Question& other172) {
-  number = other172.number;
-  step = other172.step;
-  workers = other172.workers;
-  timeoutMs = other172.timeoutMs;
-  __isset = other172.__isset;
+Question::Question(const Question& other174) {
+  number = other174.number;
+  step = other174.step;
+  workers = other174.workers;
+  timeoutMs = other174.timeoutMs;
+  __isset = other174.__isset;
+}
+Question::Question(Question&& other175) noexcept {
+  number = other175.number;
+  step = std::move(other175.step);
+  workers = std::move(other175.workers);
+  timeoutMs = other175.timeoutMs;
+  __isset = other175.__isset;
+}
+Question& Question::operator=(const Question& other176) {
+  number = other176.number;
+  step = other176.step;
+  workers = other176.workers;
+  timeoutMs = other176.timeoutMs;
+  __isset = other176.__isset;
   return *this;
 }
-Question& Question::operator=(Question&& other173) noexcept {
-  number = other173.number;
-  step = std::move(other173.step);
-  workers = std::move(other173.workers);
-  timeoutMs = other173.timeoutMs;
-  __isset = other173.__isset;
+Question& Question::operator=(Question&& other177) noexcept {
+  number = other177.number;
+  step = std::move(other177.step);
+  workers = std::move(other177.workers);
+  timeoutMs = other177.timeoutMs;
+  __isset = other177.__isset;
   return *this;
 }
 void Question::printTo(std::ostream& out) const {
@@ -4751,26 +4942,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Grant::Grant(const Grant& other174) {
-  worker = other174.worker;
-  ticket = other174.ticket;
-  __isset = other174.__isset;
+Grant::Grant(const Grant& other178) {
+  worker = other178.worker;
+  ticket = other178.ticket;
+  __isset = other178.__isset;
 }
-Grant::Grant(Grant&& other175) noexcept {
-  worker = std::move(other175.worker);
-  ticket = std::move(other175.ticket);
-  __isset = other175.__isset;
+Grant::Grant(Grant&& other179) noexcept {
+  worker = std::move(other179.worker);
+  ticket = std::move(other179.ticket);
+  __isset = other179.__isset;
 }
-Grant& Grant::operator=(const Grant& other176) {
-  worker = other176.worker;
-  ticket = other176.ticket;
-  __isset = other176.__isset;
+Grant& Grant::operator=(const Grant& other180) {
+  worker = other180.worker;
+  ticket = other180.ticket;
+  __isset = other180.__isset;
   return *this;
 }
-Grant& Grant::operator=(Grant&& other177) noexcept {
-  worker = std::move(other177.worker);
-  ticket = std::move(other177.ticket);
-  __isset = other177.__isset;
+Grant& Grant::operator=(Grant&& other181) noexcept {
+  worker = std::move(other181.worker);
+  ticket = std::move(other181.ticket);
+  __isset = other181.__isset;
   return *this;
 }
 void Grant::printTo(std::ostream& out) const {
@@ -4849,14 +5040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->grants.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->grants.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->grants[_i182].read(iprot);
+              xfer += this->grants[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4901,10 +5092,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<Grant> ::const_iterator _iter183;
-    for (_iter183 = this->grants.begin(); _iter183 != this->grants.end(); ++_iter183)
+    std::vector<Grant> ::const_iterator _iter187;
+    for (_iter187 = this->grants.begin(); _iter187 != this->grants.end(); ++_iter187)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4928,34 +5119,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviceAnswer::AdviceAnswer(const AdviceAnswer& other184) {
-  number = other184.number;
-  answered = other184.answered;
-  grants = other184.grants;
-  validMs = other184.validMs;
-  __isset = other184.__isset;
-}
-AdviceAnswer::AdviceAnswer(AdviceAnswer&& other185) noexcept {
-  number = other185.number;
-  answered = other185.answered;
-  grants = std::move(other185.grants);
-  validMs = other185.validMs;
-  __isset = other185.__isset;
-}
-AdviceAnswer& AdviceAnswer::operator=(const AdviceAnswer& other186) {
-  number = other186.number;
-  answered = other186.answered;
-  grants = other186.grants;
-  validMs = other186.validMs;
-  __isset = other186.__isset;
+AdviceAnswer::AdviceAnswer(const AdviceAnswer& other188) {
+  number = other188.number;
+  answered = other188.answered;
+  grants = other188.grants;
+  validMs = other188.validMs;
+  __isset = other188.__isset;
+}
+AdviceAnswer::AdviceAnswer(AdviceAnswer&& other189) noexcept {
+  number = other189.number;
+  answered = other189.answered;
+  grants = std::move(other189.grants);
+  validMs = other189.validMs;
+  __isset = other189.__isset;
+}
+AdviceAnswer& AdviceAnswer::operator=(const AdviceAnswer& other190) {
+  number = other190.number;
+  answered = other190.answered;
+  grants = other190.grants;
+  validMs = other190.validMs;
+  __isset = other190.__isset;
   return *this;
 }
-AdviceAnswer& AdviceAnswer::operator=(AdviceAnswer&& other187) noexcept {
-  number = other187.number;
-  answered = other187.answered;
-  grants = std::move(other187.grants);
-  validMs = other187.validMs;
-  __isset = other187.__isset;
+AdviceAnswer& AdviceAnswer::operator=(AdviceAnswer&& other191) noexcept {
+  number = other191.number;
+  answered = other191.answered;
+  grants = std::move(other191.grants);
+  validMs = other191.validMs;
+  __isset = other191.__isset;
   return *this;
 }
 void AdviceAnswer::printTo(std::ostream& out) const {
@@ -5064,14 +5255,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->workers.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->workers.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->workers[_i192].read(iprot);
+              xfer += this->workers[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5084,14 +5275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->results.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->results.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += this->results[_i197].read(iprot);
+              xfer += this->results[_i201].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5104,14 +5295,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endedLives.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->endedLives.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->endedLives.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->endedLives[_i202].read(iprot);
+              xfer += this->endedLives[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5132,14 +5323,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->advice.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->advice.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->advice.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->advice[_i207].read(iprot);
+              xfer += this->advice[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5188,10 +5379,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerView> ::const_iterator _iter208;
-    for (_iter208 = this->workers.begin(); _iter208 != this->workers.end(); ++_iter208)
+    std::vector<WorkerView> ::const_iterator _iter212;
+    for (_iter212 = this->workers.begin(); _iter212 != this->workers.end(); ++_iter212)
     {
-      xfer += (*_iter208).write(oprot);
+      xfer += (*_iter212).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5200,10 +5391,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter209;
-    for (_iter209 = this->results.begin(); _iter209 != this->results.end(); ++_iter209)
+    std::vector<OrderResult> ::const_iterator _iter213;
+    for (_iter213 = this->results.begin(); _iter213 != this->results.end(); ++_iter213)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5212,10 +5403,10 @@
   xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endedLives.size()));
-    std::vector<Life> ::const_iterator _iter210;
-    for (_iter210 = this->endedLives.begin(); _iter210 != this->endedLives.end(); ++_iter210)
+    std::vector<Life> ::const_iterator _iter214;
+    for (_iter214 = this->endedLives.begin(); _iter214 != this->endedLives.end(); ++_iter214)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter214).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5228,10 +5419,10 @@
   xfer += oprot->writeFieldBegin("advice", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->advice.size()));
-    std::vector<AdviceAnswer> ::const_iterator _iter211;
-    for (_iter211 = this->advice.begin(); _iter211 != this->advice.end(); ++_iter211)
+    std::vector<AdviceAnswer> ::const_iterator _iter215;
+    for (_iter215 = this->advice.begin(); _iter215 != this->advice.end(); ++_iter215)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5260,54 +5451,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other212) {
-  agentMicros = other212.agentMicros;
-  instance = other212.instance;
-  dataCentre = other212.dataCentre;
-  workers = other212.workers;
-  results = other212.results;
-  endedLives = other212.endedLives;
-  term = other212.term;
-  advice = other212.advice;
-  keepsPayloads = other212.keepsPayloads;
-  __isset = other212.__isset;
-}
-Report::Report(Report&& other213) noexcept {
-  agentMicros = other213.agentMicros;
-  instance = std::move(other213.instance);
-  dataCentre = std::move(other213.dataCentre);
-  workers = std::move(other213.workers);
-  results = std::move(other213.results);
-  endedLives = std::move(other213.endedLives);
-  term = other213.term;
-  advice = std::move(other213.advice);
-  keepsPayloads = other213.keepsPayloads;
-  __isset = other213.__isset;
-}
-Report& Report::operator=(const Report& other214) {
-  agentMicros = other214.agentMicros;
-  instance = other214.instance;
-  dataCentre = other214.dataCentre;
-  workers = other214.workers;
-  results = other214.results;
-  endedLives = other214.endedLives;
-  term = other214.term;
-  advice = other214.advice;
-  keepsPayloads = other214.keepsPayloads;
-  __isset = other214.__isset;
+Report::Report(const Report& other216) {
+  agentMicros = other216.agentMicros;
+  instance = other216.instance;
+  dataCentre = other216.dataCentre;
+  workers = other216.workers;
+  results = other216.results;
+  endedLives = other216.endedLives;
+  term = other216.term;
+  advice = other216.advice;
+  keepsPayloads = other216.keepsPayloads;
+  __isset = other216.__isset;
+}
+Report::Report(Report&& other217) noexcept {
+  agentMicros = other217.agentMicros;
+  instance = std::move(other217.instance);
+  dataCentre = std::move(other217.dataCentre);
+  workers = std::move(other217.workers);
+  results = std::move(other217.results);
+  endedLives = std::move(other217.endedLives);
+  term = other217.term;
+  advice = std::move(other217.advice);
+  keepsPayloads = other217.keepsPayloads;
+  __isset = other217.__isset;
+}
+Report& Report::operator=(const Report& other218) {
+  agentMicros = other218.agentMicros;
+  instance = other218.instance;
+  dataCentre = other218.dataCentre;
+  workers = other218.workers;
+  results = other218.results;
+  endedLives = other218.endedLives;
+  term = other218.term;
+  advice = other218.advice;
+  keepsPayloads = other218.keepsPayloads;
+  __isset = other218.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other215) noexcept {
-  agentMicros = other215.agentMicros;
-  instance = std::move(other215.instance);
-  dataCentre = std::move(other215.dataCentre);
-  workers = std::move(other215.workers);
-  results = std::move(other215.results);
-  endedLives = std::move(other215.endedLives);
-  term = other215.term;
-  advice = std::move(other215.advice);
-  keepsPayloads = other215.keepsPayloads;
-  __isset = other215.__isset;
+Report& Report::operator=(Report&& other219) noexcept {
+  agentMicros = other219.agentMicros;
+  instance = std::move(other219.instance);
+  dataCentre = std::move(other219.dataCentre);
+  workers = std::move(other219.workers);
+  results = std::move(other219.results);
+  endedLives = std::move(other219.endedLives);
+  term = other219.term;
+  advice = std::move(other219.advice);
+  keepsPayloads = other219.keepsPayloads;
+  __isset = other219.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -5605,70 +5796,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other216) {
-  number = other216.number;
-  kind = other216.kind;
-  worker = other216.worker;
-  born = other216.born;
-  task = other216.task;
-  run = other216.run;
-  payload = other216.payload;
-  checkpoint = other216.checkpoint;
-  percent = other216.percent;
-  ticket = other216.ticket;
-  repeated = other216.repeated;
-  payloadKept = other216.payloadKept;
-  trial = other216.trial;
-  __isset = other216.__isset;
+Order::Order(const Order& other220) {
+  number = other220.number;
+  kind = other220.kind;
+  worker = other220.worker;
+  born = other220.born;
+  task = other220.task;
+  run = other220.run;
+  payload = other220.payload;
+  checkpoint = other220.checkpoint;
+  percent = other220.percent;
+  ticket = other220.ticket;
+  repeated = other220.repeated;
+  payloadKept = other220.payloadKept;
+  trial = other220.trial;
+  __isset = other220.__isset;
 }
-Order::Order(Order&& other217) noexcept {
-  number = other217.number;
-  kind = other217.kind;
-  worker = std::move(other217.worker);
-  born = other217.born;
-  task = std::move(other217.task);
-  run = other217.run;
-  payload = std::move(other217.payload);
-  checkpoint = std::move(other217.checkpoint);
-  percent = other217.percent;
-  ticket = std::move(other217.ticket);
-  repeated = other217.repeated;
-  payloadKept = other217.payloadKept;
-  trial = other217.trial;
-  __isset = other217.__isset;
+Order::Order(Order&& other221) noexcept {
+  number = other221.number;
+  kind = other221.kind;
+  worker = std::move(other221.worker);
+  born = other221.born;
+  task = std::move(other221.task);
+  run = other221.run;
+  payload = std::move(other221.payload);
+  checkpoint = std::move(other221.checkpoint);
+  percent = other221.percent;
+  ticket = std::move(other221.ticket);
+  repeated = other221.repeated;
+  payloadKept = other221.payloadKept;
+  trial = other221.trial;
+  __isset = other221.__isset;
 }
-Order& Order::operator=(const Order& other218) {
-  number = other218.number;
-  kind = other218.kind;
-  worker = other218.worker;
-  born = other218.born;
-  task = other218.task;
-  run = other218.run;
-  payload = other218.payload;
-  checkpoint = other218.checkpoint;
-  percent = other218.percent;
-  ticket = other218.ticket;
-  repeated = other218.repeated;
-  payloadKept = other218.payloadKept;
-  trial = other218.trial;
-  __isset = other218.__isset;
+Order& Order::operator=(const Order& other222) {
+  number = other222.number;
+  kind = other222.kind;
+  worker = other222.worker;
+  born = other222.born;
+  task = other222.task;
+  run = other222.run;
+  payload = other222.payload;
+  checkpoint = other222.checkpoint;
+  percent = other222.percent;
+  ticket = other222.ticket;
+  repeated = other222.repeated;
+  payloadKept = other222.payloadKept;
+  trial = other222.trial;
+  __isset = other222.__isset;
   return *this;
 }
-Order& Order::operator=(Order&& other219) noexcept {
-  number = other219.number;
-  kind = other219.kind;
-  worker = std::move(other219.worker);
-  born = other219.born;
-  task = std::move(other219.task);
-  run = other219.run;
-  payload = std::move(other219.payload);
-  checkpoint = std::move(other219.checkpoint);
-  percent = other219.percent;
-  ticket = std::move(other219.ticket);
-  repeated = other219.repeated;
-  payloadKept = other219.payloadKept;
-  trial = other219.trial;
-  __isset = other219.__isset;
+Order& Order::operator=(Order&& other223) noexcept {
+  number = other223.number;
+  kind = other223.kind;
+  worker = std::move(other223.worker);
+  born = other223.born;
+  task = std::move(other223.task);
+  run = other223.run;
+  payload = std::move(other223.payload);
+  checkpoint = std::move(other223.checkpoint);
+  percent = other223.percent;
+  ticket = std::move(other223.ticket);
+  repeated = other223.repeated;
+  payloadKept = other223.payloadKept;
+  trial = other223.trial;
+  __isset = other223.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -5800,30 +5991,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAck::WorkerAck(const WorkerAck& other220) {
-  worker = other220.worker;
-  born = other220.born;
-  number = other220.number;
-  __isset = other220.__isset;
+WorkerAck::WorkerAck(const WorkerAck& other224) {
+  worker = other224.worker;
+  born = other224.born;
+  number = other224.number;
+  __isset = other224.__isset;
 }
-WorkerAck::WorkerAck(WorkerAck&& other221) noexcept {
-  worker = std::move(other221.worker);
-  born = other221.born;
-  number = other221.number;
-  __isset = other221.__isset;
+WorkerAck::WorkerAck(WorkerAck&& other225) noexcept {
+  worker = std::move(other225.worker);
+  born = other225.born;
+  number = other225.number;
+  __isset = other225.__isset;
 }
-WorkerAck& WorkerAck::operator=(const WorkerAck& other222) {
-  worker = other222.worker;
-  born = other222.born;
-  number = other222.number;
-  __isset = other222.__isset;
+WorkerAck& WorkerAck::operator=(const WorkerAck& other226) {
+  worker = other226.worker;
+  born = other226.born;
+  number = other226.number;
+  __isset = other226.__isset;
   return *this;
 }
-WorkerAck& WorkerAck::operator=(WorkerAck&& other223) noexcept {
-  worker = std::move(other223.worker);
-  born = other223.born;
-  number = other223.number;
-  __isset = other223.__isset;
+WorkerAck& WorkerAck::operator=(WorkerAck&& other227) noexcept {
+  worker = std::move(other227.worker);
+  born = other227.born;
+  number = other227.number;
+  __isset = other227.__isset;
   return *this;
 }
 void WorkerAck::printTo(std::ostream& out) const {
@@ -5927,14 +6118,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->orders.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->orders.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += this->orders[_i228].read(iprot);
+              xfer += this->orders[_i232].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5947,14 +6138,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->acks.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->acks.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
             {
-              xfer += this->acks[_i233].read(iprot);
+              xfer += this->acks[_i237].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5967,14 +6158,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->known.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->known.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->known[_i238].read(iprot);
+              xfer += this->known[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5987,14 +6178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->questions.clear();
-            uint32_t _size239;
-            ::apache::thrift::protocol::TType _etype242;
-            xfer += iprot->readListBegin(_etype242, _size239);
-            this->questions.resize(_size239);
-            uint32_t _i243;
-            for (_i243 = 0; _i243 < _size239; ++_i243)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->questions.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += this->questions[_i243].read(iprot);
+              xfer += this->questions[_i247].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6043,10 +6234,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter244;
-    for (_iter244 = this->orders.begin(); _iter244 != this->orders.end(); ++_iter244)
+    std::vector<Order> ::const_iterator _iter248;
+    for (_iter248 = this->orders.begin(); _iter248 != this->orders.end(); ++_iter248)
     {
-      xfer += (*_iter244).write(oprot);
+      xfer += (*_iter248).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6055,10 +6246,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<WorkerAck> ::const_iterator _iter245;
-    for (_iter245 = this->acks.begin(); _iter245 != this->acks.end(); ++_iter245)
+    std::vector<WorkerAck> ::const_iterator _iter249;
+    for (_iter249 = this->acks.begin(); _iter249 != this->acks.end(); ++_iter249)
     {
-      xfer += (*_iter245).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6067,10 +6258,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<WorkerView> ::const_iterator _iter246;
-    for (_iter246 = this->known.begin(); _iter246 != this->known.end(); ++_iter246)
+    std::vector<WorkerView> ::const_iterator _iter250;
+    for (_iter250 = this->known.begin(); _iter250 != this->known.end(); ++_iter250)
     {
-      xfer += (*_iter246).write(oprot);
+      xfer += (*_iter250).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6079,10 +6270,10 @@
   xfer += oprot->writeFieldBegin("questions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->questions.size()));
-    std::vector<Question> ::const_iterator _iter247;
-    for (_iter247 = this->questions.begin(); _iter247 != this->questions.end(); ++_iter247)
+    std::vector<Question> ::const_iterator _iter251;
+    for (_iter251 = this->questions.begin(); _iter251 != this->questions.end(); ++_iter251)
     {
-      xfer += (*_iter247).write(oprot);
+      xfer += (*_iter251).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6110,50 +6301,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Directive::Directive(const Directive& other248) {
-  term = other248.term;
-  echoMicros = other248.echoMicros;
-  holdMicros = other248.holdMicros;
-  orders = other248.orders;
-  acks = other248.acks;
-  known = other248.known;
-  questions = other248.questions;
-  acceptsCompression = other248.acceptsCompression;
-  __isset = other248.__isset;
-}
-Directive::Directive(Directive&& other249) noexcept {
-  term = other249.term;
-  echoMicros = other249.echoMicros;
-  holdMicros = other249.holdMicros;
-  orders = std::move(other249.orders);
-  acks = std::move(other249.acks);
-  known = std::move(other249.known);
-  questions = std::move(other249.questions);
-  acceptsCompression = other249.acceptsCompression;
-  __isset = other249.__isset;
-}
-Directive& Directive::operator=(const Directive& other250) {
-  term = other250.term;
-  echoMicros = other250.echoMicros;
-  holdMicros = other250.holdMicros;
-  orders = other250.orders;
-  acks = other250.acks;
-  known = other250.known;
-  questions = other250.questions;
-  acceptsCompression = other250.acceptsCompression;
-  __isset = other250.__isset;
+Directive::Directive(const Directive& other252) {
+  term = other252.term;
+  echoMicros = other252.echoMicros;
+  holdMicros = other252.holdMicros;
+  orders = other252.orders;
+  acks = other252.acks;
+  known = other252.known;
+  questions = other252.questions;
+  acceptsCompression = other252.acceptsCompression;
+  __isset = other252.__isset;
+}
+Directive::Directive(Directive&& other253) noexcept {
+  term = other253.term;
+  echoMicros = other253.echoMicros;
+  holdMicros = other253.holdMicros;
+  orders = std::move(other253.orders);
+  acks = std::move(other253.acks);
+  known = std::move(other253.known);
+  questions = std::move(other253.questions);
+  acceptsCompression = other253.acceptsCompression;
+  __isset = other253.__isset;
+}
+Directive& Directive::operator=(const Directive& other254) {
+  term = other254.term;
+  echoMicros = other254.echoMicros;
+  holdMicros = other254.holdMicros;
+  orders = other254.orders;
+  acks = other254.acks;
+  known = other254.known;
+  questions = other254.questions;
+  acceptsCompression = other254.acceptsCompression;
+  __isset = other254.__isset;
   return *this;
 }
-Directive& Directive::operator=(Directive&& other251) noexcept {
-  term = other251.term;
-  echoMicros = other251.echoMicros;
-  holdMicros = other251.holdMicros;
-  orders = std::move(other251.orders);
-  acks = std::move(other251.acks);
-  known = std::move(other251.known);
-  questions = std::move(other251.questions);
-  acceptsCompression = other251.acceptsCompression;
-  __isset = other251.__isset;
+Directive& Directive::operator=(Directive&& other255) noexcept {
+  term = other255.term;
+  echoMicros = other255.echoMicros;
+  holdMicros = other255.holdMicros;
+  orders = std::move(other255.orders);
+  acks = std::move(other255.acks);
+  known = std::move(other255.known);
+  questions = std::move(other255.questions);
+  acceptsCompression = other255.acceptsCompression;
+  __isset = other255.__isset;
   return *this;
 }
 void Directive::printTo(std::ostream& out) const {
@@ -6314,38 +6505,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusQuery::StatusQuery(const StatusQuery& other252) {
-  number = other252.number;
-  job = other252.job;
-  queue = other252.queue;
-  candidate = other252.candidate;
-  instance = other252.instance;
-  __isset = other252.__isset;
+StatusQuery::StatusQuery(const StatusQuery& other256) {
+  number = other256.number;
+  job = other256.job;
+  queue = other256.queue;
+  candidate = other256.candidate;
+  instance = other256.instance;
+  __isset = other256.__isset;
 }
-StatusQuery::StatusQuery(StatusQuery&& other253) noexcept {
-  number = other253.number;
-  job = std::move(other253.job);
-  queue = std::move(other253.queue);
-  candidate = other253.candidate;
-  instance = std::move(other253.instance);
-  __isset = other253.__isset;
+StatusQuery::StatusQuery(StatusQuery&& other257) noexcept {
+  number = other257.number;
+  job = std::move(other257.job);
+  queue = std::move(other257.queue);
+  candidate = other257.candidate;
+  instance = std::move(other257.instance);
+  __isset = other257.__isset;
 }
-StatusQuery& StatusQuery::operator=(const StatusQuery& other254) {
-  number = other254.number;
-  job = other254.job;
-  queue = other254.queue;
-  candidate = other254.candidate;
-  instance = other254.instance;
-  __isset = other254.__isset;
+StatusQuery& StatusQuery::operator=(const StatusQuery& other258) {
+  number = other258.number;
+  job = other258.job;
+  queue = other258.queue;
+  candidate = other258.candidate;
+  instance = other258.instance;
+  __isset = other258.__isset;
   return *this;
 }
-StatusQuery& StatusQuery::operator=(StatusQuery&& other255) noexcept {
-  number = other255.number;
-  job = std::move(other255.job);
-  queue = std::move(other255.queue);
-  candidate = other255.candidate;
-  instance = std::move(other255.instance);
-  __isset = other255.__isset;
+StatusQuery& StatusQuery::operator=(StatusQuery&& other259) noexcept {
+  number = other259.number;
+  job = std::move(other259.job);
+  queue = std::move(other259.queue);
+  candidate = other259.candidate;
+  instance = std::move(other259.instance);
+  __isset = other259.__isset;
   return *this;
 }
 void StatusQuery::printTo(std::ostream& out) const {
@@ -6486,34 +6677,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other256) noexcept {
-  number = other256.number;
-  known = other256.known;
-  state = other256.state;
-  pending = other256.pending;
-  __isset = other256.__isset;
+StatusReply::StatusReply(const StatusReply& other260) noexcept {
+  number = other260.number;
+  known = other260.known;
+  state = other260.state;
+  pending = other260.pending;
+  __isset = other260.__isset;
 }
-StatusReply::StatusReply(StatusReply&& other257) noexcept {
-  number = other257.number;
-  known = other257.known;
-  state = other257.state;
-  pending = other257.pending;
-  __isset = other257.__isset;
+StatusReply::StatusReply(StatusReply&& other261) noexcept {
+  number = other261.number;
+  known = other261.known;
+  state = other261.state;
+  pending = other261.pending;
+  __isset = other261.__isset;
 }
-StatusReply& StatusReply::operator=(const StatusReply& other258) noexcept {
-  number = other258.number;
-  known = other258.known;
-  state = other258.state;
-  pending = other258.pending;
-  __isset = other258.__isset;
+StatusReply& StatusReply::operator=(const StatusReply& other262) noexcept {
+  number = other262.number;
+  known = other262.known;
+  state = other262.state;
+  pending = other262.pending;
+  __isset = other262.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other259) noexcept {
-  number = other259.number;
-  known = other259.known;
-  state = other259.state;
-  pending = other259.pending;
-  __isset = other259.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other263) noexcept {
+  number = other263.number;
+  known = other263.known;
+  state = other263.state;
+  pending = other263.pending;
+  __isset = other263.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -6619,26 +6810,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreVersion::StoreVersion(const StoreVersion& other260) {
-  key = other260.key;
-  version = other260.version;
-  __isset = other260.__isset;
+StoreVersion::StoreVersion(const StoreVersion& other264) {
+  key = other264.key;
+  version = other264.version;
+  __isset = other264.__isset;
 }
-StoreVersion::StoreVersion(StoreVersion&& other261) noexcept {
-  key = std::move(other261.key);
-  version = other261.version;
-  __isset = other261.__isset;
+StoreVersion::StoreVersion(StoreVersion&& other265) noexcept {
+  key = std::move(other265.key);
+  version = other265.version;
+  __isset = other265.__isset;
 }
-StoreVersion& StoreVersion::operator=(const StoreVersion& other262) {
-  key = other262.key;
-  version = other262.version;
-  __isset = other262.__isset;
+StoreVersion& StoreVersion::operator=(const StoreVersion& other266) {
+  key = other266.key;
+  version = other266.version;
+  __isset = other266.__isset;
   return *this;
 }
-StoreVersion& StoreVersion::operator=(StoreVersion&& other263) noexcept {
-  key = std::move(other263.key);
-  version = other263.version;
-  __isset = other263.__isset;
+StoreVersion& StoreVersion::operator=(StoreVersion&& other267) noexcept {
+  key = std::move(other267.key);
+  version = other267.version;
+  __isset = other267.__isset;
   return *this;
 }
 void StoreVersion::printTo(std::ostream& out) const {
@@ -6742,26 +6933,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StorePut::StorePut(const StorePut& other264) {
-  key = other264.key;
-  value = other264.value;
-  __isset = other264.__isset;
+StorePut::StorePut(const StorePut& other268) {
+  key = other268.key;
+  value = other268.value;
+  __isset = other268.__isset;
 }
-StorePut::StorePut(StorePut&& other265) noexcept {
-  key = std::move(other265.key);
-  value = std::move(other265.value);
-  __isset = other265.__isset;
+StorePut::StorePut(StorePut&& other269) noexcept {
+  key = std::move(other269.key);
+  value = std::move(other269.value);
+  __isset = other269.__isset;
 }
-StorePut& StorePut::operator=(const StorePut& other266) {
-  key = other266.key;
-  value = other266.value;
-  __isset = other266.__isset;
+StorePut& StorePut::operator=(const StorePut& other270) {
+  key = other270.key;
+  value = other270.value;
+  __isset = other270.__isset;
   return *this;
 }
-StorePut& StorePut::operator=(StorePut&& other267) noexcept {
-  key = std::move(other267.key);
-  value = std::move(other267.value);
-  __isset = other267.__isset;
+StorePut& StorePut::operator=(StorePut&& other271) noexcept {
+  key = std::move(other271.key);
+  value = std::move(other271.value);
+  __isset = other271.__isset;
   return *this;
 }
 void StorePut::printTo(std::ostream& out) const {
@@ -6828,14 +7019,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->expected.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->expected.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += this->expected[_i272].read(iprot);
+              xfer += this->expected[_i276].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6848,14 +7039,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->puts.clear();
-            uint32_t _size273;
-            ::apache::thrift::protocol::TType _etype276;
-            xfer += iprot->readListBegin(_etype276, _size273);
-            this->puts.resize(_size273);
-            uint32_t _i277;
-            for (_i277 = 0; _i277 < _size273; ++_i277)
+            uint32_t _size277;
+            ::apache::thrift::protocol::TType _etype280;
+            xfer += iprot->readListBegin(_etype280, _size277);
+            this->puts.resize(_size277);
+            uint32_t _i281;
+            for (_i281 = 0; _i281 < _size277; ++_i281)
             {
-              xfer += this->puts[_i277].read(iprot);
+              xfer += this->puts[_i281].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6888,10 +7079,10 @@
   xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-    std::vector<StoreVersion> ::const_iterator _iter278;
-    for (_iter278 = this->expected.begin(); _iter278 != this->expected.end(); ++_iter278)
+    std::vector<StoreVersion> ::const_iterator _iter282;
+    for (_iter282 = this->expected.begin(); _iter282 != this->expected.end(); ++_iter282)
     {
-      xfer += (*_iter278).write(oprot);
+      xfer += (*_iter282).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6900,10 +7091,10 @@
   xfer += oprot->writeFieldBegin("puts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->puts.size()));
-    std::vector<StorePut> ::const_iterator _iter279;
-    for (_iter279 = this->puts.begin(); _iter279 != this->puts.end(); ++_iter279)
+    std::vector<StorePut> ::const_iterator _iter283;
+    for (_iter283 = this->puts.begin(); _iter283 != this->puts.end(); ++_iter283)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter283).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6922,30 +7113,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedWrite::RelayedWrite(const RelayedWrite& other280) {
-  number = other280.number;
-  expected = other280.expected;
-  puts = other280.puts;
-  __isset = other280.__isset;
+RelayedWrite::RelayedWrite(const RelayedWrite& other284) {
+  number = other284.number;
+  expected = other284.expected;
+  puts = other284.puts;
+  __isset = other284.__isset;
 }
-RelayedWrite::RelayedWrite(RelayedWrite&& other281) noexcept {
-  number = other281.number;
-  expected = std::move(other281.expected);
-  puts = std::move(other281.puts);
-  __isset = other281.__isset;
+RelayedWrite::RelayedWrite(RelayedWrite&& other285) noexcept {
+  number = other285.number;
+  expected = std::move(other285.expected);
+  puts = std::move(other285.puts);
+  __isset = other285.__isset;
 }
-RelayedWrite& RelayedWrite::operator=(const RelayedWrite& other282) {
-  number = other282.number;
-  expected = other282.expected;
-  puts = other282.puts;
-  __isset = other282.__isset;
+RelayedWrite& RelayedWrite::operator=(const RelayedWrite& other286) {
+  number = other286.number;
+  expected = other286.expected;
+  puts = other286.puts;
+  __isset = other286.__isset;
   return *this;
 }
-RelayedWrite& RelayedWrite::operator=(RelayedWrite&& other283) noexcept {
-  number = other283.number;
-  expected = std::move(other283.expected);
-  puts = std::move(other283.puts);
-  __isset = other283.__isset;
+RelayedWrite& RelayedWrite::operator=(RelayedWrite&& other287) noexcept {
+  number = other287.number;
+  expected = std::move(other287.expected);
+  puts = std::move(other287.puts);
+  __isset = other287.__isset;
   return *this;
 }
 void RelayedWrite::printTo(std::ostream& out) const {
@@ -7045,14 +7236,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->actual.clear();
-            uint32_t _size284;
-            ::apache::thrift::protocol::TType _etype287;
-            xfer += iprot->readListBegin(_etype287, _size284);
-            this->actual.resize(_size284);
-            uint32_t _i288;
-            for (_i288 = 0; _i288 < _size284; ++_i288)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->actual.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->actual[_i288].read(iprot);
+              xfer += this->actual[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7097,10 +7288,10 @@
   xfer += oprot->writeFieldBegin("actual", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->actual.size()));
-    std::vector<StoreVersion> ::const_iterator _iter289;
-    for (_iter289 = this->actual.begin(); _iter289 != this->actual.end(); ++_iter289)
+    std::vector<StoreVersion> ::const_iterator _iter293;
+    for (_iter293 = this->actual.begin(); _iter293 != this->actual.end(); ++_iter293)
     {
-      xfer += (*_iter289).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7121,38 +7312,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedResult::RelayedResult(const RelayedResult& other290) {
-  number = other290.number;
-  written = other290.written;
-  version = other290.version;
-  error = other290.error;
-  actual = other290.actual;
-  __isset = other290.__isset;
-}
-RelayedResult::RelayedResult(RelayedResult&& other291) noexcept {
-  number = other291.number;
-  written = other291.written;
-  version = other291.version;
-  error = other291.error;
-  actual = std::move(other291.actual);
-  __isset = other291.__isset;
-}
-RelayedResult& RelayedResult::operator=(const RelayedResult& other292) {
-  number = other292.number;
-  written = other292.written;
-  version = other292.version;
-  error = other292.error;
-  actual = other292.actual;
-  __isset = other292.__isset;
+RelayedResult::RelayedResult(const RelayedResult& other294) {
+  number = other294.number;
+  written = other294.written;
+  version = other294.version;
+  error = other294.error;
+  actual = other294.actual;
+  __isset = other294.__isset;
+}
+RelayedResult::RelayedResult(RelayedResult&& other295) noexcept {
+  number = other295.number;
+  written = other295.written;
+  version = other295.version;
+  error = other295.error;
+  actual = std::move(other295.actual);
+  __isset = other295.__isset;
+}
+RelayedResult& RelayedResult::operator=(const RelayedResult& other296) {
+  number = other296.number;
+  written = other296.written;
+  version = other296.version;
+  error = other296.error;
+  actual = other296.actual;
+  __isset = other296.__isset;
   return *this;
 }
-RelayedResult& RelayedResult::operator=(RelayedResult&& other293) noexcept {
-  number = other293.number;
-  written = other293.written;
-  version = other293.version;
-  error = other293.error;
-  actual = std::move(other293.actual);
-  __isset = other293.__isset;
+RelayedResult& RelayedResult::operator=(RelayedResult&& other297) noexcept {
+  number = other297.number;
+  written = other297.written;
+  version = other297.version;
+  error = other297.error;
+  actual = std::move(other297.actual);
+  __isset = other297.__isset;
   return *this;
 }
 void RelayedResult::printTo(std::ostream& out) const {
@@ -7339,42 +7530,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other294) {
-  report = other294.report;
-  directive = other294.directive;
-  statusQuery = other294.statusQuery;
-  statusReply = other294.statusReply;
-  relayedWrite = other294.relayedWrite;
-  relayedResult = other294.relayedResult;
-  __isset = other294.__isset;
-}
-Message::Message(Message&& other295) noexcept {
-  report = std::move(other295.report);
-  directive = std::move(other295.directive);
-  statusQuery = std::move(other295.statusQuery);
-  statusReply = std::move(other295.statusReply);
-  relayedWrite = std::move(other295.relayedWrite);
-  relayedResult = std::move(other295.relayedResult);
-  __isset = other295.__isset;
-}
-Message& Message::operator=(const Message& other296) {
-  report = other296.report;
-  directive = other296.directive;
-  statusQuery = other296.statusQuery;
-  statusReply = other296.statusReply;
-  relayedWrite = other296.relayedWrite;
-  relayedResult = other296.relayedResult;
-  __isset = other296.__isset;
+Message::Message(const Message& other298) {
+  report = other298.report;
+  directive = other298.directive;
+  statusQuery = other298.statusQuery;
+  statusReply = other298.statusReply;
+  relayedWrite = other298.relayedWrite;
+  relayedResult = other298.relayedResult;
+  __isset = other298.__isset;
+}
+Message::Message(Message&& other299) noexcept {
+  report = std::move(other299.report);
+  directive = std::move(other299.directive);
+  statusQuery = std::move(other299.statusQuery);
+  statusReply = std::move(other299.statusReply);
+  relayedWrite = std::move(other299.relayedWrite);
+  relayedResult = std::move(other299.relayedResult);
+  __isset = other299.__isset;
+}
+Message& Message::operator=(const Message& other300) {
+  report = other300.report;
+  directive = other300.directive;
+  statusQuery = other300.statusQuery;
+  statusReply = other300.statusReply;
+  relayedWrite = other300.relayedWrite;
+  relayedResult = other300.relayedResult;
+  __isset = other300.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other297) noexcept {
-  report = std::move(other297.report);
-  directive = std::move(other297.directive);
-  statusQuery = std::move(other297.statusQuery);
-  statusReply = std::move(other297.statusReply);
-  relayedWrite = std::move(other297.relayedWrite);
-  relayedResult = std::move(other297.relayedResult);
-  __isset = other297.__isset;
+Message& Message::operator=(Message&& other301) noexcept {
+  report = std::move(other301.report);
+  directive = std::move(other301.directive);
+  statusQuery = std::move(other301.statusQuery);
+  statusReply = std::move(other301.statusReply);
+  relayedWrite = std::move(other301.relayedWrite);
+  relayedResult = std::move(other301.relayedResult);
+  __isset = other301.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -39,6 +39,8 @@
 
 class CoordinatorRecord;
 
+class RecordsStamp;
+
 class RunningTask;
 
 class EndedTask;
@@ -794,12 +796,15 @@
 std::ostream& operator<<(std::ostream& out, const ProgressRecord& obj);
 
 typedef struct _CoordinatorRecord__isset {
-  _CoordinatorRecord__isset() : term(false), instance(false), address(false), nonce(false), othersActMicros(false) {}
+  _CoordinatorRecord__isset() : term(false), instance(false), address(false), nonce(false), othersActMicros(false), predecessor(false), predecessorNonce(false), earlierActMicros(false) {}
   bool term :1;
   bool instance :1;
   bool address :1;
   bool nonce :1;
   bool othersActMicros :1;
+  bool predecessor :1;
+  bool predecessorNonce :1;
+  bool earlierActMicros :1;
 } _CoordinatorRecord__isset;
 
 class CoordinatorRecord : public virtual ::apache::thrift::TBase {
@@ -814,7 +819,10 @@
                       instance(),
                       address(),
                       nonce(0),
-                      othersActMicros(0) {
+                      othersActMicros(0),
+                      predecessor(),
+                      predecessorNonce(0),
+                      earlierActMicros(0) {
   }
 
   virtual ~CoordinatorRecord() noexcept;
@@ -823,6 +831,9 @@
   std::string address;
   int64_t nonce;
   int64_t othersActMicros;
+  std::string predecessor;
+  int64_t predecessorNonce;
+  int64_t earlierActMicros;
 
   _CoordinatorRecord__isset __isset;
 
@@ -836,6 +847,12 @@
 
   void __set_othersActMicros(const int64_t val);
 
+  void __set_predecessor(const std::string& val);
+
+  void __set_predecessorNonce(const int64_t val);
+
+  void __set_earlierActMicros(const int64_t val);
+
   bool operator == (const CoordinatorRecord & rhs) const
   {
     if (!(term == rhs.term))
@@ -850,6 +867,14 @@
       return false;
     else if (__isset.othersActMicros && !(othersActMicros == rhs.othersActMicros))
       return false;
+    if (!(predecessor == rhs.predecessor))
+      return false;
+    if (!(predecessorNonce == rhs.predecessorNonce))
+      return false;
+    if (__isset.earlierActMicros != rhs.__isset.earlierActMicros)
+      return false;
+    else if (__isset.earlierActMicros && !(earlierActMicros == rhs.earlierActMicros))
+      return false;
     return true;
   }
   bool operator != (const CoordinatorRecord &rhs) const {
@@ -868,6 +893,58 @@
 
 std::ostream& operator<<(std::ostream& out, const CoordinatorRecord& obj);
 
+typedef struct _RecordsStamp__isset {
+  _RecordsStamp__isset() : term(false), earlierActMicros(false) {}
+  bool term :1;
+  bool earlierActMicros :1;
+} _RecordsStamp__isset;
+
+class RecordsStamp : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordsStamp(const RecordsStamp&) noexcept;
+  RecordsStamp(RecordsStamp&&) noexcept;
+  RecordsStamp& operator=(const RecordsStamp&) noexcept;
+  RecordsStamp& operator=(RecordsStamp&&) noexcept;
+  RecordsStamp() noexcept
+               : term(0),
+                 earlierActMicros(0) {
+  }
+
+  virtual ~RecordsStamp() noexcept;
+  int64_t term;
+  int64_t earlierActMicros;
+
+  _RecordsStamp__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_earlierActMicros(const int64_t val);
+
+  bool operator == (const RecordsStamp & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(earlierActMicros == rhs.earlierActMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordsStamp &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordsStamp & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordsStamp &a, RecordsStamp &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordsStamp& obj);
+
 typedef struct _RunningTask__isset {
   _RunningTask__isset() : task(false), run(false), checkpoint(false), percent(false), usage(false), fresh(false) {}
   bool task :1;
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -103,8 +103,20 @@
   // Set in the record of the term by a coordinator that resigns: for how long coordinators before
   // it may still act. It no longer acts itself.
   5: optional i64 othersActMicros,
+  // The process that was coordinator before and has not resigned; the nonce is 0 if there is none.
+  6: string predecessor,
+  7: i64 predecessorNonce,
+  // Set in a claim: upper bound of the time, from the write on, for which coordinators before the
+  // writer may still act.
+  8: optional i64 earlierActMicros,
 }
 
+// Value of the key that is rewritten with all progress and worker records.
+struct RecordsStamp {
+  1: i64 term,
+  // As CoordinatorRecord.earlierActMicros. It decreases to 0 during a term.
+  2: i64 earlierActMicros,
+}
 
 struct RunningTask {
   1: TaskName task,
