--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -79,6 +79,7 @@
   if (mTables) {
     setTables(*mTables);
   }
+  watchPredecessor();
   readRecordsVersion();
   scheduleTick();
 }
@@ -135,6 +136,8 @@
   mFlushTimer.cancel();
   mReadRetryTimer.cancel();
   mJobWatcher.reset();
+  mPredecessorWatcher.reset();
+  mStampOutdated = false;
   mRecoveredProgress.clear();
   mWorkerCursor.clear();
   mProgressCursor.clear();
@@ -482,6 +485,9 @@
         { "peers", std::to_string(mPeers.size()) },
         { "open", std::to_string(mState.mOpenJobs.size()) },
         { "unwritten", std::to_string(mState.mDirtyJobs.size()) },
+        { "awaited",
+          std::to_string(
+            Scheduling::RecordedWorkersAwaited(mState, mContext.steadyAndUnixNow()).mCount) },
         { "bytes", bytes },
         { "longest_delay_us", std::to_string(mLongestDelay.count()) },
         { "longest_placement_us", std::to_string(mLongestPlacement.count()) } });
@@ -506,6 +512,9 @@
         Scheduling::CheckTimeouts(mState, now);
         Scheduling::ThrottleTasks(mState, now);
         placeTasks();
+        if (mPredecessorWatcher && !Scheduling::AwaitsRecordedWorkers(mState, now)) {
+          mPredecessorWatcher.reset();
+        }
         updateCounters();
         collectGarbage();
       }
@@ -541,6 +550,9 @@
     .set(std::count_if(mState.mWorkers.begin(),
                        mState.mWorkers.end(),
                        [](const Scheduling::Worker& aWorker) { return aWorker.mConnected; }));
+  counters.counter("ibis_workers_awaited")
+    .set(static_cast<std::int64_t>(
+      Scheduling::RecordedWorkersAwaited(mState, mContext.steadyAndUnixNow()).mCount));
   counters.counter("ibis_term_starts").set(static_cast<std::int64_t>(counts.mStarts));
   counters.counter("ibis_term_room_rejections")
     .set(static_cast<std::int64_t>(counts.mCapacityRejections));
