Suspend the lease of a worker whose agent is lost

Side machines leave, and the coordinator crashes within a worker lease of that. The next one holds all recovered jobs back for 11.85 s: 6.5 s in which the earlier one may still act, 5.15 s worker lease and drift, and 0.2 s.

Cause: the earlier coordinator knew that the agents were lost, but the records of their workers did not say so. So the next one had to assume that the leases were extended until the end of the outage grace.

Change: a coordinator that has lost the agent of a recorded worker writes the record with its term (`suspendedTerm`). It promises that no coordinator up to that term extends the lease before the record is in the store without the term. The next one waits one worker lease after the start of its term, 5.35 s, and repeats the suspension in its own term.

- Earlier coordinators: the lease is suspended only if the worker has polled in this term, or the last coordinator suspended it, or the time in which earlier ones may act is over.
- From the sending of a suspended record until a later one without is confirmed, directives to that agent extend no lease and no task starts on the worker.
The same holds for all agents until a new coordinator has read the records.
- Each flush expects the versions of the coordinator's key and of kRecordsKey, so a write without an answer cannot take effect after a later one has, nor in the next term.
A write dropped by pause() counts as one that may have taken effect.
- A coordinator without a valid lease suspends nothing, as it could not take that back during its grace.
- A suspension by an earlier term than the last does not hold: a coordinator of an older version in between does not look at it.
- Suspensions wait for the ordinary flush (150 ms at most), so that an agent that is back by then costs no write; more than six of them are written at once, in what room the job records leave, up to 28 a write.

The lines `recovered` and `load` and the counter `ibis_workers_suspended` show the number of workers.

Test: Node, LostAgentTests.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -128,6 +128,7 @@
   mJobWatcher.reset();
   mRecoveredProgress.clear();
   mWorkerCursor.clear();
+  mHasReadWorkers = false;
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
   mHeldSubmissions.clear();
@@ -183,6 +184,7 @@
   if (!agent.empty() && findPeer(agent) == nullptr) {
     Log(Level::Warning, "coordinator", "agent disconnected", { { "agent", agent.str() } });
     Scheduling::MarkAgentDisconnected(mState, agent);
+    scheduleFlush();
   }
 }
 
@@ -449,6 +451,7 @@
         { "peers", std::to_string(mPeers.size()) },
         { "open", std::to_string(mState.mOpenJobs.size()) },
         { "unwritten", std::to_string(mState.mDirtyJobs.size()) },
+        { "suspended", std::to_string(suspendedWorkers()) },
         { "bytes", bytes },
         { "longest_delay_us", std::to_string(mLongestDelay.count()) },
         { "longest_placement_us", std::to_string(mLongestPlacement.count()) } });
@@ -508,6 +511,7 @@
     .set(std::count_if(mState.mWorkers.begin(),
                        mState.mWorkers.end(),
                        [](const Scheduling::Worker& aWorker) { return aWorker.mConnected; }));
+  counters.counter("ibis_workers_suspended").set(static_cast<std::int64_t>(suspendedWorkers()));
   counters.counter("ibis_term_starts").set(static_cast<std::int64_t>(counts.mStarts));
   counters.counter("ibis_term_room_rejections")
     .set(static_cast<std::int64_t>(counts.mCapacityRejections));
@@ -618,7 +622,7 @@
 {
   Wire::Directive directive;
   directive.term = mTerm.value();
-  directive.echoMicros = aPeer.mEchoMicros;
+  directive.echoMicros = mayExtendLeases(aPeer.mAgent) ? aPeer.mEchoMicros : 0;
   directive.holdMicros = maxLeaseExtension().count();
   directive.acceptsCompression = true;
   directive.orders = std::move(aOrders);
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
@@ -93,10 +94,17 @@
     std::uint64_t mChange = 0;
   };
 
+  /// A worker whose record a flush wrote, and whether it suspends the extension of the lease.
+  struct WrittenWorker
+  {
+    Scheduling::WorkerLifetime mLifetime;
+    bool mIsSuspended = false;
+  };
+
   /// Workers whose records a flush wrote or erased.
   struct FlushedWorkers
   {
-    std::vector<Scheduling::WorkerLifetime> mWritten;
+    std::vector<WrittenWorker> mWritten;
     std::vector<Scheduling::WorkerLifetime> mErased;
   };
 
@@ -119,6 +127,8 @@
   void dropPeer(Net::Link* aLink);
 
   void readWorkers();
+  /// True if no earlier coordinator extends the lease of the recorded worker any more.
+  bool holdsSuspension(const Wire::WorkerRecord& aRecord) const;
   /// Repeats a step of the recovery after mStoreRetryDelay, because the read of aKey, a key or a
   /// prefix, failed.
   void retryRead(const std::string& aKey, void (Coordinator::*aStep)());
@@ -159,6 +169,19 @@
   /// aUrgent prevents scheduleFlush() from replacing the timer.
   void scheduleFlushAfter(Duration aDelay, bool aUrgent);
   void flush();
+  /// True if the worker's agent is lost and the worker's record can say, and does not say yet, that
+  /// the lease is not extended any more.
+  bool canSuspend(const Scheduling::Worker& aWorker) const;
+  /// True if the worker's record has to be written, anew or to suspend or resume the extension of
+  /// the lease.
+  bool hasOutdatedRecord(const Scheduling::Worker& aWorker) const;
+  /// Adds the records of the first aRoom workers and returns how many these are.
+  std::size_t addWorkerRecords(Store::Transaction& aTransaction,
+                               FlushedWorkers& aFlushed,
+                               std::span<Scheduling::Worker* const> aWorkers,
+                               std::size_t aRoom);
+  /// Takes over what the records in the store say of the workers after a flush.
+  void handleWrittenWorkers(const FlushedWorkers& aWorkers);
   /// Adds the records of changed jobs, as many as have room, and removes these jobs from the queue.
   void addChangedJobs(Store::Transaction& aTransaction);
   /// Queues the records of the flush in progress to be written again.
@@ -172,6 +195,10 @@
   bool adoptVersionOfLateWrite(const Store::WriteFailure& aFailure);
   /// Erases the records of jobs that ended long ago.
   void collectGarbage();
+  /// False if the record of a worker of the agent may say that its lease is not extended.
+  bool mayExtendLeases(const Common::InstanceId& aAgent) const;
+  /// Number of workers whose records may say that their leases are not extended.
+  std::size_t suspendedWorkers() const;
   /// Longest time by which an agent may extend its workers' leases after a directive.
   Duration maxLeaseExtension() const;
 
@@ -186,6 +213,8 @@
   std::unordered_map<Common::JobId, Scheduling::Progress> mRecoveredProgress;
   /// Last key of the worker records read so far.
   std::string mWorkerCursor;
+  /// All worker records were read in this term.
+  bool mHasReadWorkers = false;
   /// Last key of the progress records read so far.
   std::string mProgressCursor;
   /// Jobs whose cancellation was seen before their submission.
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 
@@ -16,7 +17,8 @@
 using Observability::Level;
 using Observability::Log;
 
-/// Largest numbers of new and of erased worker records in one transaction.
+/// Largest numbers of written and of erased worker records in one transaction while job records
+/// wait.
 constexpr std::size_t kMaxWorkersPerWrite = 6;
 /// Entries of each transaction beside those of jobs and workers: the model, kRecordsKey and 2
 /// preconditions.
@@ -36,8 +38,64 @@
   return (aWorker.mLifetimeEnded || isLost) && (aWorker.mRecorded || aWorker.mMayBeRecorded);
 }
 
+/// True if the worker's record has to be in the store before the worker gets a task.
+bool
+NeedsRecord(const Scheduling::Worker& aWorker)
+{
+  return aWorker.mConnected && aWorker.mHasTaskList && !aWorker.mRecorded;
+}
+
+/// True if the worker is back and its record may still say that the lease is not extended.
+bool
+HasNeedlessSuspension(const Scheduling::Worker& aWorker)
+{
+  return aWorker.mConnected && aWorker.mRecorded && aWorker.mSuspensionMayBeRecorded;
+}
+
 } // namespace
 
+bool
+Coordinator::canSuspend(const Scheduling::Worker& aWorker) const
+{
+  const bool isRecorded = aWorker.mRecorded || aWorker.mMayBeRecorded;
+  if (aWorker.mConnected || aWorker.mLifetimeEnded || aWorker.mSuspensionRecorded || !isRecorded) {
+    return false;
+  }
+  // Earlier coordinators must not be able to extend the lease either: the worker has seen this
+  // term, or the last one left the record so, or the time in which they may act is over.
+  const Timestamp now = mContext.now();
+  const bool isFenced = aWorker.mHasTaskList || aWorker.mSuspensionMayBeRecorded ||
+                        now >= mTermStart + mElection.othersMayAct();
+  return isFenced && aWorker.mLeaseEnd > now && mElection.isLeaseValid();
+}
+
+bool
+Coordinator::hasOutdatedRecord(const Scheduling::Worker& aWorker) const
+{
+  return NeedsRecord(aWorker) || HasNeedlessSuspension(aWorker) || canSuspend(aWorker);
+}
+
+bool
+Coordinator::mayExtendLeases(const Common::InstanceId& aAgent) const
+{
+  return mHasReadWorkers && std::none_of(mState.mWorkers.begin(),
+                                         mState.mWorkers.end(),
+                                         [&aAgent](const Scheduling::Worker& aWorker) {
+                                           return aWorker.mAgent == aAgent &&
+                                                  aWorker.mSuspensionMayBeRecorded &&
+                                                  !aWorker.mLifetimeEnded;
+                                         });
+}
+
+std::size_t
+Coordinator::suspendedWorkers() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mState.mWorkers.begin(), mState.mWorkers.end(), [](const Scheduling::Worker& aWorker) {
+      return aWorker.mSuspensionMayBeRecorded;
+    }));
+}
+
 void
 Coordinator::scheduleFlush()
 {
@@ -47,17 +105,22 @@
   const Timestamp now = mContext.now();
   const bool workerRecordsOutdated = std::any_of(
     mState.mWorkers.begin(), mState.mWorkers.end(), [now](const Scheduling::Worker& aWorker) {
-      return (aWorker.mConnected && aWorker.mHasTaskList && !aWorker.mRecorded) ||
+      return NeedsRecord(aWorker) || HasNeedlessSuspension(aWorker) ||
              HasNeedlessRecord(aWorker, now);
     });
-  if (mState.mDirtyJobs.empty() && !workerRecordsOutdated) {
+  const auto suspensions = static_cast<std::size_t>(std::count_if(
+    mState.mWorkers.begin(), mState.mWorkers.end(), [this](const Scheduling::Worker& aWorker) {
+      return canSuspend(aWorker);
+    }));
+  if (mState.mDirtyJobs.empty() && !workerRecordsOutdated && suspensions == 0) {
     for (Scheduling::Worker& worker : mState.mWorkers) {
       Scheduling::AcknowledgeRecordedEnds(mState, worker);
     }
     return;
   }
-  const bool urgent = workerRecordsOutdated || mFlushAllDone != nullptr ||
-                      mState.mDirtyJobs.size() > kMinJobsPerWrite ||
+  // A suspension can wait a moment, in which an agent that only lost its connection comes back.
+  const bool urgent = workerRecordsOutdated || suspensions > kMaxWorkersPerWrite ||
+                      mFlushAllDone != nullptr || mState.mDirtyJobs.size() > kMinJobsPerWrite ||
                       std::any_of(mState.mDirtyJobs.begin(),
                                   mState.mDirtyJobs.end(),
                                   [](const Scheduling::Job* aJob) { return aJob->mWriteAtOnce; });
@@ -92,17 +155,10 @@
   Store::Transaction transaction;
   transaction.mExpected = { mElection.fencingCondition(), { kRecordsKey, mRecordsVersion } };
   FlushedWorkers workers;
+  std::vector<Scheduling::Worker*> outdated;
   for (Scheduling::Worker& worker : mState.mWorkers) {
-    if (worker.mConnected && worker.mHasTaskList && !worker.mRecorded &&
-        workers.mWritten.size() < kMaxWorkersPerWrite) {
-      Wire::WorkerRecord record;
-      record.view = ToWire(Scheduling::ViewOf(worker));
-      record.instance = worker.mAgent.str();
-      record.dataCentre = worker.mDataCentre.str();
-      transaction.mPuts.push_back(
-        { WorkerKey(worker.mLifetime), Wire::Encode(record), std::nullopt });
-      workers.mWritten.push_back(worker.mLifetime);
-      worker.mMayBeRecorded = true;
+    if (hasOutdatedRecord(worker)) {
+      outdated.push_back(&worker);
     } else if (HasNeedlessRecord(worker, mContext.now()) &&
                workers.mErased.size() < kMaxWorkersPerWrite) {
       // If the record stayed, the next coordinator would wait for the worker.
@@ -111,9 +167,20 @@
       // A worker that reports again gets no task before its record has been written again.
       worker.mRecorded = false;
       worker.mMayBeRecorded = true;
+      worker.mSuspensionRecorded = false;
     }
   }
+  // Workers that can get tasks come before those that are lost.
+  std::stable_sort(outdated.begin(),
+                   outdated.end(),
+                   [](const Scheduling::Worker* aLeft, const Scheduling::Worker* aRight) {
+                     return aLeft->mConnected && !aRight->mConnected;
+                   });
+  const std::size_t added = addWorkerRecords(transaction, workers, outdated, kMaxWorkersPerWrite);
   addChangedJobs(transaction);
+  const std::size_t room = Store::Transaction::kMaxEntries - kOtherEntriesPerWrite -
+                           transaction.mPuts.size() - transaction.mErased.size();
+  addWorkerRecords(transaction, workers, std::span(outdated).subspan(added), room);
   if (transaction.mPuts.empty() && transaction.mErased.empty()) {
     return;
   }
@@ -139,6 +206,32 @@
                         });
 }
 
+std::size_t
+Coordinator::addWorkerRecords(Store::Transaction& aTransaction,
+                              FlushedWorkers& aFlushed,
+                              std::span<Scheduling::Worker* const> aWorkers,
+                              std::size_t aRoom)
+{
+  const std::size_t count = std::min(aWorkers.size(), aRoom);
+  for (Scheduling::Worker* worker : aWorkers.first(count)) {
+    Wire::WorkerRecord record;
+    record.view = ToWire(Scheduling::ViewOf(*worker));
+    record.instance = worker->mAgent.str();
+    record.dataCentre = worker->mDataCentre.str();
+    const bool isSuspended = !worker->mConnected;
+    if (isSuspended) {
+      record.__set_suspendedTerm(mTerm.value());
+    }
+    aTransaction.mPuts.push_back(
+      { WorkerKey(worker->mLifetime), Wire::Encode(record), std::nullopt });
+    aFlushed.mWritten.push_back({ worker->mLifetime, isSuspended });
+    worker->mMayBeRecorded = true;
+    worker->mSuspensionRecorded = false;
+    worker->mSuspensionMayBeRecorded = worker->mSuspensionMayBeRecorded || isSuspended;
+  }
+  return count;
+}
+
 void
 Coordinator::addChangedJobs(Store::Transaction& aTransaction)
 {
@@ -235,13 +328,7 @@
                   .count()) } });
     }
   }
-  // The record of a worker that ended meanwhile is in the store too, and is erased next.
-  for (const Scheduling::WorkerLifetime& lifetime : aWorkers.mWritten) {
-    mState.mWorkers[mState.mWorkerIndex.at(lifetime)].mRecorded = true;
-  }
-  for (const Scheduling::WorkerLifetime& lifetime : aWorkers.mErased) {
-    mState.mWorkers[mState.mWorkerIndex.at(lifetime)].mMayBeRecorded = false;
-  }
+  handleWrittenWorkers(aWorkers);
   acknowledgeEnds();
   if (mFlushAllDone && mState.mDirtyJobs.empty()) {
     const auto done = std::move(mFlushAllDone);
@@ -253,6 +340,28 @@
   scheduleFlush();
 }
 
+void
+Coordinator::handleWrittenWorkers(const FlushedWorkers& aWorkers)
+{
+  // The record of a worker that ended meanwhile is in the store too, and is erased next.
+  for (const WrittenWorker& written : aWorkers.mWritten) {
+    Scheduling::Worker& worker = mState.mWorkers[mState.mWorkerIndex.at(written.mLifetime)];
+    worker.mRecorded = true;
+    worker.mSuspensionRecorded = written.mIsSuspended;
+    const bool wasSuspended = std::exchange(worker.mSuspensionMayBeRecorded, written.mIsSuspended);
+    Peer* const peer = findPeer(worker.mAgent);
+    if (wasSuspended && !written.mIsSuspended && peer != nullptr) {
+      // The agent may extend leases again.
+      sendDirective(*peer, {});
+    }
+  }
+  for (const Scheduling::WorkerLifetime& lifetime : aWorkers.mErased) {
+    Scheduling::Worker& worker = mState.mWorkers[mState.mWorkerIndex.at(lifetime)];
+    worker.mMayBeRecorded = false;
+    worker.mSuspensionMayBeRecorded = false;
+  }
+}
+
 bool
 Coordinator::adoptVersionOfLateWrite(const Store::WriteFailure& aFailure)
 {
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -78,6 +78,14 @@
     });
 }
 
+bool
+Coordinator::holdsSuspension(const Wire::WorkerRecord& aRecord) const
+{
+  // The last coordinator repeats the suspensions of the one before, unless it is of a version that
+  // does not know them.
+  return aRecord.__isset.suspendedTerm && aRecord.suspendedTerm == mTerm.value() - 1;
+}
+
 void
 Coordinator::readWorkers()
 {
@@ -101,17 +109,20 @@
       for (const Store::Entry& entry : aPage->mEntries) {
         mWorkerCursor = entry.mKey;
         if (const auto record = Wire::Decode<Wire::WorkerRecord>(entry.mValue)) {
-          Scheduling::AddRecordedWorker(
+          const bool isSuspended = holdsSuspension(*record);
+          Scheduling::Worker& worker = Scheduling::AddRecordedWorker(
             mState,
             FromWire(record->view, Common::DataCentreId(record->dataCentre)),
             Common::InstanceId(record->instance),
-            leaseEnd);
+            isSuspended ? leaseEnd - mElection.othersMayAct() : leaseEnd);
+          worker.mSuspensionMayBeRecorded = isSuspended;
         }
       }
       if (aPage->mMore && !aPage->mEntries.empty()) {
         readWorkers();
         return;
       }
+      mHasReadWorkers = true;
       readModel();
     });
 }
@@ -294,6 +305,7 @@
         { "open", std::to_string(mState.mOpenJobs.size()) },
         { "without_queue", std::to_string(withoutQueue) },
         { "workers", std::to_string(mState.mWorkers.size()) },
+        { "suspended", std::to_string(suspendedWorkers()) },
         { "in_term_ms", std::to_string(millisecondsInTerm()) } });
   const auto early = std::move(mEarlyReports);
   mEarlyReports.clear();
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -255,8 +255,9 @@
            const CurrentTime& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
-  if (!CanEverHost(aWorker, step, aQueue) || !aWorker.mRecorded || !aWorker.mResponding ||
-      aWorker.mHasUnknownRun || aNow.mMonotonic < aWorker.mNoStartsUntil ||
+  if (!CanEverHost(aWorker, step, aQueue) || !aWorker.mRecorded ||
+      aWorker.mSuspensionMayBeRecorded || !aWorker.mResponding || aWorker.mHasUnknownRun ||
+      aNow.mMonotonic < aWorker.mNoStartsUntil ||
       aNow.mMonotonic < aWorker.mHealth.mQuarantinedUntil || aNow.mMonotonic >= aWorker.mLeaseEnd) {
     return false;
   }
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -602,7 +602,7 @@
   return view;
 }
 
-void
+Worker&
 AddRecordedWorker(SchedulerState& aState,
                   const WorkerView& aView,
                   const Common::InstanceId& aAgent,
@@ -613,6 +613,7 @@
   worker.mAgent = aAgent;
   worker.mRecorded = true;
   worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
+  return worker;
 }
 
 void
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -52,7 +52,7 @@
 
 /// Adds a worker that an earlier coordinator recorded. Until it reports or aLeaseEnd passes, tasks
 /// of recovered jobs may run there.
-void
+Worker&
 AddRecordedWorker(SchedulerState& aState,
                   const WorkerView& aView,
                   const Common::InstanceId& aAgent,
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -3537,6 +3537,11 @@
 void WorkerRecord::__set_dataCentre(const std::string& val) {
   this->dataCentre = val;
 }
+
+void WorkerRecord::__set_suspendedTerm(const int64_t val) {
+  this->suspendedTerm = val;
+__isset.suspendedTerm = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj)
 {
   obj.printTo(out);
@@ -3589,6 +3594,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->suspendedTerm);
+          this->__isset.suspendedTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3618,6 +3631,11 @@
   xfer += oprot->writeString(this->dataCentre);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.suspendedTerm) {
+    xfer += oprot->writeFieldBegin("suspendedTerm", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->suspendedTerm);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3628,6 +3646,7 @@
   swap(a.view, b.view);
   swap(a.instance, b.instance);
   swap(a.dataCentre, b.dataCentre);
+  swap(a.suspendedTerm, b.suspendedTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -3635,18 +3654,21 @@
   view = other116.view;
   instance = other116.instance;
   dataCentre = other116.dataCentre;
+  suspendedTerm = other116.suspendedTerm;
   __isset = other116.__isset;
 }
 WorkerRecord::WorkerRecord(WorkerRecord&& other117) noexcept {
   view = std::move(other117.view);
   instance = std::move(other117.instance);
   dataCentre = std::move(other117.dataCentre);
+  suspendedTerm = other117.suspendedTerm;
   __isset = other117.__isset;
 }
 WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other118) {
   view = other118.view;
   instance = other118.instance;
   dataCentre = other118.dataCentre;
+  suspendedTerm = other118.suspendedTerm;
   __isset = other118.__isset;
   return *this;
 }
@@ -3654,6 +3676,7 @@
   view = std::move(other119.view);
   instance = std::move(other119.instance);
   dataCentre = std::move(other119.dataCentre);
+  suspendedTerm = other119.suspendedTerm;
   __isset = other119.__isset;
   return *this;
 }
@@ -3663,6 +3686,7 @@
   out << "view=" << to_string(view);
   out << ", " << "instance=" << to_string(instance);
   out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "suspendedTerm="; (__isset.suspendedTerm ? (out << to_string(suspendedTerm)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -1311,10 +1311,11 @@
 std::ostream& operator<<(std::ostream& out, const Life& obj);
 
 typedef struct _WorkerRecord__isset {
-  _WorkerRecord__isset() : view(false), instance(false), dataCentre(false) {}
+  _WorkerRecord__isset() : view(false), instance(false), dataCentre(false), suspendedTerm(false) {}
   bool view :1;
   bool instance :1;
   bool dataCentre :1;
+  bool suspendedTerm :1;
 } _WorkerRecord__isset;
 
 class WorkerRecord : public virtual ::apache::thrift::TBase {
@@ -1326,13 +1327,15 @@
   WorkerRecord& operator=(WorkerRecord&&) noexcept;
   WorkerRecord() noexcept
                : instance(),
-                 dataCentre() {
+                 dataCentre(),
+                 suspendedTerm(0) {
   }
 
   virtual ~WorkerRecord() noexcept;
   WorkerView view;
   std::string instance;
   std::string dataCentre;
+  int64_t suspendedTerm;
 
   _WorkerRecord__isset __isset;
 
@@ -1342,6 +1345,8 @@
 
   void __set_dataCentre(const std::string& val);
 
+  void __set_suspendedTerm(const int64_t val);
+
   bool operator == (const WorkerRecord & rhs) const
   {
     if (!(view == rhs.view))
@@ -1350,6 +1355,10 @@
       return false;
     if (!(dataCentre == rhs.dataCentre))
       return false;
+    if (__isset.suspendedTerm != rhs.__isset.suspendedTerm)
+      return false;
+    else if (__isset.suspendedTerm && !(suspendedTerm == rhs.suspendedTerm))
+      return false;
     return true;
   }
   bool operator != (const WorkerRecord &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -177,6 +177,9 @@
   1: WorkerView view,
   2: string instance,
   3: string dataCentre,
+  // Set by a coordinator that has lost the worker's agent, to its term: neither it nor an earlier one
+  // extends the worker's lease before the record is in the store without it.
+  4: optional i64 suspendedTerm,
 }
 
 struct PairModel {
