--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -140,6 +140,7 @@
   mStampOutdated = false;
   mRecoveredProgress.clear();
   mWorkerCursor.clear();
+  mHasReadWorkers = false;
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
   mHeldSubmissions.clear();
@@ -195,6 +196,7 @@
   if (!agent.empty() && findPeer(agent) == nullptr) {
     Log(Level::Warning, "coordinator", "agent disconnected", { { "agent", agent.str() } });
     Scheduling::MarkAgentDisconnected(mState, agent);
+    scheduleFlush();
   }
 }
 
@@ -488,6 +490,7 @@
         { "awaited",
           std::to_string(
             Scheduling::RecordedWorkersAwaited(mState, mContext.steadyAndUnixNow()).mCount) },
+        { "suspended", std::to_string(suspendedWorkers()) },
         { "bytes", bytes },
         { "longest_delay_us", std::to_string(mLongestDelay.count()) },
         { "longest_placement_us", std::to_string(mLongestPlacement.count()) } });
@@ -553,6 +556,7 @@
   counters.counter("ibis_workers_awaited")
     .set(static_cast<std::int64_t>(
       Scheduling::RecordedWorkersAwaited(mState, mContext.steadyAndUnixNow()).mCount));
+  counters.counter("ibis_workers_suspended").set(static_cast<std::int64_t>(suspendedWorkers()));
   counters.counter("ibis_term_starts").set(static_cast<std::int64_t>(counts.mStarts));
   counters.counter("ibis_term_room_rejections")
     .set(static_cast<std::int64_t>(counts.mCapacityRejections));
@@ -663,7 +667,7 @@
 {
   Wire::Directive directive;
   directive.term = mTerm.value();
-  directive.echoMicros = aPeer.mEchoMicros;
+  directive.echoMicros = mayExtendLeases(aPeer.mAgent) ? aPeer.mEchoMicros : 0;
   directive.holdMicros = maxLeaseExtension().count();
   directive.acceptsCompression = true;
   directive.orders = std::move(aOrders);
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -85,15 +85,20 @@
 }
 
 Timestamp
-Coordinator::recordedLeaseEnd() const
+Coordinator::leaseEndAfter(Timestamp aLastExtension) const
 {
-  // This one extends leases of agents that report during the recovery.
   const double drift = 1.0 + mContext.mTiming.mClockDrift;
-  return std::max(mTermStart, mElection.othersActUntil()) +
-         std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift) +
+  return aLastExtension + std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift) +
          mContext.mTiming.mLeaseSafetyMargin;
 }
 
+Timestamp
+Coordinator::recordedLeaseEnd() const
+{
+  // This one extends leases of agents that report during the recovery.
+  return leaseEndAfter(std::max(mTermStart, mElection.othersActUntil()));
+}
+
 void
 Coordinator::watchPredecessor()
 {
@@ -148,6 +153,14 @@
   scheduleFlush();
 }
 
+bool
+Coordinator::holdsSuspension(const Wire::WorkerRecord& aRecord) const
+{
+  // The last coordinator repeats the suspensions of the one before, unless it is of a version that
+  // does not know them.
+  return aRecord.__isset.suspendedTerm && aRecord.suspendedTerm == mTerm.value() - 1;
+}
+
 void
 Coordinator::readWorkers()
 {
@@ -169,17 +182,20 @@
                                mWorkerCursor = entry.mKey;
                                if (const auto record =
                                      Wire::Decode<Wire::WorkerRecord>(entry.mValue)) {
-                                 Scheduling::AddRecordedWorker(
+                                 const bool isSuspended = holdsSuspension(*record);
+                                 Scheduling::Worker& worker = Scheduling::AddRecordedWorker(
                                    mState,
                                    FromWire(record->view, Common::DataCentreId(record->dataCentre)),
                                    Common::InstanceId(record->instance),
-                                   leaseEnd);
+                                   isSuspended ? leaseEndAfter(mTermStart) : leaseEnd);
+                                 worker.mSuspensionMayBeRecorded = isSuspended;
                                }
                              }
                              if (aPage->mMore && !aPage->mEntries.empty()) {
                                readWorkers();
                                return;
                              }
+                             mHasReadWorkers = true;
                              readModel();
                            });
 }
@@ -375,6 +391,7 @@
         { "awaited_ms",
           std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(awaitedTime).count()) },
+        { "suspended", std::to_string(suspendedWorkers()) },
         { "in_term_ms", std::to_string(millisecondsInTerm()) } });
 }
 
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -276,9 +276,9 @@
                const CurrentTime& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
-  if (!CanEverHost(aWorker, step, aQueue) || !aWorker.mRecorded || !aWorker.mResponding ||
-      aWorker.mHasUnknownRun || aNow.mMonotonic < aWorker.mNoStartsUntil ||
-      aNow.mMonotonic >= aWorker.mLeaseEnd) {
+  if (!CanEverHost(aWorker, step, aQueue) || !aWorker.mRecorded ||
+      aWorker.mSuspensionMayBeRecorded || !aWorker.mResponding || aWorker.mHasUnknownRun ||
+      aNow.mMonotonic < aWorker.mNoStartsUntil || aNow.mMonotonic >= aWorker.mLeaseEnd) {
     return false;
   }
   if (!Fits(ReservedBy(step), aWorker.mCapacity - aWorker.mUsed) ||
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -634,7 +634,7 @@
   return view;
 }
 
-void
+Worker&
 AddRecordedWorker(SchedulerState& aState,
                   const WorkerView& aView,
                   const Common::InstanceId& aAgent,
@@ -645,6 +645,7 @@
   worker.mAgent = aAgent;
   worker.mRecorded = true;
   worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
+  return worker;
 }
 
 void
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -3728,6 +3728,11 @@
 void WorkerRecord::__set_dataCentre(const std::string& val) {
   this->dataCentre = val;
 }
+
+void WorkerRecord::__set_suspendedTerm(const int64_t val) {
+  this->suspendedTerm = val;
+__isset.suspendedTerm = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj)
 {
   obj.printTo(out);
@@ -3780,6 +3785,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->suspendedTerm);
+          this->__isset.suspendedTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3809,6 +3822,11 @@
   xfer += oprot->writeString(this->dataCentre);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.suspendedTerm) {
+    xfer += oprot->writeFieldBegin("suspendedTerm", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->suspendedTerm);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3819,6 +3837,7 @@
   swap(a.view, b.view);
   swap(a.instance, b.instance);
   swap(a.dataCentre, b.dataCentre);
+  swap(a.suspendedTerm, b.suspendedTerm);
   swap(a.__isset, b.__isset);
 }
 
@@ -3826,18 +3845,21 @@
   view = other120.view;
   instance = other120.instance;
   dataCentre = other120.dataCentre;
+  suspendedTerm = other120.suspendedTerm;
   __isset = other120.__isset;
 }
 WorkerRecord::WorkerRecord(WorkerRecord&& other121) noexcept {
   view = std::move(other121.view);
   instance = std::move(other121.instance);
   dataCentre = std::move(other121.dataCentre);
+  suspendedTerm = other121.suspendedTerm;
   __isset = other121.__isset;
 }
 WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other122) {
   view = other122.view;
   instance = other122.instance;
   dataCentre = other122.dataCentre;
+  suspendedTerm = other122.suspendedTerm;
   __isset = other122.__isset;
   return *this;
 }
@@ -3845,6 +3867,7 @@
   view = std::move(other123.view);
   instance = std::move(other123.instance);
   dataCentre = std::move(other123.dataCentre);
+  suspendedTerm = other123.suspendedTerm;
   __isset = other123.__isset;
   return *this;
 }
@@ -3854,6 +3877,7 @@
   out << "view=" << to_string(view);
   out << ", " << "instance=" << to_string(instance);
   out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "suspendedTerm="; (__isset.suspendedTerm ? (out << to_string(suspendedTerm)) : (out << "<null>"));
   out << ")";
 }
 
