--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -119,8 +119,9 @@
     return;
   }
   // A suspension can wait a moment, in which an agent that only lost its connection comes back.
-  const bool urgent = workerRecordsOutdated || suspensions > kMaxWorkersPerWrite ||
-                      mFlushAllDone != nullptr || mState.mDirtyJobs.size() > kMinJobsPerWrite ||
+  const bool urgent = workerRecordsOutdated || mStampOutdated ||
+                      suspensions > kMaxWorkersPerWrite || mFlushAllDone != nullptr ||
+                      mState.mDirtyJobs.size() > kMinJobsPerWrite ||
                       std::any_of(mState.mDirtyJobs.begin(),
                                   mState.mDirtyJobs.end(),
                                   [](const Scheduling::Job* aJob) { return aJob->mWriteAtOnce; });
