Test: an agent that comes back after the answer to the suspension was dropped by a pause

The coordinator resumes in the same term, takes the suspension for one that may be in the store, and removes it before it extends the lease. Test: Node, "An agent that comes back keeps the runs of its worker", all sections pass.

--- a/Source/UnitTests/Node/LostAgentTests.cpp
+++ b/Source/UnitTests/Node/LostAgentTests.cpp
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include <catch2/catch.hpp>
 
 #include "Node/StoreKeys.h"
@@ -209,6 +211,23 @@
     store.mMode = Mode::Normal;
   }
 
+  SECTION("after a pause of the coordinator in which the answer to the write was dropped")
+  {
+    fixture.mCluster.kill("e2");
+    fixture.mCluster.mTiming.mStoreOutageGrace = 0ms;
+    fixture.mCluster.mTiming.mLeaseRenewalTimeout = 200ms;
+    const Duration callTimeout = std::exchange(fixture.mCluster.mTiming.mStoreCallTimeout, 2s);
+    store.mMode = Mode::LosingAnswers;
+    fixture.mCluster.kill("agent-lost");
+    REQUIRE(fixture.awaitSuspension(1));
+    fixture.mCluster.mTiming.mStoreCallTimeout = callTimeout;
+    store.mMode = Mode::Silent;
+    fixture.mCluster.run(1200ms);
+    store.mMode = Mode::Normal;
+    REQUIRE(fixture.awaitCoordinator("e1"));
+    fixture.mCluster.startAgent(*fixture.mLost);
+  }
+
   SECTION("after the next coordinator has begun to wait for it")
   {
     fixture.mCluster.kill("agent-lost");
