Net: after a timeout, idle connections to the server count as silent

Callers saw: after open connections had gone silent while new ones worked, each call waited for its timeout on another kept connection, up to 16 in a row.

Cause: a call takes an idle connection that is not closed, and one without an answer throws away only itself.

Change: the client notes when the answer to the latest call that timed out was due. An idle connection that has brought no answer since is closed when it is its turn; a client with a check of connections sends the check on it first, and opens a new connection if that is not answered in time. So a worker that leaves single calls unanswered does not cost all its connections. Calls in flight are left to their own timeouts, and connections that brought an answer meanwhile stay in use.

--- a/Source/Core/Net/HttpClient.cpp
+++ b/Source/Core/Net/HttpClient.cpp
@@ -44,17 +44,25 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+struct IdleConnection
+{
+  std::unique_ptr<Beast::tcp_stream> mStream;
+  std::chrono::steady_clock::time_point mAnsweredAt;
+};
+
 } // namespace
 
 struct HttpClient::Core
 {
   Core(Asio::io_context& aContext,
        const std::string& aAddress,
-       std::optional<ConnectionCheck> aCheck)
+       std::optional<ConnectionCheck> aCheck,
+       std::shared_ptr<ServerSilence> aSilence)
     : mContext(aContext)
     , mEndpoint(ParseAddress(aAddress))
     , mHost(aAddress)
     , mCheck(std::move(aCheck))
+    , mSilence(std::move(aSilence))
   {
   }
 
@@ -62,7 +70,9 @@
   std::optional<Tcp::endpoint> mEndpoint;
   std::string mHost;
   std::optional<ConnectionCheck> mCheck;
-  std::vector<std::unique_ptr<Beast::tcp_stream>> mIdle;
+  std::shared_ptr<ServerSilence> mSilence;
+  /// The one with the latest answer is last.
+  std::vector<IdleConnection> mIdle;
   /// Checks without an answer since the last one with an answer.
   int mUnansweredChecks = 0;
   bool mClosed = false;
@@ -102,6 +112,7 @@
     , mConnectUntil(std::chrono::steady_clock::now() + aTimeout)
     , mScope(aScope)
     , mIsCheckEnough(aRequest.mIsCheckEnough)
+    , mHold(aRequest.mHold)
     , mDone(std::move(aDone))
     , mRequest(MakeMessage(std::move(aRequest), mCore->mHost))
   {
@@ -115,11 +126,21 @@
       return;
     }
     while (!mCore->mIdle.empty()) {
-      mStream = std::move(mCore->mIdle.back());
+      const auto answeredAt = mCore->mIdle.back().mAnsweredAt;
+      mStream = std::move(mCore->mIdle.back().mStream);
       mCore->mIdle.pop_back();
-      if (IsUsable(mStream->socket())) {
+      if (!IsUsable(mStream->socket())) {
+        continue;
+      }
+      if (answeredAt > mCore->mSilence->mSince) {
         mStream->expires_after(mTimeout);
-        write(mRequest);
+        sendRequest();
+        return;
+      }
+      if (mCore->mCheck) {
+        mIsCheckOfKept = true;
+        mStream->expires_after(std::min(checkTimeout(), mTimeout));
+        sendCheck();
         return;
       }
     }
@@ -154,6 +175,10 @@
 
   void handleNoConnection(ErrorCode aError)
   {
+    if (mIsCheckOfKept) {
+      connectInsteadOfKept();
+      return;
+    }
     // Only silence is worth another check at once; it also bounds how soon that comes.
     if (aError != Beast::error::timeout || !mCore->mCheck || mCore->mClosed) {
       finish(tl::unexpected(CallError::NotSent));
@@ -171,12 +196,32 @@
     connect(left);
   }
 
+  /// The other kept connections are left to calls that find no better one.
+  void connectInsteadOfKept()
+  {
+    mIsCheckOfKept = false;
+    mCheckRequest.reset();
+    mBuffer.clear();
+    const auto left = std::chrono::duration_cast<Common::Duration>(
+      mConnectUntil - std::chrono::steady_clock::now());
+    if (mCore->mClosed || left < checkTimeout()) {
+      finish(tl::unexpected(CallError::NotSent));
+      return;
+    }
+    connect(left);
+  }
+
   void handleConnected()
   {
     if (!mCore->mCheck) {
-      write(mRequest);
+      sendRequest();
       return;
     }
+    sendCheck();
+  }
+
+  void sendCheck()
+  {
     // The functions of the check may refer to the owner of the client.
     if (mCore->mClosed) {
       finish(tl::unexpected(CallError::NotSent));
@@ -186,6 +231,12 @@
     write(*mCheckRequest);
   }
 
+  void sendRequest()
+  {
+    mAnswerDue = std::chrono::steady_clock::now() + mHold;
+    write(mRequest);
+  }
+
   void write(Http::request<Http::string_body>& aMessage)
   {
     Http::async_write(
@@ -220,6 +271,7 @@
           return;
         }
         self->growBuffer();
+        self->mAnswerDue = std::chrono::steady_clock::now();
         if (self->mScope == TimeoutScope::EachPart) {
           self->mStream->expires_at(std::min(std::chrono::steady_clock::now() + self->mTimeout,
                                              self->mReadingSince + kMaxAnswerTime));
@@ -256,16 +308,21 @@
   {
     if (mCore->mIdle.size() < kMaxIdle && !mCore->mClosed) {
       mStream->expires_never();
-      mCore->mIdle.push_back(std::move(mStream));
+      mCore->mIdle.push_back({ std::move(mStream), std::chrono::steady_clock::now() });
     }
   }
 
   void takeCheckAnswer(ClientResponse aResponse, bool aIsReusable)
   {
+    if (!aIsReusable && mIsCheckOfKept) {
+      connectInsteadOfKept();
+      return;
+    }
     if (mCore->mClosed || !aIsReusable) {
       finish(tl::unexpected(CallError::NotSent));
       return;
     }
+    mIsCheckOfKept = false;
     mCore->mUnansweredChecks = 0;
     if (!mCore->mCheck->mPasses(aResponse)) {
       aResponse.mFailedCheck = true;
@@ -280,7 +337,7 @@
     }
     mCheckRequest.reset();
     mStream->expires_after(mTimeout);
-    write(mRequest);
+    sendRequest();
   }
 
   void finishWithoutAnswer(ErrorCode aError)
@@ -289,6 +346,10 @@
       handleNoConnection(aError);
       return;
     }
+    if (aError == Beast::error::timeout || aError == Asio::error::timed_out) {
+      mCore->mSilence->mSince =
+        std::max(mCore->mSilence->mSince, std::min(mAnswerDue, std::chrono::steady_clock::now()));
+    }
     finish(tl::unexpected(CallError::NoAnswer));
   }
 
@@ -305,6 +366,11 @@
   std::chrono::steady_clock::time_point mConnectUntil;
   TimeoutScope mScope;
   bool mIsCheckEnough;
+  Common::Duration mHold;
+  /// The check under way is that of a kept connection.
+  bool mIsCheckOfKept = false;
+  /// When the answer, or its next part, was due from a server that answers at once.
+  std::chrono::steady_clock::time_point mAnswerDue;
   std::chrono::steady_clock::time_point mReadingSince;
   CallDone mDone;
   std::unique_ptr<Beast::tcp_stream> mStream;
@@ -319,8 +385,9 @@
 
 HttpClient::HttpClient(Asio::io_context& aContext,
                        const std::string& aAddress,
-                       std::optional<ConnectionCheck> aCheck)
-  : mCore(std::make_shared<Core>(aContext, aAddress, std::move(aCheck)))
+                       std::optional<ConnectionCheck> aCheck,
+                       std::shared_ptr<ServerSilence> aSilence)
+  : mCore(std::make_shared<Core>(aContext, aAddress, std::move(aCheck), std::move(aSilence)))
 {
 }
 
--- a/Source/Core/Net/HttpClient.h
+++ b/Source/Core/Net/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,6 +25,8 @@
   /// The answer to the check of a new connection says as much as the one to this request. A call
   /// that needs a new connection ends with it; the connection is kept for the next call.
   bool mIsCheckEnough = false;
+  /// How long the server may hold the request before it answers.
+  Common::Duration mHold{ 0 };
 };
 
 struct ClientResponse
@@ -37,6 +40,15 @@
   bool mIsAnswerToCheck = false;
 };
 
+/// What the clients of one server know of its silence. Open connections can go silent without being
+/// closed while new ones work, usually all at once.
+struct ServerSilence
+{
+  /// When the answer to the latest call that timed out was due. A connection that has brought no
+  /// answer since may be silent.
+  std::chrono::steady_clock::time_point mSince;
+};
+
 /// Makes sure that a new connection reaches the expected server, and not another process at the
 /// same address. A connection ends with the process that accepted it, so one check holds for all
 /// requests on it.
@@ -75,15 +87,17 @@
 using CallDone = std::function<void(CallResult)>;
 
 /// Calls to one HTTP server over a few kept connections. Each call has a timeout; a connection on
-/// which a call got no answer is closed. A check without an answer is repeated on further
-/// connections, all within the timeout of the call, which starts anew when the request is sent.
-/// aDone is never called from within call().
+/// which a call got no answer is closed. An idle connection that may be silent is closed when it is
+/// its turn, or passes the check of a new connection before it is used. A check without an answer
+/// is repeated on further connections, all within the timeout of the call, which starts anew when
+/// the request is sent. aDone is never called from within call().
 class HttpClient
 {
 public:
   HttpClient(Asio::io_context& aContext,
              const std::string& aAddress,
-             std::optional<ConnectionCheck> aCheck = std::nullopt);
+             std::optional<ConnectionCheck> aCheck = std::nullopt,
+             std::shared_ptr<ServerSilence> aSilence = std::make_shared<ServerSilence>());
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
