Net: probe idle connections

Callers saw: the loss of a machine showed on an idle connection only when a call on it timed out, because the user timeout of the socket counts only while sent data waits for its acknowledgement.

Evidence: "A lost machine is noticed while nothing is sent to it": SO_KEEPALIVE was 0 on the code before.

The system sends the probes.

Measured: the options are set; NetTests pass. Not run: real loss of packets, which needs root here.

--- a/Source/Core/Net/Address.cpp
+++ b/Source/Core/Net/Address.cpp
@@ -66,6 +66,16 @@
   // Failing to set it only delays the detection of a lost peer; deadlines still hold.
   ::setsockopt(
     aSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &aUnansweredMs, sizeof(aUnansweredMs));
+  aSocket.set_option(Asio::socket_base::keep_alive(true), ignored);
+  const int idleSeconds = (aUnansweredMs + 999) / 1000;
+  const int probeIntervalSeconds = 1;
+  ::setsockopt(
+    aSocket.native_handle(), IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds));
+  ::setsockopt(aSocket.native_handle(),
+               IPPROTO_TCP,
+               TCP_KEEPINTVL,
+               &probeIntervalSeconds,
+               sizeof(probeIntervalSeconds));
 }
 
 } // namespace Net
--- a/Source/Core/Net/Address.h
+++ b/Source/Core/Net/Address.h
@@ -25,7 +25,8 @@
 OpenListener(Tcp::acceptor& aAcceptor, const std::string& aAddress);
 
 /// Sets what every connection needs here: no delay of small writes, and an error within
-/// aUnansweredMs if the peer's machine does not acknowledge them.
+/// aUnansweredMs if the peer's machine does not acknowledge them. A connection that is idle for as
+/// long is probed, so that the loss of the machine shows in about twice that time.
 void
 SetSocketOptions(Tcp::socket& aSocket, int aUnansweredMs);
 
--- a/Source/UnitTests/Net/SilentConnectionTests.cpp
+++ b/Source/UnitTests/Net/SilentConnectionTests.cpp
@@ -2,6 +2,9 @@
 
 #include <optional>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
 #include "UnitTests/Support/SilencingProxy.h"
@@ -198,3 +201,22 @@
     REQUIRE(fixture.call("/x"));
   }
 }
+
+TEST_CASE("A lost machine is noticed while nothing is sent to it", "[Net]")
+{
+  // Without probes an idle connection shows the loss of its peer only to the next call.
+  constexpr int kUnansweredMs = 1'500;
+  boost::asio::io_context io;
+  Tcp::socket socket(io, Tcp::v4());
+  SetSocketOptions(socket, kUnansweredMs);
+  const auto option = [&](int aLevel, int aName) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    REQUIRE(::getsockopt(socket.native_handle(), aLevel, aName, &value, &size) == 0);
+    return value;
+  };
+  REQUIRE(option(SOL_SOCKET, SO_KEEPALIVE) != 0);
+  REQUIRE(option(IPPROTO_TCP, TCP_KEEPIDLE) == 2);
+  REQUIRE(option(IPPROTO_TCP, TCP_KEEPINTVL) == 1);
+  REQUIRE(option(IPPROTO_TCP, TCP_USER_TIMEOUT) == kUnansweredMs);
+}
