Count leases that a coordinator extends itself while it recovers

Cause: a new coordinator answers reports while it reads its records, which extends the leases of the agents' workers, but keeps only the last report of each agent. If that one does not name the worker (the agent was restarted) or says that it does not answer, the worker's lease counted from the start of the term, although it had been extended since.

Change: the time of the last report of each agent that was answered during the recovery is kept, and the leases of its workers count from there before the reports are applied; an agent that says that its lease is shorter is still believed. Same cause elsewhere: after the recovery each report is applied as it is answered.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -145,6 +145,7 @@
   mCancelledBeforeSubmission.clear();
   mHeldSubmissions.clear();
   mEarlyReports.clear();
+  mExtendedInRecovery.clear();
   mHeldResults.clear();
   mFlushJobs.clear();
   mFlushInProgress = false;
@@ -298,6 +299,7 @@
   if (mPhase == Phase::Recovering) {
     aPeer.mOrdersRepeated = true;
     mEarlyReports[aPeer.mAgent] = { std::move(aReport), now };
+    mExtendedInRecovery[aPeer.mAgent] = now;
     sendDirective(aPeer, {});
     return;
   }
@@ -317,6 +319,13 @@
   scheduleFlush();
 }
 
+Timestamp
+Coordinator::ownLeaseEnd(Timestamp aReceivedAt) const
+{
+  const double drift = 1.0 + mContext.mTiming.mClockDrift;
+  return aReceivedAt + std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift);
+}
+
 void
 Coordinator::applyReport(const Wire::Report& aReport, Timestamp aReceivedAt)
 {
@@ -332,11 +341,8 @@
     ended.push_back(FromWire(life));
   }
   const auto now = mContext.steadyAndUnixNow();
-  const double drift = 1.0 + mContext.mTiming.mClockDrift;
-  const Timestamp leaseEnd =
-    aReceivedAt + std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift);
   Scheduling::ApplyReport(
-    mState, Common::InstanceId(aReport.instance), views, ended, leaseEnd, now);
+    mState, Common::InstanceId(aReport.instance), views, ended, ownLeaseEnd(aReceivedAt), now);
   if (aReport.term != mTerm.value()) {
     return;
   }
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -121,6 +121,8 @@
   void handleMessage(Net::Link* aLink, const std::string& aBytes);
   void handleReport(Peer& aPeer, Wire::Report aReport);
   void applyReport(const Wire::Report& aReport, Timestamp aReceivedAt);
+  /// End of the leases that an agent extends after the answer to a report received at aReceivedAt.
+  Timestamp ownLeaseEnd(Timestamp aReceivedAt) const;
   void applyOrderResults(const std::vector<Wire::OrderResult>& aResults);
   void answerStatusQuery(Peer& aPeer, const Wire::StatusQuery& aQuery);
   /// Makes a write on behalf of an entry whose own calls the store refuses.
@@ -239,6 +241,9 @@
   bool mStampOutdated = false;
   std::map<Net::Link*, Peer> mPeers;
   std::map<Common::InstanceId, EarlyReport> mEarlyReports;
+  /// When the last report of each agent was received that was answered with an extension of its
+  /// workers' leases during the recovery.
+  std::map<Common::InstanceId, Timestamp> mExtendedInRecovery;
   /// Results of orders in reports that arrived while this process must not act. Agents send each
   /// result once.
   std::vector<Wire::OrderResult> mHeldResults;
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -87,9 +87,7 @@
 Timestamp
 Coordinator::leaseEndAfter(Timestamp aLastExtension) const
 {
-  const double drift = 1.0 + mContext.mTiming.mClockDrift;
-  return aLastExtension + std::chrono::duration_cast<Duration>(maxLeaseExtension() * drift) +
-         mContext.mTiming.mLeaseSafetyMargin;
+  return ownLeaseEnd(aLastExtension) + mContext.mTiming.mLeaseSafetyMargin;
 }
 
 Timestamp
@@ -366,6 +364,10 @@
 {
   mPhase = Phase::Working;
   mRecoveredProgress.clear();
+  // The last report of an agent may name fewer of its workers than the ones before.
+  for (const auto& [agent, receivedAt] : std::exchange(mExtendedInRecovery, {})) {
+    Scheduling::NoteExtendedLeases(mState, agent, ownLeaseEnd(receivedAt));
+  }
   const auto early = std::move(mEarlyReports);
   mEarlyReports.clear();
   for (const auto& [agent, report] : early) {
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -910,6 +910,16 @@
   return awaited;
 }
 
+void
+NoteExtendedLeases(SchedulerState& aState, const Common::InstanceId& aAgent, Timestamp aLeaseEnd)
+{
+  for (Worker& worker : aState.mWorkers) {
+    if (worker.mAgent == aAgent && !worker.mLifetimeEnded) {
+      worker.mLeaseEnd = std::max(worker.mLeaseEnd, aLeaseEnd);
+    }
+  }
+}
+
 void
 LimitAwaitedLeases(SchedulerState& aState, Timestamp aLeaseEnd, const CurrentTime& aNow)
 {
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -266,6 +266,9 @@
 };
 AwaitedWorkers
 RecordedWorkersAwaited(const SchedulerState& aState, const CurrentTime& aNow);
+/// To be called when the agent may have extended the leases of its workers up to aLeaseEnd.
+void
+NoteExtendedLeases(SchedulerState& aState, const Common::InstanceId& aAgent, Timestamp aLeaseEnd);
 /// To be called when it becomes known that no lease of an awaited worker ends later than aLeaseEnd.
 void
 LimitAwaitedLeases(SchedulerState& aState, Timestamp aLeaseEnd, const CurrentTime& aNow);
