Extend suspended leases of an earlier term without a write

What callers would see: after a crash of the coordinator beside a store that does not answer reads for 3.5 s, all running work ends with its leases.

Cause: a new coordinator extended no lease before it had read the worker records, as one of them may say that the lease is suspended. That was not needed: a suspension holds for the next term only, so the coordinator after that does not believe it, and the one that extends the lease counts its own extensions.

Change: what the coordinator itself may have written and what it found are told apart. Only the former withholds extensions and starts.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -140,7 +140,6 @@
   mStampOutdated = false;
   mRecoveredProgress.clear();
   mWorkerCursor.clear();
-  mHasReadWorkers = false;
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
   mHeldSubmissions.clear();
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -207,7 +207,8 @@
   bool adoptVersionOfLateWrite(const Store::WriteFailure& aFailure);
   /// Erases the records of jobs that ended long ago.
   void collectGarbage();
-  /// False if the record of a worker of the agent may say that its lease is not extended.
+  /// False if this coordinator may have recorded of a worker of the agent that its lease is not
+  /// extended.
   bool mayExtendLeases(const Common::InstanceId& aAgent) const;
   /// Number of workers whose records may say that their leases are not extended.
   std::size_t suspendedWorkers() const;
@@ -225,8 +226,6 @@
   std::unordered_map<Common::JobId, Scheduling::Progress> mRecoveredProgress;
   /// Last key of the worker records read so far.
   std::string mWorkerCursor;
-  /// All worker records were read in this term.
-  bool mHasReadWorkers = false;
   /// Last key of the progress records read so far.
   std::string mProgressCursor;
   /// Jobs whose cancellation was seen before their submission.
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -49,7 +49,8 @@
 bool
 HasNeedlessSuspension(const Scheduling::Worker& aWorker)
 {
-  return aWorker.mConnected && aWorker.mRecorded && aWorker.mSuspensionMayBeRecorded;
+  return aWorker.mConnected && aWorker.mRecorded &&
+         (aWorker.mSuspensionMayBeRecorded || aWorker.mSuspendedBefore);
 }
 
 } // namespace
@@ -64,8 +65,8 @@
   // Earlier coordinators must not be able to extend the lease either: the worker has seen this
   // term, or the last one left the record so, or the time in which they may act is over.
   const Timestamp now = mContext.now();
-  const bool isFenced =
-    aWorker.mHasTaskList || aWorker.mSuspensionMayBeRecorded || now >= mElection.othersActUntil();
+  const bool isFenced = aWorker.mHasTaskList || aWorker.mSuspensionMayBeRecorded ||
+                        aWorker.mSuspendedBefore || now >= mElection.othersActUntil();
   return isFenced && aWorker.mLeaseEnd > now && mElection.isLeaseValid();
 }
 
@@ -78,13 +79,11 @@
 bool
 Coordinator::mayExtendLeases(const Common::InstanceId& aAgent) const
 {
-  return mHasReadWorkers && std::none_of(mState.mWorkers.begin(),
-                                         mState.mWorkers.end(),
-                                         [&aAgent](const Scheduling::Worker& aWorker) {
-                                           return aWorker.mAgent == aAgent &&
-                                                  aWorker.mSuspensionMayBeRecorded &&
-                                                  !aWorker.mLifetimeEnded;
-                                         });
+  return std::none_of(
+    mState.mWorkers.begin(), mState.mWorkers.end(), [&aAgent](const Scheduling::Worker& aWorker) {
+      return aWorker.mAgent == aAgent && aWorker.mSuspensionMayBeRecorded &&
+             !aWorker.mLifetimeEnded;
+    });
 }
 
 std::size_t
@@ -92,7 +91,7 @@
 {
   return static_cast<std::size_t>(std::count_if(
     mState.mWorkers.begin(), mState.mWorkers.end(), [](const Scheduling::Worker& aWorker) {
-      return aWorker.mSuspensionMayBeRecorded;
+      return aWorker.mSuspensionMayBeRecorded || aWorker.mSuspendedBefore;
     }));
 }
 
@@ -354,6 +353,7 @@
     Scheduling::Worker& worker = mState.mWorkers[mState.mWorkerIndex.at(written.mLifetime)];
     worker.mRecorded = true;
     worker.mSuspensionRecorded = written.mIsSuspended;
+    worker.mSuspendedBefore = false;
     const bool wasSuspended = std::exchange(worker.mSuspensionMayBeRecorded, written.mIsSuspended);
     Peer* const peer = findPeer(worker.mAgent);
     if (wasSuspended && !written.mIsSuspended && peer != nullptr) {
@@ -365,6 +365,7 @@
     Scheduling::Worker& worker = mState.mWorkers[mState.mWorkerIndex.at(lifetime)];
     worker.mMayBeRecorded = false;
     worker.mSuspensionMayBeRecorded = false;
+    worker.mSuspendedBefore = false;
   }
 }
 
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -186,14 +186,13 @@
                                    FromWire(record->view, Common::DataCentreId(record->dataCentre)),
                                    Common::InstanceId(record->instance),
                                    isSuspended ? leaseEndAfter(mTermStart) : leaseEnd);
-                                 worker.mSuspensionMayBeRecorded = isSuspended;
+                                 worker.mSuspendedBefore = isSuspended;
                                }
                              }
                              if (aPage->mMore && !aPage->mEntries.empty()) {
                                readWorkers();
                                return;
                              }
-                             mHasReadWorkers = true;
                              readModel();
                            });
 }
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -218,9 +218,11 @@
   bool mMayBeRecorded = false;
   /// The record in the store says that no coordinator up to this one extends the lease.
   bool mSuspensionRecorded = false;
-  /// It may say so, because of this coordinator or the one before. Until it certainly does not, the
-  /// lease is not extended and no task starts on the worker.
+  /// It may say so because of this coordinator. Until it certainly does not, the lease is not
+  /// extended and no task starts on the worker.
   bool mSuspensionMayBeRecorded = false;
+  /// The record says that no coordinator before this one extends the lease.
+  bool mSuspendedBefore = false;
   /// The lifetime has ended and cannot return.
   bool mLifetimeEnded = false;
   /// All runs on the worker have ended by then unless the lease is extended.
