Erase the record of a worker whose agent is lost during the recovery

Found by the review.

Cause: the reports that arrive during a recovery are applied when it ends, also those of agents that have been lost since. Their workers counted as connected for the rest of the term, their records were never erased, and the next coordinator waited for them.

Change: the worker counts as disconnected if its agent has no connection when the report is applied.

--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -371,6 +371,9 @@
   mEarlyReports.clear();
   for (const auto& [agent, report] : early) {
     applyReport(report.mReport, report.mReceivedAt);
+    if (findPeer(agent) == nullptr) {
+      Scheduling::MarkAgentDisconnected(mState, agent);
+    }
   }
   const auto withoutQueue =
     std::count_if(mState.mOpenJobs.begin(), mState.mOpenJobs.end(), [this](const auto* aJob) {
--- a/Source/UnitTests/Node/RecoveryLeaseTests.cpp
+++ b/Source/UnitTests/Node/RecoveryLeaseTests.cpp
@@ -116,3 +116,17 @@
   fixture.finishRecovery();
   REQUIRE_FALSE(fixture.runsTwiceWithin(kWorkerLease));
 }
+
+TEST_CASE("The record of a worker that was lost during the recovery is erased", "[Node]")
+{
+  // The last report of its agent was applied after the agent was lost, so that the worker counted
+  // as connected for the rest of the term, and the next coordinator waited for it.
+  SlowRecoveryFixture fixture;
+  fixture.mCluster.kill("agent-first");
+  fixture.mCluster.run(700ms);
+  fixture.finishRecovery();
+  const std::string key = WorkerKey({ Common::WorkerId("first"), Scheduling::LifetimeStart{ 1 } });
+  REQUIRE(fixture.mCluster.mStore.contains(key));
+  REQUIRE(fixture.mCluster.runUntil([&] { return fixture.mOther->mStarts == 2; }, 30s));
+  REQUIRE(fixture.mCluster.runUntil([&] { return !fixture.mCluster.mStore.contains(key); }, 6s));
+}
