Tasks that wait or are done have no objects of their own

Cause: Step held a vector of Task, so each accepted submission took the memory of all its tasks at once, also at recovery. FindTask made a whole occurrence for each lookup and dropped it.

Change: TaskTable holds objects only of tasks that were started or have progress to remember. Tasks that were never started share one object for each occurrence, done tasks share another, and one bit a task says which of them do not wait; a finished step drops these as well. A gang that found no place drops the objects that the attempt made, and its checkpoint is copied to all tasks when they start instead of at each attempt. Done tasks no longer keep their failed runs, which nothing reads.

--- a/Source/Core/Scheduling/Crashes.cpp
+++ b/Source/Core/Scheduling/Crashes.cpp
@@ -48,15 +48,16 @@
          const CurrentTime& aNow)
 {
   Job& job = *aRef.mJob;
-  Task& task = TaskAt(aRef);
+  const Task& before = TaskAt(aRef);
   const bool isKnown =
-    std::any_of(task.mCrashes.begin(),
-                task.mCrashes.end(),
+    std::any_of(before.mCrashes.begin(),
+                before.mCrashes.end(),
                 [&aCrash](const SuspectedCrash& aOther) { return aOther.mRun == aCrash.mRun; });
-  if (isKnown || aCrash.mRun <= task.mClearedRun || task.mPhase == TaskPhase::Done ||
+  if (isKnown || aCrash.mRun <= before.mClearedRun || before.mPhase == TaskPhase::Done ||
       HasEnded(job.mState)) {
     return;
   }
+  Task& task = OwnTaskAt(aRef);
   job.mSuspectTasks += task.mCrashes.empty() ? 1 : 0;
   if (task.mPhase == TaskPhase::Waiting) {
     task.mRun = std::max(task.mRun, aCrash.mRun);
@@ -82,17 +83,18 @@
 bool
 HasHarmlessTask(const Step& aStep)
 {
-  return std::any_of(aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
-    return aTask.mPhase == TaskPhase::Done || aTask.mIsHarmless;
-  });
+  const auto& tasks = aStep.mTasks.own();
+  return aStep.mDoneTasks > 0 || std::any_of(tasks.begin(), tasks.end(), [](const auto& aEntry) {
+           return aEntry.second.mIsHarmless;
+         });
 }
 
 bool
 HasSuspect(const Step& aStep)
 {
-  return std::any_of(aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
-    return !aTask.mCrashes.empty();
-  });
+  const auto& tasks = aStep.mTasks.own();
+  return std::any_of(
+    tasks.begin(), tasks.end(), [](const auto& aEntry) { return !aEntry.second.mCrashes.empty(); });
 }
 
 bool
@@ -134,9 +136,8 @@
 void
 ForgetCrashes(SchedulerState& aState, const TaskRef& aRef)
 {
-  Task& task = TaskAt(aRef);
-  if (!task.mCrashes.empty()) {
-    task.mCrashes.clear();
+  if (!TaskAt(aRef).mCrashes.empty()) {
+    OwnTaskAt(aRef).mCrashes.clear();
     --aRef.mJob->mSuspectTasks;
     ++aState.mPlaceableChanges;
   }
@@ -145,7 +146,7 @@
 void
 MarkHarmless(SchedulerState& aState, const TaskRef& aRef)
 {
-  Task& task = TaskAt(aRef);
+  Task& task = OwnTaskAt(aRef);
   task.mIsHarmless = true;
   if (aState.mTrials.erase(aRef) > 0) {
     ++aState.mPlaceableChanges;
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -12,34 +12,48 @@
   Occurrence occurrence;
   occurrence.mNumber = aNumber;
   occurrence.mSteps.resize(aSpec.mSteps.size());
+  const auto newTask = std::make_shared<Task>();
+  newTask->mPhaseSince = aNow.mMonotonic;
   for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
     Step& step = occurrence.mSteps[i];
-    step.mTasks.resize(aSpec.mSteps[i].mTaskCount);
+    step.mTasks = TaskTable(aSpec.mSteps[i].mTaskCount, newTask);
     step.mWaitingTasks = aSpec.mSteps[i].mTaskCount;
-    for (Task& task : step.mTasks) {
-      task.mPhaseSince = aNow.mMonotonic;
-    }
   }
   return occurrence;
 }
 
+Occurrence&
+FindOrMakeOccurrence(Job& aJob, std::uint32_t aNumber, const CurrentTime& aNow)
+{
+  const auto found = aJob.mOccurrences.find(aNumber);
+  if (found != aJob.mOccurrences.end()) {
+    return found->second;
+  }
+  return aJob.mOccurrences.emplace(aNumber, MakeOccurrence(aJob.mSpec, aNumber, aNow))
+    .first->second;
+}
+
 void
 RestoreTask(Job& aJob, Step& aStep, const TaskProgress& aProgress)
 {
   if (aProgress.mIndex >= aStep.mTasks.size()) {
     return;
   }
+  if (aStep.mTasks.at(aProgress.mIndex).mPhase == TaskPhase::Done) {
+    return;
+  }
+  if (aProgress.mDone) {
+    aStep.mTasks.setPhase(aProgress.mIndex, TaskPhase::Done);
+    ++aStep.mDoneTasks;
+    --aStep.mWaitingTasks;
+    return;
+  }
   Task& task = aStep.mTasks[aProgress.mIndex];
   task.mFailedRuns = aProgress.mFailedRuns;
   task.mCheckpoint = aProgress.mCheckpoint;
   task.mCrashes = aProgress.mCrashes;
   task.mClearedRun = aProgress.mClearedRun;
   aJob.mSuspectTasks += task.mCrashes.empty() ? 0 : 1;
-  if (aProgress.mDone && task.mPhase != TaskPhase::Done) {
-    task.mPhase = TaskPhase::Done;
-    ++aStep.mDoneTasks;
-    --aStep.mWaitingTasks;
-  }
 }
 
 void
@@ -53,28 +67,18 @@
     if (record.mStep >= aJob.mSpec.mSteps.size()) {
       continue;
     }
-    auto& occurrence =
-      aJob.mOccurrences
-        .try_emplace(record.mOccurrence, MakeOccurrence(aJob.mSpec, record.mOccurrence, aNow))
-        .first->second;
+    Occurrence& occurrence = FindOrMakeOccurrence(aJob, record.mOccurrence, aNow);
     Step& step = occurrence.mSteps[record.mStep];
     for (const TaskProgress& task : record.mTasks) {
       RestoreTask(aJob, step, task);
     }
     if (record.mDone) {
-      for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
-        RestoreTask(aJob,
-                    step,
-                    { .mIndex = i,
-                      .mDone = true,
-                      .mFailedRuns = {},
-                      .mCheckpoint = {},
-                      .mCrashes = {},
-                      .mClearedRun = {} });
-      }
+      step.mDoneTasks = step.mTasks.size();
+      step.mWaitingTasks = 0;
     }
     if (step.mDoneTasks == step.mTasks.size() && !step.mEnded) {
       step.mEnded = true;
+      step.mTasks.finish();
       if (++occurrence.mStepsEnded == occurrence.mSteps.size()) {
         ++aJob.mOccurrencesEnded;
       }
@@ -250,7 +254,7 @@
   }
   aState.mOpenJobs.insert(&job);
   if (job.mSpec.mRepeats == 0) {
-    job.mOccurrences.try_emplace(0, MakeOccurrence(job.mSpec, 0, aNow));
+    FindOrMakeOccurrence(job, 0, aNow);
   }
   if (job.mOccurrencesEnded == std::max(job.mSpec.mRepeats, 1U)) {
     job.mState = JobState::Completed;
@@ -296,8 +300,8 @@
   Job* const job = found->second.get();
   for (auto& [number, occurrence] : job->mOccurrences) {
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
-      for (std::uint32_t i = 0; i < occurrence.mSteps[s].mTasks.size(); ++i) {
-        DetachFromWorker(aState, { job, number, s, i });
+      for (const auto& [index, task] : occurrence.mSteps[s].mTasks.own()) {
+        DetachFromWorker(aState, { job, number, s, index });
       }
     }
   }
@@ -313,12 +317,11 @@
 {
   for (auto& [number, occurrence] : aJob.mOccurrences) {
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
-      for (std::uint32_t i = 0; i < occurrence.mSteps[s].mTasks.size(); ++i) {
-        Task& task = occurrence.mSteps[s].mTasks[i];
+      for (auto& [index, task] : occurrence.mSteps[s].mTasks.own()) {
         if (task.mPhase == TaskPhase::Starting || task.mPhase == TaskPhase::Running) {
           task.mPhase = TaskPhase::Stopping;
           task.mStopOrdered = aNow.mMonotonic;
-          const TaskRef ref{ &aJob, number, s, i };
+          const TaskRef ref{ &aJob, number, s, index };
           OrderStop(aState, aState.mWorkers[task.mWorker].mLifetime, NameOf(ref), task.mRun);
         }
       }
@@ -353,24 +356,24 @@
 void
 MarkTaskDone(SchedulerState& aState, const TaskRef& aRef, const CurrentTime& aNow)
 {
-  Task& task = TaskAt(aRef);
-  if (task.mPhase == TaskPhase::Done) {
+  const TaskPhase phase = TaskAt(aRef).mPhase;
+  if (phase == TaskPhase::Done) {
     return;
   }
   Job& job = *aRef.mJob;
   Occurrence& occurrence = job.mOccurrences.at(aRef.mOccurrence);
   Step& step = occurrence.mSteps[aRef.mStep];
-  if (task.mPhase == TaskPhase::Waiting) {
+  if (phase == TaskPhase::Waiting) {
     --step.mWaitingTasks;
   }
   DetachFromWorker(aState, aRef);
-  task.mPhase = TaskPhase::Done;
-  task.mCheckpoint.clear();
   ForgetCrashes(aState, aRef);
+  step.mTasks.setPhase(aRef.mIndex, TaskPhase::Done);
   ++step.mDoneTasks;
   if (step.mDoneTasks == step.mTasks.size() && !step.mEnded) {
     step.mEnded = true;
     step.mTickets.clear();
+    step.mTasks.finish();
     ++occurrence.mStepsEnded;
     if (occurrence.mStepsEnded == occurrence.mSteps.size()) {
       ++job.mOccurrencesEnded;
@@ -399,7 +402,7 @@
       const Step& step = occurrence.mSteps[s];
       StepProgress record{ .mOccurrence = number, .mStep = s, .mDone = step.mEnded, .mTasks = {} };
       for (std::uint32_t i = 0; i < step.mTasks.size() && !step.mEnded; ++i) {
-        const Task& task = step.mTasks[i];
+        const Task& task = step.mTasks.at(i);
         const bool done = task.mPhase == TaskPhase::Done;
         if (done || !task.mFailedRuns.empty() || !task.mCheckpoint.empty() ||
             !task.mCrashes.empty() || task.mClearedRun.value() > 0) {
@@ -439,8 +442,14 @@
   return aRef.mJob->mOccurrences.at(aRef.mOccurrence).mSteps[aRef.mStep];
 }
 
-Task&
+const Task&
 TaskAt(const TaskRef& aRef)
+{
+  return StepAt(aRef).mTasks.at(aRef.mIndex);
+}
+
+Task&
+OwnTaskAt(const TaskRef& aRef)
 {
   return StepAt(aRef).mTasks[aRef.mIndex];
 }
@@ -466,8 +475,7 @@
   }
   // A worker may run an occurrence that has no record yet, because none of its tasks ended or
   // failed.
-  job.mOccurrences.try_emplace(aName.mOccurrence,
-                               MakeOccurrence(job.mSpec, aName.mOccurrence, CurrentTime{}));
+  FindOrMakeOccurrence(job, aName.mOccurrence, CurrentTime{});
   return TaskRef{ &job, aName.mOccurrence, aName.mStep, aName.mIndex };
 }
 
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -452,14 +452,13 @@
                const CurrentTime& aNow)
 {
   const Step& step = StepAt(FirstTask(aReady));
-  const auto task = std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
-    return aTask.mPhase == TaskPhase::Waiting;
-  });
-  if (!aQueue.mAdvice || step.mAdviceRequested || task == step.mTasks.end()) {
+  const std::uint32_t waiting = step.mTasks.nextWaiting(0);
+  if (!aQueue.mAdvice || step.mAdviceRequested || waiting == step.mTasks.size()) {
     return;
   }
+  const Task& task = step.mTasks.at(waiting);
   const StepSpec& spec = aReady.mJob->mSpec.mSteps[aReady.mStep];
-  const Starvation starvation = StarvationOf(aState, aReady, aQueue, *task, aNow);
+  const Starvation starvation = StarvationOf(aState, aReady, aQueue, task, aNow);
   // Tickets that expire before the answer would arrive are requested again.
   const CurrentTime atAnswer{
     aNow.mMonotonic + aQueue.mAdvice->mDecisionTime + aState.mPolicy.mTicketMargin, aNow.mUnix
@@ -475,7 +474,7 @@
     const bool canHostNow = CanHostNow(aState, worker, aReady, aQueue, starvation, aNow);
     isNeeded = isNeeded || canHostNow;
     candidates.emplace_back(
-      !canHostNow, PlacementCost(aState, {}, worker, aReady, *task, number), number);
+      !canHostNow, PlacementCost(aState, {}, worker, aReady, task, number), number);
   }
   if (!isNeeded) {
     return;
@@ -493,7 +492,7 @@
 void
 OrderStart(SchedulerState& aState, const TaskRef& aRef, RunNumber aRun, const CurrentTime& aNow)
 {
-  Task& task = TaskAt(aRef);
+  Task& task = OwnTaskAt(aRef);
   task.mRun = aRun;
   task.mPhaseSince = aNow.mMonotonic;
   Order order;
@@ -547,22 +546,16 @@
     rackChoices.emplace_back();
   }
   RunNumber run = aState.mRunBase;
-  for (const Task& task : step.mTasks) {
-    run = std::max(run, task.mRun);
-  }
-  run = run + RunNumber{ 1 };
   // The checkpoint of any task is valid for the whole gang, and all tasks must start from the same
   // one.
-  const auto withCheckpoint =
-    std::find_if(step.mTasks.begin(), step.mTasks.end(), [](const Task& aTask) {
-      return !aTask.mCheckpoint.empty();
-    });
-  if (withCheckpoint != step.mTasks.end()) {
-    const std::string checkpoint = withCheckpoint->mCheckpoint;
-    for (Task& task : step.mTasks) {
-      task.mCheckpoint = checkpoint;
+  std::string checkpoint;
+  for (const auto& [index, task] : step.mTasks.own()) {
+    run = std::max(run, task.mRun);
+    if (checkpoint.empty()) {
+      checkpoint = task.mCheckpoint;
     }
   }
+  run = run + RunNumber{ 1 };
   for (const std::string& rack : rackChoices) {
     std::uint32_t placed = 0;
     for (; placed < step.mTasks.size(); ++placed) {
@@ -578,12 +571,14 @@
     }
     if (placed == step.mTasks.size()) {
       for (std::uint32_t i = 0; i < placed; ++i) {
+        step.mTasks[i].mCheckpoint = checkpoint;
         OrderStart(aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, i }, run, aNow);
       }
       return;
     }
     for (std::uint32_t i = 0; i < placed; ++i) {
       SetWaiting(aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, i }, aNow);
+      step.mTasks.dropIfNew(i);
     }
   }
 }
@@ -630,10 +625,10 @@
 void
 DetachFromWorker(SchedulerState& aState, const TaskRef& aRef)
 {
-  Task& task = TaskAt(aRef);
-  if (task.mWorker == kNoWorker) {
+  if (TaskAt(aRef).mWorker == kNoWorker) {
     return;
   }
+  Task& task = OwnTaskAt(aRef);
   Worker& worker = aState.mWorkers[task.mWorker];
   worker.mTailRooms.reset();
   ++aState.mPlaceableChanges;
@@ -655,19 +650,21 @@
 void
 SetWaiting(SchedulerState& aState, const TaskRef& aRef, const CurrentTime& aNow)
 {
-  Task& task = TaskAt(aRef);
-  if (task.mPhase == TaskPhase::Waiting || task.mPhase == TaskPhase::Done) {
+  const TaskPhase phase = TaskAt(aRef).mPhase;
+  if (phase == TaskPhase::Waiting || phase == TaskPhase::Done) {
     return;
   }
   DetachFromWorker(aState, aRef);
-  task.mPhase = TaskPhase::Waiting;
+  Step& step = StepAt(aRef);
+  step.mTasks.setPhase(aRef.mIndex, TaskPhase::Waiting);
+  Task& task = OwnTaskAt(aRef);
   task.mPhaseSince = aNow.mMonotonic;
   task.mListedByWorker = false;
   task.mPercent = Percent{ 0 };
   task.mMissingSince = Timestamp{};
   task.mMissingLists = 0;
   task.mStopAnswered = Timestamp{};
-  ++StepAt(aRef).mWaitingTasks;
+  ++step.mWaitingTasks;
   ++aState.mPlaceableChanges;
 }
 
@@ -678,12 +675,12 @@
                TaskPhase aPhase,
                const CurrentTime& aNow)
 {
-  Task& task = TaskAt(aRef);
-  if (task.mPhase == TaskPhase::Waiting) {
+  if (TaskAt(aRef).mPhase == TaskPhase::Waiting) {
     --StepAt(aRef).mWaitingTasks;
   }
   DetachFromWorker(aState, aRef);
-  task.mPhase = aPhase;
+  StepAt(aRef).mTasks.setPhase(aRef.mIndex, aPhase);
+  Task& task = OwnTaskAt(aRef);
   task.mWorker = aWorker;
   task.mPhaseSince = aNow.mMonotonic;
   task.mProgressedAt = aNow.mMonotonic;
@@ -747,20 +744,18 @@
     }
     Step& step = StepAt(FirstTask(ready));
     std::string placed;
-    for (std::uint32_t i = 0; i < step.mTasks.size() && step.mWaitingTasks > 0; ++i) {
-      if (step.mTasks[i].mPhase != TaskPhase::Waiting) {
-        continue;
-      }
+    for (std::uint32_t i = step.mTasks.nextWaiting(0); i < step.mTasks.size();
+         i = step.mTasks.nextWaiting(i + 1)) {
       const TaskRef ref{ ready.mJob, ready.mOccurrence, ready.mStep, i };
       const WorkerNumber worker = BestWorker(aState, ready, queue, i, "", aNow);
       if (worker == kNoWorker) {
-        if (NeedsTrial(ref) || step.mTasks[i].mCrashChange > ready.mJob->mDurableChange) {
+        if (NeedsTrial(ref) || step.mTasks.at(i).mCrashChange > ready.mJob->mDurableChange) {
           continue;
         }
         // All tasks of a step have the same requirements.
         break;
       }
-      const RunNumber run = NextRun(aState, step.mTasks[i]);
+      const RunNumber run = NextRun(aState, step.mTasks.at(i));
       const StepSpec& spec = ready.mJob->mSpec.mSteps[ready.mStep];
       if (spec.mBestEffort && !BestEffortFits(aState, aState.mWorkers[worker], spec)) {
         aState.mWorkers[worker].mForcedPlacementAt = aNow.mMonotonic;
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -110,7 +110,7 @@
 {
   const std::set<TaskRef> tasks = aState.mWorkers[aWorker].mTasks;
   for (const TaskRef& ref : tasks) {
-    Task& task = TaskAt(ref);
+    Task& task = OwnTaskAt(ref);
     if (task.mListedByWorker) {
       continue;
     }
@@ -195,7 +195,7 @@
     return static_cast<std::uint32_t>(TaskAt(aRef).mFailedRuns.size());
   }
   std::uint32_t failures = 0;
-  for (const Task& task : StepAt(aRef).mTasks) {
+  for (const auto& [index, task] : StepAt(aRef).mTasks.own()) {
     failures += static_cast<std::uint32_t>(task.mFailedRuns.size());
   }
   return failures;
@@ -215,12 +215,12 @@
     return;
   }
   Job& job = *ref->mJob;
-  Task& task = TaskAt(*ref);
-  const StepSpec& step = StepSpecOf(*ref);
-  const bool isCurrentRun = task.mRun == aEnd.mRun && task.mWorker == aWorker;
-  if (task.mPhase == TaskPhase::Done) {
+  if (TaskAt(*ref).mPhase == TaskPhase::Done) {
     return;
   }
+  Task& task = OwnTaskAt(*ref);
+  const StepSpec& step = StepSpecOf(*ref);
+  const bool isCurrentRun = task.mRun == aEnd.mRun && task.mWorker == aWorker;
   MarkJobStarted(aState, job);
   if (aEnd.mKind == EndKind::Done && !step.mLongRunning) {
     if (isCurrentRun) {
@@ -286,7 +286,7 @@
          const RunningTask& aRunning,
          const CurrentTime& aNow)
 {
-  Task& task = TaskAt(aRef);
+  Task& task = OwnTaskAt(aRef);
   task.mRun = aRunning.mRun;
   AssignToWorker(aState, aRef, aWorker, TaskPhase::Running, aNow);
   task.mListedByWorker = true;
@@ -305,10 +305,11 @@
     // end with its lease.
     return;
   }
-  Task& task = TaskAt(*ref);
-  const bool isCurrentRun = task.mWorker == aWorker && task.mRun == aRunning.mRun;
-  if (HasEnded(ref->mJob->mState) || task.mPhase == TaskPhase::Done) {
-    if (aNow.mMonotonic - task.mStopOrdered >= aState.mPolicy.mStopRetryInterval) {
+  const Task& before = TaskAt(*ref);
+  const bool isCurrentRun = before.mWorker == aWorker && before.mRun == aRunning.mRun;
+  if (HasEnded(ref->mJob->mState) || before.mPhase == TaskPhase::Done) {
+    if (aNow.mMonotonic - before.mStopOrdered >= aState.mPolicy.mStopRetryInterval) {
+      Task& task = OwnTaskAt(*ref);
       task.mStopOrdered = aNow.mMonotonic;
       isCurrentRun
         ? OrderStop(aState, aState.mWorkers[aWorker].mLifetime, aRunning.mTask, aRunning.mRun)
@@ -316,6 +317,7 @@
     }
     return;
   }
+  Task& task = OwnTaskAt(*ref);
   if (task.mPhase == TaskPhase::Waiting && aRunning.mRun >= task.mRun) {
     AdoptRun(aState, aWorker, *ref, aRunning, aNow);
   }
@@ -364,7 +366,7 @@
 {
   const auto running = RunningRuns(aView);
   for (const TaskRef& ref : aState.mWorkers[aWorker].mTasks) {
-    Task& task = TaskAt(ref);
+    Task& task = OwnTaskAt(ref);
     if (!running.contains({ NameOf(ref), task.mRun })) {
       task.mMissingSince = Timestamp{};
       task.mMissingLists = 0;
@@ -389,7 +391,7 @@
   });
   const std::set<TaskRef> tasks = aState.mWorkers[aWorker].mTasks;
   for (const TaskRef& ref : tasks) {
-    Task& task = TaskAt(ref);
+    Task& task = OwnTaskAt(ref);
     if (listed.contains({ NameOf(ref), task.mRun })) {
       continue;
     }
@@ -548,7 +550,7 @@
 void
 WithdrawStart(SchedulerState& aState, const Order& aStart)
 {
-  Task& task = TaskAt(*FindTask(aState, aStart.mTask));
+  Task& task = OwnTaskAt(*FindTask(aState, aStart.mTask));
   task.mPhase = TaskPhase::Stopping;
   task.mStopOrdered = task.mPhaseSince;
   OrderStop(aState, aStart.mLifetime, aStart.mTask, aStart.mRun);
@@ -712,12 +714,12 @@
   if (!ref) {
     return;
   }
-  Task& task = TaskAt(*ref);
   const auto worker = aState.mWorkerIndex.find(order.mLifetime);
-  if (worker == aState.mWorkerIndex.end() || task.mWorker != worker->second ||
-      task.mRun != order.mRun) {
+  if (worker == aState.mWorkerIndex.end() || TaskAt(*ref).mWorker != worker->second ||
+      TaskAt(*ref).mRun != order.mRun) {
     return;
   }
+  Task& task = OwnTaskAt(*ref);
   Worker& host = aState.mWorkers[task.mWorker];
   if (order.mKind == OrderKind::Throttle) {
     if (aResult == OrderResult::Done) {
@@ -812,7 +814,7 @@
     RepeatStopsOfSupersededRuns(aState, aState.mWorkers[number], aNow);
     const std::set<TaskRef> tasks = aState.mWorkers[number].mTasks;
     for (const TaskRef& ref : tasks) {
-      Task& task = TaskAt(ref);
+      Task& task = OwnTaskAt(ref);
       const WorkerLifetime& lifetime = aState.mWorkers[number].mLifetime;
       if (task.mPhase == TaskPhase::Stopping &&
           aNow.mMonotonic - task.mStopOrdered >= aState.mPolicy.mStopRetryInterval) {
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -132,8 +132,13 @@
 
 Step&
 StepAt(const TaskRef& aRef);
-Task&
+/// The task, to read. References to tasks without an object of their own (TaskTable) are to a
+/// shared one.
+const Task&
 TaskAt(const TaskRef& aRef);
+/// The task's own object, to change it.
+Task&
+OwnTaskAt(const TaskRef& aRef);
 const StepSpec&
 StepSpecOf(const TaskRef& aRef);
 std::optional<TaskRef>
--- a/Source/Core/Scheduling/Throttle.cpp
+++ b/Source/Core/Scheduling/Throttle.cpp
@@ -77,7 +77,7 @@
               const TaskRef& aRef,
               Percent aSpeed)
 {
-  Task& task = TaskAt(aRef);
+  Task& task = OwnTaskAt(aRef);
   task.mOrderedSpeed = aSpeed;
   Order order;
   order.mKind = OrderKind::Throttle;
@@ -205,7 +205,7 @@
   const bool settled = aNow.mMonotonic - aWorker.mNeighboursChangedAt >= aState.mPolicy.mUsageLag;
   const std::vector<Neighbour> neighbours = BestEffortTasksOn(aWorker);
   for (const TaskRef& ref : aWorker.mTasks) {
-    Task& task = TaskAt(ref);
+    Task& task = OwnTaskAt(ref);
     const bool overTarget = HasTarget(ref) && task.mListedByWorker &&
                             static_cast<double>(task.mUsage) > TargetMs(StepSpecOf(ref));
     if (!overTarget) {
@@ -228,7 +228,7 @@
 MovePausedTask(SchedulerState& aState, WorkerNumber aWorker, const CurrentTime& aNow)
 {
   for (const TaskRef& ref : aState.mWorkers[aWorker].mTasks) {
-    Task& task = TaskAt(ref);
+    Task& task = OwnTaskAt(ref);
     const StepSpec& step = StepSpecOf(ref);
     if (!CanThrottle(task, step) || task.mPausedSince == Timestamp{} ||
         aNow.mMonotonic - task.mPausedSince < aState.mPolicy.mMoveAfterPause) {
