A finished step keeps the times of its stop orders

Cause: TaskTable::finish() dropped the time of the last stop order of its tasks, so that a list that still named a superseded run led to a repeated stop within the retry interval.

Change: finish() keeps the objects of done tasks, which exist only where a stop was ordered.

--- a/Source/Core/Scheduling/Task.cpp
+++ b/Source/Core/Scheduling/Task.cpp
@@ -12,12 +12,12 @@
 const Task&
 DoneTask()
 {
-  static const Task task = [] {
+  static const Task kDone = [] {
     Task done;
     done.mPhase = TaskPhase::Done;
     return done;
   }();
-  return task;
+  return kDone;
 }
 
 std::uint64_t
@@ -122,7 +122,7 @@
 {
   mFinished = true;
   mBusyOrDone = {};
-  mOwn.clear();
+  std::erase_if(mOwn, [](const auto& aEntry) { return aEntry.second.mPhase != TaskPhase::Done; });
 }
 
 } // namespace Scheduling
--- a/Source/Core/Scheduling/Task.h
+++ b/Source/Core/Scheduling/Task.h
@@ -101,7 +101,7 @@
   void setPhase(std::uint32_t aIndex, TaskPhase aPhase);
   /// Drops the task's own object if it waits and has nothing to remember.
   void dropIfNew(std::uint32_t aIndex);
-  /// All tasks are done.
+  /// All tasks are done. Those with a stop order keep its time, so that it is not repeated early.
   void finish();
 
 private:
--- a/Source/UnitTests/Scheduling/MemoryTests.cpp
+++ b/Source/UnitTests/Scheduling/MemoryTests.cpp
@@ -101,8 +101,8 @@
   Fixture fixture;
   fixture.addWorker("w1");
   fixture.addJob("first", { MakeStep().tasks(1).build() }, "render");
-  auto runAll = [&, number = std::int64_t{ 0 }](std::uint32_t aTasks) mutable {
-    while (aTasks > 0) {
+  auto runAll = [&, number = std::int64_t{ 0 }](std::size_t aTasks) mutable {
+    for (std::size_t done = 0; done < aTasks;) {
       const std::vector<Order> starts = fixture.place();
       REQUIRE_FALSE(starts.empty());
       fixture.confirm(starts);
@@ -113,7 +113,7 @@
       fixture.report(view);
       Record(fixture);
       fixture.advance(milliseconds(500));
-      aTasks -= static_cast<std::uint32_t>(starts.size());
+      done += starts.size();
     }
   };
   runAll(1);
