--- a/Source/UnitTests/Scheduling/QuarantineTests.cpp
+++ b/Source/UnitTests/Scheduling/QuarantineTests.cpp
@@ -67,10 +67,11 @@
 
   std::size_t tasksAtWork(const Job& aJob) const
   {
-    const auto& tasks = aJob.mOccurrences.at(0).mSteps[0].mTasks;
+    const auto& tasks = aJob.mOccurrences.at(0).mSteps[0].mTasks.own();
     return static_cast<std::size_t>(
-      std::count_if(tasks.begin(), tasks.end(), [](const Task& aTask) {
-        return aTask.mPhase == TaskPhase::Running && aTask.mPercent == Percent{ 100 };
+      std::count_if(tasks.begin(), tasks.end(), [](const auto& aEntry) {
+        const Task& task = aEntry.second;
+        return task.mPhase == TaskPhase::Running && task.mPercent == Percent{ 100 };
       }));
   }
 
