--- a/Source/UnitTests/Node/LostAgentTests.cpp
+++ b/Source/UnitTests/Node/LostAgentTests.cpp
@@ -110,7 +110,7 @@
 } // namespace
 
 TEST_CASE("Tasks of a lost agent do not wait for the outage grace of a crashed coordinator",
-          "[Node]")
+          "[Node][Takeover]")
 {
   // The record of the worker did not say that its lease was not extended any more, so each new
   // coordinator counted the lease from the end of the grace
@@ -138,7 +138,8 @@
   }
 }
 
-TEST_CASE("A suspension by an earlier coordinator than the last one does not hold", "[Node]")
+TEST_CASE("A suspension by an earlier coordinator than the last one does not hold",
+          "[Node][Takeover]")
 {
   // The last coordinator may be of a version that does not know suspensions.
   LostAgentFixture fixture;
@@ -154,7 +155,7 @@
   REQUIRE_FALSE(fixture.startsWithin(other, kWorkerLease + kStartSlack));
 }
 
-TEST_CASE("An agent that comes back keeps the runs of its worker", "[Node]")
+TEST_CASE("An agent that comes back keeps the runs of its worker", "[Node][Takeover]")
 {
   LostAgentFixture fixture;
   using Mode = FakeStore::Mode;
@@ -240,7 +241,7 @@
   REQUIRE(fixture.suspendedTerm() == 0);
 }
 
-TEST_CASE("A suspended lease is not extended before the store knows", "[Node]")
+TEST_CASE("A suspended lease is not extended before the store knows", "[Node][Takeover]")
 {
   LostAgentFixture fixture;
   fixture.mCluster.kill("agent-lost");
@@ -273,7 +274,8 @@
   }
 }
 
-TEST_CASE("The leases of many agents that are lost at once are suspended together", "[Node]")
+TEST_CASE("The leases of many agents that are lost at once are suspended together",
+          "[Node][Takeover]")
 {
   LostAgentFixture fixture;
   std::vector<std::string> names;
--- a/Source/UnitTests/Node/RecoveryLeaseTests.cpp
+++ b/Source/UnitTests/Node/RecoveryLeaseTests.cpp
@@ -93,7 +93,7 @@
 
 } // namespace
 
-TEST_CASE("A lease that was extended during the recovery is waited for", "[Node]")
+TEST_CASE("A lease that was extended during the recovery is waited for", "[Node][Takeover]")
 {
   // The new coordinator extended leases while it read its records, and counted them from the start
   // of its term.
@@ -117,7 +117,7 @@
   REQUIRE_FALSE(fixture.runsTwiceWithin(kWorkerLease));
 }
 
-TEST_CASE("The record of a worker that was lost during the recovery is erased", "[Node]")
+TEST_CASE("The record of a worker that was lost during the recovery is erased", "[Node][Takeover]")
 {
   // The last report of its agent was applied after the agent was lost, so that the worker counted
   // as connected for the rest of the term, and the next coordinator waited for it.
--- a/Source/UnitTests/Node/TakeoverWaitTests.cpp
+++ b/Source/UnitTests/Node/TakeoverWaitTests.cpp
@@ -114,7 +114,8 @@
 
 } // namespace
 
-TEST_CASE("Recovered tasks do not wait for a coordinator whose process has ended", "[Node]")
+TEST_CASE("Recovered tasks do not wait for a coordinator whose process has ended",
+          "[Node][Takeover]")
 {
   // A crashed coordinator counted as one that acts without the store although its instance had
   // started again (docs/incidents/grown-lost-after-crash.md).
@@ -172,7 +173,7 @@
   }
 }
 
-TEST_CASE("Recovered tasks wait for a coordinator that may still act", "[Node]")
+TEST_CASE("Recovered tasks wait for a coordinator that may still act", "[Node][Takeover]")
 {
   LostWorkerCluster cluster;
 
@@ -246,7 +247,7 @@
   }
 }
 
-TEST_CASE("Facts about ended coordinators do not pile up in the store", "[Node]")
+TEST_CASE("Facts about ended coordinators do not pile up in the store", "[Node][Takeover]")
 {
   LostWorkerCluster cluster;
   for (int takeover = 0; takeover < 3; ++takeover) {
--- a/cmake/Ibis.cmake
+++ b/cmake/Ibis.cmake
@@ -46,16 +46,24 @@
   set(${result} "${arguments}" PARENT_SCOPE)
 endfunction()
 
-# ibis_tests(Library [DEPS targets...]): the tests of Source/UnitTests/<Library>, one executable and one ctest entry.
+# ibis_tests(Library [DEPS targets...] [APART tags...]): the tests of Source/UnitTests/<Library>, one executable. Those with
+# a tag of APART have a ctest entry of their own, so that they run beside the others.
 function(ibis_tests library)
-  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;APART" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cpp *.h)
   add_executable(${library}Tests ${sources})
   target_include_directories(${library}Tests PRIVATE ${PROJECT_SOURCE_DIR}/Source)
   target_compile_options(${library}Tests PRIVATE ${IBIS_WARNINGS})
   target_link_libraries(${library}Tests PRIVATE ${ARG_DEPS} TestMain Catch2::Catch2 rapidcheck)
   ibis_known_red(${library} passed_over)
-  add_test(NAME ${library} COMMAND ${library}Tests ${passed_over})
+  set(names ${library})
+  set(others "")
+  foreach(tag IN LISTS ARG_APART)
+    add_test(NAME ${library}.${tag} COMMAND ${library}Tests "[${tag}]" ${passed_over})
+    list(APPEND names ${library}.${tag})
+    list(APPEND others "~[${tag}]")
+  endforeach()
+  add_test(NAME ${library} COMMAND ${library}Tests ${others} ${passed_over})
   # A fixed seed gives the same verdict on each run; the long schedules use other seeds on purpose.
-  set_tests_properties(${library} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+  set_tests_properties(${names} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
 endfunction()
