Log why a coordinator pauses

Whether it resigned or saw a later term, which tells two hypotheses apart, could only be guessed. The line now has the reason.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -106,7 +106,7 @@
 }
 
 void
-Coordinator::pause()
+Coordinator::pause(std::string_view aReason)
 {
   ++mCallGeneration;
   mFlushInProgress = false;
@@ -123,7 +123,10 @@
   } else if (mPhase == Phase::Recovering) {
     mPhase = Phase::Idle;
   }
-  Log(Level::Warning, "coordinator", "paused", { { "term", std::to_string(mTerm.value()) } });
+  Log(Level::Warning,
+      "coordinator",
+      "paused",
+      { { "term", std::to_string(mTerm.value()) }, { "reason", std::string(aReason) } });
 }
 
 void
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -38,8 +38,9 @@
   void startTerm(Common::Epoch aTerm);
   /// Continues the term after pause(); starts it anew if it was paused before the recovery ended.
   void resume();
-  /// Suspends orders, lease extensions and answers until resume() or startTerm().
-  void pause();
+  /// Suspends orders, lease extensions and answers until resume() or startTerm(). aReason is for
+  /// the log.
+  void pause(std::string_view aReason);
   /// Drops all state and connections; to be called when another process has a higher term.
   void endTerm();
   /// True if another entry that can become the coordinator is connected.
--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -114,14 +114,14 @@
     }
     if (aRecord && aRecord->nonce != mNonce) {
       if (aRecord->term > mTerm.value()) {
-        stepDown(true);
+        stepDown(true, "another process has a later term");
       }
       return;
     }
     if (!aRecord) {
       if (mRole == Role::Leader) {
         log("the coordinator key expired or was erased");
-        stepDown(false);
+        stepDown(false, "the key is gone");
       }
       scheduleClaim();
     }
@@ -387,7 +387,7 @@
     }
     if (!mayAct()) {
       log("the coordinator lease was not renewed in time");
-      stepDown(false);
+      stepDown(false, "the lease was not renewed in time");
       scheduleClaim();
       return;
     }
@@ -405,7 +405,7 @@
             sent + self->mLeaseTimeToLive - self->mContext.mTiming.mLeaseSafetyMargin;
         } else if (aResult.error() == Store::StoreError::LeaseLapsed) {
           self->log("the coordinator lease expired");
-          self->stepDown(false);
+          self->stepDown(false, "the lease expired");
           self->mKeyExists = false;
           self->scheduleClaim();
           return;
@@ -423,7 +423,7 @@
     mStoreSilent = aSilent;
   }
 
-  void stepDown(bool aSuperseded)
+  void stepDown(bool aSuperseded, std::string_view aReason)
   {
     mStoreSilent = false;
     const bool wasLeader = mRole == Role::Leader;
@@ -431,7 +431,7 @@
       mRole = Role::Follower;
     }
     if (wasLeader) {
-      mEvents.mPaused();
+      mEvents.mPaused(aReason);
     }
     if (aSuperseded && mStateIsCurrent) {
       mStateIsCurrent = false;
@@ -453,7 +453,7 @@
   void resign(std::function<void()> aDone)
   {
     const bool wasLeader = mRole == Role::Leader;
-    stepDown(true);
+    stepDown(true, "it resigned");
     mRole = Role::Resigned;
     const auto done = [self = shared_from_this(), onResigned = std::move(aDone)] {
       if (!self->mStopped) {
@@ -634,7 +634,7 @@
 {
   if (mCore->mRole == Core::Role::Leader) {
     mCore->log("a write conflict suggests that another process holds the coordinator key");
-    mCore->stepDown(false);
+    mCore->stepDown(false, "a write conflicted");
     mCore->scheduleClaim();
   }
 }
--- a/Source/Core/Node/Election.h
+++ b/Source/Core/Node/Election.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "Node/Context.h"
 #include "Wire/Codec.h"
@@ -19,8 +20,8 @@
     /// This process became the coordinator. aResumed is true if it continues its last term, with no
     /// other coordinator in between, so that its state is still valid.
     std::function<void(Common::Epoch aTerm, bool aResumed)> mElected;
-    /// This process must not act as coordinator until it is elected again.
-    std::function<void()> mPaused;
+    /// This process must not act as coordinator until it is elected again. aReason is for the log.
+    std::function<void(std::string_view aReason)> mPaused;
     /// Another process took a higher term; the coordinator's state is no longer valid.
     std::function<void()> mSuperseded;
   };
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -30,7 +30,7 @@
               { [this](Common::Epoch aTerm, bool aResumed) {
                  aResumed ? mCoordinator.resume() : mCoordinator.startTerm(aTerm);
                },
-                [this] { mCoordinator.pause(); },
+                [this](std::string_view aReason) { mCoordinator.pause(aReason); },
                 [this] { mCoordinator.endTerm(); } })
   , mCoordinator(aContext, mElection)
   , mCallerServer(aContext.mIo,
