A coordinator without the store does not restart tasks that the next one has taken over

Cause: while the store does not answer it, a coordinator goes on for 5 s with the agents that it still has. The next coordinator waits for that before it restarts anything. The earlier one counted the lease of a worker as ended 5.15 s after the last report of its agent, although the agent had left it for the next coordinator, which extended the lease. It then restarted the tasks on the workers whose agents had stayed; these do not know the later term, so that nothing refuses the starts.

Change: the end of a worker's lease counts only if it is not later than the end of the coordinator's own lease, until which nobody else can have extended it. The same holds for workers that a new coordinator waits for.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -418,6 +418,7 @@
   if (!isWorking() || !mElection.mayAct()) {
     return;
   }
+  mState.mSoleUntil = mElection.leaseValidUntil();
   const auto now = mContext.steadyAndUnixNow();
   if (IsLimited(mOrderShare)) {
     Scheduling::StartBudget budget = startBudget(now.mMonotonic);
@@ -520,6 +521,7 @@
       recordLoad(planned);
       if (isWorking() && mElection.mayAct()) {
         acceptHeldSubmissions();
+        mState.mSoleUntil = mElection.leaseValidUntil();
         const auto now = mContext.steadyAndUnixNow();
         Scheduling::CheckTimeouts(mState, now);
         Scheduling::ThrottleTasks(mState, now);
--- a/Source/Core/Node/Election.cpp
+++ b/Source/Core/Node/Election.cpp
@@ -581,6 +581,12 @@
   return mCore->isLeaseValid();
 }
 
+Timestamp
+Election::leaseValidUntil() const
+{
+  return mCore->mLeaseValidUntil;
+}
+
 Common::Epoch
 Election::term() const
 {
--- a/Source/Core/Node/Election.h
+++ b/Source/Core/Node/Election.h
@@ -42,6 +42,8 @@
   /// True while no other process can be coordinator. False during the time for which a coordinator
   /// goes on without an answer of the store, although mayAct() is true then.
   bool isLeaseValid() const;
+  /// While this process is the coordinator, no later one acts before this time.
+  Timestamp leaseValidUntil() const;
   Common::Epoch term() const;
   /// Precondition of the coordinator's writes: the key is still the one that this process wrote.
   Store::Expectation fencingCondition() const;
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -528,12 +528,19 @@
   aState.mWorkers[number].mTailRooms.reset();
 }
 
+/// True if the worker's lease has ended and no coordinator can have extended it.
+bool
+HasLeaseExpired(const SchedulerState& aState, const Worker& aWorker, const CurrentTime& aNow)
+{
+  return aWorker.mLeaseEnd <= aNow.mMonotonic && aWorker.mLeaseEnd <= aState.mSoleUntil;
+}
+
 /// True while tasks of recovered jobs may run on the worker, which has not reported in this term.
 bool
-IsAwaited(const Worker& aWorker, const CurrentTime& aNow)
+IsAwaited(const SchedulerState& aState, const Worker& aWorker, const CurrentTime& aNow)
 {
   return aWorker.mRecorded && !aWorker.mHasTaskList && !aWorker.mLifetimeEnded &&
-         aWorker.mLeaseEnd > aNow.mMonotonic;
+         !HasLeaseExpired(aState, aWorker, aNow);
 }
 
 /// Orders stops of the runs that are not confirmed, because the agent may send their starts as soon
@@ -840,7 +847,7 @@
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     const Worker& worker = aState.mWorkers[number];
     if ((!worker.mTasks.empty() || !worker.mSupersededRuns.empty()) &&
-        worker.mLeaseEnd <= aNow.mMonotonic) {
+        HasLeaseExpired(aState, worker, aNow)) {
       WithdrawStarts(aState, number);
       LoseRuns(aState, number, "its lease expired", aNow);
     }
@@ -895,7 +902,7 @@
 AwaitsRecordedWorkers(const SchedulerState& aState, const CurrentTime& aNow)
 {
   return std::any_of(aState.mWorkers.begin(), aState.mWorkers.end(), [&](const Worker& aWorker) {
-    return IsAwaited(aWorker, aNow);
+    return IsAwaited(aState, aWorker, aNow);
   });
 }
 
@@ -904,7 +911,7 @@
 {
   AwaitedWorkers awaited;
   for (const Worker& worker : aState.mWorkers) {
-    if (IsAwaited(worker, aNow)) {
+    if (IsAwaited(aState, worker, aNow)) {
       ++awaited.mCount;
       awaited.mLeaseEnd = std::max(awaited.mLeaseEnd, worker.mLeaseEnd);
     }
@@ -926,7 +933,7 @@
 LimitAwaitedLeases(SchedulerState& aState, Timestamp aLeaseEnd, const CurrentTime& aNow)
 {
   for (Worker& worker : aState.mWorkers) {
-    if (IsAwaited(worker, aNow)) {
+    if (IsAwaited(aState, worker, aNow)) {
       worker.mLeaseEnd = std::min(worker.mLeaseEnd, aLeaseEnd);
     }
   }
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -325,6 +325,9 @@
 struct SchedulerState
 {
   Policy mPolicy;
+  /// No later coordinator acts before this time. A worker's lease that ends after it may have been
+  /// extended by one.
+  Timestamp mSoleUntil = Timestamp::max();
   /// Run numbers of this term are higher.
   RunNumber mRunBase;
   /// The queues of all tables that were in force in this term, with their last values. Use
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -251,6 +251,48 @@
   }
 }
 
+TEST_CASE("A lease that a later coordinator may have extended does not end", "[Scheduling]")
+{
+  // A coordinator without the store restarted the tasks of workers that had left it for the next
+  // one.
+  Fixture fixture;
+
+  SECTION("with the runs on its worker")
+  {
+    fixture.addWorker("w1");
+    fixture.addJob("a", { MakeStep().build() });
+    fixture.confirm(fixture.place());
+    fixture.addWorker("w2");
+    MarkAgentDisconnected(fixture.mState, Common::InstanceId("agent-w1"));
+    fixture.mState.mSoleUntil = fixture.worker("w1").mLeaseEnd - milliseconds(1);
+  }
+
+  SECTION("for a new coordinator that waits for the worker")
+  {
+    const Timestamp leaseEnd = fixture.now().mMonotonic + milliseconds(5000);
+    AddRecordedWorker(fixture.mState, fixture.view("w1"), Common::InstanceId("agent-w1"), leaseEnd);
+    JobSpec spec;
+    spec.mJob = JobId("a");
+    spec.mQueue = Common::RouteId("quote");
+    spec.mSteps = { MakeStep().build() };
+    AddJob(fixture.mState, spec, nullptr, true, fixture.now());
+    fixture.addWorker("w2");
+    fixture.mState.mSoleUntil = leaseEnd - milliseconds(1);
+  }
+
+  fixture.advance(milliseconds(6000));
+  fixture.report(fixture.view("w2"));
+  CheckTimeouts(fixture.mState, fixture.now());
+  REQUIRE(fixture.place().empty());
+
+  // The store answers again, and the coordinator's key was there all the while.
+  fixture.mState.mSoleUntil = fixture.now().mMonotonic + milliseconds(1000);
+  CheckTimeouts(fixture.mState, fixture.now());
+  const auto starts = fixture.place();
+  REQUIRE(starts.size() == 1);
+  REQUIRE(starts[0].mLifetime.mWorker.str() == "w2");
+}
+
 TEST_CASE("A task whose start was repeated is not started elsewhere while its run may exist",
           "[Scheduling]")
 {
