Test the end of an outage with a lease that ends after the coordinator's own

In its place: leases of the store pause in the outage, the worker's lease ends after the coordinator's own, nothing starts during the outage, and the tasks start once the store answers. It fails with the condition on mSoleUntil taken out (the tasks start during the outage).

--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -37,6 +37,8 @@
 
   Mode mMode = Mode::Normal;
   std::size_t mCalls = 0;
+  /// No lease expires, as in an outage of the store in which their time does not count.
+  bool mLeasesPause = false;
 
   void applyDelayedWrites()
   {
@@ -253,6 +255,9 @@
 
   void expireLeases()
   {
+    if (mLeasesPause) {
+      return;
+    }
     const auto now = std::chrono::steady_clock::now();
     std::vector<std::string> gone;
     for (const auto& [key, lease] : mLeaseOfKey) {
@@ -342,18 +347,38 @@
   bool mRejecting = false;
   /// Prefix whose pages and watches are served nevertheless; none if empty.
   std::string mServedPrefix;
+  /// Pages of this prefix are read at once and answered by releasePages().
+  std::string mHeldPrefix;
+  std::vector<std::function<void()>> mHeldPages;
+  void releasePages()
+  {
+    mHeldPrefix.clear();
+    const auto pages = std::exchange(mHeldPages, {});
+    for (const auto& page : pages) {
+      page();
+    }
+  }
+  /// While the store rejects the calls, it serves reads of all keys but this one; none if empty.
+  std::string mServesReadsBut;
 
   void read(const std::string& aKey,
             Duration aTimeout,
             std::function<void(Store::Result<std::optional<Store::Entry>>)> aDone) override
   {
-    mRejecting ? reject(aDone) : mStore.read(aKey, aTimeout, onProcess(aDone));
+    rejects(aKey) ? reject(aDone) : mStore.read(aKey, aTimeout, onProcess(aDone));
   }
   void readPage(const std::string& aPrefix,
                 const std::string& aAfter,
                 Duration aTimeout,
                 Store::Done<Store::Page> aDone) override
   {
+    if (!rejects(aPrefix) && aPrefix == mHeldPrefix) {
+      mStore.readPage(
+        aPrefix, aAfter, aTimeout, [this, aDone](const Store::Result<Store::Page>& aPage) {
+          mHeldPages.push_back([this, aDone, aPage] { onProcess(aDone)(aPage); });
+        });
+      return;
+    }
     rejects(aPrefix) ? reject(aDone) : mStore.readPage(aPrefix, aAfter, aTimeout, onProcess(aDone));
   }
   void watch(
@@ -401,7 +426,8 @@
 private:
   bool rejects(const std::string& aPrefix) const
   {
-    return mRejecting && (mServedPrefix.empty() || aPrefix != mServedPrefix);
+    return mRejecting && (mServedPrefix.empty() || aPrefix != mServedPrefix) &&
+           (mServesReadsBut.empty() || aPrefix == mServesReadsBut);
   }
 
   template<typename Value>
--- a/Source/UnitTests/Node/OutageGraceTests.cpp
+++ b/Source/UnitTests/Node/OutageGraceTests.cpp
@@ -89,19 +89,25 @@
   }
 }
 
-TEST_CASE("Tasks of a worker that is lost during an outage of the store start again after it",
+TEST_CASE("Tasks of a worker that is lost in an outage of the store start again once it answers",
           "[Node][Takeover]")
 {
   OutageCluster cluster;
-  for (const auto* name : { "e1", "e2", "agent-first", "agent-other" }) {
-    cluster.cutOffFromStore(name, true);
-  }
-  // Nobody can be elected while the key is there.
+  const auto rejectAll = [&cluster](bool aRejects) {
+    for (auto& [name, process] : cluster.mProcesses) {
+      process.mStoreProxy->mRejecting = aRejects;
+    }
+  };
+  cluster.mStore.mLeasesPause = true;
+  rejectAll(true);
+  cluster.run(900ms);
   cluster.kill("agent-first");
-  cluster.run(kWorkerLease + 700ms);
-  for (const auto* name : { "e1", "e2", "agent-other" }) {
-    cluster.cutOffFromStore(name, false);
-  }
-  REQUIRE(cluster.runUntil([&] { return cluster.mOther->mStarts == 2; }, 15s));
-  REQUIRE(cluster.tasksRunningTwice().empty());
+  // Both the lease of the worker and the one of the coordinator have ended, the worker's last.
+  cluster.run(kWorkerLease + 1000ms);
+  cluster.mFirst->endDueRuns();
+  REQUIRE(cluster.mFirst->mRunning.empty());
+  REQUIRE(cluster.mOther->mStarts == 0);
+  rejectAll(false);
+  REQUIRE(cluster.runUntil([&] { return cluster.mOther->mStarts == 2; }, 3s));
+  REQUIRE(cluster.coordinatorInstance() == "e1");
 }
