Runs that nobody reports do not count as standing still

What callers saw: tasks of an agent that was frozen for four seconds, less than a lease, were stopped and started elsewhere, and its worker was counted as failing. Settings.h promises that tasks survive such a freeze.

Cause: the check for runs without progress did not look at whether anybody reports the worker.

Change: it does, and the time begins anew once the agent is back. The test "Runs that nobody reports do not count as standing still" failed before.

--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -380,6 +380,15 @@
   return runs;
 }
 
+/// The time in which nobody reported the worker's runs does not count as one without progress.
+void
+ResumeProgressChecks(const Worker& aWorker, const CurrentTime& aNow)
+{
+  for (const TaskRef& ref : aWorker.mTasks) {
+    OwnTaskAt(ref).mProgressedAt = aNow.mMonotonic;
+  }
+}
+
 /// A run that is not listed may have ended with an end that the worker does not list yet. It counts
 /// neither as missing nor as standing still before the worker lists all its ends.
 void
@@ -489,6 +498,9 @@
       worker.mResponding != aView.mResponding) {
     ++aState.mPlaceableChanges;
   }
+  if (!worker.mConnected) {
+    ResumeProgressChecks(worker, aNow);
+  }
   worker.mAgent = aAgent;
   CopyDescription(worker, aView);
   if (aView.mLeaving && !worker.mLeaving) {
@@ -877,7 +889,8 @@
       const StepSpec& step = StepSpecOf(ref);
       const Duration perPercent = ExpectedRunTime(aState, *ref.mJob, ref.mStep) / 100;
       const bool stalled =
-        task.mListedByWorker && !step.mLongRunning && !step.mBestEffort && !step.mGang &&
+        worker.mConnected && task.mListedByWorker && !step.mLongRunning && !step.mBestEffort &&
+        !step.mGang &&
         aNow.mMonotonic - task.mProgressedAt >= aState.mPolicy.mStallTime + perPercent * 30;
       if (!missing && !stalled) {
         continue;
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -591,6 +591,39 @@
   REQUIRE(fixture.place().empty());
 }
 
+TEST_CASE("Runs that nobody reports do not count as standing still", "[Scheduling]")
+{
+  // Runs of an agent that was frozen for less than a lease were stopped and started elsewhere.
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addJob("a", { MakeStep().build() });
+  const auto starts = fixture.place();
+  fixture.confirm(starts);
+  auto view = fixture.view("w1");
+  view.mRunning = { Fixture::running(starts[0]) };
+  fixture.report(view);
+  MarkAgentDisconnected(fixture.mState, Common::InstanceId("agent-w1"));
+
+  fixture.advance(milliseconds(4900));
+  CheckTimeouts(fixture.mState, fixture.now());
+  REQUIRE(fixture.takeOrders().empty());
+
+  SECTION("nor directly after their agent is back")
+  {
+    fixture.report(view);
+    CheckTimeouts(fixture.mState, fixture.now());
+    REQUIRE(fixture.takeOrders().empty());
+
+    // They are watched again from then on.
+    for (int i = 0; i < 5; ++i) {
+      fixture.advance(milliseconds(1000));
+      fixture.report(view);
+    }
+    CheckTimeouts(fixture.mState, fixture.now());
+    REQUIRE(fixture.takeOrders().size() == 1);
+  }
+}
+
 TEST_CASE("A faulty worker is told from a faulty task", "[Scheduling]")
 {
   Fixture fixture;
