A recovery ends only while the coordinator's lease is valid

What callers would see: a job that the next coordinator has started runs a second time at the same time (TWICE).

Cause: a coordinator that loses the store during its recovery goes on once the store answers its reads. Their progress was not in the records that it had read before, and with no worker awaited they start at once.

--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -271,6 +271,11 @@
 Coordinator::handleJobSnapshot(const std::vector<Store::Entry>& aEntries)
 {
   const bool first = mPhase == Phase::Recovering;
+  if (first && !mElection.isLeaseValid()) {
+    // The next coordinator may have started jobs that are newer than the progress read before.
+    retryRead(kJobPrefix, &Coordinator::watchJobs);
+    return;
+  }
   for (const Store::Entry& entry : aEntries) {
     handleJobEntry(entry, first);
   }
--- a/Source/UnitTests/Node/RecoveryLeaseTests.cpp
+++ b/Source/UnitTests/Node/RecoveryLeaseTests.cpp
@@ -130,3 +130,59 @@
   REQUIRE(fixture.mCluster.runUntil([&] { return fixture.mOther->mStarts == 2; }, 30s));
   REQUIRE(fixture.mCluster.runUntil([&] { return !fixture.mCluster.mStore.contains(key); }, 6s));
 }
+
+TEST_CASE("A coordinator that ends its recovery without a valid lease does not start new jobs",
+          "[Node][Takeover]")
+{
+  // The jobs of its first snapshot counted as recovered, although the progress of a job that was
+  // submitted after the next coordinator took over had not been read.
+  TestCluster cluster;
+  const auto termInStore = [&] {
+    const auto value = cluster.mStore.value(kCoordinatorKey);
+    return value ? Wire::Decode<Wire::CoordinatorRecord>(*value)->term : 0;
+  };
+  cluster.addEntry("e1");
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e1"; }, 4s));
+  FakeWorker& first = cluster.addWorker("first");
+  FakeWorker& second = cluster.addWorker("second");
+  first.mTaskTime = 60s;
+  second.mTaskTime = 60s;
+  REQUIRE(cluster.runUntil(
+    [&] { return first.mHighestTerm.value() > 0 && second.mHighestTerm.value() > 0; }, 3s));
+  cluster.run(500ms);
+
+  // The instance is coordinator again, and the store stops answering it during the recovery.
+  cluster.kill("e1");
+  cluster.mOnSwitch = [&](const std::string&) {
+    const auto e1 = cluster.mProcesses.find("e1");
+    if (e1 != cluster.mProcesses.end() && termInStore() == 2) {
+      e1->second.mStoreProxy->mRejecting = true;
+    }
+  };
+  cluster.addEntry("e1");
+  REQUIRE(cluster.runUntil([&] { return termInStore() == 2; }, 4s));
+  REQUIRE(cluster.runUntil(
+    [&] { return first.mHighestTerm.value() == 2 && second.mHighestTerm.value() == 2; }, 2s));
+  cluster.mProcesses.at("agent-first").mStoreProxy->mRejecting = true;
+
+  // The next coordinator starts a new job on the worker whose agent it has.
+  cluster.addEntry("e2");
+  REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e2"; }, 4s));
+  REQUIRE(cluster.runUntil([&] { return second.mHighestTerm.value() == 3; }, 2s));
+  REQUIRE(first.mHighestTerm.value() == 2);
+  Wire::JobRecord record;
+  record.job = "a";
+  record.queue = "quote";
+  record.acceptedUnixMs = cluster.mClock.unixNow().count();
+  Wire::StepSpec step;
+  step.tasks = 2;
+  step.milliCores = 1000;
+  step.estimateMs = 100;
+  record.steps = { step };
+  cluster.mStore.put(SubmissionKey(Common::JobId("a")), Wire::Encode(record));
+  REQUIRE(cluster.runUntil([&] { return second.mStarts == 2; }, 2s));
+
+  // The earlier one can read its records before it sees that it has been replaced.
+  cluster.mProcesses.at("e1").mStoreProxy->mServesReadsBut = kCoordinatorKey;
+  REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 1500ms));
+}
