A page that is older than the removal of an ended job does not bring the job back

What callers would see: all tasks of a job run again, 180 s or more after its end.

Cause: when the watch of the jobs fails, the coordinator reads the pages again. A page that was read before the records of an ended job were erased, and that arrives after, contains the job; the coordinator has forgotten it and takes it for new.

Change: the coordinator keeps the version of the removal until an answer of at least that version has arrived, and ignores older entries.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -146,6 +146,7 @@
   mWorkerCursor.clear();
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
+  mRemovedJobs.clear();
   mHeldSubmissions.clear();
   mEarlyReports.clear();
   mExtendedInRecovery.clear();
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -148,7 +148,10 @@
   void readModel();
   void readProgress();
   void watchJobs();
-  void handleJobSnapshot(const std::vector<Store::Entry>& aEntries);
+  void handleJobSnapshot(const std::vector<Store::Entry>& aEntries, Store::Version aAt);
+  /// Forgets the removed jobs whose entries no answer of the store can contain any more, now that
+  /// one of this version has arrived.
+  void forgetRemovedJobs(Store::Version aUpTo);
   void handleJobEntry(const Store::Entry& aEntry, bool aRecovered);
   /// Handles the submissions that arrived while the lease was not valid, if it is valid now.
   void acceptHeldSubmissions();
@@ -231,6 +234,9 @@
   std::string mProgressCursor;
   /// Jobs whose cancellation was seen before their submission.
   std::unordered_set<Common::JobId> mCancelledBeforeSubmission;
+  /// Jobs whose records were erased, with the version at which they were. Pages that were read
+  /// before may still contain their entries.
+  std::unordered_map<Common::JobId, Store::Version> mRemovedJobs;
   /// Submissions that were read while the lease was not valid. Another coordinator may have started
   /// their tasks.
   std::vector<Store::Entry> mHeldSubmissions;
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -442,6 +442,7 @@
                           }
                           for (const auto& id : removedJobs) {
                             Scheduling::RemoveJob(mState, id);
+                            mRemovedJobs[id] = *aResult;
                           }
                         });
 }
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -255,20 +255,21 @@
     mContext,
     kJobPrefix,
     mContext.mTiming.mWatchWait,
-    PrefixWatcher::Events{ [this](const std::vector<Store::Entry>& aEntries, Store::Version) {
-                            handleJobSnapshot(aEntries);
+    PrefixWatcher::Events{ [this](const std::vector<Store::Entry>& aEntries, Store::Version aAt) {
+                            handleJobSnapshot(aEntries, aAt);
                           },
                            [this](const Store::WatchResult& aResult) {
                              for (const Store::Entry& entry : aResult.mChanged) {
                                handleJobEntry(entry, false);
                              }
+                             forgetRemovedJobs(aResult.mUpTo);
                              schedulePlacement();
                            } });
   mJobWatcher->start();
 }
 
 void
-Coordinator::handleJobSnapshot(const std::vector<Store::Entry>& aEntries)
+Coordinator::handleJobSnapshot(const std::vector<Store::Entry>& aEntries, Store::Version aAt)
 {
   const bool first = mPhase == Phase::Recovering;
   if (first && !mElection.isLeaseValid()) {
@@ -279,6 +280,7 @@
   for (const Store::Entry& entry : aEntries) {
     handleJobEntry(entry, first);
   }
+  forgetRemovedJobs(aAt);
   if (first) {
     startWork();
   }
@@ -311,6 +313,10 @@
   if (mState.mJobs.contains(key->mJob)) {
     return;
   }
+  const auto removed = mRemovedJobs.find(key->mJob);
+  if (removed != mRemovedJobs.end() && aEntry.mVersion < removed->second) {
+    return;
+  }
   if (!aRecovered && !mElection.isLeaseValid()) {
     mHeldSubmissions.push_back(aEntry);
     return;
@@ -351,6 +357,12 @@
   }
 }
 
+void
+Coordinator::forgetRemovedJobs(Store::Version aUpTo)
+{
+  std::erase_if(mRemovedJobs, [aUpTo](const auto& aRemoved) { return aRemoved.second <= aUpTo; });
+}
+
 void
 Coordinator::acceptHeldSubmissions()
 {
