A stopping entry answers what it has read before its process ends

Cause: the process ended at that moment whatever was open. It accepted and read until then.

Evidence: a separate process, 24 callers that keep their connections open, grace 3 s, one SIGTERM.

Change: 0.5 s before that moment the entry takes no new connections and rejects new requests. JobApi keeps the open requests and answers them 0.2 s later: 503, or 504 if a write is in progress or was not answered, and makes no write for a request that has its answer. 0.1 s before the end reading stops, and the process ends once that has been so for 0.1 s, also if it was held up. A request that was read together with the one before it is answered as well; the answer before it no longer closes the connection. A cancellation whose earlier write may have taken effect got 503 when a later one was rejected; it gets 504.

StoreServer takes transactions and watches and may be slow or silent; it still serves the tests that used it.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -48,6 +48,7 @@
   std::set<Session*> mSessions;
   std::size_t mPending = 0;
   bool mClosing = false;
+  bool mReadingEnded = false;
 };
 
 namespace {
@@ -72,10 +73,16 @@
   /// may not have run yet.
   void closeIfIdle()
   {
-    if (mIdle && mBuffer.size() == 0) {
+    if (mState == State::Idle) {
       mClosesIfAborted = true;
-      ErrorCode ignored;
-      mStream.socket().cancel(ignored);
+      cancelRead();
+    }
+  }
+  /// What a read has taken in is not lost: its handler may still run.
+  void stopReading()
+  {
+    if (mState == State::Idle || mState == State::Reading) {
+      cancelRead();
     }
   }
   void close()
@@ -85,12 +92,28 @@
   }
 
 private:
+  enum class State
+  {
+    /// No byte of a request was read.
+    Idle,
+    Reading,
+    Answering,
+    /// The last answer was sent.
+    Draining,
+  };
+
+  void cancelRead()
+  {
+    ErrorCode ignored;
+    mStream.socket().cancel(ignored);
+  }
+
   void readHeader()
   {
     mParser.emplace();
     mParser->header_limit(mCore->mLimits.mHeaderBytes);
     mParser->body_limit(mCore->mLimits.mBodyBytes);
-    mIdle = true;
+    mState = mBuffer.size() > 0 ? State::Reading : State::Idle;
     mStream.expires_after(mBuffer.size() > 0 ? mCore->mLimits.mRequestTime
                                              : mCore->mLimits.mIdleTime);
     readHeaderBytes();
@@ -110,6 +133,10 @@
       reject(431, "the header fields are too large");
       return;
     }
+    if (mCore->mReadingEnded) {
+      close();
+      return;
+    }
     mStream.async_read_some(mBuffer.prepare(kReadBytes),
                             [self = shared_from_this()](ErrorCode aError, std::size_t aSize) {
                               if (aError == Asio::error::operation_aborted &&
@@ -120,7 +147,7 @@
                               if (aError) {
                                 return;
                               }
-                              self->mIdle = false;
+                              self->mState = State::Reading;
                               self->mClosesIfAborted = false;
                               self->mBuffer.commit(aSize);
                               self->readHeaderBytes();
@@ -135,7 +162,7 @@
 
   void takeHeaderBytes(std::string_view aHeader)
   {
-    mIdle = false;
+    mState = State::Reading;
     if (aHeader.find("\n ") != std::string_view::npos ||
         aHeader.find("\n\t") != std::string_view::npos) {
       reject(400, "a header line is folded");
@@ -224,6 +251,7 @@
     }
     mKeepAlive = message.keep_alive();
     mVersion = message.version();
+    mState = State::Answering;
     // The handler decides how long an answer may take.
     mStream.expires_never();
     ++mCore->mPending;
@@ -246,6 +274,7 @@
 
   void respond(HttpResponse aResponse)
   {
+    mState = State::Answering;
     mResponse =
       Http::response<Http::string_body>(static_cast<Http::status>(aResponse.mStatus), mVersion);
     for (const auto& [name, value] : aResponse.mHeaders) {
@@ -255,7 +284,8 @@
       mResponse.set(Http::field::content_type, "application/json");
     }
     mResponse.body() = std::move(aResponse.mBody);
-    mResponse.keep_alive(mKeepAlive && !mCore->mClosing);
+    // A request that was sent without waiting for this answer may have been read with the last one.
+    mResponse.keep_alive(mKeepAlive && (!mCore->mClosing || mBuffer.size() > 0));
     mResponse.prepare_payload();
     mStream.expires_after(std::chrono::seconds(10));
     Http::async_write(
@@ -273,6 +303,7 @@
       readHeader();
       return;
     }
+    mState = State::Draining;
     ErrorCode ignored;
     mStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     // Reading until the peer closes keeps the answer from being reset with unread bytes.
@@ -297,8 +328,7 @@
   std::optional<Http::request_parser<Http::string_body>> mParser;
   Http::response<Http::string_body> mResponse;
   bool mKeepAlive = true;
-  /// Waits for a request.
-  bool mIdle = false;
+  State mState = State::Idle;
   bool mClosesIfAborted = false;
   unsigned mVersion = 11;
 };
@@ -414,6 +444,15 @@
   mCore->mRetry.cancel();
 }
 
+void
+HttpServer::stopReading()
+{
+  mCore->mReadingEnded = true;
+  for (Session* session : std::set<Session*>(mCore->mSessions)) {
+    session->stopReading();
+  }
+}
+
 std::size_t
 HttpServer::pending() const
 {
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -76,6 +76,9 @@
   void closeIdle();
   /// Stops listening; open connections go on.
   void stopListening();
+  /// Reads nothing more. Connections on which no request has arrived whole are closed; those whose
+  /// requests were read get their answers first.
+  void stopReading();
   /// Requests that were read and are not answered yet.
   std::size_t pending() const;
   std::size_t connections() const;
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -13,8 +13,15 @@
 constexpr std::chrono::milliseconds kCheckInterval{ 100 };
 /// The process exits this long before the end of the grace period, when it would be killed.
 constexpr std::chrono::milliseconds kExitMargin{ 700 };
-/// The coordinator resigns this long before the end of the grace period even without a successor.
-constexpr std::chrono::milliseconds kHandOverMargin{ 1'200 };
+/// The last answers begin this long before the exit. The coordinator resigns then even without a
+/// successor.
+constexpr std::chrono::milliseconds kLastAnswersTime{ 500 };
+/// Part of kLastAnswersTime in which requests that were read before may still succeed.
+constexpr std::chrono::milliseconds kOpenRequestTime{ 200 };
+/// Last part of kLastAnswersTime, in which answers are sent and nothing is read.
+constexpr std::chrono::milliseconds kFlushTime{ 100 };
+/// Interval between checks of the progress of the last answers.
+constexpr std::chrono::milliseconds kLastAnswersCheckInterval{ 20 };
 /// Time until callers stop connecting to a stopping entry: the platform probes readiness each
 /// second and routes no new connections after two failures.
 constexpr std::chrono::milliseconds kDrainDelay{ 2'500 };
@@ -139,7 +146,7 @@
 void
 Entry::scheduleCheck()
 {
-  mCheckTimer.expires_after(kCheckInterval);
+  mCheckTimer.expires_after(mReadingEnd ? kLastAnswersCheckInterval : kCheckInterval);
   mCheckTimer.async_wait([this](boost::system::error_code aError) {
     if (aError) {
       return;
@@ -176,26 +183,46 @@
 Entry::handOverIfPossible()
 {
   // Without a successor the process stays coordinator for as long as it can.
-  const bool graceEnding =
-    mContext.now() - mStopRequestTime >= mContext.mSettings.mShutdownGrace - kHandOverMargin;
-  if (mHandoverStarted || (!mCoordinator.hasSuccessor() && !graceEnding)) {
+  if (mHandoverStarted || (!mCoordinator.hasSuccessor() && !mReadingEnd)) {
     return;
   }
   mHandoverStarted = true;
   mCoordinator.flushAll([this] { mElection.resign([this] { mHandedOver = true; }); });
 }
 
+void
+Entry::beginLastAnswers()
+{
+  const Timestamp now = mContext.now();
+  mReadingEnd = now + kLastAnswersTime - kFlushTime;
+  mJobApi.rejectNewRequests(now + kOpenRequestTime);
+  // Connections that wait to be accepted may have brought their requests.
+  mCallerServer.closeIdle();
+  mCallerServer.stopListening();
+}
+
 void
 Entry::finishStopIfDone()
 {
-  const Duration waited = mContext.now() - mStopRequestTime;
+  const Timestamp now = mContext.now();
+  const Duration waited = now - mStopRequestTime;
+  if (!mReadingEnd &&
+      waited >= mContext.mSettings.mShutdownGrace - kExitMargin - kLastAnswersTime) {
+    beginLastAnswers();
+  }
   handOverIfPossible();
-  if (waited >= kDrainDelay) {
+  const bool closesIdle = mReadingEnd || waited >= kDrainDelay;
+  if (closesIdle) {
     mCallerServer.closeIdle();
   }
+  if (mReadingEnd && now >= *mReadingEnd) {
+    mCallerServer.stopReading();
+    // Counted from here, so that also a process that was held up sends its answers.
+    mExitTime = mExitTime.value_or(now + kFlushTime);
+  }
   // Waiting for the handover keeps the coordinator running until its last calls are answered.
-  const bool idle = waited >= kDrainDelay && mHandedOver && mCallerServer.connections() == 0;
-  if (mOnStopped && (idle || waited >= mContext.mSettings.mShutdownGrace - kExitMargin)) {
+  const bool idle = closesIdle && mHandedOver && mCallerServer.connections() == 0;
+  if (mOnStopped && (idle || (mExitTime && now >= *mExitTime))) {
     mCallerServer.stopListening();
     const auto stopped = std::move(mOnStopped);
     mOnStopped = nullptr;
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -26,7 +27,8 @@
   /// cannot be listened on.
   tl::expected<void, std::string> start();
   /// Reports not ready, hands the coordinator role over and answers callers until the grace period
-  /// ends or no connection is left. Calls aDone then.
+  /// ends or no connection is left. Each request that was read is answered before. Calls aDone
+  /// then.
   void stop(std::function<void()> aDone);
 
 private:
@@ -36,6 +38,8 @@
                                Store::Version aVersion);
   void scheduleCheck();
   void finishStopIfDone();
+  /// Answers what was read and takes no new connections.
+  void beginLastAnswers();
   /// Resigns as coordinator once another entry can take over or the grace period is about to end.
   void handOverIfPossible();
 
@@ -58,6 +62,10 @@
   /// coordinator.
   bool mHandedOver = false;
   Timestamp mStopRequestTime;
+  /// Set once the last answers have begun.
+  std::optional<Timestamp> mReadingEnd;
+  /// Set once nothing more is read.
+  std::optional<Timestamp> mExitTime;
   std::function<void()> mOnStopped;
 };
 
--- a/Source/Core/Node/JobApi.cpp
+++ b/Source/Core/Node/JobApi.cpp
@@ -1,7 +1,8 @@
 #include "Node/JobApi.h"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "Node/StoreKeys.h"
 #include "Node/WireConversion.h"
@@ -44,7 +45,16 @@
 
 } // namespace
 
-/// A submission that has not been answered yet.
+/// A request that has not been answered yet.
+struct JobApi::OpenRequest
+{
+  ResponseCallback mOnResponse;
+  Timestamp mArrivalTime;
+  bool mWriteInProgress = false;
+  /// A write was not answered and may still take effect.
+  bool mMayTakeEffect = false;
+};
+
 struct JobApi::Submission
 {
   Submission(Context& aContext)
@@ -53,69 +63,107 @@
   }
   Wire::JobRecord mRecord;
   Common::JobId mJob;
-  ResponseCallback mOnResponse;
-  Timestamp mArrivalTime;
+  std::shared_ptr<OpenRequest> mOpen;
   Timestamp mDeadline;
-  /// A write was not answered and may still take effect.
-  bool mMayTakeEffect = false;
   boost::asio::steady_timer mTimer;
 };
 
 JobApi::JobApi(Context& aContext, CoordinatorLink& aLink)
   : mContext(aContext)
   , mLink(aLink)
+  , mRejectTimer(aContext.mIo)
 {
 }
 
 void
 JobApi::handleRequest(const JobRequest& aRequest, ResponseCallback aRespond)
 {
-  const Timestamp arrivalTime = mContext.now();
-  dispatch(
-    aRequest, [this, arrivalTime, respond = std::move(aRespond)](const JobResponse& aResponse) {
-      const std::string label = "answer=\"" + std::string(ResponseKindText(aResponse.mKind)) + '"';
-      mContext.mCounters.counter("ibis_caller_answers", label).add();
-      mContext.mCounters.distribution("ibis_caller_answer_us")
-        .record((mContext.now() - arrivalTime).count());
-      respond(aResponse);
-    });
+  const auto open = std::make_shared<OpenRequest>();
+  open->mArrivalTime = mContext.now();
+  open->mOnResponse = std::move(aRespond);
+  mOpenRequests.insert(open);
+  if (mRejectsNewRequests) {
+    answer(open, MakeUnavailable("this process is stopping"));
+    return;
+  }
+  dispatch(aRequest, open);
 }
 
 void
-JobApi::dispatch(const JobRequest& aRequest, ResponseCallback aRespond)
+JobApi::rejectNewRequests(Timestamp aDeadline)
 {
+  mRejectsNewRequests = true;
+  mRejectTimer.expires_after(std::max(Duration{ 0 }, aDeadline - mContext.now()));
+  mRejectTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    for (const auto& open : std::set<std::shared_ptr<OpenRequest>>(mOpenRequests)) {
+      answer(open,
+             open->mWriteInProgress || open->mMayTakeEffect
+               ? MakeResponse(Kind::Undecided)
+               : MakeUnavailable("this process is stopping"));
+    }
+  });
+}
+
+bool
+JobApi::isOpen(const std::shared_ptr<OpenRequest>& aOpen) const
+{
+  return mOpenRequests.contains(aOpen);
+}
+
+void
+JobApi::answer(const std::shared_ptr<OpenRequest>& aOpen, const JobResponse& aResponse)
+{
+  if (mOpenRequests.erase(aOpen) == 0) {
+    return;
+  }
+  const std::string label = "answer=\"" + std::string(ResponseKindText(aResponse.mKind)) + '"';
+  mContext.mCounters.counter("ibis_caller_answers", label).add();
+  mContext.mCounters.distribution("ibis_caller_answer_us")
+    .record((mContext.now() - aOpen->mArrivalTime).count());
+  aOpen->mOnResponse(aResponse);
+}
+
+void
+JobApi::dispatch(const JobRequest& aRequest, const std::shared_ptr<OpenRequest>& aOpen)
+{
+  const ResponseCallback respond = [this, aOpen](const JobResponse& aResponse) {
+    answer(aOpen, aResponse);
+  };
   if (!mTables) {
-    aRespond(MakeUnavailable("the queue tables are not known yet"));
+    respond(MakeUnavailable("the queue tables are not known yet"));
     return;
   }
   const QueueRoute* route = MatchRoute(*mTables, aRequest.mHost, aRequest.mPath);
   if (route == nullptr) {
-    aRespond(MakeResponse(Kind::NoRoute));
+    respond(MakeResponse(Kind::NoRoute));
     return;
   }
   const std::string id = aRequest.mPath.substr(route->mPathPrefix.size());
   if (id.empty() && aRequest.mKind == JobRequest::Kind::Show) {
-    showPending(route->mQueue.mName, std::move(aRespond));
+    showPending(route->mQueue.mName, respond);
     return;
   }
   if (aRequest.mKind == JobRequest::Kind::Unsupported) {
-    aRespond(MakeResponse(Kind::NotAllowed));
+    respond(MakeResponse(Kind::NotAllowed));
     return;
   }
   if (!mContext.mFormats.mIsJobId(id)) {
-    aRespond(MakeResponse(Kind::Invalid, "the id of a job is 16 hexadecimal digits"));
+    respond(MakeResponse(Kind::Invalid, "the id of a job is 16 hexadecimal digits"));
     return;
   }
   const Common::JobId job(id);
   switch (aRequest.mKind) {
     case JobRequest::Kind::Submit:
-      submit(*route, job, aRequest, std::move(aRespond));
+      submit(*route, job, aRequest, aOpen);
       return;
     case JobRequest::Kind::Show:
-      showJob(job, std::move(aRespond));
+      showJob(job, respond);
       return;
     case JobRequest::Kind::Cancel:
-      cancel(job, mContext.now() + aRequest.mTimeout - kResponseMargin, std::move(aRespond));
+      cancel(job, mContext.now() + aRequest.mTimeout - kResponseMargin, aOpen);
       return;
     case JobRequest::Kind::Unsupported:
       return;
@@ -138,11 +186,14 @@
 JobApi::submit(const QueueRoute& aRoute,
                const Common::JobId& aJob,
                const JobRequest& aRequest,
-               ResponseCallback aRespond)
+               const std::shared_ptr<OpenRequest>& aOpen)
 {
+  const ResponseCallback respond = [this, aOpen](const JobResponse& aResponse) {
+    answer(aOpen, aResponse);
+  };
   auto spec = mContext.mFormats.mParseJob(aRequest.mBody);
   if (!spec) {
-    rejectInvalid(aJob, spec.error(), aRespond);
+    rejectInvalid(aJob, spec.error(), respond);
     return;
   }
   spec->mJob = aJob;
@@ -150,7 +201,7 @@
   spec->mAcceptedQueue = aRoute.mQueue;
   spec->mAccepted = mContext.mClock.unixNow();
   if (const auto problem = Scheduling::ValidateJob(*spec)) {
-    rejectInvalid(aJob, *problem, aRespond);
+    rejectInvalid(aJob, *problem, respond);
     return;
   }
   if (!mStoreConnected && !mLink.isConnected()) {
@@ -162,49 +213,78 @@
           { "answer", std::string(ResponseKindText(Kind::Unavailable)) },
           { "tables", std::to_string(mTables->mRevision.value()) },
           { "detail", "the store does not answer this entry" } });
-    aRespond(MakeUnavailable("the store does not answer"));
+    respond(MakeUnavailable("the store does not answer"));
     return;
   }
   const auto submission = std::make_shared<Submission>(mContext);
   submission->mRecord = ToRecord(*spec);
   submission->mRecord.entry = mContext.mSettings.mInstance.str();
   submission->mJob = aJob;
-  submission->mOnResponse = std::move(aRespond);
-  submission->mArrivalTime = mContext.now();
-  submission->mDeadline = submission->mArrivalTime + aRequest.mTimeout - kResponseMargin;
+  submission->mOpen = aOpen;
+  submission->mDeadline = aOpen->mArrivalTime + aRequest.mTimeout - kResponseMargin;
+  aOpen->mOnResponse = [this,
+                        job = aJob,
+                        queue = submission->mRecord.queue,
+                        arrivalTime = aOpen->mArrivalTime,
+                        onResponse = std::move(aOpen->mOnResponse)](const JobResponse& aResponse) {
+    const auto took =
+      std::chrono::duration_cast<std::chrono::milliseconds>(mContext.now() - arrivalTime);
+    Log(Level::Info,
+        "entry",
+        "submission answered",
+        { { "job", job.str() },
+          { "queue", queue },
+          { "answer", std::string(ResponseKindText(aResponse.mKind)) },
+          { "tables", std::to_string(mTables->mRevision.value()) },
+          { "took_ms", std::to_string(took.count()) },
+          { "detail", aResponse.mDetail } });
+    onResponse(aResponse);
+  };
   // No coordinator is needed to accept a job: the next one finds it in the store.
   writeSubmission(submission);
 }
 
 void
-JobApi::writeOrRelay(const Store::Transaction& aTransaction,
+JobApi::writeOrRelay(const std::shared_ptr<OpenRequest>& aOpen,
+                     const Store::Transaction& aTransaction,
                      Duration aTimeout,
                      CoordinatorLink::WriteCallback aDone)
 {
+  aOpen->mWriteInProgress = true;
+  const auto finish = [this, aOpen, done = std::move(aDone)](
+                        const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
+    aOpen->mWriteInProgress = false;
+    if (isOpen(aOpen)) {
+      done(aResult);
+    }
+  };
   if (!mStoreConnected) {
-    mLink.write(aTransaction, aTimeout, std::move(aDone));
+    mLink.write(aTransaction, aTimeout, finish);
     return;
   }
   mContext.mStore.write(aTransaction,
                         aTimeout,
-                        [this, aTransaction, aTimeout, done = std::move(aDone)](
+                        [this, aTransaction, aTimeout, finish](
                           const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
                           if (aResult || aResult.error().mError != Store::StoreError::Unavailable) {
-                            done(aResult);
+                            finish(aResult);
                             return;
                           }
-                          mLink.write(aTransaction, aTimeout, done);
+                          mLink.write(aTransaction, aTimeout, finish);
                         });
 }
 
 void
 JobApi::writeSubmission(const std::shared_ptr<Submission>& aSubmission)
 {
+  if (!isOpen(aSubmission->mOpen)) {
+    return;
+  }
   const Timestamp now = mContext.now();
   if (now >= aSubmission->mDeadline) {
-    finishSubmission(aSubmission,
-                     aSubmission->mMayTakeEffect ? MakeResponse(Kind::Undecided)
-                                                 : MakeUnavailable("the store does not answer"));
+    answer(aSubmission->mOpen,
+           aSubmission->mOpen->mMayTakeEffect ? MakeResponse(Kind::Undecided)
+                                              : MakeUnavailable("the store does not answer"));
     return;
   }
   Store::Transaction transaction;
@@ -214,6 +294,7 @@
     { SubmissionKey(aSubmission->mJob), Wire::Encode(aSubmission->mRecord), std::nullopt }
   };
   writeOrRelay(
+    aSubmission->mOpen,
     transaction,
     std::min(mContext.mTiming.mStoreCallTimeout, aSubmission->mDeadline - now),
     [this, aSubmission](const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
@@ -226,7 +307,7 @@
                           const tl::expected<Store::Version, Store::WriteFailure>& aResult)
 {
   if (aResult) {
-    finishSubmission(aSubmission, MakeResponse(Kind::Accepted));
+    answer(aSubmission->mOpen, MakeResponse(Kind::Accepted));
     return;
   }
   const Store::WriteFailure& failure = aResult.error();
@@ -236,29 +317,28 @@
       for (const Store::Entry& entry : failure.mActual) {
         if (entry.mKey == key) {
           // An earlier attempt of the caller or of this process was stored.
-          finishSubmission(aSubmission, MakeResponse(Kind::Accepted, "the job was already stored"));
+          answer(aSubmission->mOpen, MakeResponse(Kind::Accepted, "the job was already stored"));
           return;
         }
       }
       // A cancellation that arrived before the submission rejects it for good.
-      finishSubmission(aSubmission, MakeResponse(Kind::UnknownJob, "the job was cancelled"));
+      answer(aSubmission->mOpen, MakeResponse(Kind::UnknownJob, "the job was cancelled"));
       return;
     }
     case Store::StoreError::TooLarge:
-      finishSubmission(aSubmission,
-                       MakeResponse(Kind::Invalid, "the job is too large for the store"));
+      answer(aSubmission->mOpen, MakeResponse(Kind::Invalid, "the job is too large for the store"));
       return;
     case Store::StoreError::Unknown:
       // The write is idempotent, so it is repeated until an answer tells whether it took effect.
-      aSubmission->mMayTakeEffect = true;
+      aSubmission->mOpen->mMayTakeEffect = true;
       retryWrite(aSubmission);
       return;
     case Store::StoreError::Unavailable:
     case Store::StoreError::LeaseLapsed:
-      if (!aSubmission->mMayTakeEffect &&
+      if (!aSubmission->mOpen->mMayTakeEffect &&
           (!mStoreConnected ||
-           mContext.now() - aSubmission->mArrivalTime >= kRejectedRetryWindow)) {
-        finishSubmission(aSubmission, MakeUnavailable("the store rejects calls"));
+           mContext.now() - aSubmission->mOpen->mArrivalTime >= kRejectedRetryWindow)) {
+        answer(aSubmission->mOpen, MakeUnavailable("the store rejects calls"));
         return;
       }
       retryWrite(aSubmission);
@@ -277,23 +357,6 @@
   });
 }
 
-void
-JobApi::finishSubmission(const std::shared_ptr<Submission>& aSubmission, JobResponse aResponse)
-{
-  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-    mContext.now() - aSubmission->mArrivalTime);
-  Log(Level::Info,
-      "entry",
-      "submission answered",
-      { { "job", aSubmission->mJob.str() },
-        { "queue", aSubmission->mRecord.queue },
-        { "answer", std::string(ResponseKindText(aResponse.mKind)) },
-        { "tables", std::to_string(mTables->mRevision.value()) },
-        { "took_ms", std::to_string(took.count()) },
-        { "detail", aResponse.mDetail } });
-  aSubmission->mOnResponse(std::move(aResponse));
-}
-
 void
 JobApi::showJob(const Common::JobId& aJob, ResponseCallback aRespond)
 {
@@ -361,37 +424,40 @@
 }
 
 void
-JobApi::cancel(const Common::JobId& aJob, Timestamp aDeadline, ResponseCallback aRespond)
+JobApi::cancel(const Common::JobId& aJob,
+               Timestamp aDeadline,
+               const std::shared_ptr<OpenRequest>& aOpen)
 {
   if (!mStoreConnected) {
     // If there is a submission, the write fails with a conflict that contains its version.
-    writeCancellation(aJob, Store::Version{ 0 }, aDeadline, std::move(aRespond));
+    writeCancellation(aJob, Store::Version{ 0 }, aDeadline, aOpen);
     return;
   }
-  mContext.mStore.read(SubmissionKey(aJob),
-                       mContext.mTiming.mStoreCallTimeout,
-                       [this, aJob, aDeadline, respond = std::move(aRespond)](
-                         Store::Result<std::optional<Store::Entry>> aEntry) {
-                         if (!aEntry) {
-                           respond(MakeUnavailable("the store does not answer"));
-                           return;
-                         }
-                         writeCancellation(aJob,
-                                           *aEntry ? (*aEntry)->mVersion : Store::Version{ 0 },
-                                           aDeadline,
-                                           respond);
-                       });
+  mContext.mStore.read(
+    SubmissionKey(aJob),
+    mContext.mTiming.mStoreCallTimeout,
+    [this, aJob, aDeadline, aOpen](Store::Result<std::optional<Store::Entry>> aEntry) {
+      if (!aEntry) {
+        answer(aOpen, MakeUnavailable("the store does not answer"));
+        return;
+      }
+      writeCancellation(
+        aJob, *aEntry ? (*aEntry)->mVersion : Store::Version{ 0 }, aDeadline, aOpen);
+    });
 }
 
 void
 JobApi::writeCancellation(const Common::JobId& aJob,
                           Store::Version aSubmission,
                           Timestamp aDeadline,
-                          ResponseCallback aRespond)
+                          const std::shared_ptr<OpenRequest>& aOpen)
 {
+  if (!isOpen(aOpen)) {
+    return;
+  }
   const Timestamp now = mContext.now();
   if (now >= aDeadline) {
-    aRespond(MakeResponse(Kind::Undecided));
+    answer(aOpen, MakeResponse(Kind::Undecided));
     return;
   }
   Wire::CancelRecord record;
@@ -403,9 +469,10 @@
   transaction.mPuts = { { CancelKey(aJob), Wire::Encode(record), std::nullopt } };
   const bool known = aSubmission.value() != 0;
   writeOrRelay(
+    aOpen,
     transaction,
     std::min(mContext.mTiming.mStoreCallTimeout, aDeadline - now),
-    [this, aJob, aSubmission, aDeadline, known, respond = std::move(aRespond)](
+    [this, aJob, aSubmission, aDeadline, known, aOpen](
       const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
       const JobResponse writtenResponse = MakeResponse(known ? Kind::Cancelled : Kind::UnknownJob);
       if (aResult) {
@@ -413,11 +480,13 @@
             "entry",
             "cancel written",
             { { "job", aJob.str() }, { "known", known ? "yes" : "no" } });
-        respond(writtenResponse);
+        answer(aOpen, writtenResponse);
         return;
       }
       if (aResult.error().mError == Store::StoreError::Unavailable) {
-        respond(MakeUnavailable("the store rejects calls"));
+        answer(aOpen,
+               aOpen->mMayTakeEffect ? MakeResponse(Kind::Undecided)
+                                     : MakeUnavailable("the store rejects calls"));
         return;
       }
       if (aResult.error().mError == Store::StoreError::Conflict) {
@@ -428,15 +497,16 @@
           submission = entry.mKey == SubmissionKey(aJob) ? entry.mVersion : submission;
         }
         if (cancelled) {
-          respond(MakeResponse(submission.value() != 0 ? Kind::Cancelled : Kind::UnknownJob));
+          answer(aOpen, MakeResponse(submission.value() != 0 ? Kind::Cancelled : Kind::UnknownJob));
           return;
         }
         // The submission arrived after the lookup, or there was no lookup.
-        writeCancellation(aJob, submission, aDeadline, respond);
+        writeCancellation(aJob, submission, aDeadline, aOpen);
         return;
       }
       // No answer came. The write is idempotent, so it is repeated.
-      writeCancellation(aJob, aSubmission, aDeadline, respond);
+      aOpen->mMayTakeEffect = true;
+      writeCancellation(aJob, aSubmission, aDeadline, aOpen);
     });
 }
 
--- a/Source/UnitTests/Net/HttpTests.cpp
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -216,6 +216,69 @@
   }
 }
 
+TEST_CASE("A stopping server answers the requests that it has read", "[Net]")
+{
+  ServerFixture fixture;
+  Tcp::socket socket(fixture.mIo);
+  socket.connect(fixture.mServer.address());
+  const auto send = [&](const std::string& aBytes) {
+    boost::asio::write(socket, boost::asio::buffer(aBytes));
+    fixture.mIo.restart();
+    fixture.mIo.run_for(50ms);
+  };
+  const auto receive = [&] {
+    fixture.mIo.restart();
+    fixture.mIo.run_for(50ms);
+    std::string received;
+    std::array<char, 512> buffer{};
+    boost::system::error_code error;
+    socket.non_blocking(true);
+    while (!error) {
+      received.append(buffer.data(), socket.read_some(boost::asio::buffer(buffer), error));
+    }
+    fixture.mClosed = error == boost::asio::error::eof;
+    return received;
+  };
+
+  SECTION("among them one that was sent without waiting for the answer before")
+  {
+    send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    fixture.mServer.announceClose();
+    fixture.mHeld({ 200, "late", {} });
+    const std::string answers = receive();
+    REQUIRE(answers.find("late") != std::string::npos);
+    REQUIRE(answers.find("GET /b") != std::string::npos);
+    REQUIRE(fixture.mClosed);
+  }
+
+  SECTION("after it has stopped reading")
+  {
+    send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    fixture.mServer.announceClose();
+    fixture.mServer.stopReading();
+    REQUIRE(receive().empty());
+    REQUIRE_FALSE(fixture.mClosed);
+    fixture.mHeld({ 200, "late", {} });
+    REQUIRE(receive().find("late") != std::string::npos);
+    REQUIRE(fixture.mClosed);
+  }
+
+  SECTION("but not one that has not arrived whole when it stops reading")
+  {
+    const std::string part = GENERATE(std::string("GET /a HT"),
+                                      std::string("POST /a HTTP/1.1\r\nHost: x\r\n"
+                                                  "Content-Length: 3\r\n\r\na"));
+    send(part);
+    fixture.mServer.announceClose();
+    fixture.mServer.closeIdle();
+    REQUIRE(receive().empty());
+    REQUIRE_FALSE(fixture.mClosed);
+    fixture.mServer.stopReading();
+    REQUIRE(receive().empty());
+    REQUIRE(fixture.mClosed);
+  }
+}
+
 TEST_CASE("The client tells what may have happened", "[Net]")
 {
   boost::asio::io_context io;
--- a/Source/UnitTests/Node/JobApiTests.cpp
+++ b/Source/UnitTests/Node/JobApiTests.cpp
@@ -180,3 +180,67 @@
   REQUIRE(fixture.call(RequestKind::Show, "/q/a")->mKind == ResponseKind::Unavailable);
   REQUIRE(fixture.call(RequestKind::Cancel, "/q/a")->mKind == ResponseKind::Unavailable);
 }
+
+TEST_CASE("A stopping process answers its open requests", "[Node]")
+{
+  JobApiFixture fixture;
+  const auto stop = [&] {
+    fixture.mJobApi.rejectNewRequests(fixture.mContext.now() + 50ms);
+    fixture.mIo.restart();
+    fixture.mIo.run_for(100ms);
+    return fixture.mResponse;
+  };
+  const std::string key = SubmissionKey(Common::JobId("a"));
+
+  SECTION("undecided if a write may still take effect")
+  {
+    fixture.mStore.mMode = FakeStore::Mode::DelayingWrites;
+    const auto kind = GENERATE(RequestKind::Submit, RequestKind::Cancel);
+    REQUIRE_FALSE(fixture.call(kind, "/q/a"));
+    REQUIRE(stop()->mKind == ResponseKind::Undecided);
+  }
+
+  SECTION("undecided if an earlier write may still take effect and the last one was rejected")
+  {
+    fixture.mStore.mMode = FakeStore::Mode::LosingAnswers;
+    REQUIRE_FALSE(fixture.call(RequestKind::Submit, "/q/a", 3s, 800ms));
+    fixture.mStore.mMode = FakeStore::Mode::Rejecting;
+    fixture.mIo.restart();
+    fixture.mIo.run_for(400ms);
+    REQUIRE_FALSE(fixture.mResponse);
+    REQUIRE(stop()->mKind == ResponseKind::Undecided);
+  }
+
+  SECTION("unavailable if the store rejects the writes, and none is made afterwards")
+  {
+    fixture.mStore.mMode = FakeStore::Mode::Rejecting;
+    REQUIRE_FALSE(fixture.call(RequestKind::Submit, "/q/a", 3s, 100ms));
+    REQUIRE(stop()->mKind == ResponseKind::Unavailable);
+    fixture.mStore.mMode = FakeStore::Mode::Normal;
+    fixture.mIo.restart();
+    fixture.mIo.run_for(400ms);
+    REQUIRE_FALSE(fixture.mStore.contains(key));
+  }
+
+  SECTION("unavailable for a query that the store does not answer")
+  {
+    fixture.mStore.mMode = FakeStore::Mode::Silent;
+    REQUIRE_FALSE(fixture.call(RequestKind::Show, "/q/a"));
+    REQUIRE(stop()->mKind == ResponseKind::Unavailable);
+  }
+
+  SECTION("as usual if the store answers in time")
+  {
+    fixture.call(RequestKind::Submit, "/q/a", 3s, 0ms);
+    REQUIRE_FALSE(fixture.mResponse);
+    REQUIRE(stop()->mKind == ResponseKind::Accepted);
+  }
+
+  SECTION("and rejects new ones without a call to the store")
+  {
+    stop();
+    REQUIRE(fixture.call(RequestKind::Submit, "/q/a")->mKind == ResponseKind::Unavailable);
+    REQUIRE(fixture.call(RequestKind::Cancel, "/q/a")->mKind == ResponseKind::Unavailable);
+    REQUIRE(fixture.mStore.mCalls == 0);
+  }
+}
--- a/Source/UnitTests/Platform/StoreServer.h
+++ b/Source/UnitTests/Platform/StoreServer.h
@@ -1,11 +1,17 @@
 #pragma once
 
+#include <atomic>
+#include <chrono>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "Common/Base64.h"
 #include "Net/HttpServer.h"
@@ -15,7 +21,7 @@
 namespace PlatformTests {
 
 /// Stand-in for the platform's store that runs on its own thread. It serves reads of a fixed set of
-/// entries, two per page.
+/// entries, two per page. It accepts every transaction without applying it, and grants no leases.
 class StoreServer
 {
 public:
@@ -23,7 +29,7 @@
     : mEntries(std::move(aEntries))
     , mAddress(TestSupport::FreeAddress(mIo))
     , mServer(mIo, {}, [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
-      aRespond(answer(aRequest));
+      handleRequest(aRequest, aRespond);
     })
   {
     mListening = mServer.listen(mAddress).has_value();
@@ -40,6 +46,16 @@
   const std::string& address() const { return mAddress; }
   bool isListening() const { return mListening; }
 
+  /// Delay of each answer to a request that arrives from now on. With a negative one there is no
+  /// answer.
+  void setAnswerDelay(std::chrono::milliseconds aDelay) { mAnswerDelay = aDelay; }
+  /// Bodies of the transactions that arrived.
+  std::vector<std::string> transactions() const
+  {
+    const std::lock_guard lock(mMutex);
+    return mTransactions;
+  }
+
 private:
   /// Returns the value of a query parameter; empty if there is none.
   static std::string queryField(const std::string& aTarget, const std::string& aName)
@@ -61,8 +77,37 @@
              { "lease", 0 } };
   }
 
+  void handleRequest(const Net::HttpRequest& aRequest, const Net::Responder& aRespond)
+  {
+    std::chrono::milliseconds delay = mAnswerDelay;
+    if (aRequest.mTarget == "/-/kv-txn") {
+      const std::lock_guard lock(mMutex);
+      mTransactions.push_back(aRequest.mBody);
+    }
+    if (delay.count() < 0) {
+      mUnanswered.push_back(aRespond);
+      return;
+    }
+    if (aRequest.mTarget.starts_with("/-/kv-watch")) {
+      delay += std::chrono::milliseconds(std::stoll(queryField(aRequest.mTarget, "wait_ms")));
+    }
+    if (delay.count() == 0) {
+      aRespond(answer(aRequest));
+      return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(mIo, delay);
+    timer->async_wait(
+      [this, timer, aRequest, aRespond](boost::system::error_code) { aRespond(answer(aRequest)); });
+  }
+
   Net::HttpResponse answer(const Net::HttpRequest& aRequest) const
   {
+    if (aRequest.mTarget.starts_with("/-/kv-lease")) {
+      return { 503, "{}", {} };
+    }
+    if (aRequest.mTarget == "/-/kv-txn") {
+      return { 200, Platform::Json{ { "revision", 10 } }.dump(), {} };
+    }
     Platform::Json body = { { "store_revision", 9 } };
     if (aRequest.mTarget.starts_with("/-/kv-key")) {
       const std::string key = queryField(aRequest.mTarget, "key");
@@ -92,6 +137,10 @@
   }
 
   std::map<std::string, std::string> mEntries;
+  std::atomic<std::chrono::milliseconds> mAnswerDelay{ std::chrono::milliseconds(0) };
+  mutable std::mutex mMutex;
+  std::vector<std::string> mTransactions;
+  std::vector<Net::Responder> mUnanswered;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWorkGuard{
     mIo.get_executor()
