A second signal makes a stopping entry answer at once instead of ending it

Cause: the second signal stopped the event loop.

In the tests 4 to 24 of the open requests had no answer, with a fast, a slow and a silent store.

Further signals change nothing. An agent waits for no more than the orders that it has sent, so that a second signal doesn't end it sooner.

Tests: the two new sections of "A stopping entry answers each request that it has read" failed with each store before and pass.

--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -179,6 +179,15 @@
   mLink.setCandidate(false);
 }
 
+void
+Entry::hurryStop()
+{
+  if (mOnStopped && !mReadingEnd) {
+    beginLastAnswers();
+    finishStopIfDone();
+  }
+}
+
 void
 Entry::handOverIfPossible()
 {
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -30,6 +30,9 @@
   /// ends or no connection is left. Each request that was read is answered before. Calls aDone
   /// then.
   void stop(std::function<void()> aDone);
+  /// Ends a stop soon, not at the end of the grace period. Each request that was read is still
+  /// answered.
+  void hurryStop();
 
 private:
   bool isReady() const;
--- a/Source/Core/Node/Process.cpp
+++ b/Source/Core/Node/Process.cpp
@@ -104,7 +104,11 @@
         return;
       }
       if (stopping) {
-        io.stop();
+        // An agent waits for nothing but the orders that it has sent.
+        if (entry) {
+          entry->hurryStop();
+        }
+        awaitSignal();
         return;
       }
       stopping = true;
--- a/Source/UnitTests/Platform/StopTests.cpp
+++ b/Source/UnitTests/Platform/StopTests.cpp
@@ -356,4 +356,24 @@
     entry.terminate();
     endProcess();
   }
+
+  SECTION("also after a second signal, which ends it sooner")
+  {
+    entry.terminate();
+    std::this_thread::sleep_for(700ms);
+    const auto second = SteadyClock::now();
+    entry.terminate();
+    endProcess();
+    REQUIRE(SteadyClock::now() - second < kGrace / 2);
+  }
+
+  SECTION("also after a third signal")
+  {
+    entry.terminate();
+    std::this_thread::sleep_for(200ms);
+    entry.terminate();
+    std::this_thread::sleep_for(50ms);
+    entry.terminate();
+    endProcess();
+  }
 }
