A process takes signals as requests to stop before it listens

A process that got SIGTERM when it listened already, but had not installed its handler, ended at once with whatever it had accepted. Whether this is what the record shows is not known.

Cause: the handler was installed after the entry listened, and "started" was logged.

Change: it is the first thing that a process sets up. A signal is then handled as soon as the event loop runs.

Test: "A signal while a process starts is a request to stop it" sends SIGTERM once the peer port takes connections.

--- a/Source/Core/Node/Process.cpp
+++ b/Source/Core/Node/Process.cpp
@@ -50,6 +50,8 @@
 {
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context io(1);
+  // Before anything listens: a signal during the start is a request to stop in order, too.
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   BootClock clock;
   const TimingConstants timing;
   Observability::Counters counters;
@@ -90,7 +92,6 @@
     }
   }
 
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
   bool stopping = false;
   std::function<void()> awaitSignal = [&] {
     signals.async_wait([&](boost::system::error_code aError, int aSignal) {
--- a/Source/UnitTests/Platform/StopTests.cpp
+++ b/Source/UnitTests/Platform/StopTests.cpp
@@ -108,6 +108,7 @@
   EntryProcess& operator=(const EntryProcess&) = delete;
 
   std::uint16_t callerPort() const { return mCallerPort; }
+  std::uint16_t peerPort() const { return mPeerPort; }
   void terminate() const { ::kill(mProcess, SIGTERM); }
 
   /// Returns the status as waitpid() gives it, or nullopt if the process goes on for aWait.
@@ -377,3 +378,21 @@
     endProcess();
   }
 }
+
+TEST_CASE("A signal while a process starts is a request to stop it", "[Platform]")
+{
+  // It ended the process at once, although the process listened already.
+  StoreServer store({ { "op/config", TablesText() } });
+  for (int repeat = 0; repeat < 5; ++repeat) {
+    EntryProcess entry(store.address());
+    const auto end = SteadyClock::now() + 10s;
+    while (!Connection(entry.peerPort()).isOpen() && SteadyClock::now() < end) {
+    }
+    entry.terminate();
+    const auto status = entry.waitForEnd(kGrace);
+    CAPTURE(repeat);
+    REQUIRE(status);
+    REQUIRE(WIFEXITED(*status));
+    REQUIRE(WEXITSTATUS(*status) == 0);
+  }
+}
