A stopping entry waits for the first request of a new connection

What callers saw: requests on connections that they had just opened to a stopping entry were cut within 1 ms, 2.5 s after SIGTERM and later.

Cause: each 0.1 s the entry closes connections on which no request has begun, those that it accepted a moment ago as well. By the rule this is allowed, since nothing was read, but the caller can't tell.

Change: a connection counts as idle only 0.2 s after it was opened.

Test: "A stopping server waits for the first request of a new connection" failed before (the connection was closed) and passes.

--- a/Source/Core/Net/HttpServer.cpp
+++ b/Source/Core/Net/HttpServer.cpp
@@ -21,6 +21,8 @@
 
 /// A peer whose machine does not acknowledge data for this long is taken as lost.
 constexpr int kUnansweredMs = 10'000;
+/// The request of a new connection is awaited for this long before the connection counts as idle.
+constexpr std::chrono::milliseconds kFirstRequestTime{ 200 };
 constexpr const char* kHeaderEnd = "\r\n\r\n";
 /// Room for one read of a header; most fit in it.
 constexpr std::size_t kReadBytes = 4096;
@@ -73,7 +75,8 @@
   /// may not have run yet.
   void closeIfIdle()
   {
-    if (mState == State::Idle) {
+    if (mState == State::Idle &&
+        std::chrono::steady_clock::now() - mOpenTime >= kFirstRequestTime) {
       mClosesIfAborted = true;
       cancelRead();
     }
@@ -329,6 +332,7 @@
   Http::response<Http::string_body> mResponse;
   bool mKeepAlive = true;
   State mState = State::Idle;
+  std::chrono::steady_clock::time_point mOpenTime = std::chrono::steady_clock::now();
   bool mClosesIfAborted = false;
   unsigned mVersion = 11;
 };
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -71,8 +71,8 @@
   void changeLimits(HttpLimits aLimits);
   /// From now on each answer asks the caller to close its connection.
   void announceClose();
-  /// Closes the connections on which no request has begun. Those that wait to be accepted count as
-  /// open from then on, since their requests may have arrived.
+  /// Closes the connections on which no request has begun, except for new ones, whose requests may
+  /// be on their way. Those that wait to be accepted count as open from then on.
   void closeIdle();
   /// Stops listening; open connections go on.
   void stopListening();
--- a/Source/UnitTests/Net/HttpTests.cpp
+++ b/Source/UnitTests/Net/HttpTests.cpp
@@ -216,6 +216,44 @@
   }
 }
 
+TEST_CASE("A stopping server waits for the first request of a new connection", "[Net]")
+{
+  // Callers that connected anew to a stopping entry lost requests: each 0.1 s it closed the
+  // connections that it had just accepted.
+  ServerFixture fixture;
+  fixture.mServer.announceClose();
+  Tcp::socket socket(fixture.mIo);
+  socket.connect(fixture.mServer.address());
+  fixture.mIo.run_for(20ms);
+  REQUIRE(fixture.mServer.connections() == 1);
+  fixture.mServer.closeIdle();
+  fixture.mIo.restart();
+  fixture.mIo.run_for(20ms);
+  REQUIRE(fixture.mServer.connections() == 1);
+
+  SECTION("and answers it")
+  {
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+    fixture.mIo.restart();
+    fixture.mIo.run_for(20ms);
+    std::array<char, 512> buffer{};
+    boost::system::error_code error;
+    const auto size = socket.read_some(boost::asio::buffer(buffer), error);
+    REQUIRE(std::string(buffer.data(), size).find("GET /a") != std::string::npos);
+  }
+
+  SECTION("but not for long")
+  {
+    fixture.mIo.restart();
+    fixture.mIo.run_for(250ms);
+    fixture.mServer.closeIdle();
+    fixture.mIo.restart();
+    fixture.mIo.run_for(20ms);
+    REQUIRE(fixture.mServer.connections() == 0);
+  }
+}
+
 TEST_CASE("A stopping server answers the requests that it has read", "[Net]")
 {
   ServerFixture fixture;
