A stopping agent answers what it has read before its process ends

What the worker saw: a heartbeat that the agent had read got no answer when the agent ended.

Cause: the agent ended its event loop as soon as no order was in flight, with requests read whose handlers had not run.

Change: then it stops listening and reading, answers what it has read, and ends when no connection is left, at the latest after 0.2 s.

Test: "A stopping agent answers each request that it has read", with one and with two signals.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -17,12 +17,37 @@
 /// Order results that are kept to answer repeated orders.
 constexpr std::size_t kMaxOrderResults = 2'000;
 
+/// Interval between checks of the progress of a stop.
+constexpr std::chrono::milliseconds kStopCheckInterval{ 20 };
+/// Checks within which a stop closes the worker's connections.
+constexpr int kCloseChecks = 10;
+
 std::int64_t
 MicrosOf(Timestamp aTime)
 {
   return aTime.time_since_epoch().count();
 }
 
+/// Answers the requests that have been read and closes the connections, then calls aDone.
+void
+CloseServer(Net::HttpServer& aServer,
+            boost::asio::steady_timer& aTimer,
+            int aChecks,
+            const std::function<void()>& aDone)
+{
+  aServer.stopReading();
+  if (aServer.connections() == 0 || aChecks == 0) {
+    aDone();
+    return;
+  }
+  aTimer.expires_after(kStopCheckInterval);
+  aTimer.async_wait([&aServer, &aTimer, aChecks, aDone](boost::system::error_code aError) {
+    if (!aError) {
+      CloseServer(aServer, aTimer, aChecks - 1, aDone);
+    }
+  });
+}
+
 } // namespace
 
 Agent::Agent(Context& aContext,
@@ -510,13 +535,14 @@
 void
 Agent::awaitOrders()
 {
-  constexpr std::chrono::milliseconds kCheckInterval{ 20 };
   if (ordersInFlight() == 0) {
     report();
-    mOnStopped();
+    mAnnouncementServer.announceClose();
+    mAnnouncementServer.stopListening();
+    CloseServer(mAnnouncementServer, mStopTimer, kCloseChecks, mOnStopped);
     return;
   }
-  mStopTimer.expires_after(kCheckInterval);
+  mStopTimer.expires_after(kStopCheckInterval);
   mStopTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
       awaitOrders();
--- a/Source/UnitTests/Platform/StopTests.cpp
+++ b/Source/UnitTests/Platform/StopTests.cpp
@@ -58,17 +58,23 @@
   return tables.dump();
 }
 
-/// An entry in a process of its own.
-class EntryProcess
+enum class Role
+{
+  Entry,
+  Agent,
+};
+
+/// An entry or an agent in a process of its own.
+class DaemonProcess
 {
 public:
-  explicit EntryProcess(const std::string& aStoreAddress)
+  DaemonProcess(Role aRole, const std::string& aStoreAddress)
     : mFolder(std::filesystem::temp_directory_path() /
               ("ibisshedd-stop-" + std::to_string(::getpid()) + '-' + std::to_string(mCallerPort)))
   {
     std::filesystem::create_directories(mFolder);
     const Platform::Json settings = { { "node_name", "e1" },
-                                      { "serves", { "edge" } },
+                                      { "serves", { aRole == Role::Entry ? "edge" : "side" } },
                                       { "ip", "127.0.0.1" },
                                       { "zone", "z1" },
                                       { "internal_ports", { mPeerPort, mPeerPort + 4 } },
@@ -76,7 +82,8 @@
                                       { "platform", { { "address", aStoreAddress } } },
                                       { "listen",
                                         { { "frontend", LocalAddress(mCallerPort) },
-                                          { "readiness", LocalAddress(mReadinessPort) } } } };
+                                          { "readiness", LocalAddress(mReadinessPort) },
+                                          { "control_plane", LocalAddress(mCallerPort) } } } };
     const std::string file = mFolder / "settings.json";
     std::ofstream(file) << settings.dump();
     const std::string log = mFolder / "log";
@@ -95,7 +102,7 @@
       ::_exit(127);
     }
   }
-  ~EntryProcess()
+  ~DaemonProcess()
   {
     if (!mStatus) {
       ::kill(mProcess, SIGKILL);
@@ -104,9 +111,10 @@
     std::error_code ignored;
     std::filesystem::remove_all(mFolder, ignored);
   }
-  EntryProcess(const EntryProcess&) = delete;
-  EntryProcess& operator=(const EntryProcess&) = delete;
+  DaemonProcess(const DaemonProcess&) = delete;
+  DaemonProcess& operator=(const DaemonProcess&) = delete;
 
+  /// Where callers connect to an entry, and the worker of the machine to an agent.
   std::uint16_t callerPort() const { return mCallerPort; }
   std::uint16_t peerPort() const { return mPeerPort; }
   void terminate() const { ::kill(mProcess, SIGTERM); }
@@ -321,7 +329,7 @@
 
   StoreServer store({ { "op/config", TablesText() } });
   REQUIRE(store.isListening());
-  EntryProcess entry(store.address());
+  DaemonProcess entry(Role::Entry, store.address());
   WaitUntilServing(entry.callerPort());
 
   std::vector<std::unique_ptr<Caller>> callers;
@@ -384,7 +392,7 @@
   // It ended the process at once, although the process listened already.
   StoreServer store({ { "op/config", TablesText() } });
   for (int repeat = 0; repeat < 5; ++repeat) {
-    EntryProcess entry(store.address());
+    DaemonProcess entry(Role::Entry, store.address());
     const auto end = SteadyClock::now() + 10s;
     while (!Connection(entry.peerPort()).isOpen() && SteadyClock::now() < end) {
     }
@@ -396,3 +404,32 @@
     REQUIRE(WEXITSTATUS(*status) == 0);
   }
 }
+
+TEST_CASE("A stopping agent answers each request that it has read", "[Platform]")
+{
+  StoreServer store({});
+  DaemonProcess agent(Role::Agent, store.address());
+  const auto end = SteadyClock::now() + 10s;
+  while (!Connection(agent.callerPort()).isOpen() && SteadyClock::now() < end) {
+  }
+  // An agent answers what is no announcement, too.
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (int number = 1; number <= 24; ++number) {
+    callers.push_back(std::make_unique<Caller>(agent.callerPort(), number, false));
+  }
+  std::this_thread::sleep_for(200ms);
+  agent.terminate();
+  if (GENERATE(false, true)) {
+    agent.terminate();
+  }
+  const auto status = agent.waitForEnd(kGrace);
+  for (const auto& caller : callers) {
+    const Outcome outcome = caller->join();
+    CAPTURE(outcome.mAnswered, outcome.mLost);
+    REQUIRE(outcome.mAnswered > 0);
+    REQUIRE(outcome.mLost.empty());
+  }
+  REQUIRE(status);
+  REQUIRE(WIFEXITED(*status));
+  REQUIRE(WEXITSTATUS(*status) == 0);
+}
