An agent does not send a start again that its coordinator has given up

Cause: a start without an answer is sent up to three times, with whatever lease there is by then. A stop of the run, or a lost connection, ended only starts that had not been sent yet. When the worker answered again and its lease was extended, the next attempt began a run whose task had been started elsewhere.

Change: a stop of the run, a lost or replaced connection and a new term withdraw starts that wait for an answer, too. All attempts carry the end of the lease that the first one was sent under, so that the worker refuses a late one, and none is sent after it. The result is then Unknown, as for other starts without an answer.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -247,6 +247,7 @@
   if (mLink) {
     mLink->close();
     mLink.reset();
+    withdrawStarts();
   }
   mConnecting = true;
   const std::string address = record->address;
@@ -283,13 +284,19 @@
 }
 
 void
-Agent::onLinkLost()
+Agent::withdrawStarts()
 {
-  mLink.reset();
   // The coordinator may give these starts up meanwhile; it repeats those that it still awaits.
   for (auto& [lifetime, worker] : mWorkers) {
-    worker.mDriver->abandonWaitingStarts();
+    worker.mDriver->withdrawStarts();
   }
+}
+
+void
+Agent::onLinkLost()
+{
+  mLink.reset();
+  withdrawStarts();
   if (mStopping) {
     return;
   }
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -54,6 +54,8 @@
   void connect();
   void onConnected(std::shared_ptr<Net::Link> aLink);
   void onLinkLost();
+  /// After the end of the connection over which they were ordered.
+  void withdrawStarts();
   void handleMessage(const std::string& aBytes);
   void handleDirective(const Wire::Directive& aDirective);
   void executeOrder(const Wire::Order& aOrder);
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -181,7 +181,7 @@
 {
   mClosed = true;
   mTimer.cancel();
-  abandonWaitingStarts();
+  withdrawStarts();
 }
 
 void
@@ -209,7 +209,7 @@
   mTerm = aTerm;
   mView.mHasTaskList = false;
   mAcknowledged = Scheduling::EndNumber{ 0 };
-  abandonWaitingStarts();
+  withdrawStarts();
   if (!mPolling) {
     mTimer.cancel();
     poll();
@@ -232,14 +232,14 @@
 }
 
 std::optional<WorkerTime>
-WorkerDriver::leaseEndOnWorkerClock() const
+WorkerDriver::onWorkerClock(Timestamp aLeaseEnd) const
 {
   const Timestamp now = mContext.now();
-  if (!mLastWorkerTime || mLeaseEnd <= now) {
+  if (!mLastWorkerTime || aLeaseEnd <= now) {
     return std::nullopt;
   }
   const auto remaining =
-    std::chrono::duration_cast<std::chrono::milliseconds>(mLeaseEnd - mLastWorkerTime->second);
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLeaseEnd - mLastWorkerTime->second);
   return WorkerTime{ mLastWorkerTime->first.value() + remaining.count() };
 }
 
@@ -288,13 +288,14 @@
   mPollTimeout = wait + margin;
   mPollSent = mContext.now();
   mRequestedLeaseEnd.reset();
-  if (leaseEndOnWorkerClock()) {
+  const std::optional<WorkerTime> leaseEnd = onWorkerClock(mLeaseEnd);
+  if (leaseEnd) {
     mRequestedLeaseEnd = mLeaseEnd;
     mRenewalCounts.mSent.add();
   }
   mPort->poll(mTerm,
               mAcknowledged,
-              leaseEndOnWorkerClock(),
+              leaseEnd,
               wait,
               mPollTimeout,
               [self = shared_from_this(), term = mTerm, sent = mContext.now()](
@@ -451,7 +452,7 @@
     return;
   }
   if (aOrder.mKind == OrderKind::Stop) {
-    abandonWaitingStartsIf([&aOrder](const Scheduling::Order& aStart) {
+    withdrawStartsIf([&aOrder](const Scheduling::Order& aStart) {
       return aStart.mTask == aOrder.mTask && aStart.mRun == aOrder.mRun;
     });
   }
@@ -459,14 +460,13 @@
 }
 
 void
-WorkerDriver::abandonWaitingStarts()
+WorkerDriver::withdrawStarts()
 {
-  abandonWaitingStartsIf([](const Scheduling::Order&) { return true; });
+  withdrawStartsIf([](const Scheduling::Order&) { return true; });
 }
 
 void
-WorkerDriver::abandonWaitingStartsIf(
-  const std::function<bool(const Scheduling::Order&)>& aCondition)
+WorkerDriver::withdrawStartsIf(const std::function<bool(const Scheduling::Order&)>& aCondition)
 {
   const auto starts = std::exchange(mWaitingStarts, {});
   for (const auto& pending : starts) {
@@ -476,6 +476,9 @@
       mWaitingStarts.push_back(pending);
     }
   }
+  for (const auto& pending : mOpenStarts) {
+    pending->mWithdrawn = pending->mWithdrawn || aCondition(pending->mOrder);
+  }
 }
 
 void
@@ -490,7 +493,7 @@
       pending->mDone(OrderResult::Done);
     } else if (mView.mLeaving) {
       pending->mDone(OrderResult::Unknown);
-    } else if (canStart()) {
+    } else if (canStart(mLeaseEnd)) {
       send(pending);
     } else {
       mWaitingStarts.push_back(pending);
@@ -499,31 +502,35 @@
 }
 
 bool
-WorkerDriver::canStart() const
+WorkerDriver::canStart(Timestamp aLeaseEnd) const
 {
   // No task may start on a worker once the heartbeat that says it is leaving was acknowledged.
-  return leaseEndOnWorkerClock() && mLeaseEnd - mContext.now() >= kMinLeaseForStart &&
+  return onWorkerClock(aLeaseEnd) && aLeaseEnd - mContext.now() >= kMinLeaseForStart &&
          !mView.mLeaving;
 }
 
 void
 WorkerDriver::send(const std::shared_ptr<PendingOrder>& aPending)
 {
-  if (mClosed || aPending->mTerm != mTerm) {
+  if (mClosed || aPending->mWithdrawn || aPending->mTerm != mTerm) {
     aPending->mDone(aPending->hasEarlierAttempts() ? OrderResult::Unknown : OrderResult::NotSent);
     return;
   }
   const Scheduling::Order& order = aPending->mOrder;
   const auto done = [self = shared_from_this(), aPending](const OrderAnswer& aAnswer) {
     --self->mOrdersInFlight;
+    std::erase(self->mOpenStarts, aPending);
     self->handleOrderAnswer(aPending, aAnswer);
   };
   const Duration timeout = mContext.mTiming.mOrderCallTimeout;
   if (order.mKind == OrderKind::Start) {
-    if (!canStart()) {
+    const Timestamp leaseEnd = aPending->mLeaseEnd.value_or(mLeaseEnd);
+    if (!canStart(leaseEnd)) {
       aPending->mDone(aPending->hasEarlierAttempts() ? OrderResult::Unknown : OrderResult::NotSent);
       return;
     }
+    aPending->mLeaseEnd = leaseEnd;
+    mOpenStarts.push_back(aPending);
     ++mOrdersInFlight;
     const auto known =
       std::find_if(mRecentStarts.begin(), mRecentStarts.end(), [&order](const RecentStart& aStart) {
@@ -541,7 +548,7 @@
                    aPending->mPayload,
                    order.mCheckpoint,
                    order.mTicket,
-                   *leaseEndOnWorkerClock() },
+                   *onWorkerClock(leaseEnd) },
                  timeout,
                  done);
     return;
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -48,15 +48,16 @@
   /// acknowledges them to the worker.
   void acknowledgeEnds(Scheduling::EndNumber aUpTo);
   /// Sends an order, again if its answer was lost. A start that the coordinator repeats waits until
-  /// the worker's lists show the run or there is a lease to send it with; a stop of the run,
-  /// close() and setTerm() end the wait. aDone is called once, with Unknown if none of the attempts
-  /// was answered.
+  /// the worker's lists show the run or there is a lease to send it with. A start is withdrawn by a
+  /// stop of its run, close() and setTerm(), and is not sent again once the lease that it was first
+  /// sent under has ended. aDone is called once, with Unknown if none of the attempts was answered.
   void executeOrder(const Scheduling::Order& aOrder,
                     const std::string& aPayload,
                     std::function<void(Scheduling::OrderResult)> aDone);
 
-  /// Completes all repeated starts that wait with Unknown.
-  void abandonWaitingStarts();
+  /// Withdraws all starts: those that wait are completed with Unknown, and those whose answer is
+  /// awaited are not sent again.
+  void withdrawStarts();
 
   /// The view without the remaining time of the lease, which changes continuously.
   const Scheduling::WorkerView& view() const { return mView; }
@@ -89,6 +90,10 @@
     /// Term in which the order was given; it is not sent in a later one.
     Common::Epoch mTerm;
     int mFinishedAttempts = 0;
+    /// End of the lease under which the start was first sent. The coordinator counts on it that the
+    /// worker begins no run later.
+    std::optional<Timestamp> mLeaseEnd;
+    bool mWithdrawn = false;
 
     /// An earlier attempt may have been carried out, or may still be.
     bool hasEarlierAttempts() const { return mFinishedAttempts > 0 || mOrder.mRepeated; }
@@ -121,16 +126,16 @@
   void handlePollError(PollError aError);
   void recordRenewal();
   void setResponding(bool aResponding);
-  /// End of the lease on the worker's clock; nullopt if the lease has ended or no value of the
+  /// End of a lease on the worker's clock; nullopt if the lease has ended or no value of the
   /// worker's clock is known.
-  std::optional<WorkerTime> leaseEndOnWorkerClock() const;
+  std::optional<WorkerTime> onWorkerClock(Timestamp aLeaseEnd) const;
   void recordWorkerTime(const std::optional<WorkerTime>& aWorkerTime);
   /// Completes the repeated starts whose runs the worker lists, and sends the others if the lease
   /// allows starts.
   void resolveWaitingStarts();
-  /// Completes those for which aCondition holds with Unknown.
-  void abandonWaitingStartsIf(const std::function<bool(const Scheduling::Order&)>& aCondition);
-  bool canStart() const;
+  void withdrawStartsIf(const std::function<bool(const Scheduling::Order&)>& aCondition);
+  /// Whether a start may be sent under a lease that ends then.
+  bool canStart(Timestamp aLeaseEnd) const;
   void send(const std::shared_ptr<PendingOrder>& aPending);
   void handleOrderAnswer(const std::shared_ptr<PendingOrder>& aPending, const OrderAnswer& aAnswer);
 
@@ -174,6 +179,8 @@
   Timestamp mLastAliveAt;
   /// Repeated starts that are neither sent nor found in the worker's lists.
   std::vector<std::shared_ptr<PendingOrder>> mWaitingStarts;
+  /// Starts that were sent and whose answer is awaited.
+  std::vector<std::shared_ptr<PendingOrder>> mOpenStarts;
   bool mClosed = false;
   bool mPolling = false;
 };
