Tasks of a worker that deregisters do not start elsewhere while it goes on

Cause: the agent took the lifetime for ended as soon as it heard the deregistration, and the coordinator restarted the tasks at once. A worker without the acknowledgement ends some seconds later, and its runs go on under their lease meanwhile. A new process of the agent hears it again.

Change: a deregistered worker gets no more starts and no longer lease, and is still polled. Its lifetime ends with the first refused connection, when another lifetime answers, or when its lease has ended.

If nothing refuses the connection after the end, it costs the rest of the lease.

"The record of a worker that ends while it is written does not stay in the store" let the fake worker go on after its deregistration, which now counts as what it is; the worker ends 50 ms after it now. The condition on the record is the same.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -152,21 +152,14 @@
 void
 Agent::handleDeregistration(const WorkerAnnouncement& aAnnouncement)
 {
-  std::vector<Scheduling::WorkerLifetime> gone;
   for (const auto& [lifetime, worker] : mWorkers) {
     const Scheduling::LifetimeStart startedAt = aAnnouncement.mHeartbeat.mView.mLifetime.mStartedAt;
     if (lifetime.mWorker == aAnnouncement.mWorker &&
         (startedAt.value() == 0 || startedAt == lifetime.mStartedAt)) {
-      gone.push_back(lifetime);
+      Log(Level::Info, "agent", "worker deregistered", { { "worker", lifetime.mWorker.str() } });
+      worker.mDriver->deregister();
     }
   }
-  for (const auto& lifetime : gone) {
-    endLifetime(lifetime, Scheduling::LifetimeStart{ 0 });
-    // A worker that crashes does not deregister.
-    mEndedLifetimes.at(lifetime).mEnded = { .mLifetime = lifetime,
-                                            .mLeftByPlan = true,
-                                            .mSuspects = {} };
-  }
 }
 
 void
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -203,6 +203,20 @@
   }
 }
 
+void
+WorkerDriver::deregister()
+{
+  if (mEndsBy) {
+    return;
+  }
+  // The worker's clock may be slow.
+  const auto drift = std::chrono::duration_cast<Duration>(mContext.mSettings.mMaxWorkerLease *
+                                                          mContext.mTiming.mClockDrift);
+  mEndsBy = std::max(mLeaseEnd, mInheritedLeaseEnd) + drift;
+  mView.mLeaving = true;
+  mCallbacks.mOnViewChanged();
+}
+
 void
 WorkerDriver::setTerm(Common::Epoch aTerm)
 {
@@ -219,7 +233,7 @@
 void
 WorkerDriver::extendLease(Timestamp aReportTime, Timestamp aLeaseEnd)
 {
-  if (mView.mResponding && aReportTime >= mRespondingSince) {
+  if (!mEndsBy && mView.mResponding && aReportTime >= mRespondingSince) {
     mLeaseEnd = std::max(mLeaseEnd, aLeaseEnd);
     resolveWaitingStarts();
   }
@@ -322,9 +336,11 @@
   mRenewalIsOpen = aResult->mFromCheck;
   mFailedRenewals = mRenewalIsOpen ? mFailedRenewals : 0;
   if (AreDifferentLifetimes(aResult->mStartedAt, mView.mLifetime.mStartedAt)) {
-    const Scheduling::LifetimeStart startedAt = aResult->mStartedAt;
-    close();
-    mCallbacks.mOnLifetimeEnded(startedAt);
+    endLifetime(aResult->mStartedAt);
+    return;
+  }
+  if (hasOutlivedLease()) {
+    endLifetime(Scheduling::LifetimeStart{ 0 });
     return;
   }
   recordWorkerTime(aResult->mWorkerTime);
@@ -387,13 +403,11 @@
   }
   switch (aError) {
     case PollError::OtherLifetime:
-      close();
-      mCallbacks.mOnLifetimeEnded(Scheduling::LifetimeStart{ 0 });
+      endLifetime(Scheduling::LifetimeStart{ 0 });
       return;
     case PollError::ConnectionRefused:
-      if (++mRefusedPolls >= kRefusedPollsUntilGone) {
-        close();
-        mCallbacks.mOnLifetimeEnded(Scheduling::LifetimeStart{ 0 });
+      if (++mRefusedPolls >= kRefusedPollsUntilGone || mEndsBy) {
+        endLifetime(Scheduling::LifetimeStart{ 0 });
         return;
       }
       schedulePoll(kRefusedPollDelay);
@@ -407,6 +421,10 @@
     case PollError::NoAnswer:
       break;
   }
+  if (hasOutlivedLease()) {
+    endLifetime(Scheduling::LifetimeStart{ 0 });
+    return;
+  }
   ++mFailedRenewals;
   mRenewalIsOpen = true;
   const Duration silence = mContext.now() - mLastAnswered;
@@ -419,6 +437,19 @@
   schedulePoll(std::max<Duration>(interval - (mContext.now() - mPollSent), kMinPollInterval));
 }
 
+bool
+WorkerDriver::hasOutlivedLease() const
+{
+  return mEndsBy && mContext.now() >= *mEndsBy;
+}
+
+void
+WorkerDriver::endLifetime(Scheduling::LifetimeStart aNextStart)
+{
+  close();
+  mCallbacks.mOnLifetimeEnded(aNextStart);
+}
+
 void
 WorkerDriver::setResponding(bool aResponding)
 {
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -39,6 +39,10 @@
 
   /// Takes over what a heartbeat reports. The lists of runs, which come from polls, stay.
   void updateView(const Scheduling::WorkerView& aView);
+  /// The worker has said that it ends. It gets no more starts and no longer lease. It may go on for
+  /// some time, so its lifetime ends only when nothing listens at its address any more, another
+  /// lifetime answers, or its lease has ended.
+  void deregister();
   /// Begins to act for a term. Lists from polls of an earlier term no longer count.
   void setTerm(Common::Epoch aTerm);
   /// The coordinator has received the report that was sent at aReportTime and allows leases until
@@ -124,6 +128,9 @@
                         Timestamp aSent);
   void updateTaskLists(PollResult aResult, Common::Epoch aTerm);
   void handlePollError(PollError aError);
+  /// True if the worker is deregistered and all its runs have ended.
+  bool hasOutlivedLease() const;
+  void endLifetime(Scheduling::LifetimeStart aNextStart);
   void recordRenewal();
   void setResponding(bool aResponding);
   /// End of a lease on the worker's clock; nullopt if the lease has ended or no value of the
@@ -154,6 +161,8 @@
   Timestamp mLeaseEnd;
   /// Latest lease end that an earlier process of this instance may have requested.
   Timestamp mInheritedLeaseEnd;
+  /// Time by which all runs of a deregistered worker have ended; nullopt if it is registered.
+  std::optional<Timestamp> mEndsBy;
   Timestamp mRespondingSince;
   /// Polls without an answer since the last successful poll.
   int mFailedPolls = 0;
--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -592,11 +592,13 @@
   REQUIRE(cluster.runUntil([&] { return cluster.coordinatorInstance() == "e1"; }, 2s));
   cluster.run(200ms);
   cluster.mStore.mMode = FakeStore::Mode::LosingAnswers;
-  cluster.addWorker("w1");
+  FakeWorker& worker = cluster.addWorker("w1");
   const std::string key = WorkerKey({ Common::WorkerId("w1"), Scheduling::LifetimeStart{ 1 } });
   REQUIRE(cluster.runUntil([&] { return cluster.mStore.contains(key); }, 3s));
   cluster.mClients.back()->call({ "POST", "/gone", "w1", {} }, 1s, [](const Net::CallResult&) {});
-  cluster.run(300ms);
+  cluster.run(50ms);
+  worker.crash();
+  cluster.run(250ms);
   cluster.mStore.mMode = FakeStore::Mode::Normal;
   REQUIRE(cluster.runUntil([&] { return !cluster.mStore.contains(key); }, 5s));
 }
