What a worker lists after its lifetime counts as ended has no effect

Cause: the coordinator restarts the tasks of a lifetime that has ended, but still applied its lists: an end `done` completed the task, stopped the present run and was acknowledged.

Evidence: "What a worker lists after its lifetime counts as ended has no effect" failed before in its section on ends: the end is handled, and so acknowledged with the next record.

Change: lists of such a lifetime are not applied; the runs that they name are stopped. Such a worker got no starts before either.

Result: the test passes, and so does the whole of SchedulingTests.

--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -473,6 +473,16 @@
   }
 }
 
+/// Stops the runs that a worker lists although its lifetime counts as ended. Their tasks may have
+/// been started again since.
+void
+StopRunsOfEndedLifetime(SchedulerState& aState, const WorkerView& aView)
+{
+  for (const RunningTask& running : aView.mRunning) {
+    OrderStop(aState, aView.mLifetime, running.mTask, running.mRun);
+  }
+}
+
 void
 ApplyView(SchedulerState& aState,
           const Common::InstanceId& aAgent,
@@ -493,6 +503,10 @@
     }
   }
   Worker& worker = aState.mWorkers[number];
+  if (worker.mLifetimeEnded) {
+    StopRunsOfEndedLifetime(aState, aView);
+    return;
+  }
   if (HasOtherDescription(worker, aView) || !worker.mConnected ||
       worker.mHasTaskList != aView.mHasTaskList || worker.mLeaving != aView.mLeaving ||
       worker.mResponding != aView.mResponding) {
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -251,6 +251,53 @@
   }
 }
 
+TEST_CASE("What a worker lists after its lifetime counts as ended has no effect", "[Scheduling]")
+{
+  // The end of its run was acknowledged although the task had been started elsewhere.
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addJob("a", { MakeStep().build() });
+  const auto starts = fixture.place();
+  fixture.confirm(starts);
+  fixture.addWorker("w2");
+  EndedLifetime ended;
+  ended.mLifetime = fixture.view("w1").mLifetime;
+  ended.mLeftByPlan = true;
+  fixture.report(fixture.view("w2"), { ended });
+  const auto again = fixture.place();
+  REQUIRE(again.size() == 1);
+  REQUIRE(again[0].mLifetime.mWorker.str() == "w2");
+  fixture.confirm(again);
+  auto view = fixture.view("w1");
+
+  SECTION("a run that has ended is not acknowledged, and the present run goes on")
+  {
+    view.mEnded = { Fixture::ended(starts[0], 1, EndKind::Done) };
+    fixture.report(view);
+    REQUIRE(fixture.worker("w1").mLastHandledEnd == EndNumber{ 0 });
+    REQUIRE(fixture.mState.mJobs.at(JobId("a"))->mState == JobState::Running);
+    REQUIRE(fixture.takeOrders().empty());
+  }
+
+  SECTION("a run that goes on is stopped")
+  {
+    view.mRunning = { Fixture::running(starts[0]) };
+    fixture.report(view);
+    const auto stops = fixture.takeOrders();
+    REQUIRE(stops.size() == 1);
+    REQUIRE(stops[0].mKind == OrderKind::Stop);
+    REQUIRE(stops[0].mLifetime == starts[0].mLifetime);
+    REQUIRE(stops[0].mRun == starts[0].mRun);
+  }
+
+  SECTION("the worker gets no start")
+  {
+    fixture.report(view);
+    fixture.addJob("b", { MakeStep().cores(16'000).build() });
+    REQUIRE(fixture.place().empty());
+  }
+}
+
 TEST_CASE("A lease that a later coordinator may have extended does not end", "[Scheduling]")
 {
   // A coordinator without the store restarted the tasks of workers that had left it for the next
