A reported lease allows for a slow clock over its whole length

What callers would see: a task that runs on two workers for up to about 0.1 s (TWICE), after a change of the coordinator, if the worker's clock is slow and its answers are lost.

Cause: an agent reports to a new coordinator how long its worker's lease still lasts, and the coordinator restarts the tasks of a silent worker then. The worker's clock may be slow since the lease was given, but the 3% for that were added only to what was left of it, which is nothing at its end.

Evidence: "A new coordinator waits for a worker that gives no answers and whose clock is slow" failed before: a task runs on two workers. It has a lease of 3 s, a clock that is 12% slow and an allowance of 25%. "A reported lease lasts as long as on a worker whose clock is slow" failed before with the usual 3%: a lease of 5 s on a clock that is 2% slow lasts 5.102 s, and 4.9 s after its start the agent reported that it ends at 5.003 s.

Change: the allowance is that for the longest lease of a worker, as for a worker that deregisters. A new coordinator waits up to 0.15 s longer for a worker that does not answer.

--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -104,9 +104,7 @@
 WorkerDriver::viewWithLease() const
 {
   Scheduling::WorkerView view = mView;
-  const Duration remaining = std::max(mLeaseEnd, mInheritedLeaseEnd) - mContext.now();
-  view.mLeaseRemaining = std::chrono::duration_cast<Duration>(std::max(remaining, Duration{ 0 }) *
-                                                              (1.0 + mContext.mTiming.mClockDrift));
+  view.mLeaseRemaining = std::max<Duration>(runsEndBy() - mContext.now(), Duration{ 0 });
   for (Scheduling::RunningTask& running : view.mRunning) {
     running.mIsFresh = std::any_of(
       mRecentStarts.begin(), mRecentStarts.end(), [&running](const RecentStart& aStart) {
@@ -209,10 +207,7 @@
   if (mEndsBy) {
     return;
   }
-  // The worker's clock may be slow.
-  const auto drift = std::chrono::duration_cast<Duration>(mContext.mSettings.mMaxWorkerLease *
-                                                          mContext.mTiming.mClockDrift);
-  mEndsBy = std::max(mLeaseEnd, mInheritedLeaseEnd) + drift;
+  mEndsBy = runsEndBy();
   mView.mLeaving = true;
   mCallbacks.mOnViewChanged();
 }
@@ -257,6 +252,14 @@
   return WorkerTime{ mLastWorkerTime->first.value() + remaining.count() };
 }
 
+Timestamp
+WorkerDriver::runsEndBy() const
+{
+  const auto drift = std::chrono::duration_cast<Duration>(mContext.mSettings.mMaxWorkerLease *
+                                                          mContext.mTiming.mClockDrift);
+  return std::max(mLeaseEnd, mInheritedLeaseEnd) + drift;
+}
+
 void
 WorkerDriver::recordWorkerTime(const std::optional<WorkerTime>& aWorkerTime)
 {
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -136,6 +136,9 @@
   /// End of a lease on the worker's clock; nullopt if the lease has ended or no value of the
   /// worker's clock is known.
   std::optional<WorkerTime> onWorkerClock(Timestamp aLeaseEnd) const;
+  /// Time by which all runs have ended unless the lease is extended. The worker's clock may have
+  /// been slow for the whole lease.
+  Timestamp runsEndBy() const;
   void recordWorkerTime(const std::optional<WorkerTime>& aWorkerTime);
   /// Completes the repeated starts whose runs the worker lists, and sends the others if the lease
   /// allows starts.
