--- a/Source/ProcessBench/Child.cpp
+++ b/Source/ProcessBench/Child.cpp
@@ -18,7 +18,12 @@
 
 // Runs in the forked process, where only async-signal-safe calls are allowed.
 [[noreturn]] void
-Execute(char* const* aArguments, const char* aOutputFile, const char* aErrorFile, pid_t aParent)
+Execute(char* const* aArguments,
+        char* const* aEnvironment,
+        const char* aOutputFile,
+        const char* aErrorFile,
+        int aFileMode,
+        pid_t aParent)
 {
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (::getppid() != aParent) {
@@ -26,11 +31,12 @@
   }
   // An alarm outlives exec; the default action of its signal ends the process.
   ::alarm(Child::kMaxSeconds);
-  const int output = ::open(aOutputFile, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  const int errors = ::open(aErrorFile, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  const int flags = O_WRONLY | O_CREAT | O_CLOEXEC | aFileMode;
+  const int output = ::open(aOutputFile, flags, 0600);
+  const int errors = ::open(aErrorFile, flags, 0600);
   if (output >= 0 && errors >= 0 && ::dup2(output, STDOUT_FILENO) >= 0 &&
       ::dup2(errors, STDERR_FILENO) >= 0) {
-    ::execv(aArguments[0], aArguments);
+    ::execve(aArguments[0], aArguments, aEnvironment);
   }
   ::_exit(127);
 }
@@ -46,10 +52,26 @@
     arguments.push_back(text.data());
   }
   arguments.push_back(nullptr);
+  std::vector<std::string> variables = aCommand.mEnvironment;
+  std::vector<char*> environment;
+  for (std::string& variable : variables) {
+    environment.push_back(variable.data());
+  }
+  // Of two variables with one name the first counts.
+  for (char** variable = ::environ; *variable != nullptr; ++variable) {
+    environment.push_back(*variable);
+  }
+  environment.push_back(nullptr);
+  const int fileMode = aCommand.mAppends ? O_APPEND : O_TRUNC;
   const pid_t parent = ::getpid();
   mPid = ::fork();
   if (mPid == 0) {
-    Execute(arguments.data(), aCommand.mOutputFile.c_str(), aCommand.mErrorFile.c_str(), parent);
+    Execute(arguments.data(),
+            environment.data(),
+            aCommand.mOutputFile.c_str(),
+            aCommand.mErrorFile.c_str(),
+            fileMode,
+            parent);
   }
 }
 
@@ -63,28 +85,38 @@
 
 void
 Child::terminate() const
+{
+  signal(SIGTERM);
+}
+
+void
+Child::signal(int aSignal) const
 {
   if (mPid > 0) {
-    ::kill(mPid, SIGTERM);
+    ::kill(mPid, aSignal);
   }
 }
 
+bool
+Child::hasEnded()
+{
+  if (mPid > 0 && ::waitpid(mPid, &mStatus, WNOHANG) == mPid) {
+    mPid = -1;
+  }
+  return mPid <= 0;
+}
+
 std::optional<int>
 Child::wait(Common::Duration aLimit)
 {
   const auto end = std::chrono::steady_clock::now() + aLimit;
-  while (mPid > 0) {
-    int status = 0;
-    if (::waitpid(mPid, &status, WNOHANG) == mPid) {
-      mPid = -1;
-      return WIFEXITED(status) ? std::optional<int>(WEXITSTATUS(status)) : std::nullopt;
-    }
+  while (!hasEnded()) {
     if (std::chrono::steady_clock::now() >= end) {
-      break;
+      return std::nullopt;
     }
     std::this_thread::sleep_for(kPoll);
   }
-  return std::nullopt;
+  return WIFEXITED(mStatus) ? std::optional<int>(WEXITSTATUS(mStatus)) : std::nullopt;
 }
 
 Usage
--- a/Source/ProcessBench/Child.h
+++ b/Source/ProcessBench/Child.h
@@ -15,6 +15,10 @@
   std::vector<std::string> mArguments;
   std::string mOutputFile;
   std::string mErrorFile;
+  /// "NAME=VALUE"; the process also has the environment of this one.
+  std::vector<std::string> mEnvironment;
+  /// The files are continued instead of begun anew.
+  bool mAppends = false;
 };
 
 /// What the system counts for a process.
@@ -38,12 +42,16 @@
 
   /// Asks the process to stop gracefully.
   void terminate() const;
+  void signal(int aSignal) const;
+  /// Whether the process has ended, in whatever way.
+  bool hasEnded();
   /// The exit status, or nothing if the process still runs after aLimit or was ended by a signal.
   std::optional<int> wait(Common::Duration aLimit);
   Usage usage() const;
 
 private:
   pid_t mPid = -1;
+  int mStatus = 0;
 };
 
 } // namespace ProcessBench
