--- a/Source/ProcessBench/Child.cpp
+++ b/Source/ProcessBench/Child.cpp
@@ -1,6 +1,7 @@
 #include "ProcessBench/Child.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -36,6 +37,8 @@
   const int errors = ::open(aErrorFile, flags, 0600);
   if (output >= 0 && errors >= 0 && ::dup2(output, STDOUT_FILENO) >= 0 &&
       ::dup2(errors, STDERR_FILENO) >= 0) {
+    // Sockets of this program must not stay open in the processes that it starts.
+    ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     ::execve(aArguments[0], aArguments, aEnvironment);
   }
   ::_exit(127);
@@ -53,14 +56,15 @@
   }
   arguments.push_back(nullptr);
   std::vector<std::string> variables = aCommand.mEnvironment;
+  // Of two variables with one name the first counts.
+  for (char** variable = ::environ; *variable != nullptr; ++variable) {
+    variables.emplace_back(*variable);
+  }
   std::vector<char*> environment;
+  environment.reserve(variables.size() + 1);
   for (std::string& variable : variables) {
     environment.push_back(variable.data());
   }
-  // Of two variables with one name the first counts.
-  for (char** variable = ::environ; *variable != nullptr; ++variable) {
-    environment.push_back(*variable);
-  }
   environment.push_back(nullptr);
   const int fileMode = aCommand.mAppends ? O_APPEND : O_TRUNC;
   const pid_t parent = ::getpid();
