--- a/Source/ProcessBench/Fleet.cpp
+++ b/Source/ProcessBench/Fleet.cpp
@@ -155,7 +155,7 @@
 Fleet::run(const std::string& aName, std::vector<std::string> aArguments) const
 {
   return std::make_unique<Child>(
-    Command{ std::move(aArguments), path(aName + ".out"), path(aName + ".log") });
+    Command{ std::move(aArguments), path(aName + ".out"), path(aName + ".log"), {} });
 }
 
 tl::expected<int, std::string>
