Test: a stop answers between two attempts to write, not at the time of one

The test asked for the answer 100 + 50 ms after the submission, which is the delay of the second attempt (150 ms): at that time a write is in progress, and Undecided is the true answer. The answer is now due 70 ms after the submission; what is required of it is the same.

--- a/Source/UnitTests/Node/JobApiTests.cpp
+++ b/Source/UnitTests/Node/JobApiTests.cpp
@@ -213,8 +213,9 @@
 
   SECTION("unavailable if the store rejects the writes, and none is made afterwards")
   {
+    // The answer is due between two attempts.
     fixture.mStore.mMode = FakeStore::Mode::Rejecting;
-    REQUIRE_FALSE(fixture.call(RequestKind::Submit, "/q/a", 3s, 100ms));
+    REQUIRE_FALSE(fixture.call(RequestKind::Submit, "/q/a", 3s, 20ms));
     REQUIRE(stop()->mKind == ResponseKind::Unavailable);
     fixture.mStore.mMode = FakeStore::Mode::Normal;
     fixture.mIo.restart();
