--- /dev/null
+++ b/review/standin-2/Main.cpp
@@ -0,0 +1,197 @@
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+#include <set>
+
+#include "Rig.h"
+
+/// Usage: review2 CASE PROGRAM FOLDER RECORD. Exits with 1 if the rule was broken, with 0 if it
+/// held, and with 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+
+namespace {
+
+using namespace Review;
+using Platform::Json;
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kFailed = 2;
+
+bool
+HasTrouble()
+{
+  const char* const text = std::getenv("TROUBLE");
+  return text == nullptr || std::strcmp(text, "0") != 0;
+}
+
+std::int64_t
+EnvironmentNumber(const char* aName, std::int64_t aDefault)
+{
+  const char* const text = std::getenv(aName);
+  return text == nullptr ? aDefault : std::strtoll(text, nullptr, 10);
+}
+
+std::int64_t
+UnixNow()
+{
+  return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+std::string
+JobId(int aNumber)
+{
+  char text[17];
+  std::snprintf(text, sizeof text, "%016x", 0xab0000 + aNumber);
+  return text;
+}
+
+std::string
+SimpleJob(int aTasks)
+{
+  return Json{
+    { "spec", "work" },
+    { "steps",
+      Json::array(
+        { { { "count", aTasks }, { "cpu", 1'000 }, { "mem_mb", 256 }, { "estimate_ms", 500 } } }) }
+  }.dump();
+}
+
+int
+Judge(Rig& aRig, bool aBroken, const std::string& aText)
+{
+  aRig.record((aBroken ? "BROKEN: " : "held: ") + aText);
+  std::cout << (aBroken ? "BROKEN: " : "held: ") << aText << '\n';
+  return aBroken ? kBroken : kHeld;
+}
+
+/// Submits jobs and returns those that are not completed aBound after the last was accepted.
+std::vector<std::string>
+UnfinishedJobs(Rig& aRig, int aFirst, int aCount, Millis aBound, int& aAccepted)
+{
+  std::set<std::string> open;
+  for (int i = 0; i < aCount; ++i) {
+    const std::string job = JobId(aFirst + i);
+    if (aRig.submit(job, SimpleJob(2)).isAccepted()) {
+      ++aAccepted;
+      open.insert(job);
+    }
+    aRig.pass(Millis(500));
+  }
+  const Millis end = aRig.sinceStart() + aBound;
+  while (!open.empty() && aRig.sinceStart() < end) {
+    for (const std::string& job : std::set<std::string>(open)) {
+      if (aRig.stateOf(job) == "completed") {
+        open.erase(job);
+      }
+    }
+    aRig.pass(Millis(1'000));
+  }
+  return { open.begin(), open.end() };
+}
+
+/// A submission whose occurrences are all due at once.
+int
+RunTimetable(Rig& aRig)
+{
+  constexpr Millis kBound{ 26'000 };
+  int accepted = 0;
+  if (!UnfinishedJobs(aRig, 1, 3, kBound, accepted).empty() || accepted == 0) {
+    return kFailed;
+  }
+  const std::int64_t repeats = HasTrouble() ? EnvironmentNumber("REPEATS", 525'600) : 10;
+  const std::int64_t interval = 60'000;
+  const Json job = {
+    { "spec", "minute report" },
+    { "steps",
+      Json::array(
+        { { { "count", 1 }, { "cpu", 1'000 }, { "mem_mb", 256 }, { "estimate_ms", 500 } } }) },
+    { "repeats", repeats },
+    { "first_run_ms", UnixNow() - interval * repeats },
+    { "interval_ms", interval }
+  };
+  if (!aRig.submit(JobId(100), job.dump()).isAccepted()) {
+    return Judge(aRig, false, "the timetable was not accepted");
+  }
+  aRig.pass(Millis(3'000));
+  accepted = 0;
+  const auto unfinished = UnfinishedJobs(aRig, 200, 4, kBound, accepted);
+  std::size_t running = 0;
+  for (std::size_t i = 0; i < aRig.workers(); ++i) {
+    running += aRig.worker(i).worker().mRunning.size();
+  }
+  return Judge(aRig,
+               !unfinished.empty(),
+               std::to_string(unfinished.size()) + " of " + std::to_string(accepted) +
+                 " accepted submissions were not completed in time; entries killed for memory: " +
+                 std::to_string(aRig.killedForMemory()) +
+                 ", ended by themselves: " + std::to_string(aRig.unexpectedEnds()) +
+                 ", largest: " + std::to_string(static_cast<int>(aRig.largestEntryMegabytes())) +
+                 " MB; tasks running on 4 workers of 16 cores: " + std::to_string(running));
+}
+
+/// Two workers crash shortly after they have started a task.
+int
+RunCrashes(Rig& aRig)
+{
+  constexpr int kCrashes = 2;
+  const std::string job = JobId(1);
+  int crashes = 0;
+  int failedEnds = 0;
+  const Millis delay(EnvironmentNumber("DELAY", 60));
+  aRig.mOnStart = [&](std::size_t aWorker, const NodeTests::FakeWorker::Run& aRun) {
+    if (HasTrouble() && aRun.mTask.mJob.str() == job && crashes < kCrashes) {
+      ++crashes;
+      aRig.after(delay, [&aRig, aWorker] { aRig.crashWorker(aWorker, Millis(3'000)); });
+    }
+  };
+  aRig.mOnEnd = [&](std::size_t, const Scheduling::EndedTask& aEnd) {
+    failedEnds += aEnd.mKind == Scheduling::EndKind::Failed ? 1 : 0;
+  };
+  if (!aRig.submit(job, SimpleJob(1)).isAccepted()) {
+    return kFailed;
+  }
+  std::string state;
+  const Millis end = aRig.sinceStart() + Millis(40'000);
+  while (state != "completed" && state != "failed" && aRig.sinceStart() < end) {
+    aRig.pass(Millis(1'000));
+    state = aRig.stateOf(job);
+  }
+  return Judge(aRig,
+               state != "completed" && failedEnds == 0,
+               "the submission is shown as " + state + " after " + std::to_string(crashes) +
+                 " crashes and " + std::to_string(failedEnds) + " ends \"failed\"");
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount != 5) {
+    std::cerr << "usage: review2 CASE PROGRAM FOLDER RECORD\n";
+    return kFailed;
+  }
+  const std::string name = aArguments[1];
+  RigOptions options;
+  options.mProgram = aArguments[2];
+  options.mFolder = aArguments[3];
+  options.mRecordFile = aArguments[4];
+  // As at the site korouhev-sdileny, where a crash of a share of 0.14 takes two workers.
+  options.mAgents = name == "crashes" ? 11 : 4;
+  if (name == "timetable") {
+    options.mMemoryMegabytes = static_cast<double>(EnvironmentNumber("MEMORY_MB", 260));
+  }
+  Rig rig(options);
+  if (!rig.start()) {
+    std::cerr << "the processes did not get ready\n";
+    return kFailed;
+  }
+  if (name == "timetable") {
+    return RunTimetable(rig);
+  }
+  if (name == "crashes") {
+    return RunCrashes(rig);
+  }
+  return kFailed;
+}
