--- a/review/standin-2/Main.cpp
+++ b/review/standin-2/Main.cpp
@@ -130,6 +130,59 @@
                  " MB; tasks running on 4 workers of 16 cores: " + std::to_string(running));
 }
 
+/// A timetable whose record grows beyond the largest value of the store.
+int
+RunRecords(Rig& aRig)
+{
+  constexpr Millis kBound{ 26'000 };
+  constexpr int kSteps = 64;
+  const std::string timetable = JobId(100);
+  aRig.mRecordsRuns = false;
+  aRig.mTaskTime = [](const Scheduling::TaskName&) { return Millis(10); };
+  int accepted = 0;
+  if (!UnfinishedJobs(aRig, 1, 3, kBound, accepted).empty() || accepted == 0) {
+    return kFailed;
+  }
+  Json steps = Json::array();
+  for (int i = 0; i < kSteps; ++i) {
+    steps.push_back({ { "count", 1 }, { "cpu", 160 }, { "mem_mb", 16 }, { "estimate_ms", 10 } });
+  }
+  const std::int64_t repeats = HasTrouble() ? 1'000'000 : 100;
+  const Json job = { { "spec", "tick" },
+                     { "steps", steps },
+                     { "repeats", repeats },
+                     { "first_run_ms", UnixNow() + 500 },
+                     { "interval_ms", EnvironmentNumber("INTERVAL_MS", 25) } };
+  std::size_t ends = 0;
+  aRig.mOnEnd = [&](std::size_t, const Scheduling::EndedTask&) { ++ends; };
+  Millis lastStart{ 0 };
+  aRig.mOnStart = [&](std::size_t, const NodeTests::FakeWorker::Run& aRun) {
+    lastStart = aRun.mTask.mJob.str() == timetable ? aRig.sinceStart() : lastStart;
+  };
+  if (!aRig.submit(timetable, job.dump()).isAccepted()) {
+    return kFailed;
+  }
+  const Millis limit = aRig.sinceStart() + Millis(EnvironmentNumber("GROW_MS", 70'000));
+  while (aRig.refusedWrites() == 0 && aRig.sinceStart() < limit &&
+         (HasTrouble() || ends < kSteps * 100)) {
+    aRig.pass(Millis(2'000));
+    aRig.record(std::to_string(ends) + " ends, largest value " +
+                std::to_string(aRig.largestValue()));
+  }
+  if (HasTrouble() && aRig.refusedWrites() == 0) {
+    return kFailed;
+  }
+  accepted = 0;
+  const auto unfinished = UnfinishedJobs(aRig, 200, 3, kBound, accepted);
+  return Judge(aRig,
+               !unfinished.empty(),
+               std::to_string(unfinished.size()) + " of " + std::to_string(accepted) +
+                 " accepted submissions were not completed in time; last start of the timetable " +
+                 std::to_string((aRig.sinceStart() - lastStart).count()) + " ms ago, " +
+                 std::to_string(ends) + " ends, refused writes " +
+                 std::to_string(aRig.refusedWrites()));
+}
+
 /// Two workers crash shortly after they have started a task.
 int
 RunCrashes(Rig& aRig)
@@ -178,7 +231,7 @@
   options.mFolder = aArguments[3];
   options.mRecordFile = aArguments[4];
   // As at the site korouhev-sdileny, where a crash of a share of 0.14 takes two workers.
-  options.mAgents = name == "crashes" ? 11 : 4;
+  options.mAgents = name == "crashes" ? 11 : name == "records" ? 8 : 4;
   if (name == "timetable") {
     options.mMemoryMegabytes = static_cast<double>(EnvironmentNumber("MEMORY_MB", 260));
   }
@@ -190,6 +243,9 @@
   if (name == "timetable") {
     return RunTimetable(rig);
   }
+  if (name == "records") {
+    return RunRecords(rig);
+  }
   if (name == "crashes") {
     return RunCrashes(rig);
   }
--- a/review/standin-2/Rig.cpp
+++ b/review/standin-2/Rig.cpp
@@ -67,6 +67,11 @@
   : mOptions(std::move(aOptions))
   , mRecord(mOptions.mRecordFile)
   , mStore(mIo)
+  , mLimitedStore(mIo,
+                  Net::HttpLimits{ .mHeaderBytes = 16'384, .mBodyBytes = 64 << 20 },
+                  [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
+                    passToStore(aRequest, aRespond);
+                  })
 {
 }
 
@@ -163,12 +168,43 @@
   std::ofstream(mOptions.mFolder + '/' + aProcess.mName + ".json") << settings.dump(2) << '\n';
 }
 
+void
+Rig::passToStore(const Net::HttpRequest& aRequest, const Net::Responder& aRespond)
+{
+  constexpr unsigned kTooLarge = 413;
+  constexpr Millis kLongestWatch{ 32'000 };
+  if (aRequest.mTarget == "/-/kv-txn") {
+    const auto body = Platform::ParseObject(aRequest.mBody);
+    for (const Json& row : body ? body->value("put", Json::array()) : Json::array()) {
+      const std::size_t bytes = Platform::StringOr(row, "value", "").size() / 4 * 3;
+      mLargestValue = std::max(mLargestValue, bytes);
+      if (bytes > mOptions.mValueBytes) {
+        if (mRefusedWrites++ % 50 == 0) {
+          record("the store refuses a write: " + Platform::StringOr(row, "key", "") + " has " +
+                 std::to_string(bytes) + " bytes; refused so far " +
+                 std::to_string(mRefusedWrites));
+        }
+        aRespond({ kTooLarge, "{}", {} });
+        return;
+      }
+    }
+  }
+  mStoreClient->call({ aRequest.mMethod, aRequest.mTarget, aRequest.mBody, {} },
+                     kLongestWatch,
+                     [aRespond](const Net::CallResult& aResult) {
+                       if (aResult) {
+                         aRespond({ aResult->mStatus, aResult->mBody, {} });
+                       }
+                     });
+}
+
 bool
 Rig::start()
 {
-  if (!mStore.listen()) {
+  if (!mStore.listen() || !mLimitedStore.listen("127.0.0.1:0")) {
     return false;
   }
+  mStoreClient = std::make_unique<Net::HttpClient>(mIo, mStore.address());
   const Json route = { { "name", "renders" },     { "host", "review.example" },
                        { "prefix", "/renders/" }, { "service", kService },
                        { "priority", 2 },         { "max_attempts", mOptions.mMaxAttempts },
@@ -190,7 +226,7 @@
     process.mIndex = process.mIsEntry ? i : i - mOptions.mEntries;
     process.mName = (process.mIsEntry ? "entry-" : "agent-") + std::to_string(process.mIndex + 1);
     process.mFirstPort = FreePorts(kPortsOfProcess);
-    process.mStore = std::make_unique<Soak::Proxy>(mIo, mStore.address());
+    process.mStore = std::make_unique<Soak::Proxy>(mIo, Net::AddressText(mLimitedStore.address()));
     if (!process.mStore->listen()) {
       return false;
     }
--- a/review/standin-2/Rig.h
+++ b/review/standin-2/Rig.h
@@ -29,6 +29,8 @@
   int mMaxAttempts = 3;
   /// The platform kills a process above this size; 0 for no limit.
   double mMemoryMegabytes = 0;
+  /// Largest value that the store takes.
+  std::size_t mValueBytes = 1'048'576;
 };
 
 /// Answer of an entry to a caller; status 0 if there was none in time.
@@ -73,6 +75,9 @@
   /// Position of the entry that holds the coordinator's key.
   std::optional<std::size_t> coordinator();
   int killedForMemory() const { return mKilledForMemory; }
+  /// Writes that the store refused because of a value above its limit.
+  int refusedWrites() const { return mRefusedWrites; }
+  std::size_t largestValue() const { return mLargestValue; }
   int unexpectedEnds() const { return mUnexpectedEnds; }
   double largestEntryMegabytes() const { return mLargest; }
 
@@ -98,6 +103,8 @@
   std::string portAddress(const Process& aProcess, int aOffset) const;
   void writeSettings(const Process& aProcess) const;
   void startProcess(Process& aProcess);
+  /// Passes a call on to the store unless it writes a value above the limit.
+  void passToStore(const Net::HttpRequest& aRequest, const Net::Responder& aRespond);
   void tick();
   void checkMemory(Process& aProcess);
   bool areEntriesReady();
@@ -107,6 +114,10 @@
   Time mStart = std::chrono::steady_clock::now();
   std::ofstream mRecord;
   Soak::StoreFront mStore;
+  std::unique_ptr<Net::HttpClient> mStoreClient;
+  Net::HttpServer mLimitedStore;
+  int mRefusedWrites = 0;
+  std::size_t mLargestValue = 0;
   std::vector<Process> mProcesses;
   std::vector<std::unique_ptr<Soak::WorkerFront>> mWorkers;
   std::vector<std::unique_ptr<Net::HttpClient>> mClients;
