--- a/review/standin-2/Main.cpp
+++ b/review/standin-2/Main.cpp
@@ -1,6 +1,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <iostream>
+#include <map>
 #include <set>
 
 #include "Rig.h"
@@ -47,13 +48,15 @@
 }
 
 std::string
-SimpleJob(int aTasks)
+SimpleJob(int aTasks, int aEstimateMs = 500)
 {
   return Json{
     { "spec", "work" },
     { "steps",
-      Json::array(
-        { { { "count", aTasks }, { "cpu", 1'000 }, { "mem_mb", 256 }, { "estimate_ms", 500 } } }) }
+      Json::array({ { { "count", aTasks },
+                      { "cpu", 1'000 },
+                      { "mem_mb", 256 },
+                      { "estimate_ms", aEstimateMs } } }) }
   }.dump();
 }
 
@@ -183,6 +186,39 @@
                  std::to_string(aRig.refusedWrites()));
 }
 
+/// A status report of another writer arrives while a worker runs a task.
+int
+RunForeignReport(Rig& aRig)
+{
+  static constexpr int kTaskMs = 3'000;
+  const std::string job = JobId(1);
+  std::map<std::size_t, std::int64_t> running;
+  std::size_t mostAtOnce = 0;
+  int starts = 0;
+  aRig.mTaskTime = [](const Scheduling::TaskName&) { return Millis(kTaskMs); };
+  aRig.mOnStart = [&](std::size_t aWorker, const NodeTests::FakeWorker::Run& aRun) {
+    running[aWorker] = aRun.mRun.value();
+    mostAtOnce = std::max(mostAtOnce, running.size());
+    if (++starts == 1 && HasTrouble()) {
+      aRig.after(Millis(1'000), [&aRig, aWorker] { aRig.sendForeignReport(aWorker); });
+    }
+  };
+  aRig.mOnEnd = [&](std::size_t aWorker, const Scheduling::EndedTask&) { running.erase(aWorker); };
+  if (!aRig.submit(job, SimpleJob(1, kTaskMs)).isAccepted()) {
+    return kFailed;
+  }
+  std::string state;
+  const Millis end = aRig.sinceStart() + Millis(40'000);
+  while (state != "completed" && aRig.sinceStart() < end) {
+    aRig.pass(Millis(1'000));
+    state = aRig.stateOf(job);
+  }
+  return Judge(aRig,
+               mostAtOnce > 1,
+               std::to_string(mostAtOnce) + " runs of the task at the same time, " +
+                 std::to_string(starts) + " starts, shown as " + state);
+}
+
 /// Two workers crash shortly after they have started a task.
 int
 RunCrashes(Rig& aRig)
@@ -243,6 +279,9 @@
   if (name == "timetable") {
     return RunTimetable(rig);
   }
+  if (name == "foreign") {
+    return RunForeignReport(rig);
+  }
   if (name == "records") {
     return RunRecords(rig);
   }
--- a/review/standin-2/Rig.cpp
+++ b/review/standin-2/Rig.cpp
@@ -429,6 +429,32 @@
   return {};
 }
 
+void
+Rig::sendForeignReport(std::size_t aAgent)
+{
+  const Process& agent = mProcesses[mOptions.mEntries + aAgent];
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const Json body = { { "service", "not-named-here" },
+                      { "address", portAddress(agent, kCallers) },
+                      { "zone", kZones[aAgent % 3] },
+                      { "version", "v1" },
+                      { "slots", 8 },
+                      { "state", "ready" },
+                      { "cold_left_ms", 0 },
+                      { "capacity", { { "cpu", 16'000 }, { "mem_mb", 64'000 }, { "gpu", 0 } } },
+                      { "labels", { "a", "r0" } },
+                      { "clock_ms", 1'000 },
+                      { "seq", 1 },
+                      { "born", std::chrono::duration_cast<Millis>(now).count() } };
+  const auto client = std::make_shared<Net::HttpClient>(mIo, portAddress(agent, kAnnouncements));
+  client->call({ "POST", "/-/Instances.Heartbeat/i-foreign", body.dump(), {} },
+               Millis(1'000),
+               [this, client, aAgent](const Net::CallResult& aResult) {
+                 record("foreign status report at agent-" + std::to_string(aAgent + 1) + ": " +
+                        std::to_string(aResult ? aResult->mStatus : 0));
+               });
+}
+
 void
 Rig::crashWorker(std::size_t aIndex, Millis aDownTime)
 {
--- a/review/standin-2/Rig.h
+++ b/review/standin-2/Rig.h
@@ -71,6 +71,9 @@
 
   Soak::WorkerFront& worker(std::size_t aIndex) { return *mWorkers[aIndex]; }
   std::size_t workers() const { return mWorkers.size(); }
+  /// Sends a status report of another writer to the agent: it has the address of the agent's
+  /// worker, an id of its own and a service that the configuration does not name.
+  void sendForeignReport(std::size_t aAgent);
   void crashWorker(std::size_t aIndex, Millis aDownTime);
   /// Position of the entry that holds the coordinator's key.
   std::optional<std::size_t> coordinator();
