--- a/review/standin-2/Main.cpp
+++ b/review/standin-2/Main.cpp
@@ -140,7 +140,7 @@
   constexpr Millis kBound{ 26'000 };
   constexpr int kSteps = 64;
   const std::string timetable = JobId(100);
-  aRig.mRecordsRuns = false;
+  aRig.mUnrecordedJob = timetable;
   aRig.mTaskTime = [](const Scheduling::TaskName&) { return Millis(10); };
   int accepted = 0;
   if (!UnfinishedJobs(aRig, 1, 3, kBound, accepted).empty() || accepted == 0) {
@@ -155,7 +155,7 @@
                      { "steps", steps },
                      { "repeats", repeats },
                      { "first_run_ms", UnixNow() + 500 },
-                     { "interval_ms", EnvironmentNumber("INTERVAL_MS", 25) } };
+                     { "interval_ms", EnvironmentNumber("INTERVAL_MS", 20) } };
   std::size_t ends = 0;
   aRig.mOnEnd = [&](std::size_t, const Scheduling::EndedTask&) { ++ends; };
   Millis lastStart{ 0 };
@@ -165,11 +165,11 @@
   if (!aRig.submit(timetable, job.dump()).isAccepted()) {
     return kFailed;
   }
-  const Millis limit = aRig.sinceStart() + Millis(EnvironmentNumber("GROW_MS", 70'000));
+  const Millis limit = aRig.sinceStart() + Millis(EnvironmentNumber("GROW_MS", 78'000));
   while (aRig.refusedWrites() == 0 && aRig.sinceStart() < limit &&
          (HasTrouble() || ends < kSteps * 100)) {
     aRig.pass(Millis(2'000));
-    aRig.record(std::to_string(ends) + " ends, largest value " +
+    aRig.record("the timetable has " + std::to_string(ends) + " ends, largest value " +
                 std::to_string(aRig.largestValue()));
   }
   if (HasTrouble() && aRig.refusedWrites() == 0) {
--- a/review/standin-2/Rig.cpp
+++ b/review/standin-2/Rig.cpp
@@ -250,7 +250,7 @@
       return mTaskTime ? mTaskTime(aTask) : Millis(500);
     };
     worker.mOnStart = [this, i, id](const NodeTests::FakeWorker::Run& aRun) {
-      if (mRecordsRuns) {
+      if (aRun.mTask.mJob.str() != mUnrecordedJob) {
         record(id + " starts " + aRun.mTask.mJob.str() + '.' +
                std::to_string(aRun.mTask.mOccurrence) + '.' + std::to_string(aRun.mTask.mStep) +
                '.' + std::to_string(aRun.mTask.mIndex) + " run " +
@@ -261,7 +261,7 @@
       }
     };
     worker.mOnEnd = [this, i, id](const Scheduling::EndedTask& aEnd) {
-      if (mRecordsRuns) {
+      if (aEnd.mTask.mJob.str() != mUnrecordedJob) {
         record(id + " ends " + aEnd.mTask.mJob.str() + '.' +
                std::to_string(aEnd.mTask.mOccurrence) + '.' + std::to_string(aEnd.mTask.mStep) +
                '.' + std::to_string(aEnd.mTask.mIndex) + " run " +
--- a/review/standin-2/Rig.h
+++ b/review/standin-2/Rig.h
@@ -88,7 +88,8 @@
   std::function<Millis(const Scheduling::TaskName&)> mTaskTime;
   std::function<void(std::size_t aWorker, const NodeTests::FakeWorker::Run&)> mOnStart;
   std::function<void(std::size_t aWorker, const Scheduling::EndedTask&)> mOnEnd;
-  bool mRecordsRuns = true;
+  /// Runs of this job are not written to the record one by one.
+  std::string mUnrecordedJob;
 
 private:
   struct Process
