A status report of another writer does not end a worker's lifetime

Cause: the agent took each later start under the id or the address of a known worker for its next lifetime, and ended the known one before the address had confirmed either. The coordinator did the same with what an agent passed on about a worker of another agent.

Evidence: in the agent's log of such a run, the lifetime of the living worker ends with the report, and that of the report 0.3 ms later, when the address answers its first poll with 421.

Change: an announced lifetime is polled beside the known one. It is reported, and ends the others at its address, once the address has answered as it; it gets no lease before. The coordinator takes the end of a lifetime only from its own agent, and a view of it from another agent only with lists. The log entry of an ended lifetime says whether it ever answered.

The fixture of Scheduling let an agent report the end of another agent's worker; it now reports it through the worker's own agent, and all checks stay.

--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -1,5 +1,7 @@
 #include "Node/Agent.h"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 
 #include "Node/WireConversion.h"
@@ -14,6 +16,8 @@
 
 /// Reports contain an ended lifetime for this long, so that a new coordinator learns of it as well.
 constexpr std::chrono::seconds kEndedLifetimeReportTime{ 30 };
+/// Announced workers that have not answered. Each of them is polled.
+constexpr std::size_t kMaxUnconfirmedWorkers = 8;
 /// Order results that are kept to answer repeated orders.
 constexpr std::size_t kMaxOrderResults = 2'000;
 
@@ -131,22 +135,46 @@
     }
     return;
   }
-  std::vector<Scheduling::WorkerLifetime> replaced;
-  for (const auto& [other, worker] : mWorkers) {
-    if (other.mWorker == lifetime.mWorker ||
-        worker.mDriver->view().mAddress == aHeartbeat.mView.mAddress) {
-      if (other.mStartedAt > lifetime.mStartedAt) {
-        // A delayed heartbeat of a lifetime that has been replaced since.
-        return;
-      }
-      replaced.push_back(other);
+  if (isOutdated(aHeartbeat.mView)) {
+    return;
+  }
+  dropUnconfirmedWorkers();
+  addWorker(aHeartbeat.mView, false);
+  mWorkers.at(lifetime).mLastSequence = aHeartbeat.mSequence;
+}
+
+bool
+Agent::isOutdated(const Scheduling::WorkerView& aView) const
+{
+  return std::any_of(mWorkers.begin(), mWorkers.end(), [&aView](const auto& aEntry) {
+    const auto& [lifetime, worker] = aEntry;
+    const bool sameWorker = lifetime.mWorker == aView.mLifetime.mWorker;
+    const bool sameAddress = worker.mDriver->view().mAddress == aView.mAddress;
+    return (sameWorker || sameAddress) && worker.mDriver->isConfirmed() &&
+           lifetime.mStartedAt > aView.mLifetime.mStartedAt;
+  });
+}
+
+void
+Agent::dropUnconfirmedWorkers()
+{
+  std::vector<Scheduling::WorkerLifetime> unconfirmed;
+  for (const auto& [lifetime, worker] : mWorkers) {
+    if (!worker.mIsReported) {
+      unconfirmed.push_back(lifetime);
     }
   }
-  for (const auto& other : replaced) {
-    endLifetime(other, Scheduling::LifetimeStart{ 0 });
+  if (unconfirmed.size() < kMaxUnconfirmedWorkers) {
+    return;
+  }
+  Log(Level::Warning,
+      "agent",
+      "dropped announced workers that have not answered",
+      { { "count", std::to_string(unconfirmed.size()) } });
+  for (const auto& lifetime : unconfirmed) {
+    mWorkers.at(lifetime).mDriver->close();
+    mWorkers.erase(lifetime);
   }
-  addWorker(aHeartbeat.mView);
-  mWorkers.at(lifetime).mLastSequence = aHeartbeat.mSequence;
 }
 
 void
@@ -163,7 +191,7 @@
 }
 
 void
-Agent::addWorker(const Scheduling::WorkerView& aView)
+Agent::addWorker(const Scheduling::WorkerView& aView, bool aIsReported)
 {
   std::string labels;
   for (const std::string& label : aView.mLabels) {
@@ -182,17 +210,37 @@
     mContext,
     mPortFactory(aView.mAddress, lifetime),
     aView,
-    WorkerDriver::Callbacks{ [this] { reportSoon(); },
-                             [this, lifetime](Scheduling::LifetimeStart aNextStart) {
-                               endLifetime(lifetime, aNextStart);
-                             } });
-  mWorkers.insert_or_assign(lifetime, Worker{ driver, 0 });
+    WorkerDriver::Callbacks{
+      [this] { reportSoon(); },
+      [this, lifetime](Scheduling::LifetimeStart aNextStart) { endLifetime(lifetime, aNextStart); },
+      [this, lifetime] { confirmWorker(lifetime); } });
+  mWorkers.insert_or_assign(lifetime, Worker{ driver, 0, aIsReported });
   if (mTerm.value() > 0) {
     driver->setTerm(mTerm);
   }
   driver->start();
 }
 
+void
+Agent::confirmWorker(const Scheduling::WorkerLifetime& aLifetime)
+{
+  Worker& confirmed = mWorkers.at(aLifetime);
+  confirmed.mIsReported = true;
+  // One process listens at the address, so the other lifetimes there have ended.
+  std::vector<Scheduling::WorkerLifetime> replaced;
+  for (const auto& [other, worker] : mWorkers) {
+    const bool sameAddress = worker.mDriver->view().mAddress == confirmed.mDriver->view().mAddress;
+    const bool mayBeSame = other.mWorker == aLifetime.mWorker &&
+                           !AreDifferentLifetimes(other.mStartedAt, aLifetime.mStartedAt);
+    if (sameAddress && !mayBeSame) {
+      replaced.push_back(other);
+    }
+  }
+  for (const auto& other : replaced) {
+    endLifetime(other, Scheduling::LifetimeStart{ 0 });
+  }
+}
+
 void
 Agent::endLifetime(const Scheduling::WorkerLifetime& aLifetime,
                    Scheduling::LifetimeStart aNextStart)
@@ -206,24 +254,40 @@
       "a worker's lifetime ended",
       { { "worker", aLifetime.mWorker.str() },
         { "born", std::to_string(aLifetime.mStartedAt.value()) },
-        { "next", std::to_string(aNextStart.value()) } });
+        { "next", std::to_string(aNextStart.value()) },
+        { "answered", found->second.mDriver->isConfirmed() ? "true" : "false" } });
   const Worker worker = found->second;
   worker.mDriver->close();
   mWorkers.erase(found);
-  mEndedLifetimes[aLifetime] = { worker.mDriver->endedLifetime(),
-                                 mContext.now() + kEndedLifetimeReportTime };
+  if (worker.mIsReported) {
+    mEndedLifetimes[aLifetime] = { worker.mDriver->endedLifetime(),
+                                   mContext.now() + kEndedLifetimeReportTime };
+  }
   if (aNextStart.value() != 0) {
-    Scheduling::WorkerView view = worker.mDriver->view();
-    view.mLifetime.mStartedAt = aNextStart;
-    view.mAwaitsHeartbeat = true;
-    view.mLeaving = false;
-    view.mRunning.clear();
-    view.mEnded.clear();
-    addWorker(view);
+    addNextLifetime(worker.mDriver->view(), aNextStart);
   }
   reportSoon();
 }
 
+void
+Agent::addNextLifetime(Scheduling::WorkerView aView, Scheduling::LifetimeStart aStart)
+{
+  aView.mLifetime.mStartedAt = aStart;
+  const auto known = mWorkers.find(aView.mLifetime);
+  if (known != mWorkers.end()) {
+    known->second.mIsReported = true;
+    return;
+  }
+  if (mEndedLifetimes.contains(aView.mLifetime)) {
+    return;
+  }
+  aView.mAwaitsHeartbeat = true;
+  aView.mLeaving = false;
+  aView.mRunning.clear();
+  aView.mEnded.clear();
+  addWorker(aView, true);
+}
+
 void
 Agent::connect()
 {
@@ -336,9 +400,10 @@
     // A worker that the coordinator already knows needs no heartbeat first. The first poll shows
     // whether this lifetime still exists.
     const Scheduling::WorkerView view = FromWire(known, mContext.mSettings.mDataCentre);
-    if (mWorkers.empty() && !mEndedLifetimes.contains(view.mLifetime) &&
+    if (!hasConfirmedWorker() && !mWorkers.contains(view.mLifetime) &&
+        !mEndedLifetimes.contains(view.mLifetime) &&
         view.mAddress == mContext.mSettings.mWorkerAddress) {
-      addWorker(view);
+      addWorker(view, true);
     }
   }
   if (aDirective.echoMicros > 0) {
@@ -362,6 +427,14 @@
   }
 }
 
+bool
+Agent::hasConfirmedWorker() const
+{
+  return std::any_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
+    return aEntry.second.mDriver->isConfirmed();
+  });
+}
+
 void
 Agent::requestAdvice(const Wire::Question& aQuestion)
 {
@@ -487,7 +560,9 @@
   report.term = mTerm.value();
   report.keepsPayloads = true;
   for (auto& [lifetime, worker] : mWorkers) {
-    report.workers.push_back(ToWire(worker.mDriver->viewWithLease()));
+    if (worker.mIsReported) {
+      report.workers.push_back(ToWire(worker.mDriver->viewWithLease()));
+    }
   }
   for (const auto& [lifetime, ended] : mEndedLifetimes) {
     report.endedLives.push_back(ToWire(ended.mEnded));
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -43,12 +43,24 @@
     std::shared_ptr<WorkerDriver> mDriver;
     /// Sequence number of the last heartbeat.
     std::int64_t mLastSequence = 0;
+    /// False while only a heartbeat, which may come from another writer, says that this lifetime
+    /// exists.
+    bool mIsReported = false;
   };
 
   void handleRequest(const Net::HttpRequest& aRequest, const Net::Responder& aRespond);
   void handleHeartbeat(const WorkerHeartbeat& aHeartbeat);
   void handleDeregistration(const WorkerAnnouncement& aAnnouncement);
-  void addWorker(const Scheduling::WorkerView& aView);
+  /// True for a delayed heartbeat of a lifetime that has been replaced since.
+  bool isOutdated(const Scheduling::WorkerView& aView) const;
+  /// Drops the announced workers that have not answered if there are too many.
+  void dropUnconfirmedWorkers();
+  bool hasConfirmedWorker() const;
+  void addWorker(const Scheduling::WorkerView& aView, bool aIsReported);
+  /// The worker has answered as this lifetime, which ends the other lifetimes at its address.
+  void confirmWorker(const Scheduling::WorkerLifetime& aLifetime);
+  /// Adds the lifetime that answered in place of the one that aView describes.
+  void addNextLifetime(Scheduling::WorkerView aView, Scheduling::LifetimeStart aStart);
   void endLifetime(const Scheduling::WorkerLifetime& aLifetime,
                    Scheduling::LifetimeStart aNextStart);
   void connect();
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -346,6 +346,7 @@
     endLifetime(Scheduling::LifetimeStart{ 0 });
     return;
   }
+  confirm();
   recordWorkerTime(aResult->mWorkerTime);
   if (mRequestedLeaseEnd && !aResult->mFromCheck) {
     recordRenewal();
@@ -440,6 +441,18 @@
   schedulePoll(std::max<Duration>(interval - (mContext.now() - mPollSent), kMinPollInterval));
 }
 
+void
+WorkerDriver::confirm()
+{
+  if (mConfirmed) {
+    return;
+  }
+  mConfirmed = true;
+  // Earlier reports did not contain the lifetime, so their answers grant it no lease.
+  mRespondingSince = mContext.now();
+  mCallbacks.mOnConfirmed();
+}
+
 bool
 WorkerDriver::hasOutlivedLease() const
 {
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -25,6 +25,8 @@
     /// All runs of this lifetime have ended. aNextStart identifies the later lifetime that
     /// answered; 0 if there is none.
     std::function<void(Scheduling::LifetimeStart aNextStart)> mOnLifetimeEnded;
+    /// The worker has answered as this lifetime for the first time.
+    std::function<void()> mOnConfirmed;
   };
 
   WorkerDriver(Context& aContext,
@@ -63,6 +65,9 @@
   /// awaited are not sent again.
   void withdrawStarts();
 
+  /// Whether the worker has answered as this lifetime. An announcement alone may come from another
+  /// writer.
+  bool isConfirmed() const { return mConfirmed; }
   /// The view without the remaining time of the lease, which changes continuously.
   const Scheduling::WorkerView& view() const { return mView; }
   /// The view with the remaining time of the lease, for a report that is sent now.
@@ -128,6 +133,7 @@
                         Timestamp aSent);
   void updateTaskLists(PollResult aResult, Common::Epoch aTerm);
   void handlePollError(PollError aError);
+  void confirm();
   /// True if the worker is deregistered and all its runs have ended.
   bool hasOutlivedLease() const;
   void endLifetime(Scheduling::LifetimeStart aNextStart);
@@ -195,6 +201,7 @@
   std::vector<std::shared_ptr<PendingOrder>> mOpenStarts;
   bool mClosed = false;
   bool mPolling = false;
+  bool mConfirmed = false;
 };
 
 } // namespace Node
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -483,6 +483,23 @@
   }
 }
 
+/// The agent of the lifetime; empty if the lifetime is not known.
+Common::InstanceId
+AgentOf(const SchedulerState& aState, const WorkerLifetime& aLifetime)
+{
+  const auto found = aState.mWorkerIndex.find(aLifetime);
+  return found == aState.mWorkerIndex.end() ? Common::InstanceId()
+                                            : aState.mWorkers[found->second].mAgent;
+}
+
+/// False if another agent drives the worker and the worker has not answered this one.
+bool
+MayDescribe(const SchedulerState& aState, const Common::InstanceId& aAgent, const WorkerView& aView)
+{
+  const Common::InstanceId agent = AgentOf(aState, aView.mLifetime);
+  return agent.empty() || agent == aAgent || aView.mHasTaskList;
+}
+
 void
 ApplyView(SchedulerState& aState,
           const Common::InstanceId& aAgent,
@@ -490,14 +507,17 @@
           Timestamp aLeaseEnd,
           const CurrentTime& aNow)
 {
+  if (!MayDescribe(aState, aAgent, aView)) {
+    return;
+  }
   const WorkerNumber number = FindOrAddWorker(aState, aView.mLifetime);
-  // A newer lifetime of the same worker, or at the same address of the agent, ends the older ones.
+  // A newer lifetime of the agent's worker, or at the same address, ends the older ones.
   for (const auto& [lifetime, otherNumber] : aState.mWorkerIndex) {
     const Worker& other = aState.mWorkers[otherNumber];
     const bool sameWorker = lifetime.mWorker == aView.mLifetime.mWorker;
-    const bool sameAddress =
-      !aView.mAddress.empty() && other.mAgent == aAgent && other.mAddress == aView.mAddress;
-    if ((sameWorker || sameAddress) && lifetime.mStartedAt < aView.mLifetime.mStartedAt) {
+    const bool sameAddress = !aView.mAddress.empty() && other.mAddress == aView.mAddress;
+    if (other.mAgent == aAgent && (sameWorker || sameAddress) &&
+        lifetime.mStartedAt < aView.mLifetime.mStartedAt) {
       EndLifetime(
         aState, otherNumber, sameWorker ? number : kNoWorker, "the worker restarted", aNow);
     }
@@ -693,6 +713,11 @@
 {
   for (const EndedLifetime& ended : aEndedLifetimes) {
     const WorkerLifetime& lifetime = ended.mLifetime;
+    const Common::InstanceId agent = AgentOf(aState, lifetime);
+    if (!agent.empty() && agent != aAgent) {
+      // The agent has been told of a worker of another machine, which it cannot reach.
+      continue;
+    }
     const auto found = aState.mWorkerIndex.find(lifetime);
     if (found != aState.mWorkerIndex.end()) {
       const WorkerNumber number = found->second;
--- a/Source/UnitTests/Node/DriverFixture.h
+++ b/Source/UnitTests/Node/DriverFixture.h
@@ -68,7 +68,7 @@
       mContext,
       std::move(port),
       view,
-      WorkerDriver::Callbacks{ [] {}, [](Scheduling::LifetimeStart) {} });
+      WorkerDriver::Callbacks{ [] {}, [](Scheduling::LifetimeStart) {}, [] {} });
     mDriver->setTerm(Common::Epoch{ 1 });
     answerPoll();
     extendLease();
--- a/Source/UnitTests/Platform/WorkerClientTests.cpp
+++ b/Source/UnitTests/Platform/WorkerClientTests.cpp
@@ -39,7 +39,8 @@
       mContext,
       Platform::MakeWorkerClient(mIo, view.mAddress, view.mLifetime),
       view,
-      WorkerDriver::Callbacks{ [] {}, [this](LifetimeStart aNext) { mNextLifetime = aNext; } });
+      WorkerDriver::Callbacks{
+        [] {}, [this](LifetimeStart aNext) { mNextLifetime = aNext; }, [] {} });
     mDriver->setTerm(Common::Epoch{ 1 });
     mDriver->start();
     mDriver->extendLease(mContext.now(), mContext.now() + mTiming.mWorkerLease);
@@ -162,7 +163,7 @@
         aContext,
         Platform::MakeWorkerClient(aIo, view.mAddress, view.mLifetime),
         view,
-        WorkerDriver::Callbacks{ [] {}, [](LifetimeStart) {} });
+        WorkerDriver::Callbacks{ [] {}, [](LifetimeStart) {}, [] {} });
       member.mDriver->setTerm(Common::Epoch{ 1 });
       member.mDriver->start();
     }
--- a/Source/UnitTests/Scheduling/Fixture.h
+++ b/Source/UnitTests/Scheduling/Fixture.h
@@ -139,17 +139,33 @@
     return view;
   }
 
-  /// Reports the worker through the agent "agent-NAME"; leases last five seconds.
-  void report(const WorkerView& aView, std::vector<EndedLifetime> aEnded = {})
+  /// Reports the worker through the agent "agent-NAME"; leases last five seconds. Ended lifetimes
+  /// of other workers are reported before, through their agents.
+  void report(const WorkerView& aView, const std::vector<EndedLifetime>& aEnded = {})
   {
     std::vector<WorkerView> views{ aView };
     views[0].mTaskListNumber = ++mLastTaskList;
-    ApplyReport(mState,
-                Common::InstanceId("agent-" + aView.mLifetime.mWorker.str()),
-                views,
-                aEnded,
-                mTime + std::chrono::seconds(5),
-                now());
+    std::vector<EndedLifetime> ownEnded;
+    for (const EndedLifetime& ended : aEnded) {
+      if (ended.mLifetime.mWorker == aView.mLifetime.mWorker) {
+        ownEnded.push_back(ended);
+      } else {
+        report(agentOf(ended.mLifetime.mWorker), {}, { ended });
+      }
+    }
+    report(agentOf(aView.mLifetime.mWorker), views, ownEnded);
+  }
+
+  void report(const Common::InstanceId& aAgent,
+              const std::vector<WorkerView>& aViews,
+              const std::vector<EndedLifetime>& aEnded)
+  {
+    ApplyReport(mState, aAgent, aViews, aEnded, mTime + std::chrono::seconds(5), now());
+  }
+
+  static Common::InstanceId agentOf(const WorkerId& aWorker)
+  {
+    return Common::InstanceId("agent-" + aWorker.str());
   }
 
   /// Adds a worker whose record is in the store.
--- a/Source/UnitTests/Scheduling/WorkerTests.cpp
+++ b/Source/UnitTests/Scheduling/WorkerTests.cpp
@@ -725,3 +725,41 @@
     REQUIRE(fixture.place().size() == 1);
   }
 }
+
+TEST_CASE("An agent does not end the lifetime of another agent's worker", "[Scheduling]")
+{
+  // An agent passes on what a status report of another writer names (review/10).
+  Fixture fixture;
+  fixture.addWorker("w1");
+  fixture.addJob("a", { MakeStep().build() });
+  const auto starts = fixture.place();
+  fixture.confirm(starts);
+  fixture.addWorker("w2");
+  const Common::InstanceId foreignAgent = Fixture::agentOf(WorkerId("w2"));
+
+  SECTION("by a later lifetime under its id")
+  {
+    auto later = fixture.view("w1", 16'000, 2);
+    later.mHasTaskList = false;
+    fixture.report(foreignAgent, { later }, {});
+  }
+  SECTION("by a report that it has ended")
+  {
+    EndedLifetime ended;
+    ended.mLifetime = fixture.view("w1").mLifetime;
+    fixture.report(foreignAgent, {}, { ended });
+    REQUIRE(fixture.mState.mCounts.mCrashes == 0);
+  }
+  SECTION("by a report that it is leaving")
+  {
+    auto leaving = fixture.view("w1");
+    leaving.mHasTaskList = false;
+    leaving.mLeaving = true;
+    fixture.report(foreignAgent, { leaving }, {});
+    REQUIRE_FALSE(fixture.worker("w1").mLeaving);
+  }
+
+  REQUIRE_FALSE(fixture.worker("w1").mLifetimeEnded);
+  REQUIRE(fixture.worker("w1").mAgent.str() == "agent-w1");
+  REQUIRE(fixture.place().empty());
+}
