--- a/Source/Core/Node/WireConversion.cpp
+++ b/Source/Core/Node/WireConversion.cpp
@@ -143,6 +143,12 @@
   Wire::ProgressRecord record;
   record.state = static_cast<std::int32_t>(aProgress.mState);
   record.endedUnixMs = aProgress.mEndedAt.count();
+  for (const Scheduling::OccurrenceRange& range : aProgress.mEndedOccurrences) {
+    Wire::OccurrenceRange row;
+    row.first = static_cast<std::int32_t>(range.mFirst);
+    row.last = static_cast<std::int32_t>(range.mLast);
+    record.endedOccurrences.push_back(row);
+  }
   for (const auto& step : aProgress.mSteps) {
     Wire::StepProgress row;
     row.occurrence = static_cast<std::int32_t>(step.mOccurrence);
@@ -177,6 +183,10 @@
   Scheduling::Progress progress;
   progress.mState = static_cast<Scheduling::JobState>(aRecord.state);
   progress.mEndedAt = Common::UnixMillis{ aRecord.endedUnixMs };
+  for (const Wire::OccurrenceRange& row : aRecord.endedOccurrences) {
+    progress.mEndedOccurrences.push_back(
+      { static_cast<std::uint32_t>(row.first), static_cast<std::uint32_t>(row.last) });
+  }
   for (const auto& row : aRecord.steps) {
     Scheduling::StepProgress step;
     step.mOccurrence = static_cast<std::uint32_t>(row.occurrence);
--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -22,15 +22,38 @@
   return occurrence;
 }
 
+void
+MarkStepEnded(Occurrence& aOccurrence, Step& aStep)
+{
+  aStep.mDoneTasks = aStep.mTasks.size();
+  aStep.mWaitingTasks = 0;
+  aStep.mEnded = true;
+  aStep.mTickets.clear();
+  aStep.mTasks.finish();
+  ++aOccurrence.mStepsEnded;
+}
+
 Occurrence&
 FindOrMakeOccurrence(Job& aJob, std::uint32_t aNumber, const CurrentTime& aNow)
 {
-  const auto found = aJob.mOccurrences.find(aNumber);
-  if (found != aJob.mOccurrences.end()) {
-    return found->second;
+  const auto [entry, added] = aJob.mOccurrences.try_emplace(aNumber);
+  Occurrence& occurrence = entry->second;
+  if (added) {
+    occurrence = MakeOccurrence(aJob.mSpec, aNumber, aNow);
+    if (aJob.mEndedOccurrences.contains(aNumber)) {
+      for (Step& step : occurrence.mSteps) {
+        MarkStepEnded(occurrence, step);
+      }
+    }
   }
-  return aJob.mOccurrences.emplace(aNumber, MakeOccurrence(aJob.mSpec, aNumber, aNow))
-    .first->second;
+  return occurrence;
+}
+
+/// Number of occurrences after which the job is completed.
+std::uint32_t
+OccurrenceCount(const JobSpec& aSpec)
+{
+  return std::max(aSpec.mRepeats, 1U);
 }
 
 void
@@ -63,8 +86,13 @@
   aJob.mDurableState = aProgress.mState;
   aJob.mEndedAt = aProgress.mEndedAt;
   aJob.mStarted = aProgress.mState != JobState::Queued;
+  const std::uint32_t last = OccurrenceCount(aJob.mSpec) - 1;
+  for (const OccurrenceRange& range : aProgress.mEndedOccurrences) {
+    aJob.mEndedOccurrences.add(OccurrenceRange{ range.mFirst, std::min(range.mLast, last) });
+  }
   for (const StepProgress& record : aProgress.mSteps) {
-    if (record.mStep >= aJob.mSpec.mSteps.size()) {
+    if (record.mStep >= aJob.mSpec.mSteps.size() ||
+        aJob.mEndedOccurrences.contains(record.mOccurrence)) {
       continue;
     }
     Occurrence& occurrence = FindOrMakeOccurrence(aJob, record.mOccurrence, aNow);
@@ -72,16 +100,13 @@
     for (const TaskProgress& task : record.mTasks) {
       RestoreTask(aJob, step, task);
     }
-    if (record.mDone) {
-      step.mDoneTasks = step.mTasks.size();
-      step.mWaitingTasks = 0;
+    if ((record.mDone || step.mDoneTasks == step.mTasks.size()) && !step.mEnded) {
+      MarkStepEnded(occurrence, step);
     }
-    if (step.mDoneTasks == step.mTasks.size() && !step.mEnded) {
-      step.mEnded = true;
-      step.mTasks.finish();
-      if (++occurrence.mStepsEnded == occurrence.mSteps.size()) {
-        ++aJob.mOccurrencesEnded;
-      }
+    if (occurrence.hasEnded()) {
+      // Earlier versions recorded the steps of all ended occurrences.
+      aJob.mEndedOccurrences.add(record.mOccurrence);
+      aJob.mOccurrences.erase(record.mOccurrence);
     }
   }
 }
@@ -256,7 +281,7 @@
   if (job.mSpec.mRepeats == 0) {
     FindOrMakeOccurrence(job, 0, aNow);
   }
-  if (job.mOccurrencesEnded == std::max(job.mSpec.mRepeats, 1U)) {
+  if (job.mEndedOccurrences.size() == OccurrenceCount(job.mSpec)) {
     job.mState = JobState::Completed;
     job.mEndedAt = aNow.mUnix;
     MarkDirty(aState, job, true);
@@ -371,16 +396,13 @@
   step.mTasks.setPhase(aRef.mIndex, TaskPhase::Done);
   ++step.mDoneTasks;
   if (step.mDoneTasks == step.mTasks.size() && !step.mEnded) {
-    step.mEnded = true;
-    step.mTickets.clear();
-    step.mTasks.finish();
-    ++occurrence.mStepsEnded;
-    if (occurrence.mStepsEnded == occurrence.mSteps.size()) {
-      ++job.mOccurrencesEnded;
+    MarkStepEnded(occurrence, step);
+    if (occurrence.hasEnded()) {
+      job.mEndedOccurrences.add(aRef.mOccurrence);
     }
   }
   const bool finished =
-    !HasEnded(job.mState) && job.mOccurrencesEnded == std::max(job.mSpec.mRepeats, 1U);
+    !HasEnded(job.mState) && job.mEndedOccurrences.size() == OccurrenceCount(job.mSpec);
   if (finished) {
     job.mState = JobState::Completed;
     job.mEndedAt = aNow.mUnix;
@@ -397,9 +419,16 @@
   if (HasEnded(aJob.mState)) {
     return progress;
   }
+  progress.mEndedOccurrences = aJob.mEndedOccurrences.ranges();
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    if (occurrence.hasEnded()) {
+      continue;
+    }
     for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
       const Step& step = occurrence.mSteps[s];
+      if (step.mDoneTasks == 0 && step.mTasks.own().empty()) {
+        continue;
+      }
       StepProgress record{ .mOccurrence = number, .mStep = s, .mDone = step.mEnded, .mTasks = {} };
       for (std::uint32_t i = 0; i < step.mTasks.size() && !step.mEnded; ++i) {
         const Task& task = step.mTasks.at(i);
@@ -470,7 +499,7 @@
   Job& job = *found->second;
   if (aName.mStep >= job.mSpec.mSteps.size() ||
       aName.mIndex >= job.mSpec.mSteps[aName.mStep].mTaskCount ||
-      aName.mOccurrence >= std::max(job.mSpec.mRepeats, 1U)) {
+      aName.mOccurrence >= OccurrenceCount(job.mSpec)) {
     return std::nullopt;
   }
   // A worker may run an occurrence that has no record yet, because none of its tasks ended or
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -10,6 +10,7 @@
 #include "Common/Clock.h"
 #include "Common/Ids.h"
 #include "Common/Units.h"
+#include "Scheduling/OccurrenceSet.h"
 
 /// Scheduling of jobs by one coordinator. A job consists of steps, a step of tasks, and each task
 /// runs on a worker of the queue's pool.
@@ -366,6 +367,8 @@
 struct Progress
 {
   JobState mState = JobState::Queued;
+  /// Occurrences whose steps have all ended; mSteps need not contain them.
+  std::vector<OccurrenceRange> mEndedOccurrences;
   std::vector<StepProgress> mSteps;
   Common::UnixMillis mEndedAt{ 0 };
 };
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -37,6 +37,9 @@
 /// Share of the cores of the workers with one label that long-running tasks leave free while other
 /// workers have capacity.
 constexpr double kFreeLabelShare = 0.2;
+/// Due occurrences of one job that are kept at a time without a task at work. Each placement round
+/// replaces those that were started.
+constexpr std::size_t kMaxIdleOccurrences = 128;
 /// Weight of a quarantined worker. It is higher than all others together, so that such a worker is
 /// used only while no other has capacity.
 constexpr double kQuarantineWeight = 1000.0;
@@ -51,35 +54,65 @@
   bool mJobIsIdle = false;
 };
 
+/// What all occurrences of a job have in common.
+struct JobEstimate
+{
+  /// Expected run time of a task, by step.
+  std::vector<Duration> mRunTimes;
+  Duration mChain{ 0 };
+  /// Core-seconds of one occurrence.
+  double mWork = 0;
+};
+
+/// Expected core-seconds of aTasks tasks of the step.
+double
+WorkOf(const JobSpec& aSpec, std::uint32_t aStep, std::uint32_t aTasks, Duration aRunTime)
+{
+  return static_cast<double>(aTasks) *
+         static_cast<double>(aSpec.mSteps[aStep].mNeed.mCores.value()) / 1000.0 *
+         std::chrono::duration<double>(aRunTime).count();
+}
+
+JobEstimate
+EstimateJob(const SchedulerState& aState, const Job& aJob)
+{
+  const JobSpec& spec = aJob.mSpec;
+  JobEstimate estimate;
+  for (std::uint32_t i = 0; i < spec.mSteps.size(); ++i) {
+    estimate.mRunTimes.push_back(ExpectedRunTime(aState, aJob, i));
+    estimate.mWork += WorkOf(spec, i, spec.mSteps[i].mTaskCount, estimate.mRunTimes[i]);
+  }
+  estimate.mChain =
+    LongestChain(spec, [&](std::uint32_t aStep) { return estimate.mRunTimes[aStep]; });
+  return estimate;
+}
+
 /// Expected core-seconds until the occurrence ends.
 double
-RemainingWork(const SchedulerState& aState, const Job& aJob, const Occurrence& aOccurrence)
+RemainingWork(const Job& aJob, const JobEstimate& aEstimate, const Occurrence& aOccurrence)
 {
   double work = 0;
   for (std::uint32_t i = 0; i < aOccurrence.mSteps.size(); ++i) {
     const Step& step = aOccurrence.mSteps[i];
-    const double tasks = static_cast<double>(step.mTasks.size() - step.mDoneTasks);
-    work += tasks * static_cast<double>(aJob.mSpec.mSteps[i].mNeed.mCores.value()) / 1000.0 *
-            std::chrono::duration<double>(ExpectedRunTime(aState, aJob, i)).count();
+    work += WorkOf(aJob.mSpec, i, step.mTasks.size() - step.mDoneTasks, aEstimate.mRunTimes[i]);
   }
   return work;
 }
 
-double
-TotalWork(const SchedulerState& aState, const Job& aJob)
+/// Time at which the occurrence could first start.
+Timestamp
+DueTime(const Job& aJob, const Occurrence& aOccurrence, const CurrentTime& aNow)
 {
-  double work = 0;
-  for (std::uint32_t i = 0; i < aJob.mSpec.mSteps.size(); ++i) {
-    work += static_cast<double>(aJob.mSpec.mSteps[i].mTaskCount) *
-            static_cast<double>(aJob.mSpec.mSteps[i].mNeed.mCores.value()) / 1000.0 *
-            std::chrono::duration<double>(ExpectedRunTime(aState, aJob, i)).count();
+  if (aJob.mSpec.mRepeats == 0) {
+    return aJob.mArrived;
   }
-  return work;
+  const Common::UnixMillis due = aJob.mSpec.mFirstRun + aJob.mSpec.mInterval * aOccurrence.mNumber;
+  return aNow.mMonotonic - std::chrono::duration_cast<Duration>(aNow.mUnix - due);
 }
 
 std::tuple<int, int, double>
-SortKeyOf(const SchedulerState& aState,
-          const Job& aJob,
+SortKeyOf(const Job& aJob,
+          const JobEstimate& aEstimate,
           const QueueSpec& aQueue,
           const Occurrence& aOccurrence,
           const CurrentTime& aNow)
@@ -88,21 +121,19 @@
   if (longRunning) {
     return { aQueue.mPriority, 0, 0.0 };
   }
-  const Duration chain = LongestChain(
-    aJob.mSpec, [&](std::uint32_t aStep) { return ExpectedRunTime(aState, aJob, aStep); });
   const Duration remainingChain = LongestChain(aJob.mSpec, [&](std::uint32_t aStep) {
-    return aOccurrence.mSteps[aStep].mEnded ? Duration{ 0 } : ExpectedRunTime(aState, aJob, aStep);
+    return aOccurrence.mSteps[aStep].mEnded ? Duration{ 0 } : aEstimate.mRunTimes[aStep];
   });
   const auto allowedTime =
-    std::chrono::duration_cast<Duration>(chain * aQueue.mStretchFactor) + aQueue.mSlack;
-  const Duration slack = aJob.mArrived + allowedTime - aNow.mMonotonic - remainingChain;
+    std::chrono::duration_cast<Duration>(aEstimate.mChain * aQueue.mStretchFactor) + aQueue.mSlack;
+  const Duration slack =
+    DueTime(aJob, aOccurrence, aNow) + allowedTime - aNow.mMonotonic - remainingChain;
   const int hopeless = slack < -allowedTime / kHopelessDelayDivisor ? 1 : 0;
   const double remainingWork =
-    std::max(RemainingWork(aState, aJob, aOccurrence), kMinRemainingWork);
+    std::max(RemainingWork(aJob, aEstimate, aOccurrence), kMinRemainingWork);
   // Jobs are ordered by value per remaining core-second, which favours small jobs and jobs that are
   // nearly done.
-  const double valueDensity =
-    (kFixedValue + kValuePerWork * TotalWork(aState, aJob)) / remainingWork;
+  const double valueDensity = (kFixedValue + kValuePerWork * aEstimate.mWork) / remainingWork;
   return { aQueue.mPriority, hopeless, -valueDensity };
 }
 
@@ -120,18 +151,65 @@
 bool
 IsDue(const Job& aJob, std::uint32_t aOccurrence, const CurrentTime& aNow)
 {
-  return aJob.mSpec.mRepeats == 0 ||
-         aNow.mUnix >= aJob.mSpec.mFirstRun + aJob.mSpec.mInterval * aOccurrence;
+  const Common::UnixMillis elapsed = aNow.mUnix - aJob.mSpec.mFirstRun;
+  if (aJob.mSpec.mRepeats == 0) {
+    return true;
+  }
+  // The product of the interval and the number may overflow.
+  return elapsed.count() >= 0 &&
+         (aJob.mSpec.mInterval.count() == 0 || elapsed / aJob.mSpec.mInterval >= aOccurrence);
 }
 
-/// Creates the occurrences that are due.
+/// True if no task of the occurrence is placed on a worker.
+bool
+IsIdle(const Occurrence& aOccurrence)
+{
+  return std::none_of(aOccurrence.mSteps.begin(), aOccurrence.mSteps.end(), [](const Step& aStep) {
+    return aStep.mWaitingTasks + aStep.mDoneTasks < aStep.mTasks.size();
+  });
+}
+
+/// Drops the ended occurrences of a timetable, unless one of their tasks was ordered to stop so
+/// recently that the order must not be repeated yet.
+void
+DropEndedOccurrences(const SchedulerState& aState, Job& aJob, const CurrentTime& aNow)
+{
+  if (aJob.mSpec.mRepeats == 0) {
+    return;
+  }
+  std::erase_if(aJob.mOccurrences, [&](const auto& aEntry) {
+    const Occurrence& occurrence = aEntry.second;
+    return occurrence.hasEnded() &&
+           std::all_of(occurrence.mSteps.begin(), occurrence.mSteps.end(), [&](const Step& aStep) {
+             return std::all_of(
+               aStep.mTasks.own().begin(), aStep.mTasks.own().end(), [&](const auto& aTask) {
+                 return aNow.mMonotonic - aTask.second.mStopOrdered >=
+                        aState.mPolicy.mStopRetryInterval;
+               });
+           });
+  });
+}
+
+/// Creates the next occurrences that are due, as many as may wait.
 void
 OpenOccurrences(SchedulerState& aState, Job& aJob, const CurrentTime& aNow)
 {
-  for (std::uint32_t k = 0; k < aJob.mSpec.mRepeats && IsDue(aJob, k, aNow); ++k) {
-    if (!aJob.mOccurrences.contains(k)) {
-      FindTask(aState, { aJob.mSpec.mJob, k, 0, 0 });
+  DropEndedOccurrences(aState, aJob, aNow);
+  auto idle = static_cast<std::size_t>(
+    std::count_if(aJob.mOccurrences.begin(), aJob.mOccurrences.end(), [](const auto& aEntry) {
+      return !aEntry.second.hasEnded() && IsIdle(aEntry.second);
+    }));
+  std::uint32_t& next = aJob.mNextOccurrence;
+  while (idle < kMaxIdleOccurrences) {
+    next = aJob.mEndedOccurrences.nextMissing(next);
+    if (next >= aJob.mSpec.mRepeats || !IsDue(aJob, next, aNow)) {
+      return;
+    }
+    if (!aJob.mOccurrences.contains(next)) {
+      FindTask(aState, { aJob.mSpec.mJob, next, 0, 0 });
+      ++idle;
     }
+    ++next;
   }
 }
 
@@ -149,19 +227,20 @@
       continue;
     }
     OpenOccurrences(aState, *job, aNow);
+    std::optional<JobEstimate> estimate;
     for (const auto& [number, occurrence] : job->mOccurrences) {
-      if (occurrence.mStepsEnded == occurrence.mSteps.size() || !IsDue(*job, number, aNow)) {
+      if (occurrence.hasEnded() || !IsDue(*job, number, aNow)) {
         continue;
       }
       std::optional<std::tuple<int, int, double>> sortKey;
-      const bool idle =
-        std::none_of(occurrence.mSteps.begin(), occurrence.mSteps.end(), [](const Step& aStep) {
-          return aStep.mWaitingTasks + aStep.mDoneTasks < aStep.mTasks.size();
-        });
+      const bool idle = IsIdle(occurrence);
       for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
         if (CanStart(*job, occurrence, s)) {
+          if (!estimate) {
+            estimate = EstimateJob(aState, *job);
+          }
           if (!sortKey) {
-            sortKey = SortKeyOf(aState, *job, *queue, occurrence, aNow);
+            sortKey = SortKeyOf(*job, *estimate, *queue, occurrence, aNow);
           }
           ready.push_back({ job, number, s, *sortKey, idle });
         }
@@ -172,8 +251,9 @@
     if (aLeft.mSortKey != aRight.mSortKey) {
       return aLeft.mSortKey < aRight.mSortKey;
     }
-    return std::tie(aLeft.mJob->mArrived, aLeft.mJob->mSpec.mJob) <
-           std::tie(aRight.mJob->mArrived, aRight.mJob->mSpec.mJob);
+    return std::tie(aLeft.mJob->mArrived, aLeft.mJob->mSpec.mJob, aLeft.mOccurrence, aLeft.mStep) <
+           std::tie(
+             aRight.mJob->mArrived, aRight.mJob->mSpec.mJob, aRight.mOccurrence, aRight.mStep);
   });
   return ready;
 }
@@ -618,8 +698,8 @@
   return std::max(aTask.mRun, aState.mRunBase) + RunNumber{ 1 };
 }
 
-/// Starts all tasks of a gang or none.
-void
+/// Starts all tasks of a gang or none. Returns false if there is no room for them.
+bool
 PlaceGang(SchedulerState& aState,
           const ReadyStep& aReady,
           const QueueSpec& aQueue,
@@ -629,7 +709,7 @@
   Step& step = StepAt(FirstTask(aReady));
   if (step.mWaitingTasks != step.mTasks.size()) {
     // Some tasks of the previous run have not ended.
-    return;
+    return true;
   }
   std::set<std::string> racks{ "" };
   if (aReady.mJob->mSpec.mSteps[aReady.mStep].mSameRack) {
@@ -675,13 +755,24 @@
         ChargeStart(aState, ref, aBudget);
         OrderStart(aState, ref, run, aNow);
       }
-      return;
+      return true;
     }
     for (std::uint32_t i = 0; i < placed; ++i) {
       SetWaiting(aState, { aReady.mJob, aReady.mOccurrence, aReady.mStep, i }, aNow);
       step.mTasks.dropIfNew(i);
     }
   }
+  return false;
+}
+
+/// True if a worker that has no room for a task of the step has none for those of the job's other
+/// occurrences either.
+bool
+IsRoomAlike(const ReadyStep& aReady, const QueueSpec& aQueue)
+{
+  const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
+  return step.mMaxPerWorker == 0 && !step.mBestEffort && !aQueue.mAdvice &&
+         aReady.mJob->mSuspectTasks == 0;
 }
 
 } // namespace
@@ -835,13 +926,24 @@
   ExpireAdviceRequests(aState, aNow);
   std::vector<ReadyStep> steps = ReadySteps(aState, aNow);
   std::uint32_t requestedAhead = 0;
+  std::set<std::pair<const Job*, std::uint32_t>> withoutRoom;
   for (ReadyStep& ready : steps) {
     if (IsUsedUp(aBudget)) {
       return false;
     }
+    if (withoutRoom.contains({ ready.mJob, ready.mStep })) {
+      continue;
+    }
     const QueueSpec& queue = *FindQueue(aState, *ready.mJob);
+    const auto noteNoRoom = [&] {
+      if (IsRoomAlike(ready, queue)) {
+        withoutRoom.emplace(ready.mJob, ready.mStep);
+      }
+    };
     if (ready.mJob->mSpec.mSteps[ready.mStep].mGang) {
-      PlaceGang(aState, ready, queue, aBudget, aNow);
+      if (!PlaceGang(aState, ready, queue, aBudget, aNow)) {
+        noteNoRoom();
+      }
       RequestTickets(
         aState, ready, queue, requestedAhead++ < aState.mPolicy.mStepsRequestedAhead, aNow);
       continue;
@@ -861,6 +963,7 @@
         }
         LogWaitForQuarantined(aState, ready, queue, aNow);
         // All tasks of a step have the same requirements.
+        noteNoRoom();
         break;
       }
       const RunNumber run = NextRun(aState, step.mTasks.at(i));
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -46,6 +46,8 @@
   std::uint32_t mNumber = 0;
   std::vector<Step> mSteps;
   std::uint32_t mStepsEnded = 0;
+
+  bool hasEnded() const { return mStepsEnded == mSteps.size(); }
 };
 
 struct Job
@@ -54,8 +56,12 @@
   JobState mState = JobState::Queued;
   /// Last state that was written to the store; only this one is shown to callers.
   JobState mDurableState = JobState::Queued;
+  /// The occurrences that are at work or wait for it, by number. An ended one is dropped in a later
+  /// placement round if the job has a timetable.
   std::map<std::uint32_t, Occurrence> mOccurrences;
-  std::uint32_t mOccurrencesEnded = 0;
+  OccurrenceSet mEndedOccurrences;
+  /// All occurrences before this one were created or have ended.
+  std::uint32_t mNextOccurrence = 0;
   /// Number of tasks with suspected crashes.
   std::uint32_t mSuspectTasks = 0;
   Timestamp mArrived;
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -1877,6 +1877,129 @@
 }
 
 
+OccurrenceRange::~OccurrenceRange() noexcept {
+}
+
+
+void OccurrenceRange::__set_first(const int32_t val) {
+  this->first = val;
+}
+
+void OccurrenceRange::__set_last(const int32_t val) {
+  this->last = val;
+}
+std::ostream& operator<<(std::ostream& out, const OccurrenceRange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OccurrenceRange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->last);
+          this->__isset.last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OccurrenceRange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OccurrenceRange");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OccurrenceRange &a, OccurrenceRange &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.last, b.last);
+  swap(a.__isset, b.__isset);
+}
+
+OccurrenceRange::OccurrenceRange(const OccurrenceRange& other58) noexcept {
+  first = other58.first;
+  last = other58.last;
+  __isset = other58.__isset;
+}
+OccurrenceRange::OccurrenceRange(OccurrenceRange&& other59) noexcept {
+  first = other59.first;
+  last = other59.last;
+  __isset = other59.__isset;
+}
+OccurrenceRange& OccurrenceRange::operator=(const OccurrenceRange& other60) noexcept {
+  first = other60.first;
+  last = other60.last;
+  __isset = other60.__isset;
+  return *this;
+}
+OccurrenceRange& OccurrenceRange::operator=(OccurrenceRange&& other61) noexcept {
+  first = other61.first;
+  last = other61.last;
+  __isset = other61.__isset;
+  return *this;
+}
+void OccurrenceRange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OccurrenceRange(";
+  out << "first=" << to_string(first);
+  out << ", " << "last=" << to_string(last);
+  out << ")";
+}
+
+
 ProgressRecord::~ProgressRecord() noexcept {
 }
 
@@ -1892,6 +2015,10 @@
 void ProgressRecord::__set_endedUnixMs(const int64_t val) {
   this->endedUnixMs = val;
 }
+
+void ProgressRecord::__set_endedOccurrences(const std::vector<OccurrenceRange> & val) {
+  this->endedOccurrences = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProgressRecord& obj)
 {
   obj.printTo(out);
@@ -1932,14 +2059,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->steps.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->steps.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->steps[_i62].read(iprot);
+              xfer += this->steps[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1956,6 +2083,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endedOccurrences.clear();
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->endedOccurrences.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
+            {
+              xfer += this->endedOccurrences[_i71].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endedOccurrences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1980,10 +2127,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepProgress> ::const_iterator _iter63;
-    for (_iter63 = this->steps.begin(); _iter63 != this->steps.end(); ++_iter63)
+    std::vector<StepProgress> ::const_iterator _iter72;
+    for (_iter72 = this->steps.begin(); _iter72 != this->steps.end(); ++_iter72)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1993,6 +2140,18 @@
   xfer += oprot->writeI64(this->endedUnixMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("endedOccurrences", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endedOccurrences.size()));
+    std::vector<OccurrenceRange> ::const_iterator _iter73;
+    for (_iter73 = this->endedOccurrences.begin(); _iter73 != this->endedOccurrences.end(); ++_iter73)
+    {
+      xfer += (*_iter73).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2003,33 +2162,38 @@
   swap(a.state, b.state);
   swap(a.steps, b.steps);
   swap(a.endedUnixMs, b.endedUnixMs);
+  swap(a.endedOccurrences, b.endedOccurrences);
   swap(a.__isset, b.__isset);
 }
 
-ProgressRecord::ProgressRecord(const ProgressRecord& other64) {
-  state = other64.state;
-  steps = other64.steps;
-  endedUnixMs = other64.endedUnixMs;
-  __isset = other64.__isset;
+ProgressRecord::ProgressRecord(const ProgressRecord& other74) {
+  state = other74.state;
+  steps = other74.steps;
+  endedUnixMs = other74.endedUnixMs;
+  endedOccurrences = other74.endedOccurrences;
+  __isset = other74.__isset;
 }
-ProgressRecord::ProgressRecord(ProgressRecord&& other65) noexcept {
-  state = other65.state;
-  steps = std::move(other65.steps);
-  endedUnixMs = other65.endedUnixMs;
-  __isset = other65.__isset;
+ProgressRecord::ProgressRecord(ProgressRecord&& other75) noexcept {
+  state = other75.state;
+  steps = std::move(other75.steps);
+  endedUnixMs = other75.endedUnixMs;
+  endedOccurrences = std::move(other75.endedOccurrences);
+  __isset = other75.__isset;
 }
-ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other66) {
-  state = other66.state;
-  steps = other66.steps;
-  endedUnixMs = other66.endedUnixMs;
-  __isset = other66.__isset;
+ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other76) {
+  state = other76.state;
+  steps = other76.steps;
+  endedUnixMs = other76.endedUnixMs;
+  endedOccurrences = other76.endedOccurrences;
+  __isset = other76.__isset;
   return *this;
 }
-ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other67) noexcept {
-  state = other67.state;
-  steps = std::move(other67.steps);
-  endedUnixMs = other67.endedUnixMs;
-  __isset = other67.__isset;
+ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other77) noexcept {
+  state = other77.state;
+  steps = std::move(other77.steps);
+  endedUnixMs = other77.endedUnixMs;
+  endedOccurrences = std::move(other77.endedOccurrences);
+  __isset = other77.__isset;
   return *this;
 }
 void ProgressRecord::printTo(std::ostream& out) const {
@@ -2038,6 +2202,7 @@
   out << "state=" << to_string(state);
   out << ", " << "steps=" << to_string(steps);
   out << ", " << "endedUnixMs=" << to_string(endedUnixMs);
+  out << ", " << "endedOccurrences=" << to_string(endedOccurrences);
   out << ")";
 }
 
@@ -2240,50 +2405,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CoordinatorRecord::CoordinatorRecord(const CoordinatorRecord& other68) {
-  term = other68.term;
-  instance = other68.instance;
-  address = other68.address;
-  nonce = other68.nonce;
-  othersActMicros = other68.othersActMicros;
-  predecessor = other68.predecessor;
-  predecessorNonce = other68.predecessorNonce;
-  earlierActMicros = other68.earlierActMicros;
-  __isset = other68.__isset;
-}
-CoordinatorRecord::CoordinatorRecord(CoordinatorRecord&& other69) noexcept {
-  term = other69.term;
-  instance = std::move(other69.instance);
-  address = std::move(other69.address);
-  nonce = other69.nonce;
-  othersActMicros = other69.othersActMicros;
-  predecessor = std::move(other69.predecessor);
-  predecessorNonce = other69.predecessorNonce;
-  earlierActMicros = other69.earlierActMicros;
-  __isset = other69.__isset;
-}
-CoordinatorRecord& CoordinatorRecord::operator=(const CoordinatorRecord& other70) {
-  term = other70.term;
-  instance = other70.instance;
-  address = other70.address;
-  nonce = other70.nonce;
-  othersActMicros = other70.othersActMicros;
-  predecessor = other70.predecessor;
-  predecessorNonce = other70.predecessorNonce;
-  earlierActMicros = other70.earlierActMicros;
-  __isset = other70.__isset;
+CoordinatorRecord::CoordinatorRecord(const CoordinatorRecord& other78) {
+  term = other78.term;
+  instance = other78.instance;
+  address = other78.address;
+  nonce = other78.nonce;
+  othersActMicros = other78.othersActMicros;
+  predecessor = other78.predecessor;
+  predecessorNonce = other78.predecessorNonce;
+  earlierActMicros = other78.earlierActMicros;
+  __isset = other78.__isset;
+}
+CoordinatorRecord::CoordinatorRecord(CoordinatorRecord&& other79) noexcept {
+  term = other79.term;
+  instance = std::move(other79.instance);
+  address = std::move(other79.address);
+  nonce = other79.nonce;
+  othersActMicros = other79.othersActMicros;
+  predecessor = std::move(other79.predecessor);
+  predecessorNonce = other79.predecessorNonce;
+  earlierActMicros = other79.earlierActMicros;
+  __isset = other79.__isset;
+}
+CoordinatorRecord& CoordinatorRecord::operator=(const CoordinatorRecord& other80) {
+  term = other80.term;
+  instance = other80.instance;
+  address = other80.address;
+  nonce = other80.nonce;
+  othersActMicros = other80.othersActMicros;
+  predecessor = other80.predecessor;
+  predecessorNonce = other80.predecessorNonce;
+  earlierActMicros = other80.earlierActMicros;
+  __isset = other80.__isset;
   return *this;
 }
-CoordinatorRecord& CoordinatorRecord::operator=(CoordinatorRecord&& other71) noexcept {
-  term = other71.term;
-  instance = std::move(other71.instance);
-  address = std::move(other71.address);
-  nonce = other71.nonce;
-  othersActMicros = other71.othersActMicros;
-  predecessor = std::move(other71.predecessor);
-  predecessorNonce = other71.predecessorNonce;
-  earlierActMicros = other71.earlierActMicros;
-  __isset = other71.__isset;
+CoordinatorRecord& CoordinatorRecord::operator=(CoordinatorRecord&& other81) noexcept {
+  term = other81.term;
+  instance = std::move(other81.instance);
+  address = std::move(other81.address);
+  nonce = other81.nonce;
+  othersActMicros = other81.othersActMicros;
+  predecessor = std::move(other81.predecessor);
+  predecessorNonce = other81.predecessorNonce;
+  earlierActMicros = other81.earlierActMicros;
+  __isset = other81.__isset;
   return *this;
 }
 void CoordinatorRecord::printTo(std::ostream& out) const {
@@ -2393,26 +2558,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordsStamp::RecordsStamp(const RecordsStamp& other72) noexcept {
-  term = other72.term;
-  earlierActMicros = other72.earlierActMicros;
-  __isset = other72.__isset;
+RecordsStamp::RecordsStamp(const RecordsStamp& other82) noexcept {
+  term = other82.term;
+  earlierActMicros = other82.earlierActMicros;
+  __isset = other82.__isset;
 }
-RecordsStamp::RecordsStamp(RecordsStamp&& other73) noexcept {
-  term = other73.term;
-  earlierActMicros = other73.earlierActMicros;
-  __isset = other73.__isset;
+RecordsStamp::RecordsStamp(RecordsStamp&& other83) noexcept {
+  term = other83.term;
+  earlierActMicros = other83.earlierActMicros;
+  __isset = other83.__isset;
 }
-RecordsStamp& RecordsStamp::operator=(const RecordsStamp& other74) noexcept {
-  term = other74.term;
-  earlierActMicros = other74.earlierActMicros;
-  __isset = other74.__isset;
+RecordsStamp& RecordsStamp::operator=(const RecordsStamp& other84) noexcept {
+  term = other84.term;
+  earlierActMicros = other84.earlierActMicros;
+  __isset = other84.__isset;
   return *this;
 }
-RecordsStamp& RecordsStamp::operator=(RecordsStamp&& other75) noexcept {
-  term = other75.term;
-  earlierActMicros = other75.earlierActMicros;
-  __isset = other75.__isset;
+RecordsStamp& RecordsStamp::operator=(RecordsStamp&& other85) noexcept {
+  term = other85.term;
+  earlierActMicros = other85.earlierActMicros;
+  __isset = other85.__isset;
   return *this;
 }
 void RecordsStamp::printTo(std::ostream& out) const {
@@ -2584,42 +2749,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other76) {
-  task = other76.task;
-  run = other76.run;
-  checkpoint = other76.checkpoint;
-  percent = other76.percent;
-  usage = other76.usage;
-  fresh = other76.fresh;
-  __isset = other76.__isset;
-}
-RunningTask::RunningTask(RunningTask&& other77) noexcept {
-  task = std::move(other77.task);
-  run = other77.run;
-  checkpoint = std::move(other77.checkpoint);
-  percent = other77.percent;
-  usage = other77.usage;
-  fresh = other77.fresh;
-  __isset = other77.__isset;
-}
-RunningTask& RunningTask::operator=(const RunningTask& other78) {
-  task = other78.task;
-  run = other78.run;
-  checkpoint = other78.checkpoint;
-  percent = other78.percent;
-  usage = other78.usage;
-  fresh = other78.fresh;
-  __isset = other78.__isset;
+RunningTask::RunningTask(const RunningTask& other86) {
+  task = other86.task;
+  run = other86.run;
+  checkpoint = other86.checkpoint;
+  percent = other86.percent;
+  usage = other86.usage;
+  fresh = other86.fresh;
+  __isset = other86.__isset;
+}
+RunningTask::RunningTask(RunningTask&& other87) noexcept {
+  task = std::move(other87.task);
+  run = other87.run;
+  checkpoint = std::move(other87.checkpoint);
+  percent = other87.percent;
+  usage = other87.usage;
+  fresh = other87.fresh;
+  __isset = other87.__isset;
+}
+RunningTask& RunningTask::operator=(const RunningTask& other88) {
+  task = other88.task;
+  run = other88.run;
+  checkpoint = other88.checkpoint;
+  percent = other88.percent;
+  usage = other88.usage;
+  fresh = other88.fresh;
+  __isset = other88.__isset;
   return *this;
 }
-RunningTask& RunningTask::operator=(RunningTask&& other79) noexcept {
-  task = std::move(other79.task);
-  run = other79.run;
-  checkpoint = std::move(other79.checkpoint);
-  percent = other79.percent;
-  usage = other79.usage;
-  fresh = other79.fresh;
-  __isset = other79.__isset;
+RunningTask& RunningTask::operator=(RunningTask&& other89) noexcept {
+  task = std::move(other89.task);
+  run = other89.run;
+  checkpoint = std::move(other89.checkpoint);
+  percent = other89.percent;
+  usage = other89.usage;
+  fresh = other89.fresh;
+  __isset = other89.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -2778,38 +2943,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedTask::EndedTask(const EndedTask& other80) {
-  number = other80.number;
-  task = other80.task;
-  run = other80.run;
-  how = other80.how;
-  checkpoint = other80.checkpoint;
-  __isset = other80.__isset;
-}
-EndedTask::EndedTask(EndedTask&& other81) noexcept {
-  number = other81.number;
-  task = std::move(other81.task);
-  run = other81.run;
-  how = other81.how;
-  checkpoint = std::move(other81.checkpoint);
-  __isset = other81.__isset;
-}
-EndedTask& EndedTask::operator=(const EndedTask& other82) {
-  number = other82.number;
-  task = other82.task;
-  run = other82.run;
-  how = other82.how;
-  checkpoint = other82.checkpoint;
-  __isset = other82.__isset;
+EndedTask::EndedTask(const EndedTask& other90) {
+  number = other90.number;
+  task = other90.task;
+  run = other90.run;
+  how = other90.how;
+  checkpoint = other90.checkpoint;
+  __isset = other90.__isset;
+}
+EndedTask::EndedTask(EndedTask&& other91) noexcept {
+  number = other91.number;
+  task = std::move(other91.task);
+  run = other91.run;
+  how = other91.how;
+  checkpoint = std::move(other91.checkpoint);
+  __isset = other91.__isset;
+}
+EndedTask& EndedTask::operator=(const EndedTask& other92) {
+  number = other92.number;
+  task = other92.task;
+  run = other92.run;
+  how = other92.how;
+  checkpoint = other92.checkpoint;
+  __isset = other92.__isset;
   return *this;
 }
-EndedTask& EndedTask::operator=(EndedTask&& other83) noexcept {
-  number = other83.number;
-  task = std::move(other83.task);
-  run = other83.run;
-  how = other83.how;
-  checkpoint = std::move(other83.checkpoint);
-  __isset = other83.__isset;
+EndedTask& EndedTask::operator=(EndedTask&& other93) noexcept {
+  number = other93.number;
+  task = std::move(other93.task);
+  run = other93.run;
+  how = other93.how;
+  checkpoint = std::move(other93.checkpoint);
+  __isset = other93.__isset;
   return *this;
 }
 void EndedTask::printTo(std::ostream& out) const {
@@ -2967,14 +3132,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->labels.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->labels.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += iprot->readString(this->labels[_i88]);
+              xfer += iprot->readString(this->labels[_i98]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3043,14 +3208,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->running.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->running.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->running[_i93].read(iprot);
+              xfer += this->running[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3063,14 +3228,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->ended.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->ended.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->ended[_i98].read(iprot);
+              xfer += this->ended[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3155,10 +3320,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter99;
-    for (_iter99 = this->labels.begin(); _iter99 != this->labels.end(); ++_iter99)
+    std::vector<std::string> ::const_iterator _iter109;
+    for (_iter109 = this->labels.begin(); _iter109 != this->labels.end(); ++_iter109)
     {
-      xfer += oprot->writeString((*_iter99));
+      xfer += oprot->writeString((*_iter109));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3195,10 +3360,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningTask> ::const_iterator _iter100;
-    for (_iter100 = this->running.begin(); _iter100 != this->running.end(); ++_iter100)
+    std::vector<RunningTask> ::const_iterator _iter110;
+    for (_iter110 = this->running.begin(); _iter110 != this->running.end(); ++_iter110)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter110).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3207,10 +3372,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedTask> ::const_iterator _iter101;
-    for (_iter101 = this->ended.begin(); _iter101 != this->ended.end(); ++_iter101)
+    std::vector<EndedTask> ::const_iterator _iter111;
+    for (_iter111 = this->ended.begin(); _iter111 != this->ended.end(); ++_iter111)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3265,94 +3430,94 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerView::WorkerView(const WorkerView& other102) {
-  worker = other102.worker;
-  born = other102.born;
-  pool = other102.pool;
-  rack = other102.rack;
-  labels = other102.labels;
-  milliCores = other102.milliCores;
-  memoryMb = other102.memoryMb;
-  accelerators = other102.accelerators;
-  leaving = other102.leaving;
-  remainingMs = other102.remainingMs;
-  responding = other102.responding;
-  listed = other102.listed;
-  running = other102.running;
-  ended = other102.ended;
-  address = other102.address;
-  leaseLeftMs = other102.leaseLeftMs;
-  listNumber = other102.listNumber;
-  endedCut = other102.endedCut;
-  awaitsHeartbeat = other102.awaitsHeartbeat;
-  __isset = other102.__isset;
-}
-WorkerView::WorkerView(WorkerView&& other103) noexcept {
-  worker = std::move(other103.worker);
-  born = other103.born;
-  pool = std::move(other103.pool);
-  rack = std::move(other103.rack);
-  labels = std::move(other103.labels);
-  milliCores = other103.milliCores;
-  memoryMb = other103.memoryMb;
-  accelerators = other103.accelerators;
-  leaving = other103.leaving;
-  remainingMs = other103.remainingMs;
-  responding = other103.responding;
-  listed = other103.listed;
-  running = std::move(other103.running);
-  ended = std::move(other103.ended);
-  address = std::move(other103.address);
-  leaseLeftMs = other103.leaseLeftMs;
-  listNumber = other103.listNumber;
-  endedCut = other103.endedCut;
-  awaitsHeartbeat = other103.awaitsHeartbeat;
-  __isset = other103.__isset;
-}
-WorkerView& WorkerView::operator=(const WorkerView& other104) {
-  worker = other104.worker;
-  born = other104.born;
-  pool = other104.pool;
-  rack = other104.rack;
-  labels = other104.labels;
-  milliCores = other104.milliCores;
-  memoryMb = other104.memoryMb;
-  accelerators = other104.accelerators;
-  leaving = other104.leaving;
-  remainingMs = other104.remainingMs;
-  responding = other104.responding;
-  listed = other104.listed;
-  running = other104.running;
-  ended = other104.ended;
-  address = other104.address;
-  leaseLeftMs = other104.leaseLeftMs;
-  listNumber = other104.listNumber;
-  endedCut = other104.endedCut;
-  awaitsHeartbeat = other104.awaitsHeartbeat;
-  __isset = other104.__isset;
+WorkerView::WorkerView(const WorkerView& other112) {
+  worker = other112.worker;
+  born = other112.born;
+  pool = other112.pool;
+  rack = other112.rack;
+  labels = other112.labels;
+  milliCores = other112.milliCores;
+  memoryMb = other112.memoryMb;
+  accelerators = other112.accelerators;
+  leaving = other112.leaving;
+  remainingMs = other112.remainingMs;
+  responding = other112.responding;
+  listed = other112.listed;
+  running = other112.running;
+  ended = other112.ended;
+  address = other112.address;
+  leaseLeftMs = other112.leaseLeftMs;
+  listNumber = other112.listNumber;
+  endedCut = other112.endedCut;
+  awaitsHeartbeat = other112.awaitsHeartbeat;
+  __isset = other112.__isset;
+}
+WorkerView::WorkerView(WorkerView&& other113) noexcept {
+  worker = std::move(other113.worker);
+  born = other113.born;
+  pool = std::move(other113.pool);
+  rack = std::move(other113.rack);
+  labels = std::move(other113.labels);
+  milliCores = other113.milliCores;
+  memoryMb = other113.memoryMb;
+  accelerators = other113.accelerators;
+  leaving = other113.leaving;
+  remainingMs = other113.remainingMs;
+  responding = other113.responding;
+  listed = other113.listed;
+  running = std::move(other113.running);
+  ended = std::move(other113.ended);
+  address = std::move(other113.address);
+  leaseLeftMs = other113.leaseLeftMs;
+  listNumber = other113.listNumber;
+  endedCut = other113.endedCut;
+  awaitsHeartbeat = other113.awaitsHeartbeat;
+  __isset = other113.__isset;
+}
+WorkerView& WorkerView::operator=(const WorkerView& other114) {
+  worker = other114.worker;
+  born = other114.born;
+  pool = other114.pool;
+  rack = other114.rack;
+  labels = other114.labels;
+  milliCores = other114.milliCores;
+  memoryMb = other114.memoryMb;
+  accelerators = other114.accelerators;
+  leaving = other114.leaving;
+  remainingMs = other114.remainingMs;
+  responding = other114.responding;
+  listed = other114.listed;
+  running = other114.running;
+  ended = other114.ended;
+  address = other114.address;
+  leaseLeftMs = other114.leaseLeftMs;
+  listNumber = other114.listNumber;
+  endedCut = other114.endedCut;
+  awaitsHeartbeat = other114.awaitsHeartbeat;
+  __isset = other114.__isset;
   return *this;
 }
-WorkerView& WorkerView::operator=(WorkerView&& other105) noexcept {
-  worker = std::move(other105.worker);
-  born = other105.born;
-  pool = std::move(other105.pool);
-  rack = std::move(other105.rack);
-  labels = std::move(other105.labels);
-  milliCores = other105.milliCores;
-  memoryMb = other105.memoryMb;
-  accelerators = other105.accelerators;
-  leaving = other105.leaving;
-  remainingMs = other105.remainingMs;
-  responding = other105.responding;
-  listed = other105.listed;
-  running = std::move(other105.running);
-  ended = std::move(other105.ended);
-  address = std::move(other105.address);
-  leaseLeftMs = other105.leaseLeftMs;
-  listNumber = other105.listNumber;
-  endedCut = other105.endedCut;
-  awaitsHeartbeat = other105.awaitsHeartbeat;
-  __isset = other105.__isset;
+WorkerView& WorkerView::operator=(WorkerView&& other115) noexcept {
+  worker = std::move(other115.worker);
+  born = other115.born;
+  pool = std::move(other115.pool);
+  rack = std::move(other115.rack);
+  labels = std::move(other115.labels);
+  milliCores = other115.milliCores;
+  memoryMb = other115.memoryMb;
+  accelerators = other115.accelerators;
+  leaving = other115.leaving;
+  remainingMs = other115.remainingMs;
+  responding = other115.responding;
+  listed = other115.listed;
+  running = std::move(other115.running);
+  ended = std::move(other115.ended);
+  address = std::move(other115.address);
+  leaseLeftMs = other115.leaseLeftMs;
+  listNumber = other115.listNumber;
+  endedCut = other115.endedCut;
+  awaitsHeartbeat = other115.awaitsHeartbeat;
+  __isset = other115.__isset;
   return *this;
 }
 void WorkerView::printTo(std::ostream& out) const {
@@ -3473,26 +3638,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other106) {
-  task = other106.task;
-  run = other106.run;
-  __isset = other106.__isset;
+Suspect::Suspect(const Suspect& other116) {
+  task = other116.task;
+  run = other116.run;
+  __isset = other116.__isset;
 }
-Suspect::Suspect(Suspect&& other107) noexcept {
-  task = std::move(other107.task);
-  run = other107.run;
-  __isset = other107.__isset;
+Suspect::Suspect(Suspect&& other117) noexcept {
+  task = std::move(other117.task);
+  run = other117.run;
+  __isset = other117.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other108) {
-  task = other108.task;
-  run = other108.run;
-  __isset = other108.__isset;
+Suspect& Suspect::operator=(const Suspect& other118) {
+  task = other118.task;
+  run = other118.run;
+  __isset = other118.__isset;
   return *this;
 }
-Suspect& Suspect::operator=(Suspect&& other109) noexcept {
-  task = std::move(other109.task);
-  run = other109.run;
-  __isset = other109.__isset;
+Suspect& Suspect::operator=(Suspect&& other119) noexcept {
+  task = std::move(other119.task);
+  run = other119.run;
+  __isset = other119.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -3575,14 +3740,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->suspects.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->suspects.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->suspects[_i114].read(iprot);
+              xfer += this->suspects[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3635,10 +3800,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter115;
-    for (_iter115 = this->suspects.begin(); _iter115 != this->suspects.end(); ++_iter115)
+    std::vector<Suspect> ::const_iterator _iter125;
+    for (_iter125 = this->suspects.begin(); _iter125 != this->suspects.end(); ++_iter125)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3667,38 +3832,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Life::Life(const Life& other116) {
-  worker = other116.worker;
-  born = other116.born;
-  suspects = other116.suspects;
-  lateStart = other116.lateStart;
-  leftByPlan = other116.leftByPlan;
-  __isset = other116.__isset;
+Life::Life(const Life& other126) {
+  worker = other126.worker;
+  born = other126.born;
+  suspects = other126.suspects;
+  lateStart = other126.lateStart;
+  leftByPlan = other126.leftByPlan;
+  __isset = other126.__isset;
 }
-Life::Life(Life&& other117) noexcept {
-  worker = std::move(other117.worker);
-  born = other117.born;
-  suspects = std::move(other117.suspects);
-  lateStart = other117.lateStart;
-  leftByPlan = other117.leftByPlan;
-  __isset = other117.__isset;
+Life::Life(Life&& other127) noexcept {
+  worker = std::move(other127.worker);
+  born = other127.born;
+  suspects = std::move(other127.suspects);
+  lateStart = other127.lateStart;
+  leftByPlan = other127.leftByPlan;
+  __isset = other127.__isset;
 }
-Life& Life::operator=(const Life& other118) {
-  worker = other118.worker;
-  born = other118.born;
-  suspects = other118.suspects;
-  lateStart = other118.lateStart;
-  leftByPlan = other118.leftByPlan;
-  __isset = other118.__isset;
+Life& Life::operator=(const Life& other128) {
+  worker = other128.worker;
+  born = other128.born;
+  suspects = other128.suspects;
+  lateStart = other128.lateStart;
+  leftByPlan = other128.leftByPlan;
+  __isset = other128.__isset;
   return *this;
 }
-Life& Life::operator=(Life&& other119) noexcept {
-  worker = std::move(other119.worker);
-  born = other119.born;
-  suspects = std::move(other119.suspects);
-  lateStart = other119.lateStart;
-  leftByPlan = other119.leftByPlan;
-  __isset = other119.__isset;
+Life& Life::operator=(Life&& other129) noexcept {
+  worker = std::move(other129.worker);
+  born = other129.born;
+  suspects = std::move(other129.suspects);
+  lateStart = other129.lateStart;
+  leftByPlan = other129.leftByPlan;
+  __isset = other129.__isset;
   return *this;
 }
 void Life::printTo(std::ostream& out) const {
@@ -3841,34 +4006,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerRecord::WorkerRecord(const WorkerRecord& other120) {
-  view = other120.view;
-  instance = other120.instance;
-  dataCentre = other120.dataCentre;
-  suspendedTerm = other120.suspendedTerm;
-  __isset = other120.__isset;
-}
-WorkerRecord::WorkerRecord(WorkerRecord&& other121) noexcept {
-  view = std::move(other121.view);
-  instance = std::move(other121.instance);
-  dataCentre = std::move(other121.dataCentre);
-  suspendedTerm = other121.suspendedTerm;
-  __isset = other121.__isset;
-}
-WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other122) {
-  view = other122.view;
-  instance = other122.instance;
-  dataCentre = other122.dataCentre;
-  suspendedTerm = other122.suspendedTerm;
-  __isset = other122.__isset;
+WorkerRecord::WorkerRecord(const WorkerRecord& other130) {
+  view = other130.view;
+  instance = other130.instance;
+  dataCentre = other130.dataCentre;
+  suspendedTerm = other130.suspendedTerm;
+  __isset = other130.__isset;
+}
+WorkerRecord::WorkerRecord(WorkerRecord&& other131) noexcept {
+  view = std::move(other131.view);
+  instance = std::move(other131.instance);
+  dataCentre = std::move(other131.dataCentre);
+  suspendedTerm = other131.suspendedTerm;
+  __isset = other131.__isset;
+}
+WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other132) {
+  view = other132.view;
+  instance = other132.instance;
+  dataCentre = other132.dataCentre;
+  suspendedTerm = other132.suspendedTerm;
+  __isset = other132.__isset;
   return *this;
 }
-WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other123) noexcept {
-  view = std::move(other123.view);
-  instance = std::move(other123.instance);
-  dataCentre = std::move(other123.dataCentre);
-  suspendedTerm = other123.suspendedTerm;
-  __isset = other123.__isset;
+WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other133) noexcept {
+  view = std::move(other133.view);
+  instance = std::move(other133.instance);
+  dataCentre = std::move(other133.dataCentre);
+  suspendedTerm = other133.suspendedTerm;
+  __isset = other133.__isset;
   return *this;
 }
 void WorkerRecord::printTo(std::ostream& out) const {
@@ -3991,30 +4156,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PairModel::PairModel(const PairModel& other124) {
-  neighbour = other124.neighbour;
-  image = other124.image;
-  pressure = other124.pressure;
-  __isset = other124.__isset;
+PairModel::PairModel(const PairModel& other134) {
+  neighbour = other134.neighbour;
+  image = other134.image;
+  pressure = other134.pressure;
+  __isset = other134.__isset;
 }
-PairModel::PairModel(PairModel&& other125) noexcept {
-  neighbour = std::move(other125.neighbour);
-  image = std::move(other125.image);
-  pressure = other125.pressure;
-  __isset = other125.__isset;
+PairModel::PairModel(PairModel&& other135) noexcept {
+  neighbour = std::move(other135.neighbour);
+  image = std::move(other135.image);
+  pressure = other135.pressure;
+  __isset = other135.__isset;
 }
-PairModel& PairModel::operator=(const PairModel& other126) {
-  neighbour = other126.neighbour;
-  image = other126.image;
-  pressure = other126.pressure;
-  __isset = other126.__isset;
+PairModel& PairModel::operator=(const PairModel& other136) {
+  neighbour = other136.neighbour;
+  image = other136.image;
+  pressure = other136.pressure;
+  __isset = other136.__isset;
   return *this;
 }
-PairModel& PairModel::operator=(PairModel&& other127) noexcept {
-  neighbour = std::move(other127.neighbour);
-  image = std::move(other127.image);
-  pressure = other127.pressure;
-  __isset = other127.__isset;
+PairModel& PairModel::operator=(PairModel&& other137) noexcept {
+  neighbour = std::move(other137.neighbour);
+  image = std::move(other137.image);
+  pressure = other137.pressure;
+  __isset = other137.__isset;
   return *this;
 }
 void PairModel::printTo(std::ostream& out) const {
@@ -4119,26 +4284,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ImageModel::ImageModel(const ImageModel& other128) {
-  image = other128.image;
-  value = other128.value;
-  __isset = other128.__isset;
+ImageModel::ImageModel(const ImageModel& other138) {
+  image = other138.image;
+  value = other138.value;
+  __isset = other138.__isset;
 }
-ImageModel::ImageModel(ImageModel&& other129) noexcept {
-  image = std::move(other129.image);
-  value = other129.value;
-  __isset = other129.__isset;
+ImageModel::ImageModel(ImageModel&& other139) noexcept {
+  image = std::move(other139.image);
+  value = other139.value;
+  __isset = other139.__isset;
 }
-ImageModel& ImageModel::operator=(const ImageModel& other130) {
-  image = other130.image;
-  value = other130.value;
-  __isset = other130.__isset;
+ImageModel& ImageModel::operator=(const ImageModel& other140) {
+  image = other140.image;
+  value = other140.value;
+  __isset = other140.__isset;
   return *this;
 }
-ImageModel& ImageModel::operator=(ImageModel&& other131) noexcept {
-  image = std::move(other131.image);
-  value = other131.value;
-  __isset = other131.__isset;
+ImageModel& ImageModel::operator=(ImageModel&& other141) noexcept {
+  image = std::move(other141.image);
+  value = other141.value;
+  __isset = other141.__isset;
   return *this;
 }
 void ImageModel::printTo(std::ostream& out) const {
@@ -4276,34 +4441,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RunTimeModel::RunTimeModel(const RunTimeModel& other132) {
-  queue = other132.queue;
-  image = other132.image;
-  ratio = other132.ratio;
-  samples = other132.samples;
-  __isset = other132.__isset;
-}
-RunTimeModel::RunTimeModel(RunTimeModel&& other133) noexcept {
-  queue = std::move(other133.queue);
-  image = std::move(other133.image);
-  ratio = other133.ratio;
-  samples = other133.samples;
-  __isset = other133.__isset;
-}
-RunTimeModel& RunTimeModel::operator=(const RunTimeModel& other134) {
-  queue = other134.queue;
-  image = other134.image;
-  ratio = other134.ratio;
-  samples = other134.samples;
-  __isset = other134.__isset;
+RunTimeModel::RunTimeModel(const RunTimeModel& other142) {
+  queue = other142.queue;
+  image = other142.image;
+  ratio = other142.ratio;
+  samples = other142.samples;
+  __isset = other142.__isset;
+}
+RunTimeModel::RunTimeModel(RunTimeModel&& other143) noexcept {
+  queue = std::move(other143.queue);
+  image = std::move(other143.image);
+  ratio = other143.ratio;
+  samples = other143.samples;
+  __isset = other143.__isset;
+}
+RunTimeModel& RunTimeModel::operator=(const RunTimeModel& other144) {
+  queue = other144.queue;
+  image = other144.image;
+  ratio = other144.ratio;
+  samples = other144.samples;
+  __isset = other144.__isset;
   return *this;
 }
-RunTimeModel& RunTimeModel::operator=(RunTimeModel&& other135) noexcept {
-  queue = std::move(other135.queue);
-  image = std::move(other135.image);
-  ratio = other135.ratio;
-  samples = other135.samples;
-  __isset = other135.__isset;
+RunTimeModel& RunTimeModel::operator=(RunTimeModel&& other145) noexcept {
+  queue = std::move(other145.queue);
+  image = std::move(other145.image);
+  ratio = other145.ratio;
+  samples = other145.samples;
+  __isset = other145.__isset;
   return *this;
 }
 void RunTimeModel::printTo(std::ostream& out) const {
@@ -4368,14 +4533,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pairs.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->pairs.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->pairs.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->pairs[_i140].read(iprot);
+              xfer += this->pairs[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4388,14 +4553,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unloaded.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->unloaded.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->unloaded.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += this->unloaded[_i145].read(iprot);
+              xfer += this->unloaded[_i155].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4408,14 +4573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->neighbours.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->neighbours.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->neighbours.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->neighbours[_i150].read(iprot);
+              xfer += this->neighbours[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4428,14 +4593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runTimes.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->runTimes.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->runTimes.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->runTimes[_i155].read(iprot);
+              xfer += this->runTimes[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4464,10 +4629,10 @@
   xfer += oprot->writeFieldBegin("pairs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pairs.size()));
-    std::vector<PairModel> ::const_iterator _iter156;
-    for (_iter156 = this->pairs.begin(); _iter156 != this->pairs.end(); ++_iter156)
+    std::vector<PairModel> ::const_iterator _iter166;
+    for (_iter166 = this->pairs.begin(); _iter166 != this->pairs.end(); ++_iter166)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4476,10 +4641,10 @@
   xfer += oprot->writeFieldBegin("unloaded", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unloaded.size()));
-    std::vector<ImageModel> ::const_iterator _iter157;
-    for (_iter157 = this->unloaded.begin(); _iter157 != this->unloaded.end(); ++_iter157)
+    std::vector<ImageModel> ::const_iterator _iter167;
+    for (_iter167 = this->unloaded.begin(); _iter167 != this->unloaded.end(); ++_iter167)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4488,10 +4653,10 @@
   xfer += oprot->writeFieldBegin("neighbours", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->neighbours.size()));
-    std::vector<ImageModel> ::const_iterator _iter158;
-    for (_iter158 = this->neighbours.begin(); _iter158 != this->neighbours.end(); ++_iter158)
+    std::vector<ImageModel> ::const_iterator _iter168;
+    for (_iter168 = this->neighbours.begin(); _iter168 != this->neighbours.end(); ++_iter168)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter168).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4500,10 +4665,10 @@
   xfer += oprot->writeFieldBegin("runTimes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runTimes.size()));
-    std::vector<RunTimeModel> ::const_iterator _iter159;
-    for (_iter159 = this->runTimes.begin(); _iter159 != this->runTimes.end(); ++_iter159)
+    std::vector<RunTimeModel> ::const_iterator _iter169;
+    for (_iter169 = this->runTimes.begin(); _iter169 != this->runTimes.end(); ++_iter169)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4523,34 +4688,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelRecord::ModelRecord(const ModelRecord& other160) {
-  pairs = other160.pairs;
-  unloaded = other160.unloaded;
-  neighbours = other160.neighbours;
-  runTimes = other160.runTimes;
-  __isset = other160.__isset;
-}
-ModelRecord::ModelRecord(ModelRecord&& other161) noexcept {
-  pairs = std::move(other161.pairs);
-  unloaded = std::move(other161.unloaded);
-  neighbours = std::move(other161.neighbours);
-  runTimes = std::move(other161.runTimes);
-  __isset = other161.__isset;
-}
-ModelRecord& ModelRecord::operator=(const ModelRecord& other162) {
-  pairs = other162.pairs;
-  unloaded = other162.unloaded;
-  neighbours = other162.neighbours;
-  runTimes = other162.runTimes;
-  __isset = other162.__isset;
+ModelRecord::ModelRecord(const ModelRecord& other170) {
+  pairs = other170.pairs;
+  unloaded = other170.unloaded;
+  neighbours = other170.neighbours;
+  runTimes = other170.runTimes;
+  __isset = other170.__isset;
+}
+ModelRecord::ModelRecord(ModelRecord&& other171) noexcept {
+  pairs = std::move(other171.pairs);
+  unloaded = std::move(other171.unloaded);
+  neighbours = std::move(other171.neighbours);
+  runTimes = std::move(other171.runTimes);
+  __isset = other171.__isset;
+}
+ModelRecord& ModelRecord::operator=(const ModelRecord& other172) {
+  pairs = other172.pairs;
+  unloaded = other172.unloaded;
+  neighbours = other172.neighbours;
+  runTimes = other172.runTimes;
+  __isset = other172.__isset;
   return *this;
 }
-ModelRecord& ModelRecord::operator=(ModelRecord&& other163) noexcept {
-  pairs = std::move(other163.pairs);
-  unloaded = std::move(other163.unloaded);
-  neighbours = std::move(other163.neighbours);
-  runTimes = std::move(other163.runTimes);
-  __isset = other163.__isset;
+ModelRecord& ModelRecord::operator=(ModelRecord&& other173) noexcept {
+  pairs = std::move(other173.pairs);
+  unloaded = std::move(other173.unloaded);
+  neighbours = std::move(other173.neighbours);
+  runTimes = std::move(other173.runTimes);
+  __isset = other173.__isset;
   return *this;
 }
 void ModelRecord::printTo(std::ostream& out) const {
@@ -4656,26 +4821,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderResult::OrderResult(const OrderResult& other164) noexcept {
-  number = other164.number;
-  result = other164.result;
-  __isset = other164.__isset;
+OrderResult::OrderResult(const OrderResult& other174) noexcept {
+  number = other174.number;
+  result = other174.result;
+  __isset = other174.__isset;
 }
-OrderResult::OrderResult(OrderResult&& other165) noexcept {
-  number = other165.number;
-  result = other165.result;
-  __isset = other165.__isset;
+OrderResult::OrderResult(OrderResult&& other175) noexcept {
+  number = other175.number;
+  result = other175.result;
+  __isset = other175.__isset;
 }
-OrderResult& OrderResult::operator=(const OrderResult& other166) noexcept {
-  number = other166.number;
-  result = other166.result;
-  __isset = other166.__isset;
+OrderResult& OrderResult::operator=(const OrderResult& other176) noexcept {
+  number = other176.number;
+  result = other176.result;
+  __isset = other176.__isset;
   return *this;
 }
-OrderResult& OrderResult::operator=(OrderResult&& other167) noexcept {
-  number = other167.number;
-  result = other167.result;
-  __isset = other167.__isset;
+OrderResult& OrderResult::operator=(OrderResult&& other177) noexcept {
+  number = other177.number;
+  result = other177.result;
+  __isset = other177.__isset;
   return *this;
 }
 void OrderResult::printTo(std::ostream& out) const {
@@ -4754,14 +4919,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->workers.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->workers.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += iprot->readString(this->workers[_i172]);
+              xfer += iprot->readString(this->workers[_i182]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4806,10 +4971,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter173;
-    for (_iter173 = this->workers.begin(); _iter173 != this->workers.end(); ++_iter173)
+    std::vector<std::string> ::const_iterator _iter183;
+    for (_iter183 = this->workers.begin(); _iter183 != this->workers.end(); ++_iter183)
     {
-      xfer += oprot->writeString((*_iter173));
+      xfer += oprot->writeString((*_iter183));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4833,34 +4998,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Question::Question(const Question& other174) {
-  number = other174.number;
-  step = other174.step;
-  workers = other174.workers;
-  timeoutMs = other174.timeoutMs;
-  __isset = other174.__isset;
-}
-Question::Question(Question&& other175) noexcept {
-  number = other175.number;
-  step = std::move(other175.step);
-  workers = std::move(other175.workers);
-  timeoutMs = other175.timeoutMs;
-  __isset = other175.__isset;
-}
-Question& Question::operator=(const Question& other176) {
-  number = other176.number;
-  step = other176.step;
-  workers = other176.workers;
-  timeoutMs = other176.timeoutMs;
-  __isset = other176.__isset;
+Question::Question(const Question& other184) {
+  number = other184.number;
+  step = other184.step;
+  workers = other184.workers;
+  timeoutMs = other184.timeoutMs;
+  __isset = other184.__isset;
+}
+Question::Question(Question&& other185) noexcept {
+  number = other185.number;
+  step = std::move(other185.step);
+  workers = std::move(other185.workers);
+  timeoutMs = other185.timeoutMs;
+  __isset = other185.__isset;
+}
+Question& Question::operator=(const Question& other186) {
+  number = other186.number;
+  step = other186.step;
+  workers = other186.workers;
+  timeoutMs = other186.timeoutMs;
+  __isset = other186.__isset;
   return *this;
 }
-Question& Question::operator=(Question&& other177) noexcept {
-  number = other177.number;
-  step = std::move(other177.step);
-  workers = std::move(other177.workers);
-  timeoutMs = other177.timeoutMs;
-  __isset = other177.__isset;
+Question& Question::operator=(Question&& other187) noexcept {
+  number = other187.number;
+  step = std::move(other187.step);
+  workers = std::move(other187.workers);
+  timeoutMs = other187.timeoutMs;
+  __isset = other187.__isset;
   return *this;
 }
 void Question::printTo(std::ostream& out) const {
@@ -4966,26 +5131,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Grant::Grant(const Grant& other178) {
-  worker = other178.worker;
-  ticket = other178.ticket;
-  __isset = other178.__isset;
+Grant::Grant(const Grant& other188) {
+  worker = other188.worker;
+  ticket = other188.ticket;
+  __isset = other188.__isset;
 }
-Grant::Grant(Grant&& other179) noexcept {
-  worker = std::move(other179.worker);
-  ticket = std::move(other179.ticket);
-  __isset = other179.__isset;
+Grant::Grant(Grant&& other189) noexcept {
+  worker = std::move(other189.worker);
+  ticket = std::move(other189.ticket);
+  __isset = other189.__isset;
 }
-Grant& Grant::operator=(const Grant& other180) {
-  worker = other180.worker;
-  ticket = other180.ticket;
-  __isset = other180.__isset;
+Grant& Grant::operator=(const Grant& other190) {
+  worker = other190.worker;
+  ticket = other190.ticket;
+  __isset = other190.__isset;
   return *this;
 }
-Grant& Grant::operator=(Grant&& other181) noexcept {
-  worker = std::move(other181.worker);
-  ticket = std::move(other181.ticket);
-  __isset = other181.__isset;
+Grant& Grant::operator=(Grant&& other191) noexcept {
+  worker = std::move(other191.worker);
+  ticket = std::move(other191.ticket);
+  __isset = other191.__isset;
   return *this;
 }
 void Grant::printTo(std::ostream& out) const {
@@ -5064,14 +5229,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->grants.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->grants.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->grants[_i186].read(iprot);
+              xfer += this->grants[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5116,10 +5281,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<Grant> ::const_iterator _iter187;
-    for (_iter187 = this->grants.begin(); _iter187 != this->grants.end(); ++_iter187)
+    std::vector<Grant> ::const_iterator _iter197;
+    for (_iter197 = this->grants.begin(); _iter197 != this->grants.end(); ++_iter197)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5143,34 +5308,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviceAnswer::AdviceAnswer(const AdviceAnswer& other188) {
-  number = other188.number;
-  answered = other188.answered;
-  grants = other188.grants;
-  validMs = other188.validMs;
-  __isset = other188.__isset;
-}
-AdviceAnswer::AdviceAnswer(AdviceAnswer&& other189) noexcept {
-  number = other189.number;
-  answered = other189.answered;
-  grants = std::move(other189.grants);
-  validMs = other189.validMs;
-  __isset = other189.__isset;
-}
-AdviceAnswer& AdviceAnswer::operator=(const AdviceAnswer& other190) {
-  number = other190.number;
-  answered = other190.answered;
-  grants = other190.grants;
-  validMs = other190.validMs;
-  __isset = other190.__isset;
+AdviceAnswer::AdviceAnswer(const AdviceAnswer& other198) {
+  number = other198.number;
+  answered = other198.answered;
+  grants = other198.grants;
+  validMs = other198.validMs;
+  __isset = other198.__isset;
+}
+AdviceAnswer::AdviceAnswer(AdviceAnswer&& other199) noexcept {
+  number = other199.number;
+  answered = other199.answered;
+  grants = std::move(other199.grants);
+  validMs = other199.validMs;
+  __isset = other199.__isset;
+}
+AdviceAnswer& AdviceAnswer::operator=(const AdviceAnswer& other200) {
+  number = other200.number;
+  answered = other200.answered;
+  grants = other200.grants;
+  validMs = other200.validMs;
+  __isset = other200.__isset;
   return *this;
 }
-AdviceAnswer& AdviceAnswer::operator=(AdviceAnswer&& other191) noexcept {
-  number = other191.number;
-  answered = other191.answered;
-  grants = std::move(other191.grants);
-  validMs = other191.validMs;
-  __isset = other191.__isset;
+AdviceAnswer& AdviceAnswer::operator=(AdviceAnswer&& other201) noexcept {
+  number = other201.number;
+  answered = other201.answered;
+  grants = std::move(other201.grants);
+  validMs = other201.validMs;
+  __isset = other201.__isset;
   return *this;
 }
 void AdviceAnswer::printTo(std::ostream& out) const {
@@ -5279,14 +5444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->workers.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->workers.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->workers[_i196].read(iprot);
+              xfer += this->workers[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5299,14 +5464,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->results.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->results.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->results[_i201].read(iprot);
+              xfer += this->results[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5319,14 +5484,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endedLives.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->endedLives.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->endedLives.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += this->endedLives[_i206].read(iprot);
+              xfer += this->endedLives[_i216].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5347,14 +5512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->advice.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->advice.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->advice.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->advice[_i211].read(iprot);
+              xfer += this->advice[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5403,10 +5568,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerView> ::const_iterator _iter212;
-    for (_iter212 = this->workers.begin(); _iter212 != this->workers.end(); ++_iter212)
+    std::vector<WorkerView> ::const_iterator _iter222;
+    for (_iter222 = this->workers.begin(); _iter222 != this->workers.end(); ++_iter222)
     {
-      xfer += (*_iter212).write(oprot);
+      xfer += (*_iter222).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5415,10 +5580,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<OrderResult> ::const_iterator _iter213;
-    for (_iter213 = this->results.begin(); _iter213 != this->results.end(); ++_iter213)
+    std::vector<OrderResult> ::const_iterator _iter223;
+    for (_iter223 = this->results.begin(); _iter223 != this->results.end(); ++_iter223)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter223).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5427,10 +5592,10 @@
   xfer += oprot->writeFieldBegin("endedLives", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endedLives.size()));
-    std::vector<Life> ::const_iterator _iter214;
-    for (_iter214 = this->endedLives.begin(); _iter214 != this->endedLives.end(); ++_iter214)
+    std::vector<Life> ::const_iterator _iter224;
+    for (_iter224 = this->endedLives.begin(); _iter224 != this->endedLives.end(); ++_iter224)
     {
-      xfer += (*_iter214).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5443,10 +5608,10 @@
   xfer += oprot->writeFieldBegin("advice", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->advice.size()));
-    std::vector<AdviceAnswer> ::const_iterator _iter215;
-    for (_iter215 = this->advice.begin(); _iter215 != this->advice.end(); ++_iter215)
+    std::vector<AdviceAnswer> ::const_iterator _iter225;
+    for (_iter225 = this->advice.begin(); _iter225 != this->advice.end(); ++_iter225)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter225).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5475,54 +5640,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other216) {
-  agentMicros = other216.agentMicros;
-  instance = other216.instance;
-  dataCentre = other216.dataCentre;
-  workers = other216.workers;
-  results = other216.results;
-  endedLives = other216.endedLives;
-  term = other216.term;
-  advice = other216.advice;
-  keepsPayloads = other216.keepsPayloads;
-  __isset = other216.__isset;
-}
-Report::Report(Report&& other217) noexcept {
-  agentMicros = other217.agentMicros;
-  instance = std::move(other217.instance);
-  dataCentre = std::move(other217.dataCentre);
-  workers = std::move(other217.workers);
-  results = std::move(other217.results);
-  endedLives = std::move(other217.endedLives);
-  term = other217.term;
-  advice = std::move(other217.advice);
-  keepsPayloads = other217.keepsPayloads;
-  __isset = other217.__isset;
-}
-Report& Report::operator=(const Report& other218) {
-  agentMicros = other218.agentMicros;
-  instance = other218.instance;
-  dataCentre = other218.dataCentre;
-  workers = other218.workers;
-  results = other218.results;
-  endedLives = other218.endedLives;
-  term = other218.term;
-  advice = other218.advice;
-  keepsPayloads = other218.keepsPayloads;
-  __isset = other218.__isset;
+Report::Report(const Report& other226) {
+  agentMicros = other226.agentMicros;
+  instance = other226.instance;
+  dataCentre = other226.dataCentre;
+  workers = other226.workers;
+  results = other226.results;
+  endedLives = other226.endedLives;
+  term = other226.term;
+  advice = other226.advice;
+  keepsPayloads = other226.keepsPayloads;
+  __isset = other226.__isset;
+}
+Report::Report(Report&& other227) noexcept {
+  agentMicros = other227.agentMicros;
+  instance = std::move(other227.instance);
+  dataCentre = std::move(other227.dataCentre);
+  workers = std::move(other227.workers);
+  results = std::move(other227.results);
+  endedLives = std::move(other227.endedLives);
+  term = other227.term;
+  advice = std::move(other227.advice);
+  keepsPayloads = other227.keepsPayloads;
+  __isset = other227.__isset;
+}
+Report& Report::operator=(const Report& other228) {
+  agentMicros = other228.agentMicros;
+  instance = other228.instance;
+  dataCentre = other228.dataCentre;
+  workers = other228.workers;
+  results = other228.results;
+  endedLives = other228.endedLives;
+  term = other228.term;
+  advice = other228.advice;
+  keepsPayloads = other228.keepsPayloads;
+  __isset = other228.__isset;
   return *this;
 }
-Report& Report::operator=(Report&& other219) noexcept {
-  agentMicros = other219.agentMicros;
-  instance = std::move(other219.instance);
-  dataCentre = std::move(other219.dataCentre);
-  workers = std::move(other219.workers);
-  results = std::move(other219.results);
-  endedLives = std::move(other219.endedLives);
-  term = other219.term;
-  advice = std::move(other219.advice);
-  keepsPayloads = other219.keepsPayloads;
-  __isset = other219.__isset;
+Report& Report::operator=(Report&& other229) noexcept {
+  agentMicros = other229.agentMicros;
+  instance = std::move(other229.instance);
+  dataCentre = std::move(other229.dataCentre);
+  workers = std::move(other229.workers);
+  results = std::move(other229.results);
+  endedLives = std::move(other229.endedLives);
+  term = other229.term;
+  advice = std::move(other229.advice);
+  keepsPayloads = other229.keepsPayloads;
+  __isset = other229.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -5820,70 +5985,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other220) {
-  number = other220.number;
-  kind = other220.kind;
-  worker = other220.worker;
-  born = other220.born;
-  task = other220.task;
-  run = other220.run;
-  payload = other220.payload;
-  checkpoint = other220.checkpoint;
-  percent = other220.percent;
-  ticket = other220.ticket;
-  repeated = other220.repeated;
-  payloadKept = other220.payloadKept;
-  trial = other220.trial;
-  __isset = other220.__isset;
-}
-Order::Order(Order&& other221) noexcept {
-  number = other221.number;
-  kind = other221.kind;
-  worker = std::move(other221.worker);
-  born = other221.born;
-  task = std::move(other221.task);
-  run = other221.run;
-  payload = std::move(other221.payload);
-  checkpoint = std::move(other221.checkpoint);
-  percent = other221.percent;
-  ticket = std::move(other221.ticket);
-  repeated = other221.repeated;
-  payloadKept = other221.payloadKept;
-  trial = other221.trial;
-  __isset = other221.__isset;
-}
-Order& Order::operator=(const Order& other222) {
-  number = other222.number;
-  kind = other222.kind;
-  worker = other222.worker;
-  born = other222.born;
-  task = other222.task;
-  run = other222.run;
-  payload = other222.payload;
-  checkpoint = other222.checkpoint;
-  percent = other222.percent;
-  ticket = other222.ticket;
-  repeated = other222.repeated;
-  payloadKept = other222.payloadKept;
-  trial = other222.trial;
-  __isset = other222.__isset;
+Order::Order(const Order& other230) {
+  number = other230.number;
+  kind = other230.kind;
+  worker = other230.worker;
+  born = other230.born;
+  task = other230.task;
+  run = other230.run;
+  payload = other230.payload;
+  checkpoint = other230.checkpoint;
+  percent = other230.percent;
+  ticket = other230.ticket;
+  repeated = other230.repeated;
+  payloadKept = other230.payloadKept;
+  trial = other230.trial;
+  __isset = other230.__isset;
+}
+Order::Order(Order&& other231) noexcept {
+  number = other231.number;
+  kind = other231.kind;
+  worker = std::move(other231.worker);
+  born = other231.born;
+  task = std::move(other231.task);
+  run = other231.run;
+  payload = std::move(other231.payload);
+  checkpoint = std::move(other231.checkpoint);
+  percent = other231.percent;
+  ticket = std::move(other231.ticket);
+  repeated = other231.repeated;
+  payloadKept = other231.payloadKept;
+  trial = other231.trial;
+  __isset = other231.__isset;
+}
+Order& Order::operator=(const Order& other232) {
+  number = other232.number;
+  kind = other232.kind;
+  worker = other232.worker;
+  born = other232.born;
+  task = other232.task;
+  run = other232.run;
+  payload = other232.payload;
+  checkpoint = other232.checkpoint;
+  percent = other232.percent;
+  ticket = other232.ticket;
+  repeated = other232.repeated;
+  payloadKept = other232.payloadKept;
+  trial = other232.trial;
+  __isset = other232.__isset;
   return *this;
 }
-Order& Order::operator=(Order&& other223) noexcept {
-  number = other223.number;
-  kind = other223.kind;
-  worker = std::move(other223.worker);
-  born = other223.born;
-  task = std::move(other223.task);
-  run = other223.run;
-  payload = std::move(other223.payload);
-  checkpoint = std::move(other223.checkpoint);
-  percent = other223.percent;
-  ticket = std::move(other223.ticket);
-  repeated = other223.repeated;
-  payloadKept = other223.payloadKept;
-  trial = other223.trial;
-  __isset = other223.__isset;
+Order& Order::operator=(Order&& other233) noexcept {
+  number = other233.number;
+  kind = other233.kind;
+  worker = std::move(other233.worker);
+  born = other233.born;
+  task = std::move(other233.task);
+  run = other233.run;
+  payload = std::move(other233.payload);
+  checkpoint = std::move(other233.checkpoint);
+  percent = other233.percent;
+  ticket = std::move(other233.ticket);
+  repeated = other233.repeated;
+  payloadKept = other233.payloadKept;
+  trial = other233.trial;
+  __isset = other233.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -6015,30 +6180,30 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerAck::WorkerAck(const WorkerAck& other224) {
-  worker = other224.worker;
-  born = other224.born;
-  number = other224.number;
-  __isset = other224.__isset;
+WorkerAck::WorkerAck(const WorkerAck& other234) {
+  worker = other234.worker;
+  born = other234.born;
+  number = other234.number;
+  __isset = other234.__isset;
 }
-WorkerAck::WorkerAck(WorkerAck&& other225) noexcept {
-  worker = std::move(other225.worker);
-  born = other225.born;
-  number = other225.number;
-  __isset = other225.__isset;
+WorkerAck::WorkerAck(WorkerAck&& other235) noexcept {
+  worker = std::move(other235.worker);
+  born = other235.born;
+  number = other235.number;
+  __isset = other235.__isset;
 }
-WorkerAck& WorkerAck::operator=(const WorkerAck& other226) {
-  worker = other226.worker;
-  born = other226.born;
-  number = other226.number;
-  __isset = other226.__isset;
+WorkerAck& WorkerAck::operator=(const WorkerAck& other236) {
+  worker = other236.worker;
+  born = other236.born;
+  number = other236.number;
+  __isset = other236.__isset;
   return *this;
 }
-WorkerAck& WorkerAck::operator=(WorkerAck&& other227) noexcept {
-  worker = std::move(other227.worker);
-  born = other227.born;
-  number = other227.number;
-  __isset = other227.__isset;
+WorkerAck& WorkerAck::operator=(WorkerAck&& other237) noexcept {
+  worker = std::move(other237.worker);
+  born = other237.born;
+  number = other237.number;
+  __isset = other237.__isset;
   return *this;
 }
 void WorkerAck::printTo(std::ostream& out) const {
@@ -6142,14 +6307,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->orders.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->orders.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->orders[_i232].read(iprot);
+              xfer += this->orders[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6162,14 +6327,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acks.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->acks.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->acks.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += this->acks[_i237].read(iprot);
+              xfer += this->acks[_i247].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6182,14 +6347,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->known.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->known.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
             {
-              xfer += this->known[_i242].read(iprot);
+              xfer += this->known[_i252].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6202,14 +6367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->questions.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->questions.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->questions.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
             {
-              xfer += this->questions[_i247].read(iprot);
+              xfer += this->questions[_i257].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6258,10 +6423,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter248;
-    for (_iter248 = this->orders.begin(); _iter248 != this->orders.end(); ++_iter248)
+    std::vector<Order> ::const_iterator _iter258;
+    for (_iter258 = this->orders.begin(); _iter258 != this->orders.end(); ++_iter258)
     {
-      xfer += (*_iter248).write(oprot);
+      xfer += (*_iter258).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6270,10 +6435,10 @@
   xfer += oprot->writeFieldBegin("acks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acks.size()));
-    std::vector<WorkerAck> ::const_iterator _iter249;
-    for (_iter249 = this->acks.begin(); _iter249 != this->acks.end(); ++_iter249)
+    std::vector<WorkerAck> ::const_iterator _iter259;
+    for (_iter259 = this->acks.begin(); _iter259 != this->acks.end(); ++_iter259)
     {
-      xfer += (*_iter249).write(oprot);
+      xfer += (*_iter259).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6282,10 +6447,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->known.size()));
-    std::vector<WorkerView> ::const_iterator _iter250;
-    for (_iter250 = this->known.begin(); _iter250 != this->known.end(); ++_iter250)
+    std::vector<WorkerView> ::const_iterator _iter260;
+    for (_iter260 = this->known.begin(); _iter260 != this->known.end(); ++_iter260)
     {
-      xfer += (*_iter250).write(oprot);
+      xfer += (*_iter260).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6294,10 +6459,10 @@
   xfer += oprot->writeFieldBegin("questions", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->questions.size()));
-    std::vector<Question> ::const_iterator _iter251;
-    for (_iter251 = this->questions.begin(); _iter251 != this->questions.end(); ++_iter251)
+    std::vector<Question> ::const_iterator _iter261;
+    for (_iter261 = this->questions.begin(); _iter261 != this->questions.end(); ++_iter261)
     {
-      xfer += (*_iter251).write(oprot);
+      xfer += (*_iter261).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6325,50 +6490,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Directive::Directive(const Directive& other252) {
-  term = other252.term;
-  echoMicros = other252.echoMicros;
-  holdMicros = other252.holdMicros;
-  orders = other252.orders;
-  acks = other252.acks;
-  known = other252.known;
-  questions = other252.questions;
-  acceptsCompression = other252.acceptsCompression;
-  __isset = other252.__isset;
-}
-Directive::Directive(Directive&& other253) noexcept {
-  term = other253.term;
-  echoMicros = other253.echoMicros;
-  holdMicros = other253.holdMicros;
-  orders = std::move(other253.orders);
-  acks = std::move(other253.acks);
-  known = std::move(other253.known);
-  questions = std::move(other253.questions);
-  acceptsCompression = other253.acceptsCompression;
-  __isset = other253.__isset;
-}
-Directive& Directive::operator=(const Directive& other254) {
-  term = other254.term;
-  echoMicros = other254.echoMicros;
-  holdMicros = other254.holdMicros;
-  orders = other254.orders;
-  acks = other254.acks;
-  known = other254.known;
-  questions = other254.questions;
-  acceptsCompression = other254.acceptsCompression;
-  __isset = other254.__isset;
+Directive::Directive(const Directive& other262) {
+  term = other262.term;
+  echoMicros = other262.echoMicros;
+  holdMicros = other262.holdMicros;
+  orders = other262.orders;
+  acks = other262.acks;
+  known = other262.known;
+  questions = other262.questions;
+  acceptsCompression = other262.acceptsCompression;
+  __isset = other262.__isset;
+}
+Directive::Directive(Directive&& other263) noexcept {
+  term = other263.term;
+  echoMicros = other263.echoMicros;
+  holdMicros = other263.holdMicros;
+  orders = std::move(other263.orders);
+  acks = std::move(other263.acks);
+  known = std::move(other263.known);
+  questions = std::move(other263.questions);
+  acceptsCompression = other263.acceptsCompression;
+  __isset = other263.__isset;
+}
+Directive& Directive::operator=(const Directive& other264) {
+  term = other264.term;
+  echoMicros = other264.echoMicros;
+  holdMicros = other264.holdMicros;
+  orders = other264.orders;
+  acks = other264.acks;
+  known = other264.known;
+  questions = other264.questions;
+  acceptsCompression = other264.acceptsCompression;
+  __isset = other264.__isset;
   return *this;
 }
-Directive& Directive::operator=(Directive&& other255) noexcept {
-  term = other255.term;
-  echoMicros = other255.echoMicros;
-  holdMicros = other255.holdMicros;
-  orders = std::move(other255.orders);
-  acks = std::move(other255.acks);
-  known = std::move(other255.known);
-  questions = std::move(other255.questions);
-  acceptsCompression = other255.acceptsCompression;
-  __isset = other255.__isset;
+Directive& Directive::operator=(Directive&& other265) noexcept {
+  term = other265.term;
+  echoMicros = other265.echoMicros;
+  holdMicros = other265.holdMicros;
+  orders = std::move(other265.orders);
+  acks = std::move(other265.acks);
+  known = std::move(other265.known);
+  questions = std::move(other265.questions);
+  acceptsCompression = other265.acceptsCompression;
+  __isset = other265.__isset;
   return *this;
 }
 void Directive::printTo(std::ostream& out) const {
@@ -6529,38 +6694,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusQuery::StatusQuery(const StatusQuery& other256) {
-  number = other256.number;
-  job = other256.job;
-  queue = other256.queue;
-  candidate = other256.candidate;
-  instance = other256.instance;
-  __isset = other256.__isset;
-}
-StatusQuery::StatusQuery(StatusQuery&& other257) noexcept {
-  number = other257.number;
-  job = std::move(other257.job);
-  queue = std::move(other257.queue);
-  candidate = other257.candidate;
-  instance = std::move(other257.instance);
-  __isset = other257.__isset;
-}
-StatusQuery& StatusQuery::operator=(const StatusQuery& other258) {
-  number = other258.number;
-  job = other258.job;
-  queue = other258.queue;
-  candidate = other258.candidate;
-  instance = other258.instance;
-  __isset = other258.__isset;
+StatusQuery::StatusQuery(const StatusQuery& other266) {
+  number = other266.number;
+  job = other266.job;
+  queue = other266.queue;
+  candidate = other266.candidate;
+  instance = other266.instance;
+  __isset = other266.__isset;
+}
+StatusQuery::StatusQuery(StatusQuery&& other267) noexcept {
+  number = other267.number;
+  job = std::move(other267.job);
+  queue = std::move(other267.queue);
+  candidate = other267.candidate;
+  instance = std::move(other267.instance);
+  __isset = other267.__isset;
+}
+StatusQuery& StatusQuery::operator=(const StatusQuery& other268) {
+  number = other268.number;
+  job = other268.job;
+  queue = other268.queue;
+  candidate = other268.candidate;
+  instance = other268.instance;
+  __isset = other268.__isset;
   return *this;
 }
-StatusQuery& StatusQuery::operator=(StatusQuery&& other259) noexcept {
-  number = other259.number;
-  job = std::move(other259.job);
-  queue = std::move(other259.queue);
-  candidate = other259.candidate;
-  instance = std::move(other259.instance);
-  __isset = other259.__isset;
+StatusQuery& StatusQuery::operator=(StatusQuery&& other269) noexcept {
+  number = other269.number;
+  job = std::move(other269.job);
+  queue = std::move(other269.queue);
+  candidate = other269.candidate;
+  instance = std::move(other269.instance);
+  __isset = other269.__isset;
   return *this;
 }
 void StatusQuery::printTo(std::ostream& out) const {
@@ -6701,34 +6866,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other260) noexcept {
-  number = other260.number;
-  known = other260.known;
-  state = other260.state;
-  pending = other260.pending;
-  __isset = other260.__isset;
+StatusReply::StatusReply(const StatusReply& other270) noexcept {
+  number = other270.number;
+  known = other270.known;
+  state = other270.state;
+  pending = other270.pending;
+  __isset = other270.__isset;
 }
-StatusReply::StatusReply(StatusReply&& other261) noexcept {
-  number = other261.number;
-  known = other261.known;
-  state = other261.state;
-  pending = other261.pending;
-  __isset = other261.__isset;
+StatusReply::StatusReply(StatusReply&& other271) noexcept {
+  number = other271.number;
+  known = other271.known;
+  state = other271.state;
+  pending = other271.pending;
+  __isset = other271.__isset;
 }
-StatusReply& StatusReply::operator=(const StatusReply& other262) noexcept {
-  number = other262.number;
-  known = other262.known;
-  state = other262.state;
-  pending = other262.pending;
-  __isset = other262.__isset;
+StatusReply& StatusReply::operator=(const StatusReply& other272) noexcept {
+  number = other272.number;
+  known = other272.known;
+  state = other272.state;
+  pending = other272.pending;
+  __isset = other272.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other263) noexcept {
-  number = other263.number;
-  known = other263.known;
-  state = other263.state;
-  pending = other263.pending;
-  __isset = other263.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other273) noexcept {
+  number = other273.number;
+  known = other273.known;
+  state = other273.state;
+  pending = other273.pending;
+  __isset = other273.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -6834,26 +6999,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreVersion::StoreVersion(const StoreVersion& other264) {
-  key = other264.key;
-  version = other264.version;
-  __isset = other264.__isset;
+StoreVersion::StoreVersion(const StoreVersion& other274) {
+  key = other274.key;
+  version = other274.version;
+  __isset = other274.__isset;
 }
-StoreVersion::StoreVersion(StoreVersion&& other265) noexcept {
-  key = std::move(other265.key);
-  version = other265.version;
-  __isset = other265.__isset;
+StoreVersion::StoreVersion(StoreVersion&& other275) noexcept {
+  key = std::move(other275.key);
+  version = other275.version;
+  __isset = other275.__isset;
 }
-StoreVersion& StoreVersion::operator=(const StoreVersion& other266) {
-  key = other266.key;
-  version = other266.version;
-  __isset = other266.__isset;
+StoreVersion& StoreVersion::operator=(const StoreVersion& other276) {
+  key = other276.key;
+  version = other276.version;
+  __isset = other276.__isset;
   return *this;
 }
-StoreVersion& StoreVersion::operator=(StoreVersion&& other267) noexcept {
-  key = std::move(other267.key);
-  version = other267.version;
-  __isset = other267.__isset;
+StoreVersion& StoreVersion::operator=(StoreVersion&& other277) noexcept {
+  key = std::move(other277.key);
+  version = other277.version;
+  __isset = other277.__isset;
   return *this;
 }
 void StoreVersion::printTo(std::ostream& out) const {
@@ -6957,26 +7122,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StorePut::StorePut(const StorePut& other268) {
-  key = other268.key;
-  value = other268.value;
-  __isset = other268.__isset;
+StorePut::StorePut(const StorePut& other278) {
+  key = other278.key;
+  value = other278.value;
+  __isset = other278.__isset;
 }
-StorePut::StorePut(StorePut&& other269) noexcept {
-  key = std::move(other269.key);
-  value = std::move(other269.value);
-  __isset = other269.__isset;
+StorePut::StorePut(StorePut&& other279) noexcept {
+  key = std::move(other279.key);
+  value = std::move(other279.value);
+  __isset = other279.__isset;
 }
-StorePut& StorePut::operator=(const StorePut& other270) {
-  key = other270.key;
-  value = other270.value;
-  __isset = other270.__isset;
+StorePut& StorePut::operator=(const StorePut& other280) {
+  key = other280.key;
+  value = other280.value;
+  __isset = other280.__isset;
   return *this;
 }
-StorePut& StorePut::operator=(StorePut&& other271) noexcept {
-  key = std::move(other271.key);
-  value = std::move(other271.value);
-  __isset = other271.__isset;
+StorePut& StorePut::operator=(StorePut&& other281) noexcept {
+  key = std::move(other281.key);
+  value = std::move(other281.value);
+  __isset = other281.__isset;
   return *this;
 }
 void StorePut::printTo(std::ostream& out) const {
@@ -7043,14 +7208,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size272;
-            ::apache::thrift::protocol::TType _etype275;
-            xfer += iprot->readListBegin(_etype275, _size272);
-            this->expected.resize(_size272);
-            uint32_t _i276;
-            for (_i276 = 0; _i276 < _size272; ++_i276)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->expected.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->expected[_i276].read(iprot);
+              xfer += this->expected[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7063,14 +7228,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->puts.clear();
-            uint32_t _size277;
-            ::apache::thrift::protocol::TType _etype280;
-            xfer += iprot->readListBegin(_etype280, _size277);
-            this->puts.resize(_size277);
-            uint32_t _i281;
-            for (_i281 = 0; _i281 < _size277; ++_i281)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->puts.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->puts[_i281].read(iprot);
+              xfer += this->puts[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7103,10 +7268,10 @@
   xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-    std::vector<StoreVersion> ::const_iterator _iter282;
-    for (_iter282 = this->expected.begin(); _iter282 != this->expected.end(); ++_iter282)
+    std::vector<StoreVersion> ::const_iterator _iter292;
+    for (_iter292 = this->expected.begin(); _iter292 != this->expected.end(); ++_iter292)
     {
-      xfer += (*_iter282).write(oprot);
+      xfer += (*_iter292).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7115,10 +7280,10 @@
   xfer += oprot->writeFieldBegin("puts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->puts.size()));
-    std::vector<StorePut> ::const_iterator _iter283;
-    for (_iter283 = this->puts.begin(); _iter283 != this->puts.end(); ++_iter283)
+    std::vector<StorePut> ::const_iterator _iter293;
+    for (_iter293 = this->puts.begin(); _iter293 != this->puts.end(); ++_iter293)
     {
-      xfer += (*_iter283).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7137,30 +7302,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedWrite::RelayedWrite(const RelayedWrite& other284) {
-  number = other284.number;
-  expected = other284.expected;
-  puts = other284.puts;
-  __isset = other284.__isset;
+RelayedWrite::RelayedWrite(const RelayedWrite& other294) {
+  number = other294.number;
+  expected = other294.expected;
+  puts = other294.puts;
+  __isset = other294.__isset;
 }
-RelayedWrite::RelayedWrite(RelayedWrite&& other285) noexcept {
-  number = other285.number;
-  expected = std::move(other285.expected);
-  puts = std::move(other285.puts);
-  __isset = other285.__isset;
+RelayedWrite::RelayedWrite(RelayedWrite&& other295) noexcept {
+  number = other295.number;
+  expected = std::move(other295.expected);
+  puts = std::move(other295.puts);
+  __isset = other295.__isset;
 }
-RelayedWrite& RelayedWrite::operator=(const RelayedWrite& other286) {
-  number = other286.number;
-  expected = other286.expected;
-  puts = other286.puts;
-  __isset = other286.__isset;
+RelayedWrite& RelayedWrite::operator=(const RelayedWrite& other296) {
+  number = other296.number;
+  expected = other296.expected;
+  puts = other296.puts;
+  __isset = other296.__isset;
   return *this;
 }
-RelayedWrite& RelayedWrite::operator=(RelayedWrite&& other287) noexcept {
-  number = other287.number;
-  expected = std::move(other287.expected);
-  puts = std::move(other287.puts);
-  __isset = other287.__isset;
+RelayedWrite& RelayedWrite::operator=(RelayedWrite&& other297) noexcept {
+  number = other297.number;
+  expected = std::move(other297.expected);
+  puts = std::move(other297.puts);
+  __isset = other297.__isset;
   return *this;
 }
 void RelayedWrite::printTo(std::ostream& out) const {
@@ -7260,14 +7425,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->actual.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->actual.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->actual.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += this->actual[_i292].read(iprot);
+              xfer += this->actual[_i302].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7312,10 +7477,10 @@
   xfer += oprot->writeFieldBegin("actual", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->actual.size()));
-    std::vector<StoreVersion> ::const_iterator _iter293;
-    for (_iter293 = this->actual.begin(); _iter293 != this->actual.end(); ++_iter293)
+    std::vector<StoreVersion> ::const_iterator _iter303;
+    for (_iter303 = this->actual.begin(); _iter303 != this->actual.end(); ++_iter303)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter303).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7336,38 +7501,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedResult::RelayedResult(const RelayedResult& other294) {
-  number = other294.number;
-  written = other294.written;
-  version = other294.version;
-  error = other294.error;
-  actual = other294.actual;
-  __isset = other294.__isset;
-}
-RelayedResult::RelayedResult(RelayedResult&& other295) noexcept {
-  number = other295.number;
-  written = other295.written;
-  version = other295.version;
-  error = other295.error;
-  actual = std::move(other295.actual);
-  __isset = other295.__isset;
-}
-RelayedResult& RelayedResult::operator=(const RelayedResult& other296) {
-  number = other296.number;
-  written = other296.written;
-  version = other296.version;
-  error = other296.error;
-  actual = other296.actual;
-  __isset = other296.__isset;
+RelayedResult::RelayedResult(const RelayedResult& other304) {
+  number = other304.number;
+  written = other304.written;
+  version = other304.version;
+  error = other304.error;
+  actual = other304.actual;
+  __isset = other304.__isset;
+}
+RelayedResult::RelayedResult(RelayedResult&& other305) noexcept {
+  number = other305.number;
+  written = other305.written;
+  version = other305.version;
+  error = other305.error;
+  actual = std::move(other305.actual);
+  __isset = other305.__isset;
+}
+RelayedResult& RelayedResult::operator=(const RelayedResult& other306) {
+  number = other306.number;
+  written = other306.written;
+  version = other306.version;
+  error = other306.error;
+  actual = other306.actual;
+  __isset = other306.__isset;
   return *this;
 }
-RelayedResult& RelayedResult::operator=(RelayedResult&& other297) noexcept {
-  number = other297.number;
-  written = other297.written;
-  version = other297.version;
-  error = other297.error;
-  actual = std::move(other297.actual);
-  __isset = other297.__isset;
+RelayedResult& RelayedResult::operator=(RelayedResult&& other307) noexcept {
+  number = other307.number;
+  written = other307.written;
+  version = other307.version;
+  error = other307.error;
+  actual = std::move(other307.actual);
+  __isset = other307.__isset;
   return *this;
 }
 void RelayedResult::printTo(std::ostream& out) const {
@@ -7554,42 +7719,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other298) {
-  report = other298.report;
-  directive = other298.directive;
-  statusQuery = other298.statusQuery;
-  statusReply = other298.statusReply;
-  relayedWrite = other298.relayedWrite;
-  relayedResult = other298.relayedResult;
-  __isset = other298.__isset;
-}
-Message::Message(Message&& other299) noexcept {
-  report = std::move(other299.report);
-  directive = std::move(other299.directive);
-  statusQuery = std::move(other299.statusQuery);
-  statusReply = std::move(other299.statusReply);
-  relayedWrite = std::move(other299.relayedWrite);
-  relayedResult = std::move(other299.relayedResult);
-  __isset = other299.__isset;
-}
-Message& Message::operator=(const Message& other300) {
-  report = other300.report;
-  directive = other300.directive;
-  statusQuery = other300.statusQuery;
-  statusReply = other300.statusReply;
-  relayedWrite = other300.relayedWrite;
-  relayedResult = other300.relayedResult;
-  __isset = other300.__isset;
+Message::Message(const Message& other308) {
+  report = other308.report;
+  directive = other308.directive;
+  statusQuery = other308.statusQuery;
+  statusReply = other308.statusReply;
+  relayedWrite = other308.relayedWrite;
+  relayedResult = other308.relayedResult;
+  __isset = other308.__isset;
+}
+Message::Message(Message&& other309) noexcept {
+  report = std::move(other309.report);
+  directive = std::move(other309.directive);
+  statusQuery = std::move(other309.statusQuery);
+  statusReply = std::move(other309.statusReply);
+  relayedWrite = std::move(other309.relayedWrite);
+  relayedResult = std::move(other309.relayedResult);
+  __isset = other309.__isset;
+}
+Message& Message::operator=(const Message& other310) {
+  report = other310.report;
+  directive = other310.directive;
+  statusQuery = other310.statusQuery;
+  statusReply = other310.statusReply;
+  relayedWrite = other310.relayedWrite;
+  relayedResult = other310.relayedResult;
+  __isset = other310.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other301) noexcept {
-  report = std::move(other301.report);
-  directive = std::move(other301.directive);
-  statusQuery = std::move(other301.statusQuery);
-  statusReply = std::move(other301.statusReply);
-  relayedWrite = std::move(other301.relayedWrite);
-  relayedResult = std::move(other301.relayedResult);
-  __isset = other301.__isset;
+Message& Message::operator=(Message&& other311) noexcept {
+  report = std::move(other311.report);
+  directive = std::move(other311.directive);
+  statusQuery = std::move(other311.statusQuery);
+  statusReply = std::move(other311.statusReply);
+  relayedWrite = std::move(other311.relayedWrite);
+  relayedResult = std::move(other311.relayedResult);
+  __isset = other311.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -35,6 +35,8 @@
 
 class StepProgress;
 
+class OccurrenceRange;
+
 class ProgressRecord;
 
 class CoordinatorRecord;
@@ -737,11 +739,64 @@
 
 std::ostream& operator<<(std::ostream& out, const StepProgress& obj);
 
+typedef struct _OccurrenceRange__isset {
+  _OccurrenceRange__isset() : first(false), last(false) {}
+  bool first :1;
+  bool last :1;
+} _OccurrenceRange__isset;
+
+class OccurrenceRange : public virtual ::apache::thrift::TBase {
+ public:
+
+  OccurrenceRange(const OccurrenceRange&) noexcept;
+  OccurrenceRange(OccurrenceRange&&) noexcept;
+  OccurrenceRange& operator=(const OccurrenceRange&) noexcept;
+  OccurrenceRange& operator=(OccurrenceRange&&) noexcept;
+  OccurrenceRange() noexcept
+                  : first(0),
+                    last(0) {
+  }
+
+  virtual ~OccurrenceRange() noexcept;
+  int32_t first;
+  int32_t last;
+
+  _OccurrenceRange__isset __isset;
+
+  void __set_first(const int32_t val);
+
+  void __set_last(const int32_t val);
+
+  bool operator == (const OccurrenceRange & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    return true;
+  }
+  bool operator != (const OccurrenceRange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OccurrenceRange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OccurrenceRange &a, OccurrenceRange &b);
+
+std::ostream& operator<<(std::ostream& out, const OccurrenceRange& obj);
+
 typedef struct _ProgressRecord__isset {
-  _ProgressRecord__isset() : state(false), steps(false), endedUnixMs(false) {}
+  _ProgressRecord__isset() : state(false), steps(false), endedUnixMs(false), endedOccurrences(false) {}
   bool state :1;
   bool steps :1;
   bool endedUnixMs :1;
+  bool endedOccurrences :1;
 } _ProgressRecord__isset;
 
 class ProgressRecord : public virtual ::apache::thrift::TBase {
@@ -760,6 +815,7 @@
   int32_t state;
   std::vector<StepProgress>  steps;
   int64_t endedUnixMs;
+  std::vector<OccurrenceRange>  endedOccurrences;
 
   _ProgressRecord__isset __isset;
 
@@ -769,6 +825,8 @@
 
   void __set_endedUnixMs(const int64_t val);
 
+  void __set_endedOccurrences(const std::vector<OccurrenceRange> & val);
+
   bool operator == (const ProgressRecord & rhs) const
   {
     if (!(state == rhs.state))
@@ -777,6 +835,8 @@
       return false;
     if (!(endedUnixMs == rhs.endedUnixMs))
       return false;
+    if (!(endedOccurrences == rhs.endedOccurrences))
+      return false;
     return true;
   }
   bool operator != (const ProgressRecord &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -87,12 +87,20 @@
   4: list<TaskProgress> tasks,
 }
 
+// Both ends are included.
+struct OccurrenceRange {
+  1: i32 first,
+  2: i32 last,
+}
+
 // Written by the coordinator. Tasks that are not listed have neither ended nor failed.
 struct ProgressRecord {
   // Numeric value of the Scheduling::JobState.
   1: i32 state,
+  // Earlier versions list the steps of ended occurrences here, too.
   2: list<StepProgress> steps,
   3: i64 endedUnixMs,
+  4: list<OccurrenceRange> endedOccurrences,
 }
 
 struct CoordinatorRecord {
