A dependency that a step lists many times counts once

They are dropped when the job is added.

Test: "A dependency that is listed twice counts once" failed with the change taken out.

--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -49,6 +49,14 @@
   return occurrence;
 }
 
+void
+DropDuplicates(std::vector<std::uint32_t>& aNumbers)
+{
+  std::sort(aNumbers.begin(), aNumbers.end());
+  aNumbers.erase(std::unique(aNumbers.begin(), aNumbers.end()), aNumbers.end());
+  aNumbers.shrink_to_fit();
+}
+
 /// Number of occurrences after which the job is completed.
 std::uint32_t
 OccurrenceCount(const JobSpec& aSpec)
@@ -265,6 +273,9 @@
   slot = std::make_unique<Job>();
   Job& job = *slot;
   job.mSpec = std::move(aSpec);
+  for (StepSpec& step : job.mSpec.mSteps) {
+    DropDuplicates(step.mDependencies);
+  }
   // A recovered job arrived before this coordinator started, so its age is computed from the wall
   // clock.
   const auto age = std::clamp(
--- a/Source/UnitTests/Scheduling/StepTests.cpp
+++ b/Source/UnitTests/Scheduling/StepTests.cpp
@@ -337,3 +337,14 @@
     REQUIRE(PendingJobs(fixture.mState, Common::RouteId("quote")) == 0);
   }
 }
+
+TEST_CASE("A dependency that is listed twice counts once", "[Scheduling]")
+{
+  // Each round walked the list of each occurrence, which is as long as a body has room for.
+  Fixture fixture;
+  constexpr std::size_t kListed = 100'000;
+  const std::vector<std::uint32_t> listed(kListed, 0);
+  const Job& job =
+    fixture.addJob("a", { MakeStep().build(), MakeStep().after(listed).after(listed).build() });
+  REQUIRE(job.mSpec.mSteps[1].mDependencies == std::vector<std::uint32_t>{ 0 });
+}
