The learned models keep only short names, and their record fits into a value

The record of the models goes into the same write as those of jobs and workers; above the store's largest value the whole write is refused, once in three seconds.

Names above 200 bytes are not learned, no more than 4,000 images are, and the record stops at 512 KiB; the run times come first.

--- a/Source/Core/Node/WireConversion.cpp
+++ b/Source/Core/Node/WireConversion.cpp
@@ -4,6 +4,11 @@
 
 namespace {
 
+/// Size of the record of the learned models, well below the largest value of the store, and that of
+/// one of its rows without names.
+constexpr std::size_t kMaxModelBytes = 512 << 10;
+constexpr std::size_t kModelRowBytes = 40;
+
 std::int64_t
 Millis(Common::Duration aDuration)
 {
@@ -318,31 +323,42 @@
 ToModelRecord(const Scheduling::SchedulerState& aState)
 {
   Wire::ModelRecord record;
-  for (const auto& [key, pressure] : aState.mTailInterference.mPairPressures) {
-    Wire::PairModel pair;
-    pair.neighbour = key.first;
-    pair.image = key.second;
-    pair.pressure = pressure;
-    record.pairs.push_back(std::move(pair));
-  }
-  const auto copy = [](const std::map<std::string, double>& aFrom,
-                       std::vector<Wire::ImageModel>& aTo) {
+  std::size_t bytes = 0;
+  const auto hasRoomFor = [&bytes](std::size_t aNameBytes) {
+    bytes += aNameBytes + kModelRowBytes;
+    return bytes <= kMaxModelBytes;
+  };
+  for (const auto& [key, times] : aState.mRunTimes) {
+    if (hasRoomFor(key.first.str().size() + key.second.size())) {
+      Wire::RunTimeModel model;
+      model.queue = key.first.str();
+      model.image = key.second;
+      model.ratio = times.mRatio;
+      model.samples = static_cast<std::int32_t>(times.mSamples);
+      record.runTimes.push_back(std::move(model));
+    }
+  }
+  const auto copy = [&hasRoomFor](const std::map<std::string, double>& aFrom,
+                                  std::vector<Wire::ImageModel>& aTo) {
     for (const auto& [image, value] : aFrom) {
-      Wire::ImageModel model;
-      model.image = image;
-      model.value = value;
-      aTo.push_back(std::move(model));
+      if (hasRoomFor(image.size())) {
+        Wire::ImageModel model;
+        model.image = image;
+        model.value = value;
+        aTo.push_back(std::move(model));
+      }
     }
   };
   copy(aState.mTailInterference.mLowestTailMs, record.unloaded);
   copy(aState.mTailInterference.mMeanPressures, record.neighbours);
-  for (const auto& [key, times] : aState.mRunTimes) {
-    Wire::RunTimeModel model;
-    model.queue = key.first.str();
-    model.image = key.second;
-    model.ratio = times.mRatio;
-    model.samples = static_cast<std::int32_t>(times.mSamples);
-    record.runTimes.push_back(std::move(model));
+  for (const auto& [key, pressure] : aState.mTailInterference.mPairPressures) {
+    if (hasRoomFor(key.first.size() + key.second.size())) {
+      Wire::PairModel pair;
+      pair.neighbour = key.first;
+      pair.image = key.second;
+      pair.pressure = pressure;
+      record.pairs.push_back(std::move(pair));
+    }
   }
   return record;
 }
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -147,10 +147,9 @@
       task.mSpeed.value() != 100 || !task.mCheckpoint.empty()) {
     return;
   }
-  // Callers choose the image names, so the number of entries is limited.
-  constexpr std::size_t kMaxRunTimes = 4'000;
-  if (aState.mRunTimes.size() >= kMaxRunTimes &&
-      !aState.mRunTimes.contains({ aRef.mJob->mSpec.mQueue, step.mImage })) {
+  if (step.mImage.size() > kMaxLearnedNameBytes ||
+      (aState.mRunTimes.size() >= kMaxLearnedImages &&
+       !aState.mRunTimes.contains({ aRef.mJob->mSpec.mQueue, step.mImage }))) {
     return;
   }
   RunTimeEstimate& estimate = aState.mRunTimes[{ aRef.mJob->mSpec.mQueue, step.mImage }];
--- a/Source/Core/Scheduling/TailInterference.cpp
+++ b/Source/Core/Scheduling/TailInterference.cpp
@@ -9,12 +9,17 @@
 /// Ratio of the unloaded tail latency to the lowest one measured, which belongs to a task under
 /// light load.
 constexpr double kUnloadedShareOfLowest = 0.8;
-/// Callers choose the image names, so the pairs are limited; more would not fit into one record of
-/// the store.
-constexpr std::size_t kMaxPairs = 4'000;
 /// Averages over about ten measurements.
 constexpr double kMeanLearningRate = 0.1;
 
+/// True if something about the image is known or may be learned.
+bool
+IsLearnable(const std::map<std::string, double>& aKnown, const std::string& aImage)
+{
+  return aImage.size() <= kMaxLearnedNameBytes &&
+         (aKnown.size() < kMaxLearnedImages || aKnown.contains(aImage));
+}
+
 } // namespace
 
 double
@@ -60,7 +65,7 @@
               std::span<const Neighbour> aNeighbours,
               double& aOwnPressure)
 {
-  if (aTailMs <= 0) {
+  if (aTailMs <= 0 || !IsLearnable(aModel.mLowestTailMs, aImage)) {
     return;
   }
   const auto [lowest, isNew] = aModel.mLowestTailMs.try_emplace(aImage, aTailMs);
@@ -75,8 +80,9 @@
     squares += neighbour.mCores * neighbour.mCores;
   }
   for (const Neighbour& neighbour : aNeighbours) {
-    if (aModel.mPairPressures.size() >= kMaxPairs &&
-        !aModel.mPairPressures.contains({ *neighbour.mImage, aImage })) {
+    if (!IsLearnable(aModel.mMeanPressures, *neighbour.mImage) ||
+        (aModel.mPairPressures.size() >= kMaxLearnedImages &&
+         !aModel.mPairPressures.contains({ *neighbour.mImage, aImage }))) {
       continue;
     }
     double& pair =
--- a/Source/Core/Scheduling/TailInterference.h
+++ b/Source/Core/Scheduling/TailInterference.h
@@ -15,6 +15,11 @@
 /// additive and latencies are not, so the estimates are kept as pressures.
 namespace Scheduling {
 
+/// Most images, or pairs of images, of which something is learned, and longest name of one. Callers
+/// choose the names.
+constexpr std::size_t kMaxLearnedImages = 4'000;
+constexpr std::size_t kMaxLearnedNameBytes = 200;
+
 struct TailInterferencePolicy
 {
   /// Pressure assumed for one core of a neighbour before it was measured. It is low, so that
--- a/Source/UnitTests/Scheduling/TailInterferenceTests.cpp
+++ b/Source/UnitTests/Scheduling/TailInterferenceTests.cpp
@@ -39,3 +39,35 @@
     REQUIRE(model.mPairPressures == pairs);
   }
 }
+
+TEST_CASE("What callers name takes little room in the learned models", "[Scheduling]")
+{
+  // The models kept whole names of up to the size of a body, and their record outgrew the store's
+  // largest value.
+  constexpr std::size_t kLargestName = 250'000;
+  TailInterferenceModel model;
+  double ownPressure = 0.4;
+  const std::string largest(kLargestName, 'i');
+  const std::string serve = "serve";
+
+  SECTION("if the name is long")
+  {
+    LearnFromTail(model, largest, 12.5, {}, ownPressure);
+    const std::vector<Neighbour> neighbours{ { &largest, 1.0 } };
+    LearnFromTail(model, serve, 12.5, neighbours, ownPressure);
+    REQUIRE(model.mLowestTailMs.size() == 1);
+    REQUIRE(model.mPairPressures.empty());
+    REQUIRE(model.mMeanPressures.empty());
+  }
+  SECTION("if there are many names")
+  {
+    for (std::size_t i = 0; i < kMaxLearnedImages + 10; ++i) {
+      const std::string image = "image-" + std::to_string(i);
+      const std::vector<Neighbour> neighbours{ { &image, 1.0 } };
+      LearnFromTail(model, image, 12.5, neighbours, ownPressure);
+    }
+    REQUIRE(model.mLowestTailMs.size() == kMaxLearnedImages);
+    REQUIRE(model.mMeanPressures.size() == kMaxLearnedImages);
+    REQUIRE(model.mPairPressures.size() == kMaxLearnedImages);
+  }
+}
