--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -768,7 +768,7 @@
 /// True if a worker that has no room for a task of the step has none for those of the job's other
 /// occurrences either.
 bool
-IsRoomAlike(const ReadyStep& aReady, const QueueSpec& aQueue)
+HasUniformNeeds(const ReadyStep& aReady, const QueueSpec& aQueue)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
   return step.mMaxPerWorker == 0 && !step.mBestEffort && !aQueue.mAdvice &&
@@ -936,7 +936,7 @@
     }
     const QueueSpec& queue = *FindQueue(aState, *ready.mJob);
     const auto noteNoRoom = [&] {
-      if (IsRoomAlike(ready, queue)) {
+      if (HasUniformNeeds(ready, queue)) {
         withoutRoom.emplace(ready.mJob, ready.mStep);
       }
     };
