--- a/Source/UnitTests/Scheduling/TimetableTests.cpp
+++ b/Source/UnitTests/Scheduling/TimetableTests.cpp
@@ -14,14 +14,15 @@
 
 /// One occurrence a minute for a year.
 constexpr std::uint32_t kYear = 525'600;
-/// The coordinator's share of 16 MB (docs/design.md) holds 16 such submissions.
+/// A sixteenth of the 16 MB that an entry should use at most.
 constexpr std::int64_t kMaxBytes = 1 << 20;
 constexpr std::uint32_t kCores = 16;
+constexpr std::int64_t kMilliCores = 16'000;
 
 class TimetableFixture : public Fixture
 {
 public:
-  TimetableFixture() { addWorker("w1", kCores * 1'000); }
+  TimetableFixture() { addWorker("w1", kMilliCores); }
 
   /// A timetable of which all occurrences are due.
   JobSpec dueSpec(std::uint32_t aRepeats, std::vector<StepSpec> aSteps) const
@@ -46,7 +47,7 @@
   /// Places tasks and ends those that were placed, except for the slow one. Returns the starts.
   std::vector<Order> runRound()
   {
-    const std::vector<Order> starts = place();
+    std::vector<Order> starts = place();
     confirm(starts);
     WorkerView worker = view("w1");
     for (const Order& start : starts) {
@@ -158,7 +159,7 @@
     const std::int64_t beforeStuck = HeapBytes();
     AddJob(stuck.mState,
            stuck.dueSpec(
-             kYear, { MakeStep().build(), MakeStep().cores(2'000 * kCores).after({ 0 }).build() }),
+             kYear, { MakeStep().build(), MakeStep().cores(2 * kMilliCores).after({ 0 }).build() }),
            nullptr,
            false,
            stuck.now());
--- a/Source/UnitTests/Soak/CheckerTests.cpp
+++ b/Source/UnitTests/Soak/CheckerTests.cpp
@@ -20,6 +20,11 @@
 public:
   RecordBuilder() { mRecord.mSubmissions.push_back({ kJob, { 1 } }); }
 
+  RecordBuilder& repeats(std::uint32_t aOccurrences)
+  {
+    mRecord.mSubmissions.back().mOccurrences = aOccurrences;
+    return *this;
+  }
   RecordBuilder& attempt(int aStatus)
   {
     Event event;
@@ -250,6 +255,14 @@
       CHECK(CheckLost(record, kBound, kEnd).empty());
       CHECK(AllAcceptedDone(record));
     }
+    SECTION("and one of its occurrences is not done")
+    {
+      record.start(kFirst, 1).end(kFirst, 1).repeats(2);
+      const auto found = CheckLost(record, kBound, kEnd);
+      REQUIRE(found.size() == 1);
+      CHECK(found[0].mWhat.find(kJob.str() + ".1.0.0") == 0);
+      CHECK_FALSE(AllAcceptedDone(record));
+    }
     SECTION("and is done too late")
     {
       record.start(kFirst, 1).end(kFirst, 1);
