--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -833,7 +833,6 @@
     }
     if (step.mBestEffort) {
       worker.mBestEffortCores -= step.mNeed.mCores;
-      worker.mNeighboursChangedAt = task.mPhaseSince;
     }
   }
   task.mWorker = kNoWorker;
@@ -894,7 +893,6 @@
   }
   if (step.mBestEffort) {
     worker.mBestEffortCores += step.mNeed.mCores;
-    worker.mNeighboursChangedAt = aNow.mMonotonic;
   }
 }
 
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -36,6 +36,8 @@
   std::map<WorkerNumber, Ticket> mTickets;
   /// A request about the step is open.
   bool mAdviceRequested = false;
+  /// Load of the clients of a long-running step.
+  ServedLoad mServedLoad;
   /// Time of the last log entry that says that its tasks wait for quarantined workers.
   Timestamp mQuarantineLoggedAt;
 };
@@ -187,8 +189,6 @@
   Timestamp mSpeedsChangedAt;
   /// Last placement of a task of a starved job although long-running tasks may miss their targets.
   Timestamp mForcedPlacementAt;
-  /// Last start, end or change of speed of a best-effort task.
-  Timestamp mNeighboursChangedAt;
   /// A list arrived since the speeds were last reviewed.
   bool mHasNewUsage = false;
   /// Computed when it is first needed after a change of the worker's tasks, their usage or speeds.
@@ -254,15 +254,14 @@
   /// Time after which a trial without a report no longer keeps other starts away.
   Duration mMaxTrialLength{ std::chrono::milliseconds(2000) };
   /// Multiple of a task's tail-latency target at which best-effort tasks beside it are throttled.
-  double mThrottleTailFactor = 1.0;
+  double mThrottleTailFactor = 0.7;
   /// Multiple of the target that placement and throttling keep the expected tail latency below.
-  double mMaxTailFactor = 1.3;
-  /// Least time between two changes of speeds on one worker. Usage figures cover the last half
-  /// second and must show the effect of the first change before the second is decided.
-  Duration mThrottleInterval{ std::chrono::milliseconds(600) };
-  /// Time that must pass after a change on the worker before the estimates learn from usage
-  /// figures, which until then include the time before the change.
-  Duration mUsageLag{ std::chrono::milliseconds(600) };
+  double mMaxTailFactor = 1.0;
+  /// Time for which the load of a long-running step is forecast: usage figures cover the last half
+  /// second, reports come every 400 ms, and a new speed takes 100 ms.
+  Duration mPressureForecast{ std::chrono::milliseconds(700) };
+  /// Least time between two changes of speeds on one worker, less than a report period.
+  Duration mThrottleInterval{ std::chrono::milliseconds(300) };
   /// Time over the target after which all best-effort tasks on the worker are set to speed 0.
   Duration mMaxTimeOverTarget{ std::chrono::milliseconds(1500) };
   /// Share of the reserved cores of long-running tasks that best-effort tasks may use.
--- a/Source/Core/Scheduling/TailInterference.h
+++ b/Source/Core/Scheduling/TailInterference.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "Common/Clock.h"
+
 /// Estimates of the tail latency that best-effort tasks add to long-running tasks on the same
 /// worker, by image.
 ///
@@ -25,13 +27,33 @@
   /// Pressure assumed for one core of a neighbour before it was measured. It is low, so that
   /// unknown pairs are tried; throttling corrects a wrong estimate within a second.
   double mPriorPressure = 0.02;
-  double mPairLearningRate = 0.25;
-  double mOwnLearningRate = 0.3;
-  /// Bounds of a task's own pressure: that of a task that is hardly used, and that of one that
-  /// would miss its target alone.
-  double mMinOwnPressure = 0.1;
-  double mMaxOwnPressure = 0.75;
   double mMaxPressurePerCore = 1.0;
+  /// Standard deviation of the pressure of a pair before it was measured, per core.
+  double mPairDeviation = 0.04;
+  /// Lower bound of it. It lets the estimate follow a pair that changes.
+  double mMinPairDeviation = 0.004;
+  /// Standard deviation of one measured pressure. Consecutive figures share most of their window,
+  /// so it is larger than the noise of a single one.
+  double mMeasurementDeviation = 0.06;
+  /// Change of a task's own pressure within a second, as a standard deviation: clients' load that
+  /// swings by half within 14 s changes this fast.
+  double mOwnDeviationPerSecond = 0.1;
+  /// Time over which the trend of the own pressure is averaged.
+  double mTrendSeconds = 1.5;
+  double mMaxOwnPressure = 0.95;
+};
+
+/// Pressure that clients put on the tasks of one long-running step. The tasks share it, because
+/// clients spread their requests over all tasks.
+struct ServedLoad
+{
+  double mPressure = 0.4;
+  /// Variance of mPressure.
+  double mVariance = 0.04;
+  /// mPressure, averaged over TailInterferencePolicy::mTrendSeconds.
+  double mAverage = 0.4;
+  Common::Timestamp mUpdatedAt;
+  bool mIsMeasured = false;
 };
 
 /// A best-effort task on the same worker: its image and the cores that it uses.
@@ -64,6 +86,8 @@
   std::map<std::string, double> mLowestTailMs;
   /// Pressure of one core, by the images of the neighbour and of the long-running task.
   std::map<std::pair<std::string, std::string>, double, ImagePairLess> mPairPressures;
+  /// Variances of these pressures; pairs that an earlier coordinator learned have none.
+  std::map<std::pair<std::string, std::string>, double, ImagePairLess> mPairVariances;
   /// Mean over the pairs of a neighbour's image, used for pairs that were not measured.
   std::map<std::string, double> mMeanPressures;
 };
@@ -85,13 +109,20 @@
             const std::string& aImage,
             std::span<const Neighbour> aNeighbours);
 
-/// Updates the estimates from one tail latency, measured while the neighbours did not change.
-/// aOwnPressure is the estimate of the task's own pressure and is updated too.
+/// Own pressure that is expected after aAhead if the trend goes on.
+double
+ForecastPressure(const TailInterferenceModel& aModel,
+                 const ServedLoad& aLoad,
+                 Common::Duration aAhead);
+
+/// Updates the estimates from one tail latency and the cores that the neighbours used in the same
+/// time. aLoad is that of the task's step and is updated too.
 void
 LearnFromTail(TailInterferenceModel& aModel,
               const std::string& aImage,
               double aTailMs,
               std::span<const Neighbour> aNeighbours,
-              double& aOwnPressure);
+              ServedLoad& aLoad,
+              Common::Timestamp aNow);
 
 } // namespace Scheduling
--- a/Source/Core/Scheduling/Task.h
+++ b/Source/Core/Scheduling/Task.h
@@ -69,8 +69,6 @@
   Timestamp mStopAnswered;
   /// The worker has listed the current run.
   bool mListedByWorker = false;
-  /// Estimated pressure from the clients of a task with a tail-latency target.
-  double mOwnPressure = 0.4;
   /// Time since which its tail latency exceeds the target.
   Timestamp mOverTargetSince;
   /// Time since which its speed is 0.
--- a/Source/Core/Scheduling/Throttle.cpp
+++ b/Source/Core/Scheduling/Throttle.cpp
@@ -1,23 +1,30 @@
 #include <algorithm>
+#include <cstdlib>
 
 #include "Scheduling/Schedule.h"
+#include "Scheduling/SpeedPlan.h"
 
 namespace Scheduling {
 
 namespace {
 
-/// Lowest speed in percent; below it a task achieves so little that it is paused instead.
-constexpr std::int64_t kMinSpeedPercent = 20;
 /// Pressure too small to show in the measured latency.
 constexpr double kNegligiblePressure = 0.005;
-/// Share of the total pressure of the best-effort tasks below which a task is not throttled.
-constexpr double kMinPressureShare = 0.1;
+/// Smaller changes of a speed are not ordered, except to full speed and to a pause.
+constexpr std::int64_t kMinSpeedChange = 8;
 
+/// Cores that the task uses at full speed.
+double
+FullCores(const StepSpec& aStep)
+{
+  return static_cast<double>(aStep.mNeed.mCores.value()) / 1000.0;
+}
+
+/// Cores that the task used in the time of the last usage figure.
 double
 CoresInUse(const Task& aTask, const StepSpec& aStep)
 {
-  const double need = static_cast<double>(aStep.mNeed.mCores.value()) / 1000.0;
-  return aTask.mListedByWorker ? std::min(static_cast<double>(aTask.mUsage) / 1000.0, need) : need;
+  return std::min(static_cast<double>(aTask.mUsage) / 1000.0, FullCores(aStep));
 }
 
 double
@@ -33,40 +40,74 @@
   return step.mLongRunning && step.mTailLatencyTarget > Duration{ 0 };
 }
 
+/// The cores that best-effort tasks of each image used in the time of the last usage figures.
 std::vector<Neighbour>
-BestEffortTasksOn(const Worker& aWorker)
+NeighboursOn(const Worker& aWorker)
 {
   std::vector<Neighbour> neighbours;
   for (const TaskRef& ref : aWorker.mTasks) {
     const StepSpec& step = StepSpecOf(ref);
     const Task& task = TaskAt(ref);
-    if (step.mBestEffort && task.mSpeed.value() > 0) {
+    if (!step.mBestEffort || !task.mListedByWorker) {
+      continue;
+    }
+    const auto known =
+      std::find_if(neighbours.begin(), neighbours.end(), [&step](const Neighbour& aNeighbour) {
+        return *aNeighbour.mImage == step.mImage;
+      });
+    if (known != neighbours.end()) {
+      known->mCores += CoresInUse(task, step);
+    } else {
       neighbours.push_back({ &step.mImage, CoresInUse(task, step) });
     }
   }
   return neighbours;
 }
 
+/// Pressure that the best-effort tasks on the worker add to a task of the image at the speeds that
+/// were ordered.
+double
+OrderedPressure(const SchedulerState& aState, const Worker& aWorker, const std::string& aImage)
+{
+  double pressure = 0;
+  for (const TaskRef& ref : aWorker.mTasks) {
+    const StepSpec& step = StepSpecOf(ref);
+    if (step.mBestEffort) {
+      const double speed = static_cast<double>(TaskAt(ref).mOrderedSpeed.value()) / 100.0;
+      pressure += FullCores(step) * speed *
+                  PairPressure(aState.mTailInterference, step.mImage, aImage);
+    }
+  }
+  return pressure;
+}
+
+/// Pressure that best-effort tasks may add to the long-running task so that it stays within its
+/// target.
+double
+MaxAddedPressure(const SchedulerState& aState, const TaskRef& aRef)
+{
+  const TailInterferenceModel& model = aState.mTailInterference;
+  const StepSpec& step = StepSpecOf(aRef);
+  const double limit =
+    PressureFromTail(model, step.mImage, aState.mPolicy.mMaxTailFactor * TargetMs(step));
+  return limit -
+         ForecastPressure(model, StepAt(aRef).mServedLoad, aState.mPolicy.mPressureForecast);
+}
+
 std::vector<TailRoom>
 TailRoomsOf(const SchedulerState& aState, const Worker& aWorker)
 {
-  const TailInterferenceModel& model = aState.mTailInterference;
-  const std::vector<Neighbour> neighbours = BestEffortTasksOn(aWorker);
   std::vector<TailRoom> rooms;
   for (const TaskRef& ref : aWorker.mTasks) {
     const Task& task = TaskAt(ref);
-    if (!HasTarget(ref) || !task.mListedByWorker) {
+    if (!HasTarget(ref) || !StepAt(ref).mServedLoad.mIsMeasured) {
       continue;
     }
     const StepSpec& step = StepSpecOf(ref);
-    const auto usage = static_cast<double>(task.mUsage);
-    const double limit =
-      PressureFromTail(model, step.mImage, aState.mPolicy.mMaxTailFactor * TargetMs(step));
-    // The measurement lags behind; the estimate includes tasks that started since.
-    const double measured = PressureFromTail(model, step.mImage, usage);
-    const double estimated = task.mOwnPressure + SumPressure(model, step.mImage, neighbours);
     rooms.push_back(
-      { &step.mImage, limit - std::max(measured, estimated), usage > TargetMs(step) });
+      { &step.mImage,
+        MaxAddedPressure(aState, ref) - OrderedPressure(aState, aWorker, step.mImage),
+        task.mListedByWorker && static_cast<double>(task.mUsage) > TargetMs(step) });
   }
   return rooms;
 }
@@ -96,58 +137,70 @@
          aTask.mOrderedSpeed == aTask.mSpeed;
 }
 
-/// Throttles the best-effort tasks that add most pressure to tasks at or over their target. Returns
-/// whether a speed was changed.
+/// True if the long-running task is so close to its target that best-effort tasks are throttled.
 bool
-ReduceSpeeds(SchedulerState& aState, Worker& aWorker, const CurrentTime& aNow)
+NeedsThrottling(const SchedulerState& aState, const TaskRef& aRef)
 {
-  std::map<TaskRef, double> keptShares;
-  for (const TaskRef& longRunning : aWorker.mTasks) {
-    const Task& task = TaskAt(longRunning);
-    if (!HasTarget(longRunning) || !task.mListedByWorker ||
-        static_cast<double>(task.mUsage) <
-          aState.mPolicy.mThrottleTailFactor * TargetMs(StepSpecOf(longRunning))) {
-      continue;
-    }
-    const std::string& image = StepSpecOf(longRunning).mImage;
-    const double excessPressure =
-      PressureFromTail(aState.mTailInterference, image, static_cast<double>(task.mUsage)) -
-      PressureFromTail(aState.mTailInterference,
-                       image,
-                       aState.mPolicy.mMaxTailFactor * TargetMs(StepSpecOf(longRunning)));
-    const bool overTooLong =
-      task.mOverTargetSince != Timestamp{} &&
-      aNow.mMonotonic - task.mOverTargetSince >= aState.mPolicy.mMaxTimeOverTarget;
-    double totalPressure = 0;
-    for (const Neighbour& neighbour : BestEffortTasksOn(aWorker)) {
-      totalPressure +=
-        neighbour.mCores * PairPressure(aState.mTailInterference, *neighbour.mImage, image);
+  const Task& task = TaskAt(aRef);
+  return task.mListedByWorker && static_cast<double>(task.mUsage) >=
+                                   aState.mPolicy.mThrottleTailFactor * TargetMs(StepSpecOf(aRef));
+}
+
+bool
+IsOverTargetTooLong(const SchedulerState& aState, const TaskRef& aRef, const CurrentTime& aNow)
+{
+  const Timestamp since = TaskAt(aRef).mOverTargetSince;
+  return since != Timestamp{} && aNow.mMonotonic - since >= aState.mPolicy.mMaxTimeOverTarget;
+}
+
+/// Orders the speeds at which the long-running tasks on the worker stay within their targets.
+/// Returns whether a speed was changed.
+bool
+AdjustSpeeds(SchedulerState& aState, Worker& aWorker, const CurrentTime& aNow)
+{
+  std::vector<TaskRef> bestEffort;
+  std::vector<TaskRef> serving;
+  bool mayReduce = false;
+  for (const TaskRef& ref : aWorker.mTasks) {
+    if (HasTarget(ref) && StepAt(ref).mServedLoad.mIsMeasured) {
+      serving.push_back(ref);
+      mayReduce = mayReduce || NeedsThrottling(aState, ref);
+    } else if (StepSpecOf(ref).mBestEffort) {
+      bestEffort.push_back(ref);
     }
-    for (const TaskRef& ref : aWorker.mTasks) {
-      const Task& bestEffort = TaskAt(ref);
-      const StepSpec& step = StepSpecOf(ref);
-      if (!CanThrottle(bestEffort, step) || bestEffort.mSpeed.value() == 0 || totalPressure <= 0) {
-        continue;
-      }
-      const double pressure =
-        CoresInUse(bestEffort, step) * PairPressure(aState.mTailInterference, step.mImage, image);
-      if (pressure < kMinPressureShare * totalPressure && !overTooLong) {
-        continue;
-      }
-      // All throttled tasks are reduced by the same fraction.
-      const double keptShare =
-        overTooLong ? 0.0
-                    : std::clamp(1.0 - std::max(excessPressure, 0.05) / totalPressure, 0.0, 0.8);
-      const auto [entry, isNew] = keptShares.try_emplace(ref, keptShare);
-      entry->second = std::min(entry->second, keptShare);
+  }
+  std::vector<double> maxPressures;
+  for (const TaskRef& ref : serving) {
+    maxPressures.push_back(IsOverTargetTooLong(aState, ref, aNow) ? 0.0
+                                                                  : MaxAddedPressure(aState, ref));
+  }
+  std::vector<ThrottledTask> tasks;
+  for (const TaskRef& ref : bestEffort) {
+    const StepSpec& step = StepSpecOf(ref);
+    ThrottledTask task;
+    task.mCores = FullCores(step);
+    task.mSpeed = TaskAt(ref).mSpeed;
+    for (const TaskRef& other : serving) {
+      task.mPressures.push_back(
+        task.mCores *
+        PairPressure(aState.mTailInterference, step.mImage, StepSpecOf(other).mImage));
     }
+    tasks.push_back(std::move(task));
   }
-  for (const auto& [ref, keptShare] : keptShares) {
-    const auto speed =
-      static_cast<std::int64_t>(static_cast<double>(TaskAt(ref).mSpeed.value()) * keptShare);
-    OrderThrottle(aState, aWorker.mLifetime, ref, Percent{ speed < kMinSpeedPercent ? 0 : speed });
+  const std::vector<Percent> speeds = PlanSpeeds(tasks, maxPressures);
+  bool changed = false;
+  for (std::size_t i = 0; i < bestEffort.size(); ++i) {
+    const Task& task = TaskAt(bestEffort[i]);
+    const std::int64_t change = speeds[i].value() - task.mSpeed.value();
+    const bool isEnd = speeds[i].value() == 0 || speeds[i].value() == 100;
+    if (!CanThrottle(task, StepSpecOf(bestEffort[i])) || change == 0 ||
+        (std::abs(change) < kMinSpeedChange && !isEnd) || (change < 0 && !mayReduce)) {
+      continue;
+    }
+    OrderThrottle(aState, aWorker.mLifetime, bestEffort[i], speeds[i]);
+    changed = true;
   }
-  return !keptShares.empty();
+  return changed;
 }
 
 /// Orders a speed for the tasks whose speed is not known: full speed, or 0 beside a task over its
@@ -170,55 +223,30 @@
   return ordered;
 }
 
-/// Raises the speed of one throttled task if the tasks with targets stay within them. Returns
-/// whether a speed was changed.
-bool
-RaiseSpeed(SchedulerState& aState, Worker& aWorker)
-{
-  bool changed = false;
-  for (const TaskRef& ref : aWorker.mTasks) {
-    const Task& bestEffort = TaskAt(ref);
-    const StepSpec& step = StepSpecOf(ref);
-    if (!CanThrottle(bestEffort, step) || bestEffort.mSpeed.value() == 100) {
-      continue;
-    }
-    const std::int64_t speed =
-      std::clamp<std::int64_t>(bestEffort.mSpeed.value() * 2, 2 * kMinSpeedPercent, 100);
-    const double addedCores = static_cast<double>(speed - bestEffort.mSpeed.value()) / 100.0 *
-                              static_cast<double>(step.mNeed.mCores.value()) / 1000.0;
-    if (AddedPressureFits(aState, aWorker, step.mImage, addedCores)) {
-      OrderThrottle(aState, aWorker.mLifetime, ref, Percent{ speed });
-      changed = true;
-      // Only one task at a time, so that the next measurements show its effect.
-      break;
-    }
-  }
-  return changed;
-}
-
-/// Records since when tasks exceed their targets, and updates the pressure estimates unless the
-/// usage figures include the time before the last change on the worker.
+/// Records since when tasks exceed their targets, and updates the pressure estimates.
 void
 LearnFromUsage(SchedulerState& aState, Worker& aWorker, const CurrentTime& aNow)
 {
   aWorker.mTailRooms.reset();
-  const bool settled = aNow.mMonotonic - aWorker.mNeighboursChangedAt >= aState.mPolicy.mUsageLag;
-  const std::vector<Neighbour> neighbours = BestEffortTasksOn(aWorker);
+  const std::vector<Neighbour> neighbours = NeighboursOn(aWorker);
   for (const TaskRef& ref : aWorker.mTasks) {
+    if (!HasTarget(ref)) {
+      continue;
+    }
     Task& task = OwnTaskAt(ref);
-    const bool overTarget = HasTarget(ref) && task.mListedByWorker &&
-                            static_cast<double>(task.mUsage) > TargetMs(StepSpecOf(ref));
-    if (!overTarget) {
+    const auto usage = static_cast<double>(task.mUsage);
+    if (!task.mListedByWorker || usage <= TargetMs(StepSpecOf(ref))) {
       task.mOverTargetSince = Timestamp{};
     } else if (task.mOverTargetSince == Timestamp{}) {
       task.mOverTargetSince = aNow.mMonotonic;
     }
-    if (settled && HasTarget(ref) && task.mListedByWorker && task.mPercent.value() == 100) {
+    if (task.mListedByWorker && task.mPercent == kServingPercent) {
       LearnFromTail(aState.mTailInterference,
                     StepSpecOf(ref).mImage,
-                    static_cast<double>(task.mUsage),
+                    usage,
                     neighbours,
-                    task.mOwnPressure);
+                    StepAt(ref).mServedLoad,
+                    aNow.mMonotonic);
     }
   }
 }
@@ -309,10 +337,8 @@
         aNow.mMonotonic - worker.mSpeedsChangedAt < aState.mPolicy.mThrottleInterval) {
       continue;
     }
-    if (OrderUnknownSpeeds(aState, worker) || ReduceSpeeds(aState, worker, aNow) ||
-        RaiseSpeed(aState, worker)) {
+    if (OrderUnknownSpeeds(aState, worker) || AdjustSpeeds(aState, worker, aNow)) {
       worker.mSpeedsChangedAt = aNow.mMonotonic;
-      worker.mNeighboursChangedAt = aNow.mMonotonic;
     }
   }
 }
