--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -255,8 +255,11 @@
   Duration mMaxTrialLength{ std::chrono::milliseconds(2000) };
   /// Multiple of a task's tail-latency target at which best-effort tasks beside it are throttled.
   double mThrottleTailFactor = 0.7;
-  /// Multiple of the target that placement and throttling keep the expected tail latency below.
-  double mMaxTailFactor = 1.0;
+  /// Multiple of the target that throttling keeps the expected tail latency below.
+  double mMaxTailFactor = 0.85;
+  /// The same for placement. It is lower, because the load of the long-running task may rise while
+  /// a new best-effort task runs.
+  double mPlacementTailFactor = 0.7;
   /// Time for which the load of a long-running step is forecast: usage figures cover the last half
   /// second, reports come every 400 ms, and a new speed takes 100 ms.
   Duration mPressureForecast{ std::chrono::milliseconds(700) };
--- a/Source/Core/Scheduling/Throttle.cpp
+++ b/Source/Core/Scheduling/Throttle.cpp
@@ -81,15 +81,15 @@
   return pressure;
 }
 
-/// Pressure that best-effort tasks may add to the long-running task so that it stays within its
-/// target.
+/// Pressure that best-effort tasks may add to the long-running task so that its tail latency stays
+/// below the multiple of its target.
 double
-MaxAddedPressure(const SchedulerState& aState, const TaskRef& aRef)
+MaxAddedPressure(const SchedulerState& aState, const TaskRef& aRef, double aTailFactor)
 {
   const TailInterferenceModel& model = aState.mTailInterference;
   const StepSpec& step = StepSpecOf(aRef);
   const double limit =
-    PressureFromTail(model, step.mImage, aState.mPolicy.mMaxTailFactor * TargetMs(step));
+    PressureFromTail(model, step.mImage, aTailFactor * TargetMs(step));
   return limit -
          ForecastPressure(model, StepAt(aRef).mServedLoad, aState.mPolicy.mPressureForecast);
 }
@@ -106,7 +106,8 @@
     const StepSpec& step = StepSpecOf(ref);
     rooms.push_back(
       { &step.mImage,
-        MaxAddedPressure(aState, ref) - OrderedPressure(aState, aWorker, step.mImage),
+        MaxAddedPressure(aState, ref, aState.mPolicy.mPlacementTailFactor) -
+          OrderedPressure(aState, aWorker, step.mImage),
         task.mListedByWorker && static_cast<double>(task.mUsage) > TargetMs(step) });
   }
   return rooms;
@@ -171,8 +172,10 @@
   }
   std::vector<double> maxPressures;
   for (const TaskRef& ref : serving) {
-    maxPressures.push_back(IsOverTargetTooLong(aState, ref, aNow) ? 0.0
-                                                                  : MaxAddedPressure(aState, ref));
+    maxPressures.push_back(
+      IsOverTargetTooLong(aState, ref, aNow)
+        ? 0.0
+        : MaxAddedPressure(aState, ref, aState.mPolicy.mMaxTailFactor));
   }
   std::vector<ThrottledTask> tasks;
   for (const TaskRef& ref : bestEffort) {
