--- a/Source/Core/Scheduling/SpeedPlan.cpp
+++ b/Source/Core/Scheduling/SpeedPlan.cpp
@@ -75,7 +75,8 @@
   const double minSpeed = static_cast<double>(kMinSpeed.value()) / 100.0;
   std::vector<double> speeds(aTasks.size(), 1.0);
   // Each round lowers one task, most of them to a pause, so there are few rounds for each task.
-  for (std::size_t round = 0; round < 2 * aTasks.size() * std::max<std::size_t>(aMaxPressures.size(), 1);
+  for (std::size_t round = 0;
+       round < 2 * aTasks.size() * std::max<std::size_t>(aMaxPressures.size(), 1);
        ++round) {
     const std::size_t serving = MostExceeded(aTasks, speeds, aMaxPressures);
     if (serving == kNone) {
--- a/Source/Core/Scheduling/TailInterference.cpp
+++ b/Source/Core/Scheduling/TailInterference.cpp
@@ -45,14 +45,11 @@
   const TailInterferencePolicy& policy = aModel.mPolicy;
   Pair pair;
   pair.mPressure =
-    &aModel.mPairPressures.try_emplace(key, PairPressure(aModel, aNeighbour, aImage))
-       .first->second;
+    &aModel.mPairPressures.try_emplace(key, PairPressure(aModel, aNeighbour, aImage)).first->second;
   // A pair that an earlier coordinator learned is less uncertain than an unknown one.
   const double deviation = isKnown ? policy.mPairDeviation / 2 : policy.mPairDeviation;
-  pair.mVariance =
-    &aModel.mPairVariances.try_emplace(key, deviation * deviation).first->second;
-  pair.mMean =
-    &aModel.mMeanPressures.try_emplace(aNeighbour, policy.mPriorPressure).first->second;
+  pair.mVariance = &aModel.mPairVariances.try_emplace(key, deviation * deviation).first->second;
+  pair.mMean = &aModel.mMeanPressures.try_emplace(aNeighbour, policy.mPriorPressure).first->second;
   return pair;
 }
 
@@ -66,8 +63,7 @@
       : 10.0;
   aLoad.mIsMeasured = true;
   aLoad.mUpdatedAt = aNow;
-  aLoad.mVariance +=
-    elapsed * aPolicy.mOwnDeviationPerSecond * aPolicy.mOwnDeviationPerSecond;
+  aLoad.mVariance += elapsed * aPolicy.mOwnDeviationPerSecond * aPolicy.mOwnDeviationPerSecond;
   return elapsed;
 }
 
@@ -154,8 +150,7 @@
   const double minVariance = policy.mMinPairDeviation * policy.mMinPairDeviation;
   for (const Pair& pair : pairs) {
     const double gain = *pair.mVariance * pair.mCores / variance;
-    *pair.mPressure =
-      std::clamp(*pair.mPressure + gain * error, 0.0, policy.mMaxPressurePerCore);
+    *pair.mPressure = std::clamp(*pair.mPressure + gain * error, 0.0, policy.mMaxPressurePerCore);
     *pair.mVariance = std::max(*pair.mVariance * (1.0 - gain * pair.mCores), minVariance);
     *pair.mMean += kMeanLearningRate * (*pair.mPressure - *pair.mMean);
   }
--- a/Source/Core/Scheduling/Throttle.cpp
+++ b/Source/Core/Scheduling/Throttle.cpp
@@ -74,8 +74,8 @@
     const StepSpec& step = StepSpecOf(ref);
     if (step.mBestEffort) {
       const double speed = static_cast<double>(TaskAt(ref).mOrderedSpeed.value()) / 100.0;
-      pressure += FullCores(step) * speed *
-                  PairPressure(aState.mTailInterference, step.mImage, aImage);
+      pressure +=
+        FullCores(step) * speed * PairPressure(aState.mTailInterference, step.mImage, aImage);
     }
   }
   return pressure;
@@ -88,8 +88,7 @@
 {
   const TailInterferenceModel& model = aState.mTailInterference;
   const StepSpec& step = StepSpecOf(aRef);
-  const double limit =
-    PressureFromTail(model, step.mImage, aTailFactor * TargetMs(step));
+  const double limit = PressureFromTail(model, step.mImage, aTailFactor * TargetMs(step));
   return limit -
          ForecastPressure(model, StepAt(aRef).mServedLoad, aState.mPolicy.mPressureForecast);
 }
@@ -104,11 +103,10 @@
       continue;
     }
     const StepSpec& step = StepSpecOf(ref);
-    rooms.push_back(
-      { &step.mImage,
-        MaxAddedPressure(aState, ref, aState.mPolicy.mPlacementTailFactor) -
-          OrderedPressure(aState, aWorker, step.mImage),
-        task.mListedByWorker && static_cast<double>(task.mUsage) > TargetMs(step) });
+    rooms.push_back({ &step.mImage,
+                      MaxAddedPressure(aState, ref, aState.mPolicy.mPlacementTailFactor) -
+                        OrderedPressure(aState, aWorker, step.mImage),
+                      task.mListedByWorker && static_cast<double>(task.mUsage) > TargetMs(step) });
   }
   return rooms;
 }
@@ -172,10 +170,9 @@
   }
   std::vector<double> maxPressures;
   for (const TaskRef& ref : serving) {
-    maxPressures.push_back(
-      IsOverTargetTooLong(aState, ref, aNow)
-        ? 0.0
-        : MaxAddedPressure(aState, ref, aState.mPolicy.mMaxTailFactor));
+    maxPressures.push_back(IsOverTargetTooLong(aState, ref, aNow)
+                             ? 0.0
+                             : MaxAddedPressure(aState, ref, aState.mPolicy.mMaxTailFactor));
   }
   std::vector<ThrottledTask> tasks;
   for (const TaskRef& ref : bestEffort) {
@@ -184,9 +181,9 @@
     task.mCores = FullCores(step);
     task.mSpeed = TaskAt(ref).mSpeed;
     for (const TaskRef& other : serving) {
-      task.mPressures.push_back(
-        task.mCores *
-        PairPressure(aState.mTailInterference, step.mImage, StepSpecOf(other).mImage));
+      task.mPressures.push_back(task.mCores * PairPressure(aState.mTailInterference,
+                                                           step.mImage,
+                                                           StepSpecOf(other).mImage));
     }
     tasks.push_back(std::move(task));
   }
