--- a/Source/Core/Scheduling/Throttle.cpp
+++ b/Source/Core/Scheduling/Throttle.cpp
@@ -169,12 +169,14 @@
     }
   }
   std::vector<double> maxPressures;
+  maxPressures.reserve(serving.size());
   for (const TaskRef& ref : serving) {
     maxPressures.push_back(IsOverTargetTooLong(aState, ref, aNow)
                              ? 0.0
                              : MaxAddedPressure(aState, ref, aState.mPolicy.mMaxTailFactor));
   }
   std::vector<ThrottledTask> tasks;
+  tasks.reserve(bestEffort.size());
   for (const TaskRef& ref : bestEffort) {
     const StepSpec& step = StepSpecOf(ref);
     ThrottledTask task;
