--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -68,6 +68,7 @@
   , mCoordinatorFinder(aContext,
                        aContext.mTiming.mAgentWatchWait,
                        [this](const auto&, Store::Version) { connect(); })
+  , mEvacuationWatcher(aContext, "agent", aContext.mTiming.mAgentWatchWait, [] {})
   , mReportTimer(aContext.mIo)
   , mConnectTimer(aContext.mIo)
   , mStopTimer(aContext.mIo)
@@ -95,6 +96,7 @@
     return listening;
   }
   mCoordinatorFinder.start();
+  mEvacuationWatcher.start();
   scheduleReport();
   return {};
 }
@@ -213,7 +215,8 @@
     WorkerDriver::Callbacks{
       [this] { reportSoon(); },
       [this, lifetime](Scheduling::LifetimeStart aNextStart) { endLifetime(lifetime, aNextStart); },
-      [this, lifetime] { confirmWorker(lifetime); } });
+      [this, lifetime] { confirmWorker(lifetime); },
+      [this] { return isEvacuated(); } });
   mWorkers.insert_or_assign(lifetime, Worker{ driver, 0, aIsReported });
   if (mTerm.value() > 0) {
     driver->setTerm(mTerm);
@@ -283,6 +286,7 @@
   }
   aView.mAwaitsHeartbeat = true;
   aView.mLeaving = false;
+  aView.mColdRemaining = Duration{ 0 };
   aView.mRunning.clear();
   aView.mEnded.clear();
   addWorker(aView, true);
@@ -384,6 +388,7 @@
     return;
   }
   mReconnectDelay = mContext.mTiming.mReconnectDelay;
+  noteEvacuation(aDirective);
   if (aDirective.acceptsCompression && mLink) {
     mLink->startCompression();
   }
@@ -427,6 +432,39 @@
   }
 }
 
+void
+Agent::noteEvacuation(const Wire::Directive& aDirective)
+{
+  if (!aDirective.__isset.evacuationVersion) {
+    return;
+  }
+  const Store::Version version{ aDirective.evacuationVersion };
+  if (mOrderedEvacuation && version < mOrderedEvacuation->mVersion) {
+    return;
+  }
+  const bool was = mOrderedEvacuation && mOrderedEvacuation->mIsEvacuated;
+  mOrderedEvacuation = { aDirective.evacuated, version };
+  if (aDirective.evacuated != was) {
+    Log(Level::Info,
+        "agent",
+        aDirective.evacuated ? "data centre evacuated, says the coordinator"
+                             : "data centre back in service, says the coordinator",
+        { { "data_centre", mContext.mSettings.mDataCentre.str() },
+          { "version", std::to_string(version.value()) } });
+  }
+}
+
+bool
+Agent::isEvacuated() const
+{
+  const bool watched = mEvacuationWatcher.isKnown();
+  if (mOrderedEvacuation &&
+      (!watched || mOrderedEvacuation->mVersion > mEvacuationWatcher.version())) {
+    return mOrderedEvacuation->mIsEvacuated;
+  }
+  return !watched || mEvacuationWatcher.evacuated().contains(mContext.mSettings.mDataCentre);
+}
+
 bool
 Agent::hasConfirmedWorker() const
 {
@@ -508,6 +546,8 @@
   Wire::OrderResult result;
   result.number = aOrder.mNumber;
   result.result = static_cast<std::int32_t>(aResult);
+  result.evacuated = aOrder.mKind == Scheduling::OrderKind::Start &&
+                     aResult == Scheduling::OrderResult::NotSent && isEvacuated();
   mOrderResults.push_back(result);
   mContext.mCounters
     .counter("ibis_agent_orders", "result=\"" + std::to_string(static_cast<int>(aResult)) + '"')
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -3,12 +3,14 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include "Net/HttpServer.h"
 #include "Net/Link.h"
 #include "Node/CoordinatorFinder.h"
+#include "Node/EvacuationWatcher.h"
 #include "Node/KeptPayloads.h"
 #include "Node/WorkerDriver.h"
 
@@ -48,6 +50,14 @@
     bool mIsReported = false;
   };
 
+  /// What the coordinator said last of this agent's data centre.
+  struct OrderedEvacuation
+  {
+    bool mIsEvacuated = false;
+    /// Version of the store as of which it holds.
+    Store::Version mVersion;
+  };
+
   void handleRequest(const Net::HttpRequest& aRequest, const Net::Responder& aRespond);
   void handleHeartbeat(const WorkerHeartbeat& aHeartbeat);
   void handleDeregistration(const WorkerAnnouncement& aAnnouncement);
@@ -70,6 +80,10 @@
   void withdrawStarts();
   void handleMessage(const std::string& aBytes);
   void handleDirective(const Wire::Directive& aDirective);
+  void noteEvacuation(const Wire::Directive& aDirective);
+  /// True if no task may start here: the newer of what the store and the coordinator said of the
+  /// data centre. True also while neither has said anything.
+  bool isEvacuated() const;
   void executeOrder(const Wire::Order& aOrder);
   void requestAdvice(const Wire::Question& aQuestion);
   void finishOrder(const Scheduling::Order& aOrder, Scheduling::OrderResult aResult);
@@ -86,6 +100,8 @@
   std::unique_ptr<AdvicePort> mAdvicePort;
   Net::HttpServer mAnnouncementServer;
   CoordinatorFinder mCoordinatorFinder;
+  EvacuationWatcher mEvacuationWatcher;
+  std::optional<OrderedEvacuation> mOrderedEvacuation;
   boost::asio::steady_timer mReportTimer;
   boost::asio::steady_timer mConnectTimer;
   boost::asio::steady_timer mStopTimer;
--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -9,6 +9,7 @@
 #include "Node/StoreKeys.h"
 #include "Node/WireConversion.h"
 #include "Observability/Log.h"
+#include "Scheduling/Evacuation.h"
 
 namespace Node {
 
@@ -80,6 +81,9 @@
   if (mTables) {
     setTables(*mTables);
   }
+  if (mEvacuated) {
+    Scheduling::SetEvacuated(mState, mEvacuated->first);
+  }
   watchPredecessor();
   readRecordsVersion();
   scheduleTick();
@@ -175,6 +179,15 @@
   schedulePlacement();
 }
 
+void
+Coordinator::setEvacuated(const Scheduling::EvacuatedDataCentres& aDataCentres,
+                          Store::Version aVersion)
+{
+  mEvacuated = { aDataCentres, aVersion };
+  Scheduling::SetEvacuated(mState, aDataCentres);
+  schedulePlacement();
+}
+
 void
 Coordinator::acceptLink(const std::shared_ptr<Net::Link>& aLink)
 {
@@ -298,6 +311,7 @@
     return;
   }
   aPeer.mEchoMicros = aReport.agentMicros;
+  aPeer.mDataCentre = Common::DataCentreId(aReport.dataCentre);
   aPeer.mKeepsPayloads = aReport.keepsPayloads;
   const Timestamp now = mContext.now();
   if (mPhase == Phase::Recovering) {
@@ -361,8 +375,9 @@
 {
   const auto now = mContext.steadyAndUnixNow();
   for (const Wire::OrderResult& result : aResults) {
-    Scheduling::ApplyOrderResult(
-      mState, result.number, static_cast<Scheduling::OrderResult>(result.result), now);
+    const auto kind = static_cast<Scheduling::OrderResult>(result.result);
+    result.evacuated ? Scheduling::ApplyEvacuationRefusal(mState, result.number, kind, now)
+                     : Scheduling::ApplyOrderResult(mState, result.number, kind, now);
   }
 }
 
@@ -416,7 +431,7 @@
 void
 Coordinator::placeTasks()
 {
-  if (!isWorking() || !mElection.mayAct()) {
+  if (!isWorking() || !mElection.mayAct() || !mEvacuated) {
     return;
   }
   mState.mSoleUntil = mElection.leaseValidUntil();
@@ -568,6 +583,7 @@
   counters.counter("ibis_workers_awaited")
     .set(static_cast<std::int64_t>(
       Scheduling::RecordedWorkersAwaited(mState, mContext.steadyAndUnixNow()).mCount));
+  updateEvacuationCounters();
   counters.counter("ibis_workers_suspended").set(static_cast<std::int64_t>(suspendedWorkers()));
   counters.counter("ibis_term_starts").set(static_cast<std::int64_t>(counts.mStarts));
   counters.counter("ibis_term_room_rejections")
@@ -588,6 +604,38 @@
   counters.counter("ibis_term_moves").set(static_cast<std::int64_t>(counts.mBestEffortMoves));
 }
 
+void
+Coordinator::updateEvacuationCounters()
+{
+  const std::size_t evacuated = Scheduling::EvacuatedWorkers(mState);
+  mContext.mCounters.counter("ibis_workers_evacuated").set(static_cast<std::int64_t>(evacuated));
+  const auto connected = static_cast<std::size_t>(std::count_if(
+    mState.mWorkers.begin(), mState.mWorkers.end(), [](const Scheduling::Worker& aWorker) {
+      return aWorker.mConnected;
+    }));
+  if (connected == 0) {
+    return;
+  }
+  const bool all = evacuated == connected;
+  if (all && !mLoggedAllEvacuated) {
+    Log(Level::Warning,
+        "coordinator",
+        "all data centres with workers are evacuated, tasks wait",
+        { { "workers", std::to_string(connected) } });
+  }
+  mLoggedAllEvacuated = all;
+  const auto withoutWorkers = Scheduling::EvacuatedWithoutWorkers(mState);
+  for (const Common::DataCentreId& dataCentre : withoutWorkers) {
+    if (!mLoggedWithoutWorkers.contains(dataCentre)) {
+      Log(Level::Warning,
+          "coordinator",
+          "the evacuated data centre has no workers",
+          { { "data_centre", dataCentre.str() } });
+    }
+  }
+  mLoggedWithoutWorkers = withoutWorkers;
+}
+
 void
 Coordinator::updateEndCounters()
 {
@@ -682,6 +730,10 @@
   directive.echoMicros = mayExtendLeases(aPeer.mAgent) ? aPeer.mEchoMicros : 0;
   directive.holdMicros = maxLeaseExtension().count();
   directive.acceptsCompression = true;
+  if (mEvacuated) {
+    directive.evacuated = mEvacuated->first.contains(aPeer.mDataCentre);
+    directive.__set_evacuationVersion(mEvacuated->second.value());
+  }
   directive.orders = std::move(aOrders);
   directive.questions = std::move(aQuestions);
   for (const Scheduling::Worker& worker : mState.mWorkers) {
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -51,6 +51,9 @@
 
   /// Adds or updates the queues of the tables; removed queues are kept for their open jobs.
   void setTables(const QueueTables& aTables);
+  /// Takes over which data centres are evacuated as of a version of the store. No task starts
+  /// before the first call.
+  void setEvacuated(const Scheduling::EvacuatedDataCentres& aDataCentres, Store::Version aVersion);
   /// Takes over the connection of an agent or entry; closes it if there is no term.
   void acceptLink(const std::shared_ptr<Net::Link>& aLink);
 
@@ -61,6 +64,8 @@
     std::shared_ptr<Net::Link> mLink;
     /// Empty until the peer has reported as an agent.
     Common::InstanceId mAgent;
+    /// Data centre of the agent.
+    Common::DataCentreId mDataCentre;
     /// The agent's clock in its last report, which the next directive echoes.
     std::int64_t mEchoMicros = 0;
     /// The orders without a result were repeated over this connection, or there were none.
@@ -178,6 +183,9 @@
   void scheduleTick();
   void logSchedulingEntries();
   void updateCounters();
+  /// Updates the counters of evacuated workers, and logs evacuated data centres without workers and
+  /// that none is left in which tasks can start.
+  void updateEvacuationCounters();
   /// Updates the counters of ends that wait for the records of their jobs.
   void updateEndCounters();
 
@@ -254,6 +262,12 @@
   /// result once.
   std::vector<Wire::OrderResult> mHeldResults;
   std::optional<QueueTables> mTables;
+  /// The evacuated data centres and the version of the store as of which they are; empty while
+  /// nothing is known.
+  std::optional<std::pair<Scheduling::EvacuatedDataCentres, Store::Version>> mEvacuated;
+  /// Evacuated data centres without workers that were logged.
+  Scheduling::EvacuatedDataCentres mLoggedWithoutWorkers;
+  bool mLoggedAllEvacuated = false;
   LinkShare mOrderShare;
   boost::asio::steady_timer mPlacementTimer;
   boost::asio::steady_timer mTickTimer;
--- a/Source/Core/Node/DeploymentStatus.cpp
+++ b/Source/Core/Node/DeploymentStatus.cpp
@@ -80,6 +80,26 @@
   return record;
 }
 
+tl::expected<Scheduling::EvacuatedDataCentres, std::string>
+ReadEvacuations(StoreReader& aReader, const Formats& aFormats)
+{
+  Scheduling::EvacuatedDataCentres evacuated;
+  if (aFormats.mEvacuationPrefix.empty()) {
+    return evacuated;
+  }
+  const auto entries = aReader.readAll(aFormats.mEvacuationPrefix);
+  if (!entries) {
+    return tl::unexpected(entries.error());
+  }
+  for (const Store::Entry& entry : *entries) {
+    const Common::DataCentreId dataCentre(entry.mKey.substr(aFormats.mEvacuationPrefix.size()));
+    if (!dataCentre.empty()) {
+      evacuated.insert(dataCentre);
+    }
+  }
+  return evacuated;
+}
+
 std::vector<StoredJob>
 GroupByJob(const std::vector<Store::Entry>& aJobs,
            const std::vector<Store::Entry>& aProgress,
@@ -129,6 +149,10 @@
   if (!workers) {
     return tl::unexpected(workers.error());
   }
+  const auto evacuations = ReadEvacuations(reader, aFormats);
+  if (!evacuations) {
+    return tl::unexpected(evacuations.error());
+  }
   DeploymentStatus status;
   if (*coordinator) {
     status.mCoordinator = DecodeOrMarkUnreadable<Wire::CoordinatorRecord>(**coordinator, status);
@@ -145,6 +169,7 @@
       status.mUnreadableKeys.push_back(aFormats.mTablesKey);
     }
   }
+  status.mEvacuated = *evacuations;
   status.mJobs = GroupByJob(*jobs, *progress, status);
   for (const Store::Entry& entry : *workers) {
     if (auto record = DecodeOrMarkUnreadable<Wire::WorkerRecord>(entry, status)) {
--- a/Source/Core/Node/DeploymentStatus.h
+++ b/Source/Core/Node/DeploymentStatus.h
@@ -34,6 +34,8 @@
   std::vector<StoredJob> mJobs;
   std::vector<Wire::WorkerRecord> mWorkers;
   std::optional<QueueTables> mTables;
+  /// Data centres that the operators' keys evacuate.
+  Scheduling::EvacuatedDataCentres mEvacuated;
   /// Keys that cannot be parsed or whose values cannot be decoded.
   std::vector<std::string> mUnreadableKeys;
 };
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -66,6 +66,13 @@
          handleTablesEntries(aEntries);
        },
         [this](const Store::WatchResult& aResult) { handleTablesEntries(aResult.mChanged); } })
+  , mEvacuationWatcher(aContext,
+                       "entry",
+                       aContext.mTiming.mWatchWait,
+                       [this] {
+                         mCoordinator.setEvacuated(mEvacuationWatcher.evacuated(),
+                                                   mEvacuationWatcher.version());
+                       })
   , mCoordinatorFinder(aContext,
                        aContext.mTiming.mWatchWait,
                        [this](const auto& aRecord, Store::Version aVersion) {
@@ -86,6 +93,7 @@
     }
   }
   mTablesWatcher.start();
+  mEvacuationWatcher.start();
   mCoordinatorFinder.start();
   scheduleCheck();
   return {};
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -11,6 +11,7 @@
 #include "Node/Coordinator.h"
 #include "Node/CoordinatorFinder.h"
 #include "Node/Election.h"
+#include "Node/EvacuationWatcher.h"
 #include "Node/JobApi.h"
 
 namespace Node {
@@ -55,6 +56,7 @@
   Net::HttpServer mReadinessServer;
   Net::LinkServer mPeerServer;
   PrefixWatcher mTablesWatcher;
+  EvacuationWatcher mEvacuationWatcher;
   CoordinatorFinder mCoordinatorFinder;
   boost::asio::steady_timer mCheckTimer;
   std::shared_ptr<const QueueTables> mTables;
--- a/Source/Core/Node/Ports.h
+++ b/Source/Core/Node/Ports.h
@@ -224,6 +224,11 @@
   std::function<tl::expected<QueueTables, std::string>(const std::string&)> mParseTables;
   /// Store key of the operators' tables.
   std::string mTablesKey;
+  /// Prefix of the operators' keys that evacuate data centres; the rest of a key is the name of the
+  /// data centre. No data centre can be evacuated if it is empty.
+  std::string mEvacuationPrefix;
+  /// Whether the value of such a key is one that the operators' tools write. The key alone decides.
+  std::function<bool(const std::string&)> mIsEvacuationValue;
   /// Whether the request is the platform's readiness probe.
   std::function<bool(const Net::HttpRequest&)> mIsReadinessProbe;
   /// Returns an error message if the request is not a worker's announcement or is invalid.
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -50,6 +50,10 @@
   Duration mMinStoreLease{ std::chrono::seconds(1) };
   /// Time from the request to stop a process until the platform kills it.
   Duration mShutdownGrace{ std::chrono::seconds(6) };
+  /// Expected ratio of the run time on a cold worker to that on a warm one until it is learned.
+  double mColdOverrun = 1.0;
+  /// Stated by the platform without saying what it bounds; not used. 0 if not stated.
+  double mColdTolerance = 0.0;
   /// Shortest time for which the state of an ended job can be queried.
   Duration mEndedJobRetention{ std::chrono::seconds(120) };
 };
--- a/Source/Core/Node/WireConversion.cpp
+++ b/Source/Core/Node/WireConversion.cpp
@@ -258,6 +258,7 @@
   view.leaseLeftMs = Millis(aView.mLeaseRemaining);
   view.endedCut = aView.mEndedListCut;
   view.awaitsHeartbeat = aView.mAwaitsHeartbeat;
+  view.coldLeftMs = Millis(aView.mColdRemaining);
   for (const auto& row : aView.mRunning) {
     Wire::RunningTask task;
     task.task = ToWire(row.mTask);
@@ -301,6 +302,7 @@
   view.mLeaseRemaining = std::chrono::milliseconds(aView.leaseLeftMs);
   view.mEndedListCut = aView.endedCut;
   view.mAwaitsHeartbeat = aView.awaitsHeartbeat;
+  view.mColdRemaining = std::chrono::milliseconds(aView.coldLeftMs);
   for (const auto& task : aView.running) {
     view.mRunning.push_back({ FromWire(task.task),
                               Scheduling::RunNumber{ task.run },
--- a/Source/Core/Node/WorkerDriver.cpp
+++ b/Source/Core/Node/WorkerDriver.cpp
@@ -96,6 +96,7 @@
   mView.mResponding = true;
   mRespondingSince = mContext.now();
   mLastAnswered = mContext.now();
+  mColdUntil = mContext.now() + mView.mColdRemaining;
   // An earlier process of this instance may have extended the lease just before this one started.
   mInheritedLeaseEnd = mContext.now() + mContext.mSettings.mMaxWorkerLease;
 }
@@ -105,6 +106,7 @@
 {
   Scheduling::WorkerView view = mView;
   view.mLeaseRemaining = std::max<Duration>(runsEndBy() - mContext.now(), Duration{ 0 });
+  view.mColdRemaining = std::max<Duration>(mColdUntil - mContext.now(), Duration{ 0 });
   for (Scheduling::RunningTask& running : view.mRunning) {
     running.mIsFresh = std::any_of(
       mRecentStarts.begin(), mRecentStarts.end(), [&running](const RecentStart& aStart) {
@@ -196,6 +198,7 @@
   // A delayed heartbeat with the state "ready" must not undo that the worker is leaving.
   mView.mLeaving = mView.mLeaving || aView.mLeaving;
   mView.mRemaining = aView.mRemaining;
+  mColdUntil = mContext.now() + aView.mColdRemaining;
   if (hasNews) {
     mCallbacks.mOnViewChanged();
   }
@@ -556,6 +559,23 @@
          !mView.mLeaving;
 }
 
+bool
+WorkerDriver::isRefusedAsEvacuated(const Scheduling::Order& aOrder)
+{
+  if (!mCallbacks.mIsEvacuated()) {
+    return false;
+  }
+  mContext.mCounters.counter("ibis_starts_refused_evacuated").add();
+  Observability::Log(
+    Observability::Level::Info,
+    "agent",
+    "start refused, the data centre is evacuated",
+    { { "data_centre", mContext.mSettings.mDataCentre.str() },
+      { "job", aOrder.mTask.mJob.str() },
+      { "run", Scheduling::DescribeRun(aOrder.mTask, aOrder.mRun, aOrder.mLifetime) } });
+  return true;
+}
+
 void
 WorkerDriver::send(const std::shared_ptr<PendingOrder>& aPending)
 {
@@ -572,7 +592,7 @@
   const Duration timeout = mContext.mTiming.mOrderCallTimeout;
   if (order.mKind == OrderKind::Start) {
     const Timestamp leaseEnd = aPending->mLeaseEnd.value_or(mLeaseEnd);
-    if (!canStart(leaseEnd)) {
+    if (!canStart(leaseEnd) || isRefusedAsEvacuated(order)) {
       aPending->mDone(aPending->hasEarlierAttempts() ? OrderResult::Unknown : OrderResult::NotSent);
       return;
     }
--- a/Source/Core/Node/WorkerDriver.h
+++ b/Source/Core/Node/WorkerDriver.h
@@ -27,6 +27,9 @@
     std::function<void(Scheduling::LifetimeStart aNextStart)> mOnLifetimeEnded;
     /// The worker has answered as this lifetime for the first time.
     std::function<void()> mOnConfirmed;
+    /// Whether no task may start on the worker because its data centre is evacuated. Asked at each
+    /// attempt to start one.
+    std::function<bool()> mIsEvacuated = [] { return false; };
   };
 
   WorkerDriver(Context& aContext,
@@ -150,6 +153,8 @@
   /// allows starts.
   void resolveWaitingStarts();
   void withdrawStartsIf(const std::function<bool(const Scheduling::Order&)>& aCondition);
+  /// Whether the start may not be sent because the data centre is evacuated. Logs and counts it.
+  bool isRefusedAsEvacuated(const Scheduling::Order& aOrder);
   /// Whether a start may be sent under a lease that ends then.
   bool canStart(Timestamp aLeaseEnd) const;
   void send(const std::shared_ptr<PendingOrder>& aPending);
@@ -187,6 +192,8 @@
   std::optional<Timestamp> mRenewedLeaseEnd;
   std::optional<std::int64_t> mLeastLeaseLeft;
   RenewalCounts mRenewalCounts;
+  /// End of the time that the last heartbeat named as cold.
+  Timestamp mColdUntil;
   /// When the last poll was sent that the worker answered.
   Timestamp mLastAnswered;
   /// Polls with a refused connection since the last successful poll.
--- a/Source/Core/Scheduling/Model.h
+++ b/Source/Core/Scheduling/Model.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,9 @@
 using LifetimeStart = Common::Quantity<struct LifetimeStartTag>;
 using Percent = Common::Quantity<struct PercentTag>;
 
+/// Data centres in which no task may start, because the operator has evacuated them.
+using EvacuatedDataCentres = std::set<Common::DataCentreId>;
+
 /// Name of a task that is the same for all coordinators, agents and workers.
 struct TaskName
 {
@@ -202,6 +206,9 @@
   /// heartbeat yet.
   bool mAwaitsHeartbeat = false;
   bool mLeaving = false;
+  /// How much longer the worker runs tasks more slowly, because it has just been brought back; 0 if
+  /// it is warm.
+  Duration mColdRemaining{ 0 };
   /// Remaining time that the worker states in its heartbeat; no scheduling decision uses it.
   Duration mRemaining{ 0 };
   bool mResponding = true;
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "Scheduling/Evacuation.h"
 #include "Scheduling/Schedule.h"
 
 namespace Scheduling {
@@ -326,14 +327,17 @@
 
 /// True if the worker can run tasks of the step when it has free capacity.
 bool
-CanEverHost(const Worker& aWorker, const StepSpec& aStep, const QueueSpec& aQueue)
+CanEverHost(const SchedulerState& aState,
+            const Worker& aWorker,
+            const StepSpec& aStep,
+            const QueueSpec& aQueue)
 {
   const bool labelled = aStep.mLabel.empty() ||
                         std::find(aWorker.mLabels.begin(), aWorker.mLabels.end(), aStep.mLabel) !=
                           aWorker.mLabels.end();
   return aWorker.mConnected && aWorker.mHasTaskList && !aWorker.mLifetimeEnded &&
          !aWorker.mAwaitsHeartbeat && !aWorker.mLeaving && aWorker.mPool == aQueue.mPool &&
-         labelled && Fits(ReservedBy(aStep), aWorker.mCapacity);
+         labelled && Fits(ReservedBy(aStep), aWorker.mCapacity) && !IsEvacuated(aState, aWorker);
 }
 
 /// How long a best-effort job has had no running task.
@@ -356,7 +360,7 @@
                const CurrentTime& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
-  if (!CanEverHost(aWorker, step, aQueue) || !aWorker.mRecorded ||
+  if (!CanEverHost(aState, aWorker, step, aQueue) || !aWorker.mRecorded ||
       aWorker.mSuspensionMayBeRecorded || !aWorker.mResponding || aWorker.mHasUnknownRun ||
       aNow.mMonotonic < aWorker.mNoStartsUntil || aNow.mMonotonic >= aWorker.mLeaseEnd) {
     return false;
@@ -411,7 +415,7 @@
 {
   std::map<std::string, LabelCapacity> labelCapacities;
   for (const Worker& worker : aState.mWorkers) {
-    if (!worker.mConnected || worker.mLeaving) {
+    if (!worker.mConnected || worker.mLeaving || IsEvacuated(aState, worker)) {
       continue;
     }
     for (const std::string& label : worker.mLabels) {
@@ -490,7 +494,8 @@
   Common::MilliCores capacity;
   Common::MilliCores used;
   for (const Worker& worker : aState.mWorkers) {
-    if (worker.mConnected && !worker.mLeaving && worker.mPool == aPool) {
+    if (worker.mConnected && !worker.mLeaving && worker.mPool == aPool &&
+        !IsEvacuated(aState, worker)) {
       capacity += worker.mCapacity.mCores;
       used += worker.mUsed.mCores;
     }
@@ -595,7 +600,7 @@
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     const Worker& worker = aState.mWorkers[number];
     if (IsDenied(step, number) || HasTicket(step, number, atAnswer) ||
-        !CanEverHost(worker, spec, aQueue)) {
+        !CanEverHost(aState, worker, spec, aQueue)) {
       continue;
     }
     const bool canHostNow = CanHostNow(aState, worker, aReady, aQueue, starvation, aNow) ||
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -536,6 +536,7 @@
   }
   worker.mAgent = aAgent;
   CopyDescription(worker, aView);
+  worker.mColdUntil = aNow.mMonotonic + aView.mColdRemaining;
   if (aView.mLeaving && !worker.mLeaving) {
     aState.mLogEntries.push_back({ "worker is leaving", {}, worker.mLifetime.mWorker.str() });
   }
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -146,6 +146,8 @@
   /// The worker lists a run whose job is not known, so its use of the capacity is not known either.
   bool mHasUnknownRun = false;
   bool mLeaving = false;
+  /// The worker runs tasks more slowly until then.
+  Timestamp mColdUntil;
   bool mResponding = true;
   bool mHasTaskList = false;
   std::uint64_t mTaskListNumber = 0;
@@ -237,6 +239,10 @@
   /// A worker that refused a start, for example for lack of capacity, gets none for this time, in
   /// which the list that explains the refusal arrives.
   Duration mRefusedStartPause{ std::chrono::milliseconds(250) };
+  /// After an agent has refused a start because its data centre is evacuated, no worker of that
+  /// data centre gets a start for this time, in which this coordinator's own watch brings the news
+  /// or is found dead.
+  Duration mEvacuationRefusalPause{ std::chrono::milliseconds(1000) };
   /// Time after its start order in which a run is a suspect if its worker crashes. Agents count it
   /// from the call to the worker.
   Duration mTrialTime{ std::chrono::milliseconds(150) };
@@ -342,6 +348,8 @@
   /// Jobs by id. Their addresses are stable, because TaskRef points to them.
   std::unordered_map<Common::JobId, std::unique_ptr<Job>> mJobs;
   std::vector<Worker> mWorkers;
+  /// Use SetEvacuated() to change it.
+  EvacuatedDataCentres mEvacuated;
   std::map<WorkerLifetime, WorkerNumber> mWorkerIndex;
   /// Lifetimes whose crash was counted; agents report it repeatedly.
   std::set<WorkerLifetime> mCountedCrashes;
--- a/Source/Core/Wire/Generated/Node_types.cpp
+++ b/Source/Core/Wire/Generated/Node_types.cpp
@@ -3068,6 +3068,10 @@
 void WorkerView::__set_awaitsHeartbeat(const bool val) {
   this->awaitsHeartbeat = val;
 }
+
+void WorkerView::__set_coldLeftMs(const int64_t val) {
+  this->coldLeftMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerView& obj)
 {
   obj.printTo(out);
@@ -3284,6 +3288,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->coldLeftMs);
+          this->__isset.coldLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3401,6 +3413,10 @@
   xfer += oprot->writeBool(this->awaitsHeartbeat);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("coldLeftMs", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->coldLeftMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3427,6 +3443,7 @@
   swap(a.listNumber, b.listNumber);
   swap(a.endedCut, b.endedCut);
   swap(a.awaitsHeartbeat, b.awaitsHeartbeat);
+  swap(a.coldLeftMs, b.coldLeftMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -3450,6 +3467,7 @@
   listNumber = other112.listNumber;
   endedCut = other112.endedCut;
   awaitsHeartbeat = other112.awaitsHeartbeat;
+  coldLeftMs = other112.coldLeftMs;
   __isset = other112.__isset;
 }
 WorkerView::WorkerView(WorkerView&& other113) noexcept {
@@ -3472,6 +3490,7 @@
   listNumber = other113.listNumber;
   endedCut = other113.endedCut;
   awaitsHeartbeat = other113.awaitsHeartbeat;
+  coldLeftMs = other113.coldLeftMs;
   __isset = other113.__isset;
 }
 WorkerView& WorkerView::operator=(const WorkerView& other114) {
@@ -3494,6 +3513,7 @@
   listNumber = other114.listNumber;
   endedCut = other114.endedCut;
   awaitsHeartbeat = other114.awaitsHeartbeat;
+  coldLeftMs = other114.coldLeftMs;
   __isset = other114.__isset;
   return *this;
 }
@@ -3517,6 +3537,7 @@
   listNumber = other115.listNumber;
   endedCut = other115.endedCut;
   awaitsHeartbeat = other115.awaitsHeartbeat;
+  coldLeftMs = other115.coldLeftMs;
   __isset = other115.__isset;
   return *this;
 }
@@ -3542,6 +3563,7 @@
   out << ", " << "listNumber=" << to_string(listNumber);
   out << ", " << "endedCut=" << to_string(endedCut);
   out << ", " << "awaitsHeartbeat=" << to_string(awaitsHeartbeat);
+  out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
   out << ")";
 }
 
@@ -4740,6 +4762,10 @@
 void OrderResult::__set_result(const int32_t val) {
   this->result = val;
 }
+
+void OrderResult::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
 std::ostream& operator<<(std::ostream& out, const OrderResult& obj)
 {
   obj.printTo(out);
@@ -4784,6 +4810,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4809,6 +4843,10 @@
   xfer += oprot->writeI32(this->result);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4818,28 +4856,33 @@
   using ::std::swap;
   swap(a.number, b.number);
   swap(a.result, b.result);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
 OrderResult::OrderResult(const OrderResult& other174) noexcept {
   number = other174.number;
   result = other174.result;
+  evacuated = other174.evacuated;
   __isset = other174.__isset;
 }
 OrderResult::OrderResult(OrderResult&& other175) noexcept {
   number = other175.number;
   result = other175.result;
+  evacuated = other175.evacuated;
   __isset = other175.__isset;
 }
 OrderResult& OrderResult::operator=(const OrderResult& other176) noexcept {
   number = other176.number;
   result = other176.result;
+  evacuated = other176.evacuated;
   __isset = other176.__isset;
   return *this;
 }
 OrderResult& OrderResult::operator=(OrderResult&& other177) noexcept {
   number = other177.number;
   result = other177.result;
+  evacuated = other177.evacuated;
   __isset = other177.__isset;
   return *this;
 }
@@ -4848,6 +4891,7 @@
   out << "OrderResult(";
   out << "number=" << to_string(number);
   out << ", " << "result=" << to_string(result);
+  out << ", " << "evacuated=" << to_string(evacuated);
   out << ")";
 }
 
@@ -6251,6 +6295,15 @@
 void Directive::__set_acceptsCompression(const bool val) {
   this->acceptsCompression = val;
 }
+
+void Directive::__set_evacuated(const bool val) {
+  this->evacuated = val;
+}
+
+void Directive::__set_evacuationVersion(const int64_t val) {
+  this->evacuationVersion = val;
+__isset.evacuationVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const Directive& obj)
 {
   obj.printTo(out);
@@ -6391,6 +6444,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->evacuated);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationVersion);
+          this->__isset.evacuationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6472,6 +6541,15 @@
   xfer += oprot->writeBool(this->acceptsCompression);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->evacuated);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.evacuationVersion) {
+    xfer += oprot->writeFieldBegin("evacuationVersion", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->evacuationVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6487,6 +6565,8 @@
   swap(a.known, b.known);
   swap(a.questions, b.questions);
   swap(a.acceptsCompression, b.acceptsCompression);
+  swap(a.evacuated, b.evacuated);
+  swap(a.evacuationVersion, b.evacuationVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -6499,6 +6579,8 @@
   known = other262.known;
   questions = other262.questions;
   acceptsCompression = other262.acceptsCompression;
+  evacuated = other262.evacuated;
+  evacuationVersion = other262.evacuationVersion;
   __isset = other262.__isset;
 }
 Directive::Directive(Directive&& other263) noexcept {
@@ -6510,6 +6592,8 @@
   known = std::move(other263.known);
   questions = std::move(other263.questions);
   acceptsCompression = other263.acceptsCompression;
+  evacuated = other263.evacuated;
+  evacuationVersion = other263.evacuationVersion;
   __isset = other263.__isset;
 }
 Directive& Directive::operator=(const Directive& other264) {
@@ -6521,6 +6605,8 @@
   known = other264.known;
   questions = other264.questions;
   acceptsCompression = other264.acceptsCompression;
+  evacuated = other264.evacuated;
+  evacuationVersion = other264.evacuationVersion;
   __isset = other264.__isset;
   return *this;
 }
@@ -6533,6 +6619,8 @@
   known = std::move(other265.known);
   questions = std::move(other265.questions);
   acceptsCompression = other265.acceptsCompression;
+  evacuated = other265.evacuated;
+  evacuationVersion = other265.evacuationVersion;
   __isset = other265.__isset;
   return *this;
 }
@@ -6547,6 +6635,8 @@
   out << ", " << "known=" << to_string(known);
   out << ", " << "questions=" << to_string(questions);
   out << ", " << "acceptsCompression=" << to_string(acceptsCompression);
+  out << ", " << "evacuated=" << to_string(evacuated);
+  out << ", " << "evacuationVersion="; (__isset.evacuationVersion ? (out << to_string(evacuationVersion)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Core/Wire/Generated/Node_types.h
+++ b/Source/Core/Wire/Generated/Node_types.h
@@ -1157,7 +1157,7 @@
 std::ostream& operator<<(std::ostream& out, const EndedTask& obj);
 
 typedef struct _WorkerView__isset {
-  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false), address(false), leaseLeftMs(false), listNumber(false), endedCut(false), awaitsHeartbeat(false) {}
+  _WorkerView__isset() : worker(false), born(false), pool(false), rack(false), labels(false), milliCores(false), memoryMb(false), accelerators(false), leaving(false), remainingMs(false), responding(false), listed(false), running(false), ended(false), address(false), leaseLeftMs(false), listNumber(false), endedCut(false), awaitsHeartbeat(false), coldLeftMs(false) {}
   bool worker :1;
   bool born :1;
   bool pool :1;
@@ -1177,6 +1177,7 @@
   bool listNumber :1;
   bool endedCut :1;
   bool awaitsHeartbeat :1;
+  bool coldLeftMs :1;
 } _WorkerView__isset;
 
 class WorkerView : public virtual ::apache::thrift::TBase {
@@ -1202,7 +1203,8 @@
                leaseLeftMs(0),
                listNumber(0),
                endedCut(0),
-               awaitsHeartbeat(0) {
+               awaitsHeartbeat(0),
+               coldLeftMs(0) {
   }
 
   virtual ~WorkerView() noexcept;
@@ -1225,6 +1227,7 @@
   int64_t listNumber;
   bool endedCut;
   bool awaitsHeartbeat;
+  int64_t coldLeftMs;
 
   _WorkerView__isset __isset;
 
@@ -1266,6 +1269,8 @@
 
   void __set_awaitsHeartbeat(const bool val);
 
+  void __set_coldLeftMs(const int64_t val);
+
   bool operator == (const WorkerView & rhs) const
   {
     if (!(worker == rhs.worker))
@@ -1306,6 +1311,8 @@
       return false;
     if (!(awaitsHeartbeat == rhs.awaitsHeartbeat))
       return false;
+    if (!(coldLeftMs == rhs.coldLeftMs))
+      return false;
     return true;
   }
   bool operator != (const WorkerView &rhs) const {
@@ -1754,9 +1761,10 @@
 std::ostream& operator<<(std::ostream& out, const ModelRecord& obj);
 
 typedef struct _OrderResult__isset {
-  _OrderResult__isset() : number(false), result(false) {}
+  _OrderResult__isset() : number(false), result(false), evacuated(false) {}
   bool number :1;
   bool result :1;
+  bool evacuated :1;
 } _OrderResult__isset;
 
 class OrderResult : public virtual ::apache::thrift::TBase {
@@ -1768,12 +1776,14 @@
   OrderResult& operator=(OrderResult&&) noexcept;
   OrderResult() noexcept
               : number(0),
-                result(0) {
+                result(0),
+                evacuated(0) {
   }
 
   virtual ~OrderResult() noexcept;
   int64_t number;
   int32_t result;
+  bool evacuated;
 
   _OrderResult__isset __isset;
 
@@ -1781,12 +1791,16 @@
 
   void __set_result(const int32_t val);
 
+  void __set_evacuated(const bool val);
+
   bool operator == (const OrderResult & rhs) const
   {
     if (!(number == rhs.number))
       return false;
     if (!(result == rhs.result))
       return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
   bool operator != (const OrderResult &rhs) const {
@@ -2271,7 +2285,7 @@
 std::ostream& operator<<(std::ostream& out, const WorkerAck& obj);
 
 typedef struct _Directive__isset {
-  _Directive__isset() : term(false), echoMicros(false), holdMicros(false), orders(false), acks(false), known(false), questions(false), acceptsCompression(false) {}
+  _Directive__isset() : term(false), echoMicros(false), holdMicros(false), orders(false), acks(false), known(false), questions(false), acceptsCompression(false), evacuated(false), evacuationVersion(false) {}
   bool term :1;
   bool echoMicros :1;
   bool holdMicros :1;
@@ -2280,6 +2294,8 @@
   bool known :1;
   bool questions :1;
   bool acceptsCompression :1;
+  bool evacuated :1;
+  bool evacuationVersion :1;
 } _Directive__isset;
 
 class Directive : public virtual ::apache::thrift::TBase {
@@ -2293,7 +2309,9 @@
             : term(0),
               echoMicros(0),
               holdMicros(0),
-              acceptsCompression(0) {
+              acceptsCompression(0),
+              evacuated(0),
+              evacuationVersion(0) {
   }
 
   virtual ~Directive() noexcept;
@@ -2305,6 +2323,8 @@
   std::vector<WorkerView>  known;
   std::vector<Question>  questions;
   bool acceptsCompression;
+  bool evacuated;
+  int64_t evacuationVersion;
 
   _Directive__isset __isset;
 
@@ -2324,6 +2344,10 @@
 
   void __set_acceptsCompression(const bool val);
 
+  void __set_evacuated(const bool val);
+
+  void __set_evacuationVersion(const int64_t val);
+
   bool operator == (const Directive & rhs) const
   {
     if (!(term == rhs.term))
@@ -2342,6 +2366,12 @@
       return false;
     if (!(acceptsCompression == rhs.acceptsCompression))
       return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
+    if (__isset.evacuationVersion != rhs.__isset.evacuationVersion)
+      return false;
+    else if (__isset.evacuationVersion && !(evacuationVersion == rhs.evacuationVersion))
+      return false;
     return true;
   }
   bool operator != (const Directive &rhs) const {
--- a/Source/Core/Wire/Node.thrift
+++ b/Source/Core/Wire/Node.thrift
@@ -173,6 +173,8 @@
   18: bool endedCut,
   // The pool, labels and capacity are those of an earlier lifetime of the worker.
   19: bool awaitsHeartbeat,
+  // How much longer the worker runs tasks more slowly; 0 if it is warm.
+  20: i64 coldLeftMs,
 }
 
 // A run that started shortly before its worker crashed.
@@ -233,6 +235,8 @@
   1: i64 number,
   // Numeric value of the Scheduling::OrderResult.
   2: i32 result,
+  // The start was refused because the agent's data centre is evacuated.
+  3: bool evacuated,
 }
 
 // Asks which of the workers may run the step; the index of the task is 0.
@@ -310,6 +314,10 @@
   7: list<Question> questions,
   // The coordinator reads compressed messages.
   8: bool acceptsCompression,
+  // The agent's data centre is evacuated as of evacuationVersion, a version of the store. Without
+  // the version the coordinator does not know.
+  9: bool evacuated,
+  10: optional i64 evacuationVersion,
 }
 
 // Number 0 is sent regularly as the keep-alive of the entry and asks for no status.
--- a/Source/Ibisctl/StoreCommands.cpp
+++ b/Source/Ibisctl/StoreCommands.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdlib>
 
 #include <nlohmann/json.hpp>
@@ -81,13 +82,19 @@
 }
 
 json
-WorkerRow(const Wire::WorkerRecord& aRecord)
+WorkerRow(const Wire::WorkerRecord& aRecord, const Scheduling::EvacuatedDataCentres& aEvacuated)
 {
-  return { { "worker", aRecord.view.worker },       { "born_unix_ms", aRecord.view.born },
-           { "instance", aRecord.instance },        { "data_centre", aRecord.dataCentre },
-           { "pool", aRecord.view.pool },           { "rack", aRecord.view.rack },
-           { "address", aRecord.view.address },     { "milli_cores", aRecord.view.milliCores },
-           { "memory_mib", aRecord.view.memoryMb }, { "accelerators", aRecord.view.accelerators } };
+  return { { "evacuated", aEvacuated.contains(Common::DataCentreId(aRecord.dataCentre)) },
+           { "worker", aRecord.view.worker },
+           { "born_unix_ms", aRecord.view.born },
+           { "instance", aRecord.instance },
+           { "data_centre", aRecord.dataCentre },
+           { "pool", aRecord.view.pool },
+           { "rack", aRecord.view.rack },
+           { "address", aRecord.view.address },
+           { "milli_cores", aRecord.view.milliCores },
+           { "memory_mib", aRecord.view.memoryMb },
+           { "accelerators", aRecord.view.accelerators } };
 }
 
 json
@@ -110,6 +117,14 @@
                    { "tables_revision", aStatus.mTables ? aStatus.mTables->mRevision.value() : 0 },
                    { "workers", aStatus.mWorkers.size() },
                    { "unreadable", aStatus.mUnreadableKeys } };
+  summary["evacuated"] = json::array();
+  for (const Common::DataCentreId& dataCentre : aStatus.mEvacuated) {
+    summary["evacuated"].push_back(dataCentre.str());
+  }
+  summary["workers_evacuated"] =
+    std::count_if(aStatus.mWorkers.begin(), aStatus.mWorkers.end(), [&](const auto& aWorker) {
+      return aStatus.mEvacuated.contains(Common::DataCentreId(aWorker.dataCentre));
+    });
   std::map<std::string, std::int64_t> states;
   for (const Node::StoredJob& job : aStatus.mJobs) {
     ++states[StateOf(job)];
@@ -216,7 +231,7 @@
 {
   json rows = json::array();
   for (const Wire::WorkerRecord& worker : aStatus.mWorkers) {
-    rows.push_back(WorkerRow(worker));
+    rows.push_back(WorkerRow(worker, aStatus.mEvacuated));
   }
   return rows;
 }
@@ -261,8 +276,9 @@
       0,
       0,
       { store },
-      ListOf(&WorkerRows,
-             { "worker", "born_unix_ms", "instance", "data_centre", "pool", "rack" }) },
+      ListOf(
+        &WorkerRows,
+        { "worker", "born_unix_ms", "instance", "data_centre", "evacuated", "pool", "rack" }) },
     { "store tables",
       "",
       "list the queues of the tables in force",
--- a/Source/UnitTests/Node/DriverFixture.h
+++ b/Source/UnitTests/Node/DriverFixture.h
@@ -68,7 +68,8 @@
       mContext,
       std::move(port),
       view,
-      WorkerDriver::Callbacks{ [] {}, [](Scheduling::LifetimeStart) {}, [] {} });
+      WorkerDriver::Callbacks{
+        [] {}, [](Scheduling::LifetimeStart) {}, [] {}, [this] { return mEvacuated; } });
     mDriver->setTerm(Common::Epoch{ 1 });
     answerPoll();
     extendLease();
@@ -135,6 +136,8 @@
   Scheduling::TaskName mTask{ Common::JobId("j"), 0, 0, 0 };
   Scheduling::RunNumber mRun{ 1 };
   std::optional<Scheduling::OrderResult> mResult;
+  /// The worker's data centre is evacuated.
+  bool mEvacuated = false;
 
 private:
   Scheduling::Order makeOrder(Scheduling::OrderKind aKind) const
--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -300,6 +300,9 @@
       if (change->mEntry) {
         result.mChanged.push_back(*change->mEntry);
       } else {
+        std::erase_if(result.mChanged, [&change](const Store::Entry& aEntry) {
+          return aEntry.mKey == change->mKey;
+        });
         result.mErased.push_back(change->mKey);
       }
     }
@@ -347,6 +350,8 @@
   bool mRejecting = false;
   /// Prefix whose pages and watches are served nevertheless; none if empty.
   std::string mServedPrefix;
+  /// Prefix whose pages and watches are rejected; none if empty.
+  std::string mRejectedPrefix;
   /// Pages of this prefix are read at once and answered by releasePages().
   std::string mHeldPrefix;
   std::vector<std::function<void()>> mHeldPages;
@@ -426,6 +431,9 @@
 private:
   bool rejects(const std::string& aPrefix) const
   {
+    if (!mRejectedPrefix.empty() && aPrefix == mRejectedPrefix) {
+      return true;
+    }
     return mRejecting && (mServedPrefix.empty() || aPrefix != mServedPrefix) &&
            (mServesReadsBut.empty() || aPrefix == mServesReadsBut);
   }
--- a/Source/UnitTests/Node/TestCluster.h
+++ b/Source/UnitTests/Node/TestCluster.h
@@ -18,8 +18,8 @@
 
 /// Formats for tests: the body of a submission is ignored, and every announcement is a heartbeat.
 /// Tables are "REVISION [QUEUE=POOL]...", with the queue "quote" of the pool "pool" if they name
-/// none. The body of a heartbeat is "ID [START SEQUENCE ADDRESS MILLICORES]"; the address of a
-/// worker is its id if the body names none.
+/// none. The key "evacuate/NAME" evacuates a data centre. The body of a heartbeat is "ID [START
+/// SEQUENCE ADDRESS MILLICORES]"; the address of a worker is its id if the body names none.
 inline Formats
 TestFormats()
 {
@@ -67,6 +67,8 @@
     return tables;
   };
   formats.mTablesKey = "tables";
+  formats.mEvacuationPrefix = "evacuate/";
+  formats.mIsEvacuationValue = [](const std::string& aValue) { return aValue == "{}"; };
   formats.mIsReadinessProbe = [](const Net::HttpRequest&) { return true; };
   formats.mParseAnnouncement =
     [](const Net::HttpRequest& aRequest) -> tl::expected<WorkerAnnouncement, std::string> {
@@ -242,6 +244,8 @@
   std::function<void(const std::string&)> mOnSwitch;
   /// Changes the settings of a process before it starts.
   std::function<void(Settings&)> mChangeSettings;
+  /// Changes the access of a process to the store before it starts.
+  std::function<void(const Settings&, StoreProxy&)> mChangeStoreProxy;
   std::map<std::string, Process> mProcesses;
 
 private:
@@ -278,6 +282,9 @@
       if (mChangeSettings) {
         mChangeSettings(process.mSettings);
       }
+      if (mChangeStoreProxy) {
+        mChangeStoreProxy(process.mSettings, *process.mStoreProxy);
+      }
       if (aStart(process, process.mSettings)) {
         mSettings[aName] = process.mSettings;
         return process;
--- a/Source/UnitTests/Platform/FormatTests.cpp
+++ b/Source/UnitTests/Platform/FormatTests.cpp
@@ -86,6 +86,19 @@
     REQUIRE(settings->mMinStoreLease == std::chrono::milliseconds(1500));
     REQUIRE(settings->mProcessorShare == Approx(0.25));
     REQUIRE(settings->mLinkSpeed == Approx(1000.0));
+    REQUIRE(settings->mColdOverrun == Approx(1.0));
+  }
+
+  SECTION("the slowdown of cold workers is read where it is given")
+  {
+    std::string text = kSettings;
+    const std::string bounds = "\"bounds\": {";
+    text.insert(text.find(bounds) + bounds.size(),
+                "\"cold_overrun\": 1.5, \"cold_tolerance\": 5, ");
+    const auto settings = ParseSettings(text, "file");
+    REQUIRE(settings);
+    REQUIRE(settings->mColdOverrun == Approx(1.5));
+    REQUIRE(settings->mColdTolerance == Approx(5.0));
   }
 
   SECTION("all missing and invalid fields are reported together")
@@ -248,6 +261,17 @@
   }
 }
 
+TEST_CASE("The operators' evacuations are recognized", "[Platform]")
+{
+  const Node::Formats formats = MakeFormats();
+  REQUIRE(formats.mEvacuationPrefix == "op/evacuate/");
+  REQUIRE(formats.mIsEvacuationValue("{}"));
+  REQUIRE(formats.mIsEvacuationValue(R"({"later":1})"));
+  for (const char* value : { "", "[]", "1", "{", "\xff" }) {
+    REQUIRE_FALSE(formats.mIsEvacuationValue(value));
+  }
+}
+
 TEST_CASE("A worker's announcements are parsed", "[Platform]")
 {
   const Node::Formats formats = MakeFormats();
@@ -282,6 +306,22 @@
     });
   }
 
+  SECTION("how long the worker is still cold is at least 0 and at most an hour")
+  {
+    const auto coldTime = [&](const std::string& aValue) {
+      const std::string body =
+        kHeartbeat.substr(0, kHeartbeat.size() - 1) + ",\"cold_left_ms\":" + aValue + "}";
+      const auto announcement = formats.mParseAnnouncement(HeartbeatRequest(body));
+      REQUIRE(announcement);
+      return announcement->mHeartbeat.mView.mColdRemaining;
+    };
+    REQUIRE(call->mHeartbeat.mView.mColdRemaining == std::chrono::milliseconds(0));
+    REQUIRE(coldTime("2500") == std::chrono::milliseconds(2500));
+    REQUIRE(coldTime("-1") == std::chrono::milliseconds(0));
+    REQUIRE(coldTime("1e300") == std::chrono::hours(1));
+    REQUIRE(coldTime("\"2500\"") == std::chrono::milliseconds(0));
+  }
+
   SECTION("a deregistration names the worker's lifetime")
   {
     Net::HttpRequest request;
--- a/Source/UnitTests/Platform/StoreCommandTests.cpp
+++ b/Source/UnitTests/Platform/StoreCommandTests.cpp
@@ -61,6 +61,7 @@
   record.view.worker = "i-1";
   record.view.born = 1'700'000'000'000;
   record.instance = "side-1";
+  record.dataCentre = "north";
   return Wire::Encode(record);
 }
 
@@ -151,6 +152,14 @@
     REQUIRE(RunIbisctl(store.address(), { "store", "job", "ffffffffffffffff" }).mExitCode == 1);
   }
 
+  SECTION("nothing is evacuated")
+  {
+    const Json status = RunIbisctlForJson(store.address(), { "store", "status" });
+    REQUIRE(status["evacuated"] == Json::array());
+    REQUIRE(status["workers_evacuated"] == 0);
+    REQUIRE(RunIbisctlForJson(store.address(), { "store", "workers" })[0]["evacuated"] == false);
+  }
+
   SECTION("workers and queues are listed")
   {
     REQUIRE(RunIbisctlForJson(store.address(), { "store", "workers" })[0]["instance"] == "side-1");
@@ -158,6 +167,19 @@
   }
 }
 
+TEST_CASE("ibisctl shows the evacuated data centres and their workers", "[Platform]")
+{
+  auto entries = DeploymentEntries();
+  entries["op/evacuate/north"] = "{}";
+  entries["op/evacuate/south"] = "unreadable";
+  entries["op/evacuate/"] = "{}";
+  StoreServer store(entries);
+  const Json status = RunIbisctlForJson(store.address(), { "store", "status" });
+  REQUIRE(status["evacuated"] == Json::array({ "north", "south" }));
+  REQUIRE(status["workers_evacuated"] == 1);
+  REQUIRE(RunIbisctlForJson(store.address(), { "store", "workers" })[0]["evacuated"] == true);
+}
+
 TEST_CASE("ibisctl distinguishes an unreachable store from an empty one", "[Platform]")
 {
   SECTION("an empty store has no coordinator")
--- a/Tools/check-words.sh
+++ b/Tools/check-words.sh
@@ -7,7 +7,7 @@
 words+='|run-start|run-stop|/-/hold|/-/pace|/-/advise|until_ms|clock_ms|long_running|same_rack|data_rack|max_per_server'
 words+='|may_miss|checkpointing|first_run_ms|stretch_factor|target_duration_ms|enforces_capacity|heartbeat_url'
 words+='|Instances\.(Heartbeat|Deregister)|Ibisshed-(Expect-Instance|Lease-Holder|Fencing-Token)|node_name|machine_class'
-words+='|internal_ports|decide_ms|each_ms|hold_max_ms|IBISSHED_NODE_FILE|op/config|/-/readyz'
+words+='|internal_ports|decide_ms|each_ms|hold_max_ms|IBISSHED_NODE_FILE|op/(config|evacuate)|/-/readyz|(cold_left|evacuate|max_stretch)_ms|cold_(overrun|tolerance)'
 found=$(git ls-files --cached --others --exclude-standard 'Source/*' | grep -v '^Source/UnitTests/Platform/' |
   xargs grep -nE "$words" || true)
 if [ -n "$found" ]; then
