Evacuation: tests of takeover, outage and restart; ibissoak evacuates

Cause: nothing checked evacuations in the real processes under faults.

The checker's new rule EVACUATED reports starts later than evacuate_ms after the write; the time begins anew after a fault of the store, by at most max_stretch_ms unless the store itself was down.

The test of an agent whose watch is behind now cuts the watch after the write, so that only the directive can tell it of the removal.

--- a/Source/UnitTests/Node/EvacuationTests.cpp
+++ b/Source/UnitTests/Node/EvacuationTests.cpp
@@ -171,12 +171,13 @@
   EvacuatedCluster cluster;
   REQUIRE(cluster.startEntry("e1"));
   FakeWorker& first = cluster.startWorker("a1");
-  cluster.storeOf("agent-a1").mRejectedPrefix = kPrefix;
   cluster.mStore.put(kPrefix + "z0", "{}");
   cluster.run(600ms);
+  cluster.storeOf("agent-a1").mRejectedPrefix = kPrefix;
   cluster.submit("j");
   cluster.run(1s);
   REQUIRE(first.mStarts == 0);
+  // The agent does not see the removal itself.
   cluster.mStore.erase(kPrefix + "z0");
   REQUIRE(cluster.runUntil([&] { return first.mStarts == 2; }, 3s));
   REQUIRE(cluster.refusedStarts() == 0);
--- a/Source/UnitTests/Soak/CheckerTests.cpp
+++ b/Source/UnitTests/Soak/CheckerTests.cpp
@@ -52,6 +52,27 @@
     event.mNumber = Scheduling::EndNumber{ aNumber };
     return add(std::move(event));
   }
+  RecordBuilder& startIn(const char* aDataCentre)
+  {
+    Event event = ofWorker(EventKind::RunStarted, kFirst);
+    event.mTask = kTask;
+    event.mDataCentre = Common::DataCentreId(aDataCentre);
+    return add(std::move(event));
+  }
+  RecordBuilder& evacuation(EventKind aKind, const char* aDataCentre)
+  {
+    Event event;
+    event.mKind = aKind;
+    event.mDataCentre = Common::DataCentreId(aDataCentre);
+    return add(std::move(event));
+  }
+  RecordBuilder& storeFault(EventKind aKind, StoreFault aFault)
+  {
+    Event event;
+    event.mKind = aKind;
+    event.mStoreFault = aFault;
+    return add(std::move(event));
+  }
   RecordBuilder& acknowledge(const char* aWorker, std::int64_t aNumber = 1)
   {
     Event event = ofWorker(EventKind::EndsAcknowledged, aWorker);
@@ -285,3 +306,46 @@
     CHECK(AllAcceptedDone(record));
   }
 }
+
+TEST_CASE("No task may start in a data centre that has been evacuated for long enough")
+{
+  const EvacuationBounds bounds{ Millis(3'000), Millis(4'000) };
+  RecordBuilder record;
+  record.evacuation(EventKind::Evacuated, "dc1").startIn("dc1").startIn("dc2");
+  CHECK(CheckEvacuated(record, bounds).empty());
+
+  SECTION("a start there after the bound is a violation, of which one is reported")
+  {
+    record.startIn("dc1").startIn("dc1");
+    const auto violations = CheckEvacuated(record, bounds);
+    REQUIRE(violations.size() == 1);
+    CHECK(violations[0].mRule == Rule::Evacuated);
+    CHECK(ExcerptKinds(violations[0]) ==
+          std::vector<EventKind>{ EventKind::Evacuated, EventKind::RunStarted });
+  }
+  SECTION("starts elsewhere and after the removal are none")
+  {
+    record.startIn("dc2").evacuation(EventKind::BackInService, "dc1").startIn("dc1");
+    CHECK(CheckEvacuated(record, bounds).empty());
+  }
+  SECTION("the time begins anew when a fault of the store ends")
+  {
+    const StoreFault fault = GENERATE(StoreFault::Unreachable, StoreFault::Down);
+    record.storeFault(EventKind::FaultBegan, fault)
+      .startIn("dc1")
+      .storeFault(EventKind::FaultEnded, fault)
+      .startIn("dc1");
+    CHECK(CheckEvacuated(record, bounds).empty());
+    record.startIn("dc1").startIn("dc1");
+    CHECK(CheckEvacuated(record, bounds).size() == 1);
+  }
+  SECTION("unless only some processes did not reach the store and the stretch is over")
+  {
+    record.storeFault(EventKind::FaultBegan, StoreFault::Unreachable)
+      .startIn("dc1")
+      .startIn("dc1")
+      .startIn("dc2")
+      .startIn("dc1");
+    CHECK(CheckEvacuated(record, bounds).size() == 1);
+  }
+}
--- a/Source/UnitTests/Soak/PlanTests.cpp
+++ b/Source/UnitTests/Soak/PlanTests.cpp
@@ -41,6 +41,7 @@
         CHECK(fault.mLength > Millis(0));
         CHECK((fault.mEntries.empty() || fault.mEntries.back() < shape.mEntries));
         CHECK((fault.mAgents.empty() || fault.mAgents.back() < shape.mAgents));
+        CHECK(fault.mDataCentre < kDataCentres);
         overlaps = overlaps || (i > 0 && fault.mAt < plan[i - 1].mAt + plan[i - 1].mLength);
       }
     }
