--- a/Source/Core/Scheduling/Hosting.cpp
+++ b/Source/Core/Scheduling/Hosting.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Scheduling/Evacuation.h"
 #include "Scheduling/Placement.h"
 
 namespace Scheduling {
@@ -35,7 +36,8 @@
   Common::MilliCores capacity;
   Common::MilliCores used;
   for (const Worker& worker : aState.mWorkers) {
-    if (worker.mConnected && !worker.mLeaving && worker.mPool == aPool) {
+    if (worker.mConnected && !worker.mLeaving && worker.mPool == aPool &&
+        !IsEvacuated(aState, worker)) {
       capacity += worker.mCapacity.mCores;
       used += worker.mUsed.mCores;
     }
@@ -85,14 +87,17 @@
 }
 
 bool
-CanEverHost(const Worker& aWorker, const StepSpec& aStep, const QueueSpec& aQueue)
+CanEverHost(const SchedulerState& aState,
+            const Worker& aWorker,
+            const StepSpec& aStep,
+            const QueueSpec& aQueue)
 {
   const bool labelled = aStep.mLabel.empty() ||
                         std::find(aWorker.mLabels.begin(), aWorker.mLabels.end(), aStep.mLabel) !=
                           aWorker.mLabels.end();
   return aWorker.mConnected && aWorker.mHasTaskList && !aWorker.mLifetimeEnded &&
          !aWorker.mAwaitsHeartbeat && !aWorker.mLeaving && aWorker.mPool == aQueue.mPool &&
-         labelled && Fits(ReservedBy(aStep), aWorker.mCapacity);
+         labelled && Fits(ReservedBy(aStep), aWorker.mCapacity) && !IsEvacuated(aState, aWorker);
 }
 
 Starvation
@@ -119,7 +124,7 @@
                const CurrentTime& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
-  if (!CanEverHost(aWorker, step, aQueue) || !aWorker.mRecorded ||
+  if (!CanEverHost(aState, aWorker, step, aQueue) || !aWorker.mRecorded ||
       aWorker.mSuspensionMayBeRecorded || !aWorker.mResponding || aWorker.mHasUnknownRun ||
       aNow.mMonotonic < aWorker.mNoStartsUntil || aNow.mMonotonic >= aWorker.mLeaseEnd) {
     return false;
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -39,7 +39,7 @@
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     const Worker& worker = aState.mWorkers[number];
     if (IsDenied(step, number) || HasTicket(step, number, atAnswer) ||
-        !CanEverHost(worker, spec, aQueue)) {
+        !CanEverHost(aState, worker, spec, aQueue)) {
       continue;
     }
     const bool canHostNow = CanHostNow(aState, worker, aReady, aQueue, starvation, aNow) ||
--- a/Source/Core/Scheduling/Placement.h
+++ b/Source/Core/Scheduling/Placement.h
@@ -62,7 +62,10 @@
 
 /// True if the worker can run tasks of the step when it has free capacity.
 bool
-CanEverHost(const Worker& aWorker, const StepSpec& aStep, const QueueSpec& aQueue);
+CanEverHost(const SchedulerState& aState,
+            const Worker& aWorker,
+            const StepSpec& aStep,
+            const QueueSpec& aQueue);
 
 /// How long the job of a waiting task has had no running task.
 Starvation
--- a/Source/Core/Scheduling/PlacementCost.cpp
+++ b/Source/Core/Scheduling/PlacementCost.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Scheduling/Evacuation.h"
 #include "Scheduling/Placement.h"
 
 namespace Scheduling {
@@ -54,7 +55,7 @@
 {
   std::map<std::string, LabelCapacity> labelCapacities;
   for (const Worker& worker : aState.mWorkers) {
-    if (!worker.mConnected || worker.mLeaving) {
+    if (!worker.mConnected || worker.mLeaving || IsEvacuated(aState, worker)) {
       continue;
     }
     for (const std::string& label : worker.mLabels) {
