--- a/Source/Core/Node/EvacuationWatcher.cpp
+++ b/Source/Core/Node/EvacuationWatcher.cpp
@@ -1,5 +1,6 @@
 #include "Node/EvacuationWatcher.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Observability/Log.h"
@@ -64,11 +65,17 @@
   for (const std::string& key : aResult.mErased) {
     evacuated.erase(dataCentreOf(key));
   }
-  // A key that was erased and written again is in both lists.
+  bool isUnclear = false;
   for (const Store::Entry& entry : aResult.mChanged) {
     addFrom(entry, evacuated);
+    isUnclear =
+      isUnclear || std::find(aResult.mErased.begin(), aResult.mErased.end(), entry.mKey) !=
+                     aResult.mErased.end();
   }
   adopt(std::move(evacuated), aResult.mUpTo);
+  if (isUnclear) {
+    mWatcher.refresh();
+  }
 }
 
 Common::DataCentreId
--- a/Source/Core/Node/EvacuationWatcher.h
+++ b/Source/Core/Node/EvacuationWatcher.h
@@ -28,6 +28,8 @@
 
 private:
   void handleSnapshot(const std::vector<Store::Entry>& aEntries, Store::Version aAt);
+  /// A key that was both written and erased may be there or not: it is in force until a new
+  /// snapshot tells.
   void handleChange(const Store::WatchResult& aResult);
   /// Adds the data centre that the entry's key names. Warns about an empty name, which is ignored,
   /// and about a value that the operators' tools do not write, which evacuates nevertheless.
--- a/Source/Core/Node/PrefixWatcher.cpp
+++ b/Source/Core/Node/PrefixWatcher.cpp
@@ -69,7 +69,7 @@
     const auto entries = std::move(mEntries);
     mEntries.clear();
     mEvents.mSnapshot(entries, mVersion);
-    if (!mStopped) {
+    if (!mStopped && aGeneration == mCallGeneration) {
       watch();
     }
   }
@@ -130,7 +130,7 @@
     if (!aResult->mChanged.empty() || !aResult->mErased.empty()) {
       mEvents.mChange(*aResult);
     }
-    if (!mStopped) {
+    if (!mStopped && aGeneration == mCallGeneration) {
       watch();
     }
   }
--- a/Source/Core/Node/PrefixWatcher.h
+++ b/Source/Core/Node/PrefixWatcher.h
@@ -30,7 +30,8 @@
   PrefixWatcher& operator=(const PrefixWatcher&) = delete;
 
   void start();
-  /// Reads a new snapshot at once; to be called when a change may have been missed.
+  /// Reads a new snapshot at once; to be called when a change may have been missed, also from an
+  /// event.
   void refresh();
   /// True if the store answered the last call or answered any call within the last second.
   bool isConnected() const;
--- a/Source/Core/Store/StorePort.h
+++ b/Source/Core/Store/StorePort.h
@@ -41,8 +41,7 @@
   Version mVersion;
 };
 
-/// What a watch saw: changed entries, and the keys that were erased. A key in both lists was
-/// written last; one that was erased last is only among the erased ones.
+/// What a watch saw: changed entries, and the keys that were erased.
 struct WatchResult
 {
   std::vector<Entry> mChanged;
--- a/Source/UnitTests/Node/EvacuationTests.cpp
+++ b/Source/UnitTests/Node/EvacuationTests.cpp
@@ -2,6 +2,7 @@
 
 #include "DriverFixture.h"
 #include "Node/StoreKeys.h"
+#include "Node/WireConversion.h"
 #include "TestCluster.h"
 
 using namespace NodeTests;
@@ -359,3 +360,11 @@
     REQUIRE(first.mStarts == 0);
   }
 }
+
+TEST_CASE("A report carries how long a worker is cold", "[Node]")
+{
+  Scheduling::WorkerView view;
+  view.mColdRemaining = 1'250ms;
+  REQUIRE(FromWire(ToWire(view), Common::DataCentreId("z0")).mColdRemaining == 1'250ms);
+  REQUIRE(FromWire(Wire::WorkerView{}, Common::DataCentreId("z0")).mColdRemaining == 0ms);
+}
--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -300,9 +300,6 @@
       if (change->mEntry) {
         result.mChanged.push_back(*change->mEntry);
       } else {
-        std::erase_if(result.mChanged, [&change](const Store::Entry& aEntry) {
-          return aEntry.mKey == change->mKey;
-        });
         result.mErased.push_back(change->mKey);
       }
     }
