ibissoak: the bound of an evacuation begins anew when the store answers again

Cause: a store that was silent for one second during an evacuation excused every later start for as long as any process was cut off.

SoakTests pass.

--- a/Source/UnitTests/Soak/CheckerTests.cpp
+++ b/Source/UnitTests/Soak/CheckerTests.cpp
@@ -348,4 +348,16 @@
       .startIn("dc1");
     CHECK(CheckEvacuated(record, bounds).size() == 1);
   }
+  SECTION("which begins anew when the store answers again")
+  {
+    record.storeFault(EventKind::FaultBegan, StoreFault::Unreachable)
+      .storeFault(EventKind::FaultBegan, StoreFault::Down)
+      .storeFault(EventKind::FaultEnded, StoreFault::Down);
+    for (int second = 0; second < 6; ++second) {
+      record.startIn("dc1");
+    }
+    CHECK(CheckEvacuated(record, bounds).empty());
+    record.startIn("dc1");
+    CHECK(CheckEvacuated(record, bounds).size() == 1);
+  }
 }
