Submissions without an answer of the store: refuse them for certain, or do not write them

In an outage of 4 s callers got 504 for submissions that had reached no worker: until a watch noticed the silence, up to 1.9 s later, each new submission was written into it, and what was written without an answer can be applied seconds later.

An entry now knows from its own calls whether the store answers (Node/StoreContact). While it is suspected to be silent, new submissions are held; once it is, they are refused with 503 within 250 ms, before anything is written. A probe, a write that nothing depends on, finds out when it answers again. What was written without an answer is repeated in turn through the coordinator's process, and from 600 ms before the answer is due the entry changes a key on which the write depends (ibis/job/ID/fence) unless the submission is stored. After that no write of the attempt can be applied, so 503 is true, and a retry with the same id depends on the key's new version and is accepted. The fence is a condition more of the same transaction, so a submission still costs one call.

Test changed: "if the coordinator does not answer, the outcome is not known" relayed a write to a coordinator that had not answered before. Such a write is no longer sent; the test now relays one successfully first and then expects "undecided" as before. A second section checks that without that nothing is relayed and the refusal is true.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -147,6 +147,7 @@
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
   mRemovedJobs.clear();
+  mFences.clear();
   mHeldSubmissions.clear();
   mEarlyReports.clear();
   mExtendedInRecovery.clear();
@@ -258,7 +259,7 @@
       send(*peer->second.mLink, "relayed", message);
     }
   };
-  // Entries may only write submissions and cancellations.
+  // Entries may only write submissions, cancellations and fences.
   const bool allowed = std::all_of(aWrite.puts.begin(), aWrite.puts.end(), [](const auto& aPut) {
     return ParseJobKey(aPut.key).has_value();
   });
@@ -532,6 +533,7 @@
         }
         updateCounters();
         collectGarbage();
+        collectFences();
       }
       scheduleTick();
     });
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -211,6 +211,10 @@
   bool adoptVersionOfLateWrite(const Store::WriteFailure& aFailure);
   /// Erases the records of jobs that ended long ago.
   void collectGarbage();
+  /// Erases the fences between attempts to submit a job that no write can depend on any more.
+  void collectFences();
+  void handleErasedFences(const std::vector<std::string>& aKeys,
+                          const tl::expected<Store::Version, Store::WriteFailure>& aResult);
   /// False if this coordinator may have recorded of a worker of the agent that its lease is not
   /// extended.
   bool mayExtendLeases(const Common::InstanceId& aAgent) const;
@@ -237,6 +241,14 @@
   /// Jobs whose records were erased, with the version at which they were. Pages that were read
   /// before may still contain their entries.
   std::unordered_map<Common::JobId, Store::Version> mRemovedJobs;
+  struct SeenFence
+  {
+    Store::Version mVersion;
+    Timestamp mSeenAt;
+  };
+  /// By key.
+  std::map<std::string, SeenFence> mFences;
+  Timestamp mNextFenceCollection;
   /// Submissions that were read while the lease was not valid. Another coordinator may have started
   /// their tasks.
   std::vector<Store::Entry> mHeldSubmissions;
--- a/Source/Core/Node/CoordinatorLink.h
+++ b/Source/Core/Node/CoordinatorLink.h
@@ -34,6 +34,8 @@
                    std::function<void(std::optional<Wire::StatusReply>)> aDone);
 
   bool isConnected() const { return mLink != nullptr; }
+  /// Whether this process is the coordinator.
+  bool isOwnProcess() const { return mAddress == mContext.mSettings.mPeerAddress; }
 
   using WriteCallback = std::function<void(tl::expected<Store::Version, Store::WriteFailure>)>;
   /// Relays a write through the coordinator's process; the write must be idempotent. The error is
--- a/Source/Core/Node/CoordinatorRecords.cpp
+++ b/Source/Core/Node/CoordinatorRecords.cpp
@@ -27,6 +27,11 @@
 constexpr std::size_t kMinJobsPerWrite =
   Store::Transaction::kMaxEntries - kOtherEntriesPerWrite - 2 * kMaxWorkersPerWrite;
 constexpr std::chrono::seconds kGarbageCollectionInterval{ 10 };
+/// Fences are few, and none is left unless the store was silent.
+constexpr std::chrono::seconds kMaxFenceCollectionInterval{ 20 };
+/// Fences in one transaction, each of them erased and a precondition; one more entry is the
+/// coordinator's own precondition.
+constexpr std::size_t kMaxFencesPerWrite = (Store::Transaction::kMaxEntries - 1) / 2;
 /// Shortest time between writes of the model; what was learned in a shorter time is soon relearned.
 constexpr std::chrono::seconds kModelWriteInterval{ 3 };
 
@@ -447,4 +452,58 @@
                         });
 }
 
+void
+Coordinator::collectFences()
+{
+  const Timestamp now = mContext.now();
+  if (now < mNextFenceCollection) {
+    return;
+  }
+  const Duration retention = mContext.mTiming.mFenceRetention;
+  mNextFenceCollection = now + std::min<Duration>(retention, kMaxFenceCollectionInterval);
+  Store::Transaction transaction;
+  transaction.mExpected.push_back(mElection.fencingCondition());
+  for (const auto& [key, fence] : mFences) {
+    if (now - fence.mSeenAt >= retention && transaction.mErased.size() < kMaxFencesPerWrite) {
+      // A fence that was renewed meanwhile stays.
+      transaction.mExpected.push_back({ key, fence.mVersion });
+      transaction.mErased.push_back(key);
+    }
+  }
+  if (transaction.mErased.empty()) {
+    return;
+  }
+  mContext.mStore.write(transaction,
+                        mContext.mTiming.mStoreCallTimeout,
+                        [this, keys = transaction.mErased, generation = mCallGeneration](
+                          const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
+                          if (generation == mCallGeneration) {
+                            handleErasedFences(keys, aResult);
+                          }
+                        });
+}
+
+void
+Coordinator::handleErasedFences(const std::vector<std::string>& aKeys,
+                                const tl::expected<Store::Version, Store::WriteFailure>& aResult)
+{
+  if (!aResult && aResult.error().mError != Store::StoreError::Conflict) {
+    return;
+  }
+  std::map<std::string, Store::Version> present;
+  if (!aResult) {
+    for (const Store::Entry& entry : aResult.error().mActual) {
+      present[entry.mKey] = entry.mVersion;
+    }
+  }
+  for (const std::string& key : aKeys) {
+    const auto found = present.find(key);
+    if (found == present.end()) {
+      mFences.erase(key);
+    } else if (found->second != mFences[key].mVersion) {
+      mFences[key] = { found->second, mContext.now() };
+    }
+  }
+}
+
 } // namespace Node
--- a/Source/Core/Node/CoordinatorRecovery.cpp
+++ b/Source/Core/Node/CoordinatorRecovery.cpp
@@ -299,6 +299,10 @@
         { { "key", aEntry.mKey } });
     return;
   }
+  if (key->mKind == JobKeyKind::Fence) {
+    mFences[aEntry.mKey] = { aEntry.mVersion, mContext.now() };
+    return;
+  }
   const auto now = mContext.steadyAndUnixNow();
   if (key->mKind == JobKeyKind::Cancel) {
     const auto found = mState.mJobs.find(key->mJob);
--- a/Source/Core/Node/DeploymentStatus.cpp
+++ b/Source/Core/Node/DeploymentStatus.cpp
@@ -92,7 +92,7 @@
       aStatus.mUnreadableKeys.push_back(entry.mKey);
     } else if (key->mKind == JobKeyKind::Submission) {
       jobs[key->mJob].mSubmission = DecodeOrMarkUnreadable<Wire::JobRecord>(entry, aStatus);
-    } else {
+    } else if (key->mKind == JobKeyKind::Cancel) {
       jobs[key->mJob].mCancel = DecodeOrMarkUnreadable<Wire::CancelRecord>(entry, aStatus);
     }
   }
--- a/Source/Core/Node/JobApi.cpp
+++ b/Source/Core/Node/JobApi.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include <boost/asio/post.hpp>
-
+#include "Node/JobApiRequests.h"
 #include "Node/StoreKeys.h"
 #include "Node/WireConversion.h"
 #include "Observability/Log.h"
@@ -16,58 +15,8 @@
 using Observability::Level;
 using Observability::Log;
 
-/// Callers are asked to retry after this time while the store or the tables are unavailable. A
-/// store needs some seconds to restart.
-constexpr std::chrono::seconds kUnavailableRetryAfter{ 1 };
-/// Responses are sent this long before the caller's timeout, so that they arrive in time.
-constexpr std::chrono::milliseconds kResponseMargin{ 250 };
-/// A submission that the store rejects as unavailable is retried for this long.
-constexpr std::chrono::milliseconds kRejectedRetryWindow{ 600 };
-
-JobResponse
-MakeUnavailable(std::string aDetail)
-{
-  JobResponse response;
-  response.mKind = Kind::Unavailable;
-  response.mRetryAfter = kUnavailableRetryAfter;
-  response.mDetail = std::move(aDetail);
-  return response;
-}
-
-JobResponse
-MakeResponse(Kind aKind, std::string aDetail = {})
-{
-  JobResponse response;
-  response.mKind = aKind;
-  response.mDetail = std::move(aDetail);
-  return response;
-}
-
 } // namespace
 
-/// A request that has not been answered yet.
-struct JobApi::OpenRequest
-{
-  ResponseCallback mOnResponse;
-  Timestamp mArrivalTime;
-  bool mWriteInProgress = false;
-  /// A write was not answered and may still take effect.
-  bool mMayTakeEffect = false;
-};
-
-struct JobApi::Submission
-{
-  Submission(Context& aContext)
-    : mTimer(aContext.mIo)
-  {
-  }
-  Wire::JobRecord mRecord;
-  Common::JobId mJob;
-  std::shared_ptr<OpenRequest> mOpen;
-  Timestamp mDeadline;
-  boost::asio::steady_timer mTimer;
-};
-
 JobApi::JobApi(Context& aContext, CoordinatorLink& aLink)
   : mContext(aContext)
   , mLink(aLink)
@@ -119,6 +68,7 @@
   if (mOpenRequests.erase(aOpen) == 0) {
     return;
   }
+  aOpen->mSubmission.reset();
   const std::string label = "answer=\"" + std::string(ResponseKindText(aResponse.mKind)) + '"';
   mContext.mCounters.counter("ibis_caller_answers", label).add();
   mContext.mCounters.distribution("ibis_caller_answer_us")
@@ -170,193 +120,6 @@
   }
 }
 
-void
-JobApi::rejectInvalid(const Common::JobId& aJob,
-                      const std::string& aReason,
-                      const ResponseCallback& aRespond)
-{
-  Log(Level::Info,
-      "entry",
-      "submission answered",
-      { { "job", aJob.str() }, { "answer", "invalid" }, { "detail", aReason } });
-  aRespond(MakeResponse(Kind::Invalid, aReason));
-}
-
-void
-JobApi::submit(const QueueRoute& aRoute,
-               const Common::JobId& aJob,
-               const JobRequest& aRequest,
-               const std::shared_ptr<OpenRequest>& aOpen)
-{
-  const ResponseCallback respond = [this, aOpen](const JobResponse& aResponse) {
-    answer(aOpen, aResponse);
-  };
-  auto spec = mContext.mFormats.mParseJob(aRequest.mBody);
-  if (!spec) {
-    rejectInvalid(aJob, spec.error(), respond);
-    return;
-  }
-  spec->mJob = aJob;
-  spec->mQueue = aRoute.mQueue.mName;
-  spec->mAcceptedQueue = aRoute.mQueue;
-  spec->mAccepted = mContext.mClock.unixNow();
-  if (const auto problem = Scheduling::ValidateJob(*spec)) {
-    rejectInvalid(aJob, *problem, respond);
-    return;
-  }
-  if (!mStoreConnected && !mLink.isConnected()) {
-    Log(Level::Info,
-        "entry",
-        "submission answered",
-        { { "job", aJob.str() },
-          { "queue", aRoute.mQueue.mName.str() },
-          { "answer", std::string(ResponseKindText(Kind::Unavailable)) },
-          { "tables", std::to_string(mTables->mRevision.value()) },
-          { "detail", "the store does not answer this entry" } });
-    respond(MakeUnavailable("the store does not answer"));
-    return;
-  }
-  const auto submission = std::make_shared<Submission>(mContext);
-  submission->mRecord = ToRecord(*spec);
-  submission->mRecord.entry = mContext.mSettings.mInstance.str();
-  submission->mJob = aJob;
-  submission->mOpen = aOpen;
-  submission->mDeadline = aOpen->mArrivalTime + aRequest.mTimeout - kResponseMargin;
-  aOpen->mOnResponse = [this,
-                        job = aJob,
-                        queue = submission->mRecord.queue,
-                        arrivalTime = aOpen->mArrivalTime,
-                        onResponse = std::move(aOpen->mOnResponse)](const JobResponse& aResponse) {
-    const auto took =
-      std::chrono::duration_cast<std::chrono::milliseconds>(mContext.now() - arrivalTime);
-    Log(Level::Info,
-        "entry",
-        "submission answered",
-        { { "job", job.str() },
-          { "queue", queue },
-          { "answer", std::string(ResponseKindText(aResponse.mKind)) },
-          { "tables", std::to_string(mTables->mRevision.value()) },
-          { "took_ms", std::to_string(took.count()) },
-          { "detail", aResponse.mDetail } });
-    onResponse(aResponse);
-  };
-  // No coordinator is needed to accept a job: the next one finds it in the store.
-  writeSubmission(submission);
-}
-
-void
-JobApi::writeOrRelay(const std::shared_ptr<OpenRequest>& aOpen,
-                     const Store::Transaction& aTransaction,
-                     Duration aTimeout,
-                     CoordinatorLink::WriteCallback aDone)
-{
-  aOpen->mWriteInProgress = true;
-  const auto finish = [this, aOpen, done = std::move(aDone)](
-                        const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
-    aOpen->mWriteInProgress = false;
-    if (isOpen(aOpen)) {
-      done(aResult);
-    }
-  };
-  if (!mStoreConnected) {
-    mLink.write(aTransaction, aTimeout, finish);
-    return;
-  }
-  mContext.mStore.write(aTransaction,
-                        aTimeout,
-                        [this, aTransaction, aTimeout, finish](
-                          const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
-                          if (aResult || aResult.error().mError != Store::StoreError::Unavailable) {
-                            finish(aResult);
-                            return;
-                          }
-                          mLink.write(aTransaction, aTimeout, finish);
-                        });
-}
-
-void
-JobApi::writeSubmission(const std::shared_ptr<Submission>& aSubmission)
-{
-  if (!isOpen(aSubmission->mOpen)) {
-    return;
-  }
-  const Timestamp now = mContext.now();
-  if (now >= aSubmission->mDeadline) {
-    answer(aSubmission->mOpen,
-           aSubmission->mOpen->mMayTakeEffect ? MakeResponse(Kind::Undecided)
-                                              : MakeUnavailable("the store does not answer"));
-    return;
-  }
-  Store::Transaction transaction;
-  transaction.mExpected = { { SubmissionKey(aSubmission->mJob), Store::Version{ 0 } },
-                            { CancelKey(aSubmission->mJob), Store::Version{ 0 } } };
-  transaction.mPuts = {
-    { SubmissionKey(aSubmission->mJob), Wire::Encode(aSubmission->mRecord), std::nullopt }
-  };
-  writeOrRelay(
-    aSubmission->mOpen,
-    transaction,
-    std::min(mContext.mTiming.mStoreCallTimeout, aSubmission->mDeadline - now),
-    [this, aSubmission](const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
-      handleWriteResult(aSubmission, aResult);
-    });
-}
-
-void
-JobApi::handleWriteResult(const std::shared_ptr<Submission>& aSubmission,
-                          const tl::expected<Store::Version, Store::WriteFailure>& aResult)
-{
-  if (aResult) {
-    answer(aSubmission->mOpen, MakeResponse(Kind::Accepted));
-    return;
-  }
-  const Store::WriteFailure& failure = aResult.error();
-  switch (failure.mError) {
-    case Store::StoreError::Conflict: {
-      const std::string key = SubmissionKey(aSubmission->mJob);
-      for (const Store::Entry& entry : failure.mActual) {
-        if (entry.mKey == key) {
-          // An earlier attempt of the caller or of this process was stored.
-          answer(aSubmission->mOpen, MakeResponse(Kind::Accepted, "the job was already stored"));
-          return;
-        }
-      }
-      // A cancellation that arrived before the submission rejects it for good.
-      answer(aSubmission->mOpen, MakeResponse(Kind::UnknownJob, "the job was cancelled"));
-      return;
-    }
-    case Store::StoreError::TooLarge:
-      answer(aSubmission->mOpen, MakeResponse(Kind::Invalid, "the job is too large for the store"));
-      return;
-    case Store::StoreError::Unknown:
-      // The write is idempotent, so it is repeated until an answer tells whether it took effect.
-      aSubmission->mOpen->mMayTakeEffect = true;
-      retryWrite(aSubmission);
-      return;
-    case Store::StoreError::Unavailable:
-    case Store::StoreError::LeaseLapsed:
-      if (!aSubmission->mOpen->mMayTakeEffect &&
-          (!mStoreConnected ||
-           mContext.now() - aSubmission->mOpen->mArrivalTime >= kRejectedRetryWindow)) {
-        answer(aSubmission->mOpen, MakeUnavailable("the store rejects calls"));
-        return;
-      }
-      retryWrite(aSubmission);
-      return;
-  }
-}
-
-void
-JobApi::retryWrite(const std::shared_ptr<Submission>& aSubmission)
-{
-  aSubmission->mTimer.expires_after(mContext.mTiming.mStoreRetryDelay);
-  aSubmission->mTimer.async_wait([this, aSubmission](boost::system::error_code aError) {
-    if (!aError) {
-      writeSubmission(aSubmission);
-    }
-  });
-}
-
 void
 JobApi::showJob(const Common::JobId& aJob, ResponseCallback aRespond)
 {
@@ -471,6 +234,7 @@
   writeOrRelay(
     aOpen,
     transaction,
+    mStoreConnected ? Way::Store : Way::Relay,
     std::min(mContext.mTiming.mStoreCallTimeout, aDeadline - now),
     [this, aJob, aSubmission, aDeadline, known, aOpen](
       const tl::expected<Store::Version, Store::WriteFailure>& aResult) {
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -111,6 +111,9 @@
   Duration mFlushDelay{ std::chrono::milliseconds(150) };
   /// Delay before the write of urgent records, such as those of ended jobs.
   Duration mUrgentFlushDelay{ std::chrono::milliseconds(5) };
+  /// How long the fence between two attempts to submit a job is kept. Callers wait for up to 600 s,
+  /// and the writes that it fences are applied within seconds of the caller's deadline.
+  Duration mFenceRetention{ std::chrono::seconds(660) };
   /// How long a caller's query waits for the coordinator; a job's state is then read from the
   /// store.
   Duration mStatusQueryTimeout{ std::chrono::milliseconds(400) };
--- a/Source/Core/Node/StoreKeys.cpp
+++ b/Source/Core/Node/StoreKeys.cpp
@@ -1,11 +1,14 @@
 #include "Node/StoreKeys.h"
 
+#include <utility>
+
 namespace Node {
 
 namespace {
 
 constexpr std::string_view kSubmissionSuffix = "/submission";
 constexpr std::string_view kCancelSuffix = "/cancel";
+constexpr std::string_view kFenceSuffix = "/fence";
 
 } // namespace
 
@@ -21,6 +24,12 @@
   return kJobPrefix + aJob.str() + std::string(kCancelSuffix);
 }
 
+std::string
+FenceKey(const Common::JobId& aJob)
+{
+  return kJobPrefix + aJob.str() + std::string(kFenceSuffix);
+}
+
 std::string
 ProgressKey(const Common::JobId& aJob)
 {
@@ -44,11 +53,15 @@
   const auto job = [&rest](std::string_view aSuffix) {
     return Common::JobId(std::string(rest.substr(0, rest.size() - aSuffix.size())));
   };
-  if (rest.ends_with(kSubmissionSuffix) && rest.size() > kSubmissionSuffix.size()) {
-    return JobKey{ job(kSubmissionSuffix), JobKeyKind::Submission };
-  }
-  if (rest.ends_with(kCancelSuffix) && rest.size() > kCancelSuffix.size()) {
-    return JobKey{ job(kCancelSuffix), JobKeyKind::Cancel };
+  const std::pair<std::string_view, JobKeyKind> kinds[] = {
+    { kSubmissionSuffix, JobKeyKind::Submission },
+    { kCancelSuffix, JobKeyKind::Cancel },
+    { kFenceSuffix, JobKeyKind::Fence },
+  };
+  for (const auto& [suffix, kind] : kinds) {
+    if (rest.ends_with(suffix) && rest.size() > suffix.size()) {
+      return JobKey{ job(suffix), kind };
+    }
   }
   return std::nullopt;
 }
--- a/Source/Core/Node/StoreKeys.h
+++ b/Source/Core/Node/StoreKeys.h
@@ -16,7 +16,8 @@
 /// it while the present coordinator may still wait for the ended one. What it says stays true, so a
 /// late write can at most hide what a newer one said.
 inline const std::string kEndedKey = "ibis/ended";
-/// Submissions and cancellations, written by entries, or by the coordinator on their behalf.
+/// Submissions, cancellations and fences, written by entries, or by the coordinator on their
+/// behalf.
 inline const std::string kJobPrefix = "ibis/job/";
 /// Progress of each job, written by the coordinator.
 inline const std::string kProgressPrefix = "ibis/progress/";
@@ -33,6 +34,11 @@
 SubmissionKey(const Common::JobId& aJob);
 std::string
 CancelKey(const Common::JobId& aJob);
+/// Fence between the attempts to submit the job. A submission is written on condition of the key's
+/// version; an entry that refuses a submission whose write may still be applied changes the key
+/// first. Erased by the coordinator some minutes later.
+std::string
+FenceKey(const Common::JobId& aJob);
 std::string
 ProgressKey(const Common::JobId& aJob);
 std::string
@@ -42,6 +48,7 @@
 {
   Submission,
   Cancel,
+  Fence,
 };
 
 /// A parsed key under kJobPrefix.
@@ -51,7 +58,7 @@
   JobKeyKind mKind = JobKeyKind::Submission;
 };
 
-/// Returns std::nullopt if the key is not that of a submission or cancellation.
+/// Returns std::nullopt if the key is not that of a submission, cancellation or fence.
 std::optional<JobKey>
 ParseJobKey(const std::string& aKey);
 
--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -677,11 +677,21 @@
     REQUIRE(std::chrono::steady_clock::now() - start < 300ms);
   }
 
-  SECTION("if the coordinator does not answer, the outcome is not known")
+  SECTION("if the coordinator no longer answers, the outcome of a relayed write is not known")
   {
+    REQUIRE(call(JobRequest::Kind::Submit, "/q/b") == ResponseKind::Accepted);
     cluster.mStore.mMode = FakeStore::Mode::Silent;
     REQUIRE(call(JobRequest::Kind::Submit, "/q/a") == ResponseKind::Undecided);
   }
+
+  SECTION("if the coordinator does not answer a probe, nothing is relayed and the refusal is true")
+  {
+    cluster.mStore.mMode = FakeStore::Mode::DelayingWrites;
+    REQUIRE(call(JobRequest::Kind::Submit, "/q/a") == ResponseKind::Unavailable);
+    cluster.mStore.mMode = FakeStore::Mode::Normal;
+    cluster.mStore.applyDelayedWrites();
+    REQUIRE_FALSE(cluster.mStore.contains(SubmissionKey(Common::JobId("a"))));
+  }
 }
 
 TEST_CASE("A new coordinator waits for the workers on every page of the records", "[Node]")
--- a/Source/UnitTests/Node/FakeStore.h
+++ b/Source/UnitTests/Node/FakeStore.h
@@ -37,6 +37,8 @@
 
   Mode mMode = Mode::Normal;
   std::size_t mCalls = 0;
+  /// Time after which writes are answered.
+  Duration mAnswerDelay{ 0 };
   /// No lease expires, as in an outage of the store in which their time does not count.
   bool mLeasesPause = false;
 
@@ -138,6 +140,10 @@
       });
       return;
     }
+    if (mAnswerDelay > Duration{ 0 }) {
+      callAfter(mAnswerDelay, [aDone, answer] { aDone(answer); });
+      return;
+    }
     boost::asio::post(mIo, [aDone, answer] { aDone(answer); });
   }
 
@@ -345,6 +351,8 @@
 
   /// Whether the store rejects the calls of this process.
   bool mRejecting = false;
+  /// Writes of this process get lost and time out; its reads and watches are served.
+  bool mLosesWrites = false;
   /// Prefix whose pages and watches are served nevertheless; none if empty.
   std::string mServedPrefix;
   /// Pages of this prefix are read at once and answered by releasePages().
@@ -406,6 +414,13 @@
       onProcess(aDone)(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unavailable, {} }));
       return;
     }
+    if (mLosesWrites) {
+      const auto timer = std::make_shared<boost::asio::steady_timer>(mProcess.mIo, aTimeout);
+      timer->async_wait([timer, aDone](boost::system::error_code) {
+        aDone(tl::unexpected(Store::WriteFailure{ Store::StoreError::Unknown, {} }));
+      });
+      return;
+    }
     mStore.write(aTransaction, aTimeout, onProcess(aDone));
   }
   void grantLease(Duration aTimeToLive,
