Order of waiting work as a pure function, with three further rules that are off

The key of a waiting job is computed in Scheduling/JobOrder from a plain struct; without further rules the order is as before. Policy::mOrder switches on, one by one: a class for jobs that can still end within three times their objective (mLatePart), the fixed part of a job's value from the mean work of its queue (mQueueValue), and a guard that promotes as many of a queue's largest jobs as it takes to serve them at mLargeJobShare of the rate of all its jobs.

--- a/Source/Core/Scheduling/Jobs.cpp
+++ b/Source/Core/Scheduling/Jobs.cpp
@@ -49,6 +49,25 @@
   return occurrence;
 }
 
+/// True if the job counts for the order of its queue's jobs.
+bool
+HasHistory(const Job& aJob)
+{
+  return aJob.mSpec.mRepeats == 0 && !aJob.mSpec.mSteps.front().mLongRunning;
+}
+
+void
+NoteEndInHistory(SchedulerState& aState, const Job& aJob, const CurrentTime& aNow)
+{
+  if (HasHistory(aJob)) {
+    NoteEnd(aState.mQueueHistory[aJob.mSpec.mQueue],
+            aJob.mSpec.mJob,
+            ExpectedWork(aState, aJob),
+            aJob.mState == JobState::Completed,
+            aNow.mMonotonic);
+  }
+}
+
 void
 DropDuplicates(std::vector<std::uint32_t>& aNumbers)
 {
@@ -292,6 +311,9 @@
   if (job.mSpec.mRepeats == 0) {
     FindOrMakeOccurrence(job, 0, aNow);
   }
+  if (!aRecovered && HasHistory(job)) {
+    NoteArrival(aState.mQueueHistory[job.mSpec.mQueue], ExpectedWork(aState, job), aNow.mMonotonic);
+  }
   if (job.mEndedOccurrences.size() == OccurrenceCount(job.mSpec)) {
     job.mState = JobState::Completed;
     job.mEndedAt = aNow.mUnix;
@@ -308,6 +330,7 @@
   }
   aJob.mState = JobState::Failed;
   aJob.mEndedAt = aNow.mUnix;
+  NoteEndInHistory(aState, aJob, aNow);
   aState.mLogEntries.push_back(
     { "job failed: " + std::string(aReason), aJob.mSpec.mJob, std::string() });
   MarkDirty(aState, aJob, true);
@@ -322,6 +345,7 @@
   }
   aJob.mState = JobState::Cancelled;
   aJob.mEndedAt = aNow.mUnix;
+  NoteEndInHistory(aState, aJob, aNow);
   MarkDirty(aState, aJob, true);
   StopJobRuns(aState, aJob, aNow);
 }
@@ -417,6 +441,7 @@
   if (finished) {
     job.mState = JobState::Completed;
     job.mEndedAt = aNow.mUnix;
+    NoteEndInHistory(aState, job, aNow);
   }
   MarkDirty(aState, job, finished);
 }
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -7,16 +7,6 @@
 
 namespace {
 
-/// A job counts as hopelessly late once its expected end is past its deadline by more than its
-/// whole allowed time divided by this. Smaller delays are within the error of the estimates.
-constexpr int kHopelessDelayDivisor = 4;
-/// Value of a job: a fixed part, in core-seconds of a typical job, and a part proportional to its
-/// work.
-constexpr double kFixedValue = 12.0;
-constexpr double kValuePerWork = 0.7;
-/// Lower bound of the remaining work in core-seconds, so that a job about to end has a finite value
-/// per core-second.
-constexpr double kMinRemainingWork = 0.01;
 /// Weight of the pressure that a best-effort task adds to long-running tasks, relative to the share
 /// of the worker's cores that is left for best-effort tasks.
 constexpr double kPressureWeight = 3.0;
@@ -49,7 +39,9 @@
   Job* mJob = nullptr;
   std::uint32_t mOccurrence = 0;
   std::uint32_t mStep = 0;
-  std::tuple<int, int, double> mSortKey;
+  OrderKey mSortKey;
+  /// Core-seconds of the occurrence.
+  double mWork = 0;
   /// No task of the occurrence is placed on a worker.
   bool mJobIsIdle = false;
 };
@@ -110,31 +102,31 @@
   return aNow.mMonotonic - std::chrono::duration_cast<Duration>(aNow.mUnix - due);
 }
 
-std::tuple<int, int, double>
-SortKeyOf(const Job& aJob,
+OrderKey
+SortKeyOf(const SchedulerState& aState,
+          const Job& aJob,
           const JobEstimate& aEstimate,
           const QueueSpec& aQueue,
           const Occurrence& aOccurrence,
           const CurrentTime& aNow)
 {
-  const bool longRunning = aJob.mSpec.mSteps.front().mLongRunning;
-  if (longRunning) {
-    return { aQueue.mPriority, 0, 0.0 };
-  }
-  const Duration remainingChain = LongestChain(aJob.mSpec, [&](std::uint32_t aStep) {
+  OrderInput input;
+  input.mPriority = aQueue.mPriority;
+  input.mLongRunning = aJob.mSpec.mSteps.front().mLongRunning;
+  input.mAge = aNow.mMonotonic - DueTime(aJob, aOccurrence, aNow);
+  input.mObjective =
+    std::chrono::duration_cast<Duration>(aEstimate.mChain * aQueue.mStretchFactor) + aQueue.mSlack;
+  input.mRemainingChain = LongestChain(aJob.mSpec, [&](std::uint32_t aStep) {
     return aOccurrence.mSteps[aStep].mEnded ? Duration{ 0 } : aEstimate.mRunTimes[aStep];
   });
-  const auto allowedTime =
-    std::chrono::duration_cast<Duration>(aEstimate.mChain * aQueue.mStretchFactor) + aQueue.mSlack;
-  const Duration slack =
-    DueTime(aJob, aOccurrence, aNow) + allowedTime - aNow.mMonotonic - remainingChain;
-  const int hopeless = slack < -allowedTime / kHopelessDelayDivisor ? 1 : 0;
-  const double remainingWork =
-    std::max(RemainingWork(aJob, aEstimate, aOccurrence), kMinRemainingWork);
-  // Jobs are ordered by value per remaining core-second, which favours small jobs and jobs that are
-  // nearly done.
-  const double valueDensity = (kFixedValue + kValuePerWork * aEstimate.mWork) / remainingWork;
-  return { aQueue.mPriority, hopeless, -valueDensity };
+  input.mWork = aEstimate.mWork;
+  input.mRemainingWork = RemainingWork(aJob, aEstimate, aOccurrence);
+  const auto history = aState.mQueueHistory.find(aJob.mSpec.mQueue);
+  if (history != aState.mQueueHistory.end()) {
+    input.mMeanWork = MeanWork(history->second);
+    input.mIsPromoted = history->second.mPromoted.contains(aJob.mSpec.mJob);
+  }
+  return OrderKeyOf(input, aState.mPolicy.mOrder);
 }
 
 bool
@@ -213,6 +205,29 @@
   }
 }
 
+/// Chooses the large jobs that come first from the next round on. aReady is in the order of the
+/// jobs.
+void
+PromoteLargeJobs(SchedulerState& aState, const std::vector<ReadyStep>& aReady, Timestamp aNow)
+{
+  const double share = aState.mPolicy.mOrder.mLargeJobShare;
+  if (share <= 0) {
+    return;
+  }
+  std::map<QueueHistory*, LargeJobDebt> debts;
+  for (auto& [queue, history] : aState.mQueueHistory) {
+    debts[&history] = LargeJobDebtOf(history, share, aNow);
+  }
+  for (const ReadyStep& ready : aReady) {
+    const JobSpec& spec = ready.mJob->mSpec;
+    const auto history = aState.mQueueHistory.find(spec.mQueue);
+    if (spec.mRepeats == 0 && history != aState.mQueueHistory.end()) {
+      PromoteIfOwed(
+        history->second, debts[&history->second], spec.mJob, ready.mWork, ready.mSortKey, aNow);
+    }
+  }
+}
+
 std::vector<ReadyStep>
 ReadySteps(SchedulerState& aState, const CurrentTime& aNow)
 {
@@ -232,7 +247,7 @@
       if (occurrence.hasEnded() || !IsDue(*job, number, aNow)) {
         continue;
       }
-      std::optional<std::tuple<int, int, double>> sortKey;
+      std::optional<OrderKey> sortKey;
       const bool idle = IsIdle(occurrence);
       for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
         if (CanStart(*job, occurrence, s)) {
@@ -240,9 +255,9 @@
             estimate = EstimateJob(aState, *job);
           }
           if (!sortKey) {
-            sortKey = SortKeyOf(*job, *estimate, *queue, occurrence, aNow);
+            sortKey = SortKeyOf(aState, *job, *estimate, *queue, occurrence, aNow);
           }
-          ready.push_back({ job, number, s, *sortKey, idle });
+          ready.push_back({ job, number, s, *sortKey, estimate->mWork, idle });
         }
       }
     }
@@ -255,6 +270,7 @@
            std::tie(
              aRight.mJob->mArrived, aRight.mJob->mSpec.mJob, aRight.mOccurrence, aRight.mStep);
   });
+  PromoteLargeJobs(aState, ready, aNow.mMonotonic);
   return ready;
 }
 
@@ -794,7 +810,7 @@
   if (queue == nullptr) {
     return false;
   }
-  const ReadyStep ready{ aTask.mJob, aTask.mOccurrence, aTask.mStep, {}, false };
+  const ReadyStep ready{ aTask.mJob, aTask.mOccurrence, aTask.mStep, {}, 0.0, false };
   const WorkerNumber own = TaskAt(aTask).mWorker;
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     if (number != own &&
@@ -992,4 +1008,10 @@
   return !IsUsedUp(aBudget);
 }
 
+double
+ExpectedWork(const SchedulerState& aState, const Job& aJob)
+{
+  return EstimateJob(aState, aJob).mWork;
+}
+
 } // namespace Scheduling
--- a/Source/Core/Scheduling/Schedule.h
+++ b/Source/Core/Scheduling/Schedule.h
@@ -298,6 +298,9 @@
 /// within their targets.
 bool
 FitsOnAnotherWorker(const SchedulerState& aState, const TaskRef& aTask, const CurrentTime& aNow);
+/// Expected core-seconds of one occurrence of the job.
+double
+ExpectedWork(const SchedulerState& aState, const Job& aJob);
 /// Expected run time of a task of the step on a healthy worker.
 Duration
 ExpectedRunTime(const SchedulerState& aState, const Job& aJob, std::uint32_t aStep);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Scheduling/JobOrder.h"
 #include "Scheduling/Model.h"
 #include "Scheduling/TailInterference.h"
 #include "Scheduling/Task.h"
@@ -205,6 +206,7 @@
 
 struct Policy
 {
+  OrderRules mOrder;
   /// Number of lists without a run after which it counts as missing. The worker may
   /// have sent the first of them before the run started.
   std::uint32_t mMinMissingLists = 3;
@@ -364,6 +366,8 @@
   /// Orders without a result, by number.
   std::unordered_map<std::int64_t, Order> mOutstandingOrders;
   std::map<std::pair<Common::RouteId, std::string>, RunTimeEstimate> mRunTimes;
+  /// Recent jobs without a timetable, by queue.
+  std::unordered_map<Common::RouteId, QueueHistory> mQueueHistory;
   /// Advice requests to send.
   std::vector<AdviceRequest> mAdviceRequests;
   std::int64_t mNextAdviceRequest = 1;
--- a/Source/UnitTests/Scheduling/PriorityTests.cpp
+++ b/Source/UnitTests/Scheduling/PriorityTests.cpp
@@ -96,3 +96,50 @@
     REQUIRE(budget.mBytesLeft == -300);
   }
 }
+
+TEST_CASE("With the rule for the late part, jobs that earn nothing any more go last",
+          "[Scheduling]")
+{
+  // Load pattern: a long burst. Late jobs of which little work was left kept those from their cores
+  // that could still earn a part of their value.
+  Fixture fixture;
+  fixture.mState.mPolicy.mOrder.mLatePart = GENERATE(true, false);
+  fixture.addWorker("w1", 2'000);
+  // The objective of both is 3 s.
+  fixture.addJob("worthless", { MakeStep().tasks(2).build() }, "render");
+  fixture.advance(std::chrono::seconds(6));
+  fixture.addJob("late", { MakeStep().tasks(4).build() }, "render");
+  fixture.advance(std::chrono::seconds(4));
+  fixture.report(fixture.view("w1", 2'000));
+  const bool latePart = fixture.mState.mPolicy.mOrder.mLatePart;
+  const auto starts = fixture.place();
+  REQUIRE(starts.size() == 2);
+  for (const Order& start : starts) {
+    REQUIRE(start.mTask.mJob == JobId(latePart ? "late" : "worthless"));
+  }
+}
+
+TEST_CASE("With a share for large jobs, some of them come first", "[Scheduling]")
+{
+  Fixture fixture;
+  const double share = GENERATE(0.0, 0.6);
+  fixture.mState.mPolicy.mOrder.mLargeJobShare = share;
+  fixture.addWorker("w1", 2'000);
+  for (int i = 0; i < 30; ++i) {
+    Job& job = fixture.addJob("done" + std::to_string(i), { MakeStep().build() }, "render");
+    MarkTaskDone(fixture.mState, { &job, 0, 0, 0 }, fixture.now());
+  }
+  for (int i = 0; i < 4; ++i) {
+    fixture.addJob("large" + std::to_string(i), { MakeStep().tasks(20).build() }, "render");
+    fixture.addJob("small" + std::to_string(i), { MakeStep().tasks(2).build() }, "render");
+  }
+  // The first round chooses them.
+  fixture.worker("w1").mRecorded = false;
+  REQUIRE(fixture.place().empty());
+  fixture.worker("w1").mRecorded = true;
+  const auto starts = fixture.place();
+  REQUIRE(starts.size() == 2);
+  for (const Order& start : starts) {
+    REQUIRE(start.mTask.mJob.str().starts_with(share > 0 ? "large" : "small"));
+  }
+}
