--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -151,6 +151,7 @@
   mProgressCursor.clear();
   mCancelledBeforeSubmission.clear();
   mRemovedJobs.clear();
+  mFences.clear();
   mHeldSubmissions.clear();
   mEarlyReports.clear();
   mExtendedInRecovery.clear();
@@ -271,7 +272,7 @@
       send(*peer->second.mLink, "relayed", message);
     }
   };
-  // Entries may only write submissions and cancellations.
+  // Entries may only write submissions, cancellations and fences.
   const bool allowed = std::all_of(aWrite.puts.begin(), aWrite.puts.end(), [](const auto& aPut) {
     return ParseJobKey(aPut.key).has_value();
   });
@@ -547,6 +548,7 @@
         }
         updateCounters();
         collectGarbage();
+        collectFences();
       }
       scheduleTick();
     });
--- a/Source/Core/Scheduling/Hosting.cpp
+++ b/Source/Core/Scheduling/Hosting.cpp
@@ -191,7 +191,7 @@
   if (queue == nullptr) {
     return false;
   }
-  const ReadyStep ready{ aTask.mJob, aTask.mOccurrence, aTask.mStep, {}, false };
+  const ReadyStep ready{ aTask.mJob, aTask.mOccurrence, aTask.mStep, {}, 0.0, false };
   const WorkerNumber own = TaskAt(aTask).mWorker;
   for (WorkerNumber number = 0; number < aState.mWorkers.size(); ++number) {
     if (number != own &&
--- a/Source/Core/Scheduling/Placement.h
+++ b/Source/Core/Scheduling/Placement.h
@@ -15,7 +15,9 @@
   Job* mJob = nullptr;
   std::uint32_t mOccurrence = 0;
   std::uint32_t mStep = 0;
-  std::tuple<int, int, double> mSortKey;
+  OrderKey mSortKey;
+  /// Core-seconds of the occurrence.
+  double mWork = 0;
   /// No task of the occurrence is placed on a worker.
   bool mJobIsIdle = false;
 };
