--- a/Source/ProcessBench/Child.h
+++ b/Source/ProcessBench/Child.h
@@ -48,6 +48,8 @@
   /// The exit status, or nothing if the process still runs after aLimit or was ended by a signal.
   std::optional<int> wait(Common::Duration aLimit);
   Usage usage() const;
+  /// -1 once the process has ended.
+  pid_t pid() const { return mPid; }
 
 private:
   pid_t mPid = -1;
