A byte budget and connection limits for the HTTP server of the other daemon

Cause: a thread per connection, no bound on what all clients take together, a library that matches paths and Range by recursion, and places that stalled or idle clients hold: callers' whole bodies took an entry to 599 MB, long paths to 1,216 MB, tables of many values to 2,255 MB, and 16 idle connections kept an agent from its endpoints.

Change: Http::ConnectionBook reserves bytes for connections, headers, bodies, values and answers out of half of limits.memory_mb and ends the slowest incomplete request, unread answers or idle connections; never a complete request. Values and levels of JSON and tables are counted while a body arrives. Minimum rate, header fields, values and depth are settings. Refusals say not-run, those that waiting helps 503 with Retry-After 1. Threads have stacks of 2 MiB, sockets buffers of 64 KiB. Range, Accept-Encoding and Content-Encoding pass through unread by the library: bodies and answers are forwarded as sent, and the operators' interface neither compresses nor decompresses. An entry whose max_connections does not fit into memory_mb is refused at start (over 2,048 with the default of 512 MB).

The tests' settings gain memory_mb, with the bound that they check; crowds and bounds are unchanged. The crowd's connect() result is looked at (lint).

--- a/Source/Core/Config/CheckSettings.cpp
+++ b/Source/Core/Config/CheckSettings.cpp
@@ -24,6 +24,14 @@
                     aMessage);
   }
 
+  /// Reports at the place of whichever key was set.
+  void errorAtEither(const std::string& aKey,
+                     const std::string& aOther,
+                     const std::string& aMessage)
+  {
+    error(mOrigins.count(aKey) > 0 ? aKey : aOther, aMessage);
+  }
+
   void require(const std::string& aKey)
   {
     if (mOrigins.count(aKey) == 0) {
@@ -102,6 +110,21 @@
                    "a member is suspected before it is gone");
 }
 
+void
+CheckLimits(const LimitSettings& aLimits, Checker& aChecker)
+{
+  const std::int64_t taken = aLimits.mMaxConnections * kClientConnectionBytes;
+  const std::int64_t most = (std::int64_t{ aLimits.mMemoryMb } << 20) / 2 / 4 * 3;
+  if (taken > most) {
+    const std::int64_t needed = ((taken * 8 / 3) >> 20) + 1;
+    aChecker.errorAtEither("limits.max_connections",
+                           "limits.memory_mb",
+                           "\"limits.max_connections\" of " +
+                             std::to_string(aLimits.mMaxConnections) +
+                             " needs \"limits.memory_mb\" of at least " + std::to_string(needed));
+  }
+}
+
 void
 CheckPlace(const Settings& aSettings,
            const std::string& aKey,
@@ -153,6 +176,9 @@
   if (aSettings.mRole == Role::Agent) {
     checker.require("instance.worker");
   }
+  if (aSettings.mRole == Role::Entry) {
+    CheckLimits(aSettings.mLimits, checker);
+  }
   const ListenSettings& listen = aSettings.mListen;
   if (listen.mHttpPort != 0 && listen.mHttpPort == listen.mRpcPort) {
     checker.error(aOrigins.count("listen.rpc_port") > 0 ? "listen.rpc_port" : "listen.http_port",
--- a/Source/Core/Config/Keys.cpp
+++ b/Source/Core/Config/Keys.cpp
@@ -138,6 +138,13 @@
     Kib(limits, "segment_kib", { 1, 1000 }, in(&Limits::mSegment)),
     Count<std::uint32_t>(
       limits, "max_connections", "", { 1, 100'000 }, in(&Limits::mMaxConnections)),
+    Count<std::uint32_t>(limits, "memory_mb", "MB", { 64, 1'000'000 }, in(&Limits::mMemoryMb)),
+    Count<std::uint32_t>(
+      limits, "max_header_fields", "", { 16, 10'000 }, in(&Limits::mMaxHeaderFields)),
+    Count<std::uint32_t>(
+      limits, "max_body_values", "", { 100, 100'000'000 }, in(&Limits::mMaxBodyValues)),
+    Count<std::uint32_t>(limits, "max_body_depth", "", { 4, 1000 }, in(&Limits::mMaxBodyDepth)),
+    Count<std::uint32_t>(limits, "min_rate_kib_s", "KiB/s", { 1, 1024 }, in(&Limits::mMinRateKib)),
     Count<std::uint32_t>(
       limits, "store_calls_per_s", "calls/s", { 1, 10'000 }, in(&Limits::mStoreCallsPerSecond)),
     Count<std::uint32_t>(
--- a/Source/Core/Config/Settings.h
+++ b/Source/Core/Config/Settings.h
@@ -85,12 +85,22 @@
   std::string mFile;
 };
 
+/// What each connection of a client may take of the budget for clients, which is half of the
+/// memory; all together take three quarters of the budget at most.
+inline constexpr std::int64_t kClientConnectionBytes = 96 << 10;
+
 struct LimitSettings
 {
   Common::Bytes mMaxBody{ 15LL << 20 };
   Common::Bytes mStoredResponse{ 64LL << 10 };
   Common::Bytes mSegment{ 512LL << 10 };
   std::uint32_t mMaxConnections = 1024;
+  /// Of the machine, in units of 2^20.
+  std::uint32_t mMemoryMb = 512;
+  std::uint32_t mMaxHeaderFields = 256;
+  std::uint32_t mMaxBodyValues = 300'000;
+  std::uint32_t mMaxBodyDepth = 64;
+  std::uint32_t mMinRateKib = 16;
   std::uint32_t mStoreCallsPerSecond = 50;
   std::uint32_t mJoinsPerSecond = 50;
   Duration mHttpReadTimeout{ std::chrono::seconds(10) };
--- a/Source/Core/Daemon/EntryApi.cpp
+++ b/Source/Core/Daemon/EntryApi.cpp
@@ -113,8 +113,18 @@
   return route == nullptr ? 0 : static_cast<std::size_t>(route->mMaxBody.value());
 }
 
+Http::BodyKind
+BodyKindOf(const Http::Request& aRequest)
+{
+  if (!aRequest.path().starts_with(kApiPrefix)) {
+    return Http::BodyKind::Opaque;
+  }
+  return aRequest.path() == std::string(kApiPrefix) + "tables" ? Http::BodyKind::JsonWithTables
+                                                               : Http::BodyKind::Json;
+}
+
 Http::Response
-EntryApi::answer(const Http::Request& aRequest)
+EntryApi::answer(Http::Request&& aRequest)
 {
   if (aRequest.path().starts_with(kApiPrefix)) {
     if (auto page = CommonPage(mRuntime, aRequest)) {
@@ -122,11 +132,11 @@
     }
     return answerOperator(aRequest);
   }
-  return answerCaller(aRequest);
+  return answerCaller(std::move(aRequest));
 }
 
 Http::Response
-EntryApi::answerCaller(const Http::Request& aRequest)
+EntryApi::answerCaller(Http::Request&& aRequest)
 {
   CallerRequest request;
   request.mArrived = mRuntime.mClock.now();
@@ -177,7 +187,7 @@
   auto span = mRuntime.mTracer.start("entry.request", parent);
   span->SetTag("route", request.mRoute->mName.str());
   request.mTrace = Observability::ContextOf(*span);
-  request.mHttp = aRequest;
+  request.mHttp = std::move(aRequest);
   const std::string route = request.mRoute->mName.str();
   const Common::Timestamp arrived = request.mArrived;
   CallerAnswer answer = mDispatch.run(std::move(request));
--- a/Source/Core/Daemon/EntryApi.h
+++ b/Source/Core/Daemon/EntryApi.h
@@ -8,10 +8,15 @@
 #include "Daemon/Peers.h"
 #include "Daemon/Runtime.h"
 #include "Daemon/SpreadService.h"
+#include "Http/BodyShape.h"
 #include "Http/Message.h"
 
 namespace Daemon {
 
+/// What an entry makes of the body of a request.
+Http::BodyKind
+BodyKindOf(const Http::Request& aRequest);
+
 /// The HTTP interface of an entry: requests of callers, and the paths of operators under
 /// /ibisshed/v1/.
 class EntryApi
@@ -24,11 +29,11 @@
            CellBook& aCells,
            SpreadService& aSpread);
 
-  Http::Response answer(const Http::Request& aRequest);
+  Http::Response answer(Http::Request&& aRequest);
   std::size_t bodyLimit(const Http::Request& aRequest) const;
 
 private:
-  Http::Response answerCaller(const Http::Request& aRequest);
+  Http::Response answerCaller(Http::Request&& aRequest);
   Http::Response answerOperator(const Http::Request& aRequest);
 
   Http::Response showTables() const;
--- a/Source/Core/Daemon/Pages.cpp
+++ b/Source/Core/Daemon/Pages.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/Pages.h"
 
 #include <fstream>
+#include <mutex>
 
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -21,6 +22,9 @@
 std::int64_t
 ResidentBytes()
 {
+  // One file at a time, however many ask for the page.
+  static std::mutex sMutex;
+  const std::lock_guard<std::mutex> lock(sMutex);
   std::ifstream statm("/proc/self/statm");
   std::int64_t size = 0;
   std::int64_t resident = 0;
--- a/Source/Core/Daemon/Process.cpp
+++ b/Source/Core/Daemon/Process.cpp
@@ -4,6 +4,7 @@
 
 #include "Daemon/AgentNode.h"
 #include "Daemon/CellOwner.h"
+#include "Daemon/ClientRefusals.h"
 #include "Daemon/ControlHandler.h"
 #include "Daemon/EntryApi.h"
 #include "Daemon/EntryDispatch.h"
@@ -22,6 +23,32 @@
 using Observability::Level;
 using Observability::Log;
 
+// An agent serves the endpoints beside it and operators; its machine has this memory.
+constexpr std::size_t kAgentConnections = 64;
+constexpr std::size_t kAgentMemoryMb = 128;
+
+static_assert(Config::kClientConnectionBytes == Http::kConnectionCost);
+
+Http::ClientLimits
+ClientLimitsOf(const Config::Settings& aSettings)
+{
+  const Config::LimitSettings& limits = aSettings.mLimits;
+  std::size_t memoryMb = limits.mMemoryMb;
+  Http::ClientLimits clients;
+  clients.mConnections = limits.mMaxConnections;
+  if (aSettings.mRole == Config::Role::Agent) {
+    memoryMb = std::min(memoryMb, kAgentMemoryMb);
+    clients.mConnections = std::min(clients.mConnections, kAgentConnections);
+  }
+  // The other half is for the program itself, its tables, links to other processes and stacks.
+  clients.mBudget = (memoryMb << 20) / 2;
+  clients.mHeaderFields = limits.mMaxHeaderFields;
+  clients.mBodyValues = limits.mMaxBodyValues;
+  clients.mBodyDepth = limits.mMaxBodyDepth;
+  clients.mMinRate = std::size_t{ limits.mMinRateKib } << 10;
+  return clients;
+}
+
 Http::ServerSettings
 HttpSettingsOf(const Config::Settings& aSettings)
 {
@@ -29,13 +56,12 @@
   Http::ServerSettings settings;
   settings.mAddress = aSettings.mListen.mAddress;
   settings.mPort = aSettings.mListen.mHttpPort;
-  settings.mMaxThreads = limits.mMaxConnections;
+  settings.mClients = ClientLimitsOf(aSettings);
   settings.mMaxBody = static_cast<std::size_t>(limits.mMaxBody.value());
   settings.mReadTimeout = limits.mHttpReadTimeout;
   settings.mKeepAlive = limits.mKeepAlive;
   if (aSettings.mRole == Config::Role::Agent) {
-    // Only endpoints beside the agent and operators call it.
-    settings.mMaxThreads = 16;
+    // The largest announcement and more.
     settings.mMaxBody = 64 << 10;
   }
   return settings;
@@ -66,6 +92,14 @@
 
   bool isEntry() const { return mAgent == nullptr; }
 
+  Http::Response answer(Http::Request&& aRequest)
+  {
+    const Http::ServerUsage usage = mHttpServer->usage();
+    mConnections.set(static_cast<std::int64_t>(usage.mConnections));
+    mBudgetUsed.set(static_cast<std::int64_t>(usage.mBytes));
+    return isEntry() ? mApi->answer(std::move(aRequest)) : mAgent->answerHttp(aRequest);
+  }
+
   Runtime mRuntime;
   PeerBook mPeers{ mRuntime.self().str() };
   CellBook mCells;
@@ -75,6 +109,10 @@
   EntryDispatch mDispatch{ mRuntime, mPools, mCells };
   std::unique_ptr<AgentNode> mAgent;
   std::unique_ptr<EntryApi> mApi;
+  ClientRefusals mRefusals{ mRuntime.mCounters, mRuntime.mClock };
+  Observability::Counter& mConnections =
+    mRuntime.mCounters.counter("http_connections", "listener=\"http\"");
+  Observability::Counter& mBudgetUsed = mRuntime.mCounters.counter("http_budget_used_bytes");
   std::unique_ptr<Rpc::Server> mRpcServer;
   std::unique_ptr<Http::Server> mHttpServer;
   bool mStarted = false;
@@ -115,18 +153,19 @@
   }
   runtime.mRpcAddress = advertised + ':' + std::to_string(*rpcPort);
   Http::Handlers handlers;
+  handlers.mAnswer = [&parts](Http::Request&& aRequest) {
+    return parts.answer(std::move(aRequest));
+  };
+  handlers.mNote = [&parts](Http::Cause aCause) { parts.mRefusals.note(aCause); };
+  handlers.mBodyKind = [](const Http::Request&) { return Http::BodyKind::Json; };
   if (parts.isEntry()) {
-    handlers.mAnswer = [&parts](const Http::Request& aRequest) {
-      return parts.mApi->answer(aRequest);
-    };
     handlers.mBodyLimit = [&parts](const Http::Request& aRequest) {
       return parts.mApi->bodyLimit(aRequest);
     };
-  } else {
-    handlers.mAnswer = [&parts](const Http::Request& aRequest) {
-      return parts.mAgent->answerHttp(aRequest);
-    };
+    handlers.mBodyKind = &BodyKindOf;
   }
+  runtime.mCounters.counter("http_budget_bytes")
+    .set(static_cast<std::int64_t>(ClientLimitsOf(runtime.mSettings).mBudget));
   parts.mHttpServer =
     std::make_unique<Http::Server>(HttpSettingsOf(runtime.mSettings), std::move(handlers));
   const auto httpPort = parts.mHttpServer->start();
--- a/Source/Core/Http/ConnectionThreads.cpp
+++ b/Source/Core/Http/ConnectionThreads.cpp
@@ -1,9 +1,10 @@
 #include "Http/ConnectionThreads.h"
 
 #include <chrono>
-#include <thread>
 #include <utility>
 
+#include <pthread.h>
+
 namespace Http {
 
 namespace {
@@ -11,17 +12,42 @@
 // Long enough that a steady caller does not make a thread for each connection.
 constexpr std::chrono::seconds kIdleThread{ 10 };
 
+// A quarter of the usual 8 MiB, since there are as many threads as connections. The parser of the
+// tables goes up to 256 levels deep.
+constexpr std::size_t kStackSize = std::size_t(2) << 20;
+
 } // namespace
 
+void*
+ConnectionThreads::serveOf(void* aThis)
+{
+  static_cast<ConnectionThreads*>(aThis)->serve();
+  return nullptr;
+}
+
+bool
+ConnectionThreads::startThread()
+{
+  pthread_attr_t attributes;
+  ::pthread_attr_init(&attributes);
+  ::pthread_attr_setstacksize(&attributes, kStackSize);
+  ::pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+  pthread_t thread{};
+  const bool started =
+    ::pthread_create(&thread, &attributes, &ConnectionThreads::serveOf, this) == 0;
+  ::pthread_attr_destroy(&attributes);
+  return started;
+}
+
 void
 ConnectionThreads::run(std::function<void()> aWork)
 {
   std::unique_lock<std::mutex> lock(mMutex);
-  mWorkTaken.wait(lock, [this] { return mWork.size() < mMaxThreads || mStopping; });
+  mWorkTaken.wait(lock, [this] { return mWork.size() < mMaxWaiting || mStopping; });
   mWork.push_back(std::move(aWork));
   if (mWork.size() > mIdle && mThreads < mMaxThreads) {
-    ++mThreads;
-    std::thread([this] { serve(); }).detach();
+    // Without a thread, as when the system has none left, the work waits for another one to end.
+    mThreads += startThread() ? 1 : 0;
   }
   mWorkAdded.notify_one();
 }
--- a/Source/Core/Http/Server.h
+++ b/Source/Core/Http/Server.h
@@ -8,6 +8,8 @@
 #include <tl/expected.hpp>
 
 #include "Common/Clock.h"
+#include "Http/BodyShape.h"
+#include "Http/ClientLimits.h"
 #include "Http/Message.h"
 
 namespace Http {
@@ -17,8 +19,8 @@
   std::string mAddress = "127.0.0.1";
   /// 0 lets the system choose.
   std::uint16_t mPort = 0;
-  /// Connections served at one time, each with a thread; further ones wait to be accepted.
-  std::size_t mMaxThreads = 512;
+  /// Each connection has a thread. One above the limit ends one that is slow or idle, or waits.
+  ClientLimits mClients;
   /// Bodies above this are refused with 413 whatever the body limit says.
   std::size_t mMaxBody = 15 << 20;
   /// Time to wait for the next bytes of a request.
@@ -32,9 +34,20 @@
 struct Handlers
 {
   /// Answers a request; called from many threads at once.
-  std::function<Response(const Request&)> mAnswer;
+  std::function<Response(Request&&)> mAnswer;
   /// The largest body in bytes for a request whose headers are known; may be empty.
-  std::function<std::size_t(const Request&)> mBodyLimit;
+  std::function<std::size_t(const Request&)> mBodyLimit{};
+  /// What is made of the body of a request whose headers are known; opaque if empty.
+  std::function<BodyKind(const Request&)> mBodyKind{};
+  /// Told of each refusal by the server itself; may be empty. It must return at once.
+  std::function<void(Cause)> mNote{};
+};
+
+/// What clients take of the process at present.
+struct ServerUsage
+{
+  std::size_t mConnections = 0;
+  std::size_t mBytes = 0;
 };
 
 /// An HTTP/1.1 server with one thread for each connection in use.
@@ -50,6 +63,7 @@
   tl::expected<std::uint16_t, std::string> start();
   /// Accepts no further connection, answers the requests in progress, and closes. Idempotent.
   void stop();
+  ServerUsage usage() const;
 
 private:
   struct Inner;
--- a/Source/Ibisshedd/Main.cpp
+++ b/Source/Ibisshedd/Main.cpp
@@ -47,6 +47,9 @@
 int
 Serve(const Config::Settings& aSettings, const sigset_t& aSignals)
 {
+  // glibc raises this bound with each larger block that is freed, and keeps blocks below it. Bodies
+  // are to go back to the system, so that their budget is that of the process.
+  ::mallopt(M_MMAP_THRESHOLD, 128 << 10);
   Observability::StartLog(LogSettingsOf(aSettings));
   Common::SystemClock clock;
   Daemon::Process process(aSettings, clock);
--- a/Source/UnitTests/Config/SettingsTests.cpp
+++ b/Source/UnitTests/Config/SettingsTests.cpp
@@ -158,13 +158,27 @@
           std::string::npos);
 }
 
+TEST_CASE("The connections of an entry must fit into its memory", "[Config]")
+{
+  // Connections alone would use up what is kept for requests.
+  const std::string entry = Replaced(kSettings, "\"agent\"", "\"entry\"");
+  REQUIRE(Problems(entry, { "limits.max_connections=2048" }).empty());
+  REQUIRE(Problems(entry, { "limits.max_connections=5000" })
+            .find("--set:1:1: \"limits.max_connections\" of 5000 needs "
+                  "\"limits.memory_mb\" of at least 1251") != std::string::npos);
+  REQUIRE(Problems(entry, { "limits.max_connections=5000", "limits.memory_mb=1251" }).empty());
+  REQUIRE_FALSE(Problems(entry, { "limits.memory_mb=100" }).empty());
+  // An agent bounds its connections itself.
+  REQUIRE(Problems(kSettings, { "limits.memory_mb=100" }).empty());
+}
+
 TEST_CASE("The page of the settings states every key as the code has it", "[Config]")
 {
   std::ifstream file(std::string(IBIS_ROOT) + "/docs/settings.md");
   std::stringstream page;
   page << file.rdbuf();
   const std::vector<Config::SettingKey> keys = Config::SettingKeys();
-  REQUIRE(keys.size() == 49);
+  REQUIRE(keys.size() == 54);
   std::size_t rows = 0;
   for (const Config::SettingKey& key : keys) {
     const std::string row =
--- a/Source/UnitTests/DaemonClients/Crowd.cpp
+++ b/Source/UnitTests/DaemonClients/Crowd.cpp
@@ -17,25 +17,28 @@
 
 constexpr auto kTick = 1ms;
 
+void
+Close(int& aSocket)
+{
+  ::close(aSocket);
+  aSocket = -1;
+}
+
 int
 Connect(int aPort)
 {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
   address.sin_port = ::htons(static_cast<std::uint16_t>(aPort));
-  ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  const auto* target = reinterpret_cast<const sockaddr*>(&address);
+  if (::connect(socket, target, sizeof(address)) != 0 && errno != EINPROGRESS) {
+    Close(socket);
+  }
   return socket;
 }
 
-void
-Close(int& aSocket)
-{
-  ::close(aSocket);
-  aSocket = -1;
-}
-
 // A connection that is not established yet reports ENOTCONN.
 bool
 IsTemporary(int aError)
--- a/Source/UnitTests/DaemonClients/Fleet.cpp
+++ b/Source/UnitTests/DaemonClients/Fleet.cpp
@@ -94,7 +94,8 @@
        << "\"\ndata_centre = \"dc1\"\nregion = \"north\"\n"
        << (isEntry ? "" : "worker = \"worker-1\"\n") << "[listen]\nhttp_port = " << aHttp
        << "\nrpc_port = " << aRpc << "\n[store]\naddresses = [\"127.0.0.1:" << aStore << "\"]\n"
-       << "[limits]\nmax_connections = " << kMaxConnections << '\n'
+       << "[limits]\nmax_connections = " << kMaxConnections
+       << "\nmemory_mb = " << (isEntry ? kEntryMemoryMb : kAgentMemoryMb) << '\n'
        << "[times]\nshutdown_grace_ms = 1000\n"
        << "[[data_centre]]\nname = \"dc1\"\nregion = \"north\"\n[[peer]]\nname = \""
        << (isEntry ? "agent" : "entry")
--- a/Source/UnitTests/Http/LoopbackTests.cpp
+++ b/Source/UnitTests/Http/LoopbackTests.cpp
@@ -22,7 +22,7 @@
   std::atomic<int> mAnswered{ 0 };
   Http::ServerSettings mSettings = [] {
     Http::ServerSettings settings;
-    settings.mMaxThreads = 8;
+    settings.mClients.mConnections = 8;
     settings.mKeepAlive = 1s;
     return settings;
   }();
