--- a/Source/Core/Config/CheckSettings.cpp
+++ b/Source/Core/Config/CheckSettings.cpp
@@ -24,14 +24,6 @@
                     aMessage);
   }
 
-  /// Reports at the place of whichever key was set.
-  void errorAtEither(const std::string& aKey,
-                     const std::string& aOther,
-                     const std::string& aMessage)
-  {
-    error(mOrigins.count(aKey) > 0 ? aKey : aOther, aMessage);
-  }
-
   void require(const std::string& aKey)
   {
     if (mOrigins.count(aKey) == 0) {
@@ -111,17 +103,24 @@
 }
 
 void
-CheckLimits(const LimitSettings& aLimits, Checker& aChecker)
+CheckLimits(const Settings& aSettings, Checker& aChecker)
 {
-  const std::int64_t taken = aLimits.mMaxConnections * kClientConnectionBytes;
-  const std::int64_t most = (std::int64_t{ aLimits.mMemoryMb } << 20) / 2 / 4 * 3;
-  if (taken > most) {
-    const std::int64_t needed = ((taken * 8 / 3) >> 20) + 1;
-    aChecker.errorAtEither("limits.max_connections",
-                           "limits.memory_mb",
-                           "\"limits.max_connections\" of " +
-                             std::to_string(aLimits.mMaxConnections) +
-                             " needs \"limits.memory_mb\" of at least " + std::to_string(needed));
+  const LimitSettings& limits = aSettings.mLimits;
+  if (limits.mMemoryMb == 0) {
+    return;
+  }
+  if (limits.mMemoryMb < kLeastMemoryMb) {
+    aChecker.error("limits.memory_mb",
+                   "key \"limits.memory_mb\" must be 0 or at least " +
+                     std::to_string(kLeastMemoryMb));
+    return;
+  }
+  const std::int64_t needed = MemoryMbForConnections(limits);
+  // An agent bounds its connections itself.
+  if (aSettings.mRole == Role::Entry && limits.mMemoryMb < needed) {
+    aChecker.error("limits.memory_mb",
+                   "\"limits.max_connections\" of " + std::to_string(limits.mMaxConnections) +
+                     " needs \"limits.memory_mb\" of at least " + std::to_string(needed));
   }
 }
 
@@ -158,6 +157,21 @@
 
 } // namespace
 
+std::int64_t
+MemoryMbForConnections(const LimitSettings& aLimits)
+{
+  constexpr std::int64_t kMb = 1 << 20;
+  return (aLimits.mMaxConnections * kClientConnectionBytes * 2 * 4 / 3 + kMb - 1) / kMb;
+}
+
+std::int64_t
+MemoryMbOf(const LimitSettings& aLimits)
+{
+  constexpr std::int64_t kUsualMb = 512;
+  return aLimits.mMemoryMb > 0 ? aLimits.mMemoryMb
+                               : std::max(kUsualMb, MemoryMbForConnections(aLimits));
+}
+
 void
 CheckSettings(const Settings& aSettings,
               const Origins& aOrigins,
@@ -176,9 +190,7 @@
   if (aSettings.mRole == Role::Agent) {
     checker.require("instance.worker");
   }
-  if (aSettings.mRole == Role::Entry) {
-    CheckLimits(aSettings.mLimits, checker);
-  }
+  CheckLimits(aSettings, checker);
   const ListenSettings& listen = aSettings.mListen;
   if (listen.mHttpPort != 0 && listen.mHttpPort == listen.mRpcPort) {
     checker.error(aOrigins.count("listen.rpc_port") > 0 ? "listen.rpc_port" : "listen.http_port",
--- a/Source/Core/Config/Keys.cpp
+++ b/Source/Core/Config/Keys.cpp
@@ -138,7 +138,7 @@
     Kib(limits, "segment_kib", { 1, 1000 }, in(&Limits::mSegment)),
     Count<std::uint32_t>(
       limits, "max_connections", "", { 1, 100'000 }, in(&Limits::mMaxConnections)),
-    Count<std::uint32_t>(limits, "memory_mb", "MB", { 64, 1'000'000 }, in(&Limits::mMemoryMb)),
+    Count<std::uint32_t>(limits, "memory_mb", "MB", { 0, 1'000'000 }, in(&Limits::mMemoryMb)),
     Count<std::uint32_t>(
       limits, "max_header_fields", "", { 16, 10'000 }, in(&Limits::mMaxHeaderFields)),
     Count<std::uint32_t>(
--- a/Source/Core/Config/Settings.h
+++ b/Source/Core/Config/Settings.h
@@ -88,6 +88,8 @@
 /// What each connection of a client may take of the budget for clients, which is half of the
 /// memory; all together take three quarters of the budget at most.
 inline constexpr std::int64_t kClientConnectionBytes = 96 << 10;
+/// The program itself takes up to half of this.
+inline constexpr std::int64_t kLeastMemoryMb = 64;
 
 struct LimitSettings
 {
@@ -95,8 +97,8 @@
   Common::Bytes mStoredResponse{ 64LL << 10 };
   Common::Bytes mSegment{ 512LL << 10 };
   std::uint32_t mMaxConnections = 1024;
-  /// Of the machine, in units of 2^20.
-  std::uint32_t mMemoryMb = 512;
+  /// Of the machine, in units of 2^20; 0 if it is not stated.
+  std::uint32_t mMemoryMb = 0;
   std::uint32_t mMaxHeaderFields = 256;
   std::uint32_t mMaxBodyValues = 300'000;
   std::uint32_t mMaxBodyDepth = 64;
@@ -109,6 +111,15 @@
   Duration mStoreTimeout{ std::chrono::seconds(2) };
 };
 
+/// Memory in units of 2^20 bytes that the connections need.
+std::int64_t
+MemoryMbForConnections(const LimitSettings& aLimits);
+
+/// Memory of the machine in units of 2^20 bytes. If it is not stated, it is taken to be 512, or
+/// what the connections need.
+std::int64_t
+MemoryMbOf(const LimitSettings& aLimits);
+
 /// Time constants of the design page. All processes of a fleet must have the same ones, since each
 /// relies on how long the others wait.
 struct TimeSettings
--- a/Source/Core/Daemon/ClientRefusals.cpp
+++ b/Source/Core/Daemon/ClientRefusals.cpp
@@ -23,28 +23,32 @@
   }
 }
 
+std::int64_t
+ClientRefusals::count(Http::Cause aCause, Common::Timestamp aNow)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  OfCause& cause = mCauses.at(static_cast<std::size_t>(aCause));
+  cause.mCounter->add();
+  ++cause.mUnlogged;
+  if (cause.mEverLogged && aNow - cause.mLogged < kLogInterval) {
+    return 0;
+  }
+  cause.mEverLogged = true;
+  cause.mLogged = aNow;
+  return std::exchange(cause.mUnlogged, 0);
+}
+
 void
 ClientRefusals::note(Http::Cause aCause)
 {
-  std::int64_t count = 0;
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    OfCause& cause = mCauses.at(static_cast<std::size_t>(aCause));
-    cause.mCounter->add();
-    ++cause.mUnlogged;
-    const Common::Timestamp now = mClock.now();
-    if (cause.mEverLogged && now - cause.mLogged < kLogInterval) {
-      return;
-    }
-    cause.mEverLogged = true;
-    cause.mLogged = now;
-    count = std::exchange(cause.mUnlogged, 0);
+  const std::int64_t counted = count(aCause, mClock.now());
+  if (counted > 0) {
+    Observability::Log(
+      Observability::Level::Warning,
+      "http",
+      "refused clients",
+      { { "cause", std::string(Http::NameOf(aCause)) }, { "count", std::to_string(counted) } });
   }
-  Observability::Log(
-    Observability::Level::Warning,
-    "http",
-    "refused clients",
-    { { "cause", std::string(Http::NameOf(aCause)) }, { "count", std::to_string(count) } });
 }
 
 } // namespace Daemon
--- a/Source/Core/Daemon/ClientRefusals.h
+++ b/Source/Core/Daemon/ClientRefusals.h
@@ -18,9 +18,11 @@
   /// Both must outlive this object.
   ClientRefusals(Observability::Counters& aCounters, const Common::Clock& aClock);
 
-  /// At most one line a second is logged for each cause; it says how many there were since the last
-  /// one.
+  /// Counts one and logs what count() says.
   void note(Http::Cause aCause);
+  /// Counts one. Returns how many a log line is to report now, which are those since the last line
+  /// of the cause; 0 if that was less than a second ago.
+  std::int64_t count(Http::Cause aCause, Common::Timestamp aNow);
 
 private:
   struct OfCause
--- a/Source/Core/Daemon/Process.cpp
+++ b/Source/Core/Daemon/Process.cpp
@@ -33,7 +33,7 @@
 ClientLimitsOf(const Config::Settings& aSettings)
 {
   const Config::LimitSettings& limits = aSettings.mLimits;
-  std::size_t memoryMb = limits.mMemoryMb;
+  auto memoryMb = static_cast<std::size_t>(Config::MemoryMbOf(limits));
   Http::ClientLimits clients;
   clients.mConnections = limits.mMaxConnections;
   if (aSettings.mRole == Config::Role::Agent) {
--- a/Source/UnitTests/Http/RefusalTests.cpp
+++ b/Source/UnitTests/Http/RefusalTests.cpp
@@ -210,6 +210,26 @@
   REQUIRE(limited.mAnswered == 0);
 }
 
+TEST_CASE("Clients within the limits are all served at once", "[Http]")
+{
+  // Reserving too much, or too early, would refuse clients that there is memory for.
+  Http::ServerSettings settings = Small();
+  settings.mClients.mBudget = std::size_t(8) << 20;
+  Limited limited(settings);
+  std::vector<std::future<bool>> calls;
+  calls.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    calls.push_back(std::async(std::launch::async, [&] {
+      const auto answer = limited.send(Post(std::string(100'000, 'x')));
+      return answer && answer->mStatus == 200;
+    }));
+  }
+  for (auto& call : calls) {
+    REQUIRE(call.get());
+  }
+  REQUIRE(limited.mAnswered == 8);
+}
+
 TEST_CASE("Complete requests are never given up for new connections", "[Http]")
 {
   Http::ServerSettings settings = Small();
