Test of deeply nested tables sent to the operators' interface

Guards against a stack overflow: the parser of the tables recurses up to its own bound of 256 levels, and the connections' threads have stacks of 2 MiB now.

--- a/Source/UnitTests/DaemonClients/OperatorsTests.cpp
+++ b/Source/UnitTests/DaemonClients/OperatorsTests.cpp
@@ -101,3 +101,8 @@
 {
   RequireSurvival(Listener::Operators, DaemonClients::LongPaths(Listener::Operators));
 }
+
+TEST_CASE("operators: deeply nested tables", "[DaemonClients]")
+{
+  RequireSurvival(Listener::Operators, DaemonClients::DeepTables());
+}
--- a/Source/UnitTests/DaemonClients/Plans.cpp
+++ b/Source/UnitTests/DaemonClients/Plans.cpp
@@ -64,6 +64,16 @@
   return plan;
 }
 
+Plan
+EditingTables(const std::string& aRoutes)
+{
+  const std::string body = R"({"base":0,"pools":"","routes":")" + aRoutes + "\"}";
+  Plan plan = Sending("POST /ibisshed/v1/tables HTTP/1.1\r\nHost: test\r\nContent-Length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body);
+  plan.mConnections = kJsonCrowd;
+  return plan;
+}
+
 } // namespace
 
 std::size_t
@@ -217,14 +227,15 @@
 Plan
 ManyTableFields()
 {
-  const std::string start = R"({"base":0,"pools":"","routes":"a=[)";
   const std::string item = "[],";
-  const std::size_t count = BodyLimit(Listener::Operators) / item.size() - start.size();
-  const std::string body = start + Repeated(item, count) + "]\"}";
-  Plan plan = Sending("POST /ibisshed/v1/tables HTTP/1.1\r\nHost: test\r\nContent-Length: " +
-                      std::to_string(body.size()) + "\r\n\r\n" + body);
-  plan.mConnections = kJsonCrowd;
-  return plan;
+  return EditingTables("a=[" + Repeated(item, BodyLimit(Listener::Operators) / item.size() - 100) +
+                       "]");
+}
+
+Plan
+DeepTables()
+{
+  return EditingTables("a=" + Repeated("[{a=", 10'000));
 }
 
 Plan
--- a/Source/UnitTests/DaemonClients/Survival.h
+++ b/Source/UnitTests/DaemonClients/Survival.h
@@ -69,6 +69,9 @@
 /// JSON of two long strings, as an edit of the tables has them, whose text has very many values.
 Plan
 ManyTableFields();
+/// The same with nested values, which the tables' parser takes apart by recursion.
+Plan
+DeepTables();
 Plan
 PipelinedUnread(Listener aListener);
 Plan
