--- a/Source/Core/Config/CheckSettings.cpp
+++ b/Source/Core/Config/CheckSettings.cpp
@@ -102,6 +102,28 @@
                    "a member is suspected before it is gone");
 }
 
+void
+CheckLimits(const Settings& aSettings, Checker& aChecker)
+{
+  const LimitSettings& limits = aSettings.mLimits;
+  if (limits.mMemoryMb == 0) {
+    return;
+  }
+  if (limits.mMemoryMb < kLeastMemoryMb) {
+    aChecker.error("limits.memory_mb",
+                   "key \"limits.memory_mb\" must be 0 or at least " +
+                     std::to_string(kLeastMemoryMb));
+    return;
+  }
+  const std::int64_t needed = MemoryMbForConnections(limits);
+  // An agent bounds its connections itself.
+  if (aSettings.mRole == Role::Entry && limits.mMemoryMb < needed) {
+    aChecker.error("limits.memory_mb",
+                   "\"limits.max_connections\" of " + std::to_string(limits.mMaxConnections) +
+                     " needs \"limits.memory_mb\" of at least " + std::to_string(needed));
+  }
+}
+
 void
 CheckPlace(const Settings& aSettings,
            const std::string& aKey,
@@ -135,6 +157,21 @@
 
 } // namespace
 
+std::int64_t
+MemoryMbForConnections(const LimitSettings& aLimits)
+{
+  constexpr std::int64_t kMb = 1 << 20;
+  return (aLimits.mMaxConnections * kClientConnectionBytes * 2 * 4 / 3 + kMb - 1) / kMb;
+}
+
+std::int64_t
+MemoryMbOf(const LimitSettings& aLimits)
+{
+  constexpr std::int64_t kUsualMb = 512;
+  return aLimits.mMemoryMb > 0 ? aLimits.mMemoryMb
+                               : std::max(kUsualMb, MemoryMbForConnections(aLimits));
+}
+
 void
 CheckSettings(const Settings& aSettings,
               const Origins& aOrigins,
@@ -153,6 +190,7 @@
   if (aSettings.mRole == Role::Agent) {
     checker.require("instance.worker");
   }
+  CheckLimits(aSettings, checker);
   const ListenSettings& listen = aSettings.mListen;
   if (listen.mHttpPort != 0 && listen.mHttpPort == listen.mRpcPort) {
     checker.error(aOrigins.count("listen.rpc_port") > 0 ? "listen.rpc_port" : "listen.http_port",
