Limits for clients of the platform's processes

Cause: each server accepted 3,000 connections with bodies of 262,144 bytes (4 MiB at an agent), whatever the machine has. Connections between processes allocated what a length in front of a message stated. JSON was parsed in a time that grows with the square of the number of values.

Change: - Net::ReceiveBudget: a quarter of limits.memory_mb for the bytes that clients hold. Connections reserve before they read; stalled ones give up theirs first, and complete requests never do. - Net::HttpSession (split from HttpServer) reads bodies as they arrive, and bounds fields, receive rate, read-ahead and the time for reading an answer. Requests that were read hold their part until they are answered. - Connections of each listener and unanswered requests follow from limits.max_fds; the longest idle connection makes way for a new one. The system's buffers have a set size. - Net::Link reads messages in parts against the budget; LinkServer bounds its links. - JSON of clients is scanned for 16,384 values and a depth of 32 before a tree is built. Other JSON is parsed with a callback only if it is deeper. - Counters ibis_http_refused, ibis_http_connections, ibis_http_budget_bytes and ibis_http_budget_used_bytes, and the log line "refused clients".

Result: PlatformClientsTests 91 of 91 green, 84 of 91 were red before. Net 28 of 28, Node and Node.Takeover pass. The other tests pass.

--- a/Source/Core/Net/Address.cpp
+++ b/Source/Core/Net/Address.cpp
@@ -32,7 +32,7 @@
 }
 
 tl::expected<void, std::string>
-OpenListener(Tcp::acceptor& aAcceptor, const std::string& aAddress)
+OpenListener(Tcp::acceptor& aAcceptor, const std::string& aAddress, int aBufferBytes)
 {
   // Connections that wait to be accepted; a burst of new ones must not be dropped, because their
   // senders try again only after a second.
@@ -46,6 +46,11 @@
   if (!error) {
     aAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
   }
+  if (!error && aBufferBytes > 0) {
+    boost::system::error_code ignored;
+    aAcceptor.set_option(Asio::socket_base::receive_buffer_size(aBufferBytes), ignored);
+    aAcceptor.set_option(Asio::socket_base::send_buffer_size(aBufferBytes), ignored);
+  }
   if (!error) {
     aAcceptor.bind(*endpoint, error);
   }
--- a/Source/Core/Net/Address.h
+++ b/Source/Core/Net/Address.h
@@ -20,9 +20,11 @@
 std::string
 AddressText(const Tcp::endpoint& aEndpoint);
 
-/// Opens the acceptor on "IP:PORT". Returns why the address cannot be listened on.
+/// Opens the acceptor on "IP:PORT". The connections that it accepts get receive and send buffers of
+/// aBufferBytes from the system, which chooses the sizes itself if it is 0. Returns why the address
+/// cannot be listened on.
 tl::expected<void, std::string>
-OpenListener(Tcp::acceptor& aAcceptor, const std::string& aAddress);
+OpenListener(Tcp::acceptor& aAcceptor, const std::string& aAddress, int aBufferBytes = 0);
 
 /// Sets what every connection needs here: no delay of small writes, and an error within
 /// aUnansweredMs if the peer's machine does not acknowledge them. A connection that is idle for as
--- a/Source/Core/Net/HttpServer.h
+++ b/Source/Core/Net/HttpServer.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -13,6 +13,8 @@
 
 #include "Common/Clock.h"
 #include "Net/Address.h"
+#include "Net/HttpLimits.h"
+#include "Net/ReceiveBudget.h"
 
 namespace Net {
 
@@ -41,15 +43,38 @@
 using Responder = std::function<void(HttpResponse)>;
 using Handler = std::function<void(HttpRequest, Responder)>;
 
-struct HttpLimits
+/// Why a client was refused or its connection closed.
+enum class RefusalCause
 {
-  std::uint32_t mHeaderBytes = 16'384;
-  std::uint64_t mBodyBytes = 262'144;
-  /// A request must arrive whole within this time after its first byte.
-  Common::Duration mRequestTime{ std::chrono::seconds(10) };
-  /// An open connection without a request is closed after this time.
-  Common::Duration mIdleTime{ std::chrono::seconds(60) };
-  std::size_t mConnections = 3'000;
+  /// The budget for bytes of clients is used up. The request gets a 503 and has not run.
+  Budget,
+  /// Too many complete requests are unanswered, or they hold their part of the budget. The request
+  /// gets a 503 and has not run.
+  HeldRequests,
+  /// The request arrived too slowly; its connection is closed.
+  SlowRequest,
+  /// The answer was not read in time; the connection is closed.
+  UnreadAnswer,
+  HeaderBytes,
+  HeaderFields,
+  BodyBytes,
+  /// An idle connection was closed in favour of a new one.
+  IdleConnection,
+  /// No connection could be closed in favour of a new one, so the new one was closed.
+  Connections,
+};
+
+/// Name of the cause in logs and counter labels.
+std::string_view
+CauseText(RefusalCause aCause);
+
+/// What a server shares with the process that it is part of.
+struct HttpSharing
+{
+  /// A budget of the server's own if null.
+  std::shared_ptr<ReceiveBudget> mBudget;
+  /// Called for each refusal.
+  std::function<void(RefusalCause)> mOnRefusal;
 };
 
 /// HTTP/1.1 server. Requests on one connection are answered in order. A request that can be read in
@@ -58,7 +83,10 @@
 class HttpServer
 {
 public:
-  HttpServer(Asio::io_context& aContext, HttpLimits aLimits, Handler aHandler);
+  HttpServer(Asio::io_context& aContext,
+             HttpLimits aLimits,
+             Handler aHandler,
+             HttpSharing aSharing = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -69,6 +97,7 @@
 
   /// Limits for connections that are accepted from now on and for the next request on open ones.
   void changeLimits(HttpLimits aLimits);
+  const HttpLimits& limits() const;
   /// From now on each answer asks the caller to close its connection.
   void announceClose();
   /// Closes the connections on which no request has begun, except for new ones, whose requests may
--- a/Source/Core/Net/Link.cpp
+++ b/Source/Core/Net/Link.cpp
@@ -1,5 +1,6 @@
 #include "Net/Link.h"
 
+#include <algorithm>
 #include <array>
 
 #include <boost/asio/buffer.hpp>
@@ -13,13 +14,19 @@
 namespace {
 
 constexpr std::uint32_t kCompressedFlag = 0x80000000U;
+/// What a link takes beside its messages: buffers, timer and the windows of the compression.
+constexpr std::size_t kLinkBytes = 65'536;
+/// Part of a message that is read first; each further one is as long as those before it.
+constexpr std::size_t kFirstPartBytes = 16'384;
+/// Wait after a failed accept, most likely for want of descriptors.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
 
 } // namespace
 
 std::shared_ptr<Link>
-Link::adopt(Tcp::socket aSocket, Common::Duration aSilence)
+Link::adopt(Tcp::socket aSocket, Common::Duration aSilence, std::shared_ptr<ReceiveBudget> aBudget)
 {
-  return std::make_shared<Link>(std::move(aSocket), aSilence);
+  return std::make_shared<Link>(std::move(aSocket), aSilence, std::move(aBudget));
 }
 
 void
@@ -59,7 +66,7 @@
     });
 }
 
-Link::Link(Tcp::socket aSocket, Common::Duration aSilence)
+Link::Link(Tcp::socket aSocket, Common::Duration aSilence, std::shared_ptr<ReceiveBudget> aBudget)
   : mSocket(std::move(aSocket))
   , mTimer(mSocket.get_executor())
   , mSilence(aSilence)
@@ -67,6 +74,12 @@
   SetSocketOptions(
     mSocket,
     static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(aSilence).count()));
+  if (aBudget) {
+    mShare = std::make_unique<ReceiveBudget::Share>(std::move(aBudget), [this] {
+      mShare->force(0);
+      fail();
+    });
+  }
 }
 
 void
@@ -74,6 +87,12 @@
 {
   mEvents = std::move(aEvents);
   touch();
+  if (!reserve(kLinkBytes)) {
+    // Not at once, because the caller may not have stored the link yet.
+    mTimer.expires_after(std::chrono::seconds(0));
+    mTimer.async_wait([self = shared_from_this()](ErrorCode) { self->fail(); });
+    return;
+  }
   readLength();
 }
 
@@ -165,35 +184,74 @@
         self->fail();
         return;
       }
-      self->mBody.resize(size);
+      self->mBodyBytes = size;
+      self->mBodyRead = 0;
+      self->mBody.clear();
+      if (self->mShare) {
+        self->mShare->enter(ReceiveBudget::Phase::Receiving);
+      }
       self->readBody();
     });
 }
 
+bool
+Link::reserve(std::size_t aBytes)
+{
+  return !mShare || mShare->resize(aBytes);
+}
+
 void
 Link::readBody()
 {
-  Asio::async_read(
-    mSocket, Asio::buffer(mBody), [self = shared_from_this()](ErrorCode aError, std::size_t) {
-      if (aError || !self->mOpen) {
-        self->fail();
-        return;
-      }
-      self->touch();
-      self->mReceivedBytes = self->mLength.size() + self->mBody.size();
-      if (self->mBodyIsCompressed && !self->decompressBody()) {
-        self->fail();
-        return;
-      }
-      // A copy, because the handler may close the link, which drops the events.
-      const auto handler = self->mEvents.mMessage;
-      if (handler) {
-        handler(std::move(self->mBody));
-      }
-      if (self->mOpen) {
-        self->readLength();
-      }
-    });
+  if (mBodyRead == mBodyBytes) {
+    takeBody();
+    return;
+  }
+  if (mBodyRead == mBody.size()) {
+    const std::size_t size = std::min(mBodyBytes, std::max(kFirstPartBytes, 2 * mBodyRead));
+    if (!reserve(kLinkBytes + size)) {
+      fail();
+      return;
+    }
+    mBody.resize(size);
+  }
+  mSocket.async_read_some(Asio::buffer(mBody.data() + mBodyRead, mBody.size() - mBodyRead),
+                          [self = shared_from_this()](ErrorCode aError, std::size_t aSize) {
+                            if (aError || !self->mOpen) {
+                              self->fail();
+                              return;
+                            }
+                            self->mBodyRead += aSize;
+                            if (self->mShare) {
+                              self->mShare->addProgress(aSize);
+                            }
+                            self->readBody();
+                          });
+}
+
+void
+Link::takeBody()
+{
+  touch();
+  mHasReceived = true;
+  if (mShare) {
+    mShare->enter(ReceiveBudget::Phase::Held);
+  }
+  mReceivedBytes = mLength.size() + mBody.size();
+  if (mBodyIsCompressed && !decompressBody()) {
+    fail();
+    return;
+  }
+  // A copy, because the handler may close the link, which drops the events.
+  const auto handler = mEvents.mMessage;
+  if (handler) {
+    handler(std::move(mBody));
+  }
+  mBody = {};
+  if (mOpen) {
+    reserve(kLinkBytes);
+    readLength();
+  }
 }
 
 bool
@@ -232,21 +290,29 @@
 {
   Core(Asio::io_context& aContext,
        Common::Duration aSilence,
-       std::function<void(std::shared_ptr<Link>)> aAccepted)
+       std::function<void(std::shared_ptr<Link>)> aAccepted,
+       LinkSharing aSharing)
     : mAcceptor(aContext)
+    , mRetry(aContext)
     , mSilence(aSilence)
     , mAccepted(std::move(aAccepted))
+    , mSharing(std::move(aSharing))
   {
   }
   Tcp::acceptor mAcceptor;
+  Asio::steady_timer mRetry;
   Common::Duration mSilence;
   std::function<void(std::shared_ptr<Link>)> mAccepted;
+  LinkSharing mSharing;
+  /// Oldest first.
+  std::deque<std::weak_ptr<Link>> mLinks;
 };
 
 LinkServer::LinkServer(Asio::io_context& aContext,
                        Common::Duration aSilence,
-                       std::function<void(std::shared_ptr<Link>)> aAccepted)
-  : mCore(std::make_shared<Core>(aContext, aSilence, std::move(aAccepted)))
+                       std::function<void(std::shared_ptr<Link>)> aAccepted,
+                       LinkSharing aSharing)
+  : mCore(std::make_shared<Core>(aContext, aSilence, std::move(aAccepted), std::move(aSharing)))
 {
 }
 
@@ -254,12 +320,13 @@
 {
   ErrorCode ignored;
   mCore->mAcceptor.close(ignored);
+  mCore->mRetry.cancel();
 }
 
 tl::expected<void, std::string>
 LinkServer::listen(const std::string& aAddress)
 {
-  auto opened = OpenListener(mCore->mAcceptor, aAddress);
+  auto opened = OpenListener(mCore->mAcceptor, aAddress, mCore->mSharing.mKernelBufferBytes);
   if (!opened) {
     return opened;
   }
@@ -274,6 +341,16 @@
   return mCore->mAcceptor.local_endpoint(ignored);
 }
 
+std::size_t
+LinkServer::links() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mCore->mLinks.begin(), mCore->mLinks.end(), [](const auto& aWeak) {
+      const auto link = aWeak.lock();
+      return link && link->isOpen();
+    }));
+}
+
 void
 LinkServer::acceptNext(const std::shared_ptr<Core>& aCore)
 {
@@ -282,10 +359,44 @@
       return;
     }
     if (!aError) {
-      aCore->mAccepted(Link::adopt(std::move(aSocket), aCore->mSilence));
+      admit(std::move(aSocket), *aCore);
+      acceptNext(aCore);
+      return;
     }
-    acceptNext(aCore);
+    aCore->mRetry.expires_after(kAcceptRetryDelay);
+    aCore->mRetry.async_wait([aCore](ErrorCode aTimerError) {
+      if (!aTimerError) {
+        acceptNext(aCore);
+      }
+    });
+  });
+}
+
+void
+LinkServer::admit(Tcp::socket aSocket, Core& aCore)
+{
+  std::erase_if(aCore.mLinks, [](const auto& aWeak) {
+    const auto link = aWeak.lock();
+    return !link || !link->isOpen();
   });
+  if (aCore.mLinks.size() >= aCore.mSharing.mLinks) {
+    if (aCore.mSharing.mOnRefusal) {
+      aCore.mSharing.mOnRefusal();
+    }
+    const auto silent =
+      std::find_if(aCore.mLinks.begin(), aCore.mLinks.end(), [](const auto& aWeak) {
+        return !aWeak.lock()->hasReceived();
+      });
+    if (silent == aCore.mLinks.end()) {
+      return;
+    }
+    const auto link = silent->lock();
+    aCore.mLinks.erase(silent);
+    link->fail();
+  }
+  const auto link = Link::adopt(std::move(aSocket), aCore.mSilence, aCore.mSharing.mBudget);
+  aCore.mLinks.push_back(link);
+  aCore.mAccepted(link);
 }
 
 } // namespace Net
--- a/Source/Core/Node/Agent.cpp
+++ b/Source/Core/Node/Agent.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "Node/ClientLimits.h"
 #include "Node/WireConversion.h"
 #include "Observability/Log.h"
 
@@ -26,6 +27,14 @@
 /// Checks within which a stop closes the worker's connections.
 constexpr int kCloseChecks = 10;
 
+Net::HttpLimits
+MakeAnnouncementLimits(const Settings& aSettings)
+{
+  Net::HttpLimits limits = MakeHttpLimits(aSettings, ShareConnections(aSettings).mClients);
+  limits.mBodyBytes = 4 << 20;
+  return limits;
+}
+
 std::int64_t
 MicrosOf(Timestamp aTime)
 {
@@ -60,11 +69,13 @@
   : mContext(aContext)
   , mPortFactory(std::move(aPortFactory))
   , mAdvicePort(std::move(aAdvicePort))
-  , mAnnouncementServer(aContext.mIo,
-                        Net::HttpLimits{ .mHeaderBytes = 16'384, .mBodyBytes = 4 << 20 },
-                        [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
-                          handleRequest(aRequest, aRespond);
-                        })
+  , mAnnouncementServer(
+      aContext.mIo,
+      MakeAnnouncementLimits(aContext.mSettings),
+      [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
+        handleRequest(aRequest, aRespond);
+      },
+      ShareBudget(aContext.mCounters, aContext.mReceiveBudget, "announcements"))
   , mCoordinatorFinder(aContext,
                        aContext.mTiming.mAgentWatchWait,
                        [this](const auto&, Store::Version) { connect(); })
@@ -99,6 +110,12 @@
   return {};
 }
 
+void
+Agent::countConnections()
+{
+  SetConnections(mContext.mCounters, "announcements", mAnnouncementServer.connections());
+}
+
 void
 Agent::handleRequest(const Net::HttpRequest& aRequest, const Net::Responder& aRespond)
 {
--- a/Source/Core/Node/Agent.h
+++ b/Source/Core/Node/Agent.h
@@ -28,6 +28,8 @@
   /// Starts listening and reporting. Returns an error message if the address for announcements
   /// cannot be listened on.
   tl::expected<void, std::string> start();
+  /// Sets the counter of open connections.
+  void countConnections();
   /// Accepts no more orders. Calls aDone once the orders in flight are answered and reported.
   void stop(std::function<void()> aDone);
 
--- a/Source/Core/Node/Context.h
+++ b/Source/Core/Node/Context.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Common/Clock.h"
+#include "Net/ReceiveBudget.h"
 #include "Node/Ports.h"
 #include "Node/Settings.h"
 #include "Observability/Counters.h"
@@ -23,6 +24,8 @@
   const Formats& mFormats;
   Store::AsyncStore& mStore;
   Observability::Counters& mCounters;
+  /// Bytes that the clients of the process hold. Each server has a budget of its own if it is null.
+  std::shared_ptr<Net::ReceiveBudget> mReceiveBudget = nullptr;
 
   Timestamp now() const { return mClock.now(); }
   /// The current time on the monotonic clock and as Unix time.
--- a/Source/Core/Node/Entry.cpp
+++ b/Source/Core/Node/Entry.cpp
@@ -1,5 +1,6 @@
 #include "Node/Entry.h"
 
+#include "Node/ClientLimits.h"
 #include "Observability/Log.h"
 
 namespace Node {
@@ -25,6 +26,23 @@
 /// Time until callers stop connecting to a stopping entry: the platform probes readiness each
 /// second and routes no new connections after two failures.
 constexpr std::chrono::milliseconds kDrainDelay{ 2'500 };
+/// An unanswered submission is held as parsed job, record, write to the store and its call.
+constexpr std::uint64_t kSubmissionFactor = 6;
+
+Net::HttpLimits
+MakeCallerLimits(const Settings& aSettings, const CallerLimits& aTables)
+{
+  const ConnectionShares shares = ShareConnections(aSettings);
+  Net::HttpLimits limits = MakeHttpLimits(aSettings, shares.mClients);
+  limits.mPending = shares.mUnanswered;
+  limits.mHeaderBytes = aTables.mHeaderBytes;
+  limits.mBodyBytes = aTables.mBodyBytes;
+  limits.mRequestTime = aTables.mRequestTime;
+  limits.mReceiveGrace = aTables.mRequestTime;
+  limits.mIdleTime = aTables.mIdleTime;
+  limits.mHeldFactor = kSubmissionFactor;
+  return limits;
+}
 
 } // namespace
 
@@ -40,24 +58,33 @@
                 [this](std::string_view aReason) { mCoordinator.pause(aReason); },
                 [this] { mCoordinator.endTerm(); } })
   , mCoordinator(aContext, mElection)
-  , mCallerServer(aContext.mIo,
-                  {},
-                  [this](Net::HttpRequest aRequest, Net::Responder aRespond) {
-                    mJobApi.handleRequest(
-                      mContext.mFormats.mParseJobRequest(std::move(aRequest)),
-                      [this, respond = std::move(aRespond)](const JobResponse& aResponse) {
-                        respond(mContext.mFormats.mFormatJobResponse(aResponse));
-                      });
-                  })
-  , mReadinessServer(aContext.mIo,
-                     {},
-                     [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
-                       const bool isProbe = mContext.mFormats.mIsReadinessProbe(aRequest);
-                       aRespond({ isProbe ? (isReady() ? 200U : 503U) : 404U, "{}", {} });
-                     })
+  , mCallerServer(
+      aContext.mIo,
+      MakeCallerLimits(aContext.mSettings, {}),
+      [this](Net::HttpRequest aRequest, Net::Responder aRespond) {
+        mJobApi.handleRequest(mContext.mFormats.mParseJobRequest(std::move(aRequest)),
+                              [this, respond = std::move(aRespond)](const JobResponse& aResponse) {
+                                respond(mContext.mFormats.mFormatJobResponse(aResponse));
+                              });
+      },
+      ShareBudget(aContext.mCounters, aContext.mReceiveBudget, "callers"))
+  , mReadinessServer(
+      aContext.mIo,
+      MakeHttpLimits(aContext.mSettings, ShareConnections(aContext.mSettings).mReadiness),
+      [this](const Net::HttpRequest& aRequest, const Net::Responder& aRespond) {
+        const bool isProbe = mContext.mFormats.mIsReadinessProbe(aRequest);
+        aRespond({ isProbe ? (isReady() ? 200U : 503U) : 404U, "{}", {} });
+      },
+      ShareBudget(aContext.mCounters, aContext.mReceiveBudget, "readiness"))
   , mPeerServer(aContext.mIo,
                 aContext.mTiming.mPeerTimeout,
-                [this](const std::shared_ptr<Net::Link>& aLink) { mCoordinator.acceptLink(aLink); })
+                [this](const std::shared_ptr<Net::Link>& aLink) { mCoordinator.acceptLink(aLink); },
+                { aContext.mReceiveBudget,
+                  ShareConnections(aContext.mSettings).mPeers,
+                  0,
+                  [report = ReportRefusals(aContext.mCounters, "peers")] {
+                    report(Net::RefusalCause::Connections);
+                  } })
   , mTablesWatcher(
       aContext,
       aContext.mFormats.mTablesKey,
@@ -126,12 +153,7 @@
     // The store has just answered. Waiting for the next check would reject the first callers.
     mJobApi.setStoreConnected(true);
     mCoordinator.setTables(*mTables);
-    Net::HttpLimits limits;
-    limits.mHeaderBytes = mTables->mLimits.mHeaderBytes;
-    limits.mBodyBytes = mTables->mLimits.mBodyBytes;
-    limits.mRequestTime = mTables->mLimits.mRequestTime;
-    limits.mIdleTime = mTables->mLimits.mIdleTime;
-    mCallerServer.changeLimits(limits);
+    mCallerServer.changeLimits(MakeCallerLimits(mContext.mSettings, mTables->mLimits));
   }
 }
 
@@ -169,6 +191,17 @@
   });
 }
 
+void
+Entry::countConnections()
+{
+  const auto set = [this](const char* aListener, std::size_t aConnections) {
+    SetConnections(mContext.mCounters, aListener, aConnections);
+  };
+  set("callers", mCallerServer.connections());
+  set("readiness", mReadinessServer.connections());
+  set("peers", mPeerServer.links());
+}
+
 void
 Entry::stop(std::function<void()> aDone)
 {
--- a/Source/Core/Node/Entry.h
+++ b/Source/Core/Node/Entry.h
@@ -26,6 +26,8 @@
   /// Starts listening and watching the store. Returns an error message if one of the addresses
   /// cannot be listened on.
   tl::expected<void, std::string> start();
+  /// Sets the counters of open connections.
+  void countConnections();
   /// Reports not ready, hands the coordinator role over and answers callers until the grace period
   /// ends or no connection is left. Each request that was read is answered before. Calls aDone
   /// then.
--- a/Source/Core/Node/Process.cpp
+++ b/Source/Core/Node/Process.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "Node/Agent.h"
+#include "Node/ClientLimits.h"
 #include "Node/Entry.h"
 #include "Observability/Log.h"
 
@@ -56,7 +57,8 @@
   const TimingConstants timing;
   Observability::Counters counters;
   const auto store = aAdapters.mMakeStore(io, aSettings.mStoreAddress);
-  Context context{ io, clock, aSettings, timing, aAdapters.mFormats, *store, counters };
+  const auto budget = std::make_shared<Net::ReceiveBudget>(ClientBudgetBytes(aSettings));
+  Context context{ io, clock, aSettings, timing, aAdapters.mFormats, *store, counters, budget };
 
   std::optional<Entry> entry;
   std::optional<Agent> agent;
@@ -80,14 +82,21 @@
   }
   Log(Level::Info, "process", "started", { { "role", aSettings.mRunsEntry ? "entry" : "agent" } });
 
-  Net::HttpServer metrics(
-    io, {}, [&counters](const Net::HttpRequest&, const Net::Responder& aRespond) {
+  std::optional<Net::HttpServer> metrics;
+  metrics.emplace(
+    io,
+    MakeHttpLimits(aSettings, ShareConnections(aSettings).mMetrics),
+    [&](const Net::HttpRequest&, const Net::Responder& aRespond) {
       counters.counter("ibis_log_lines_dropped")
         .set(static_cast<std::int64_t>(Observability::DroppedLines()));
+      entry ? entry->countConnections() : agent->countConnections();
+      SetConnections(counters, "metrics", metrics->connections());
+      SetBudget(counters, *budget);
       aRespond({ 200, counters.text(), { { "Content-Type", "text/plain" } } });
-    });
+    },
+    ShareBudget(counters, budget, "metrics"));
   if (!aSettings.mMetricsAddress.empty()) {
-    if (const auto listening = metrics.listen(aSettings.mMetricsAddress); !listening) {
+    if (const auto listening = metrics->listen(aSettings.mMetricsAddress); !listening) {
       Log(Level::Warning, "process", "cannot serve metrics", { { "reason", listening.error() } });
     }
   }
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,9 @@
   /// not known.
   double mProcessorShare = 0;
   double mLinkSpeed = 0;
+  /// Memory of the machine of this process in bytes, and descriptors that it may have open.
+  std::uint64_t mMemoryLimit = 512ULL << 20;
+  std::size_t mMaxDescriptors = 4'096;
   /// Shortest lease that the store grants.
   Duration mMinStoreLease{ std::chrono::seconds(1) };
   /// Time from the request to stop a process until the platform kills it.
--- a/Source/UnitTests/Platform/FormatTests.cpp
+++ b/Source/UnitTests/Platform/FormatTests.cpp
@@ -295,3 +295,65 @@
             Scheduling::LifetimeStart{ 17 });
   }
 }
+
+TEST_CASE("JSON of clients is bounded before a tree is built", "[Platform]")
+{
+  const auto repeated = [](const std::string& aPart, std::size_t aCount) {
+    std::string text = "{\"a\":[" + aPart;
+    for (std::size_t i = 1; i < aCount; ++i) {
+      text += ',' + aPart;
+    }
+    return text + "]}";
+  };
+
+  SECTION("the number of values")
+  {
+    // The object and its array count, too.
+    REQUIRE(Platform::ParseClientObject(repeated("0", Platform::kMaxClientValues - 2)));
+    REQUIRE_FALSE(Platform::ParseClientObject(repeated("0", Platform::kMaxClientValues - 1)));
+    REQUIRE_FALSE(Platform::ParseClientObject(repeated("{}", Platform::kMaxClientValues)));
+    REQUIRE(Platform::ParseObject(repeated("{}", Platform::kMaxClientValues)));
+  }
+
+  SECTION("the depth")
+  {
+    const auto nested = [](std::size_t aDepth) {
+      return "{\"a\":" + std::string(aDepth, '[') + std::string(aDepth, ']') + '}';
+    };
+    REQUIRE(Platform::ParseClientObject(nested(32)));
+    REQUIRE_FALSE(Platform::ParseClientObject(nested(33)));
+    REQUIRE_FALSE(Platform::ParseClientObject(nested(100'000)));
+    // Values of the platform's services that are too deep are dropped, as before.
+    REQUIRE(Platform::ParseObject(nested(100'000)));
+  }
+
+  SECTION("and only objects are taken")
+  {
+    REQUIRE_FALSE(Platform::ParseClientObject("[1]"));
+    REQUIRE_FALSE(Platform::ParseClientObject("{\"a\":"));
+    REQUIRE_FALSE(Platform::ParseClientObject(""));
+  }
+}
+
+TEST_CASE("The settings file states the memory and the descriptors of the machine", "[Platform]")
+{
+  const auto settings = [](const Platform::Json& aLimits) {
+    Platform::Json file = { { "node_name", "a1" },
+                            { "serves", { "side" } },
+                            { "ip", "127.0.0.1" },
+                            { "zone", "z1" },
+                            { "internal_ports", { 1'000, 1'004 } },
+                            { "platform", { { "address", "127.0.0.1:1" } } },
+                            { "listen", { { "control_plane", "127.0.0.1:2" } } } };
+    file["limits"] = aLimits;
+    const auto parsed = Platform::ParseSettings(file.dump(), "file");
+    REQUIRE(parsed);
+    return *parsed;
+  };
+  const Node::Settings stated = settings({ { "memory_mb", 160 }, { "max_fds", 8'192 } });
+  REQUIRE(stated.mMemoryLimit == 160ULL << 20);
+  REQUIRE(stated.mMaxDescriptors == 8'192);
+  const Node::Settings defaults = settings({ { "memory_mb", -1 }, { "max_fds", "x" } });
+  REQUIRE(defaults.mMemoryLimit == Node::Settings().mMemoryLimit);
+  REQUIRE(defaults.mMaxDescriptors == Node::Settings().mMaxDescriptors);
+}
