Test of what a silence of 4 s leaves undecided

Three entries with four submissions a second each: at most the two of the first 300 ms at each entry get 504, the others a refusal within 2 s that stays true after the late writes, and those after the silence are accepted.

--- a/Source/UnitTests/Node/SettledRefusalTests.cpp
+++ b/Source/UnitTests/Node/SettledRefusalTests.cpp
@@ -275,6 +275,53 @@
   }
 }
 
+TEST_CASE("A silence of the store leaves only the submissions of its first moments undecided",
+          "[Node]")
+{
+  // Each entry wrote all that arrived before its watch noticed the silence, and answered 504 to
+  // those whose deadlines came before its end.
+  constexpr std::size_t kEntries = 3;
+  EntriesFixture fixture(kEntries);
+  std::vector<std::shared_ptr<EntriesFixture::Call>> calls;
+  // Four a second at each entry.
+  const auto submitFor = [&](int aRounds) {
+    for (int i = 0; i < aRounds; ++i) {
+      for (std::size_t entry = 0; entry < kEntries; ++entry) {
+        calls.push_back(fixture.submit(entry, "a" + std::to_string(calls.size())));
+      }
+      fixture.run(250ms);
+    }
+  };
+  submitFor(2);
+  fixture.mStore.mMode = FakeStore::Mode::DelayingWrites;
+  submitFor(16);
+  fixture.mStore.mMode = FakeStore::Mode::Normal;
+  submitFor(4);
+  fixture.run(3000ms);
+  std::size_t undecided = 0;
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    REQUIRE(calls[i]->mResponse);
+    const ResponseKind kind = calls[i]->mResponse->mKind;
+    undecided += kind == ResponseKind::Undecided ? 1 : 0;
+    if (kind == ResponseKind::Unavailable) {
+      REQUIRE(calls[i]->took() < 2s);
+      REQUIRE_FALSE(fixture.isStored("a" + std::to_string(i)));
+    }
+  }
+  // Those of the first 300 ms: two at each entry.
+  CAPTURE(undecided);
+  REQUIRE(undecided <= 2 * kEntries);
+  for (std::size_t i = calls.size() - 3 * kEntries; i < calls.size(); ++i) {
+    REQUIRE(calls[i]->mResponse->mKind == ResponseKind::Accepted);
+  }
+  fixture.mStore.applyDelayedWrites();
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    if (calls[i]->mResponse->mKind == ResponseKind::Unavailable) {
+      REQUIRE_FALSE(fixture.isStored("a" + std::to_string(i)));
+    }
+  }
+}
+
 TEST_CASE("A lost answer keeps no later submission out", "[Node]")
 {
   // With a short deadline no call is open any more that could tell whether the store answers.
