Coordinator: log that nothing is placed before the evacuations are read

Cause: a coordinator whose first read of the operators' keys fails placed nothing without a word.

Change: one log line a term.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -70,6 +70,7 @@
   mTerm = aTerm;
   mPhase = Phase::Recovering;
   mTermStart = mContext.now();
+  mLoggedUnknownEvacuations = false;
   mState = Scheduling::SchedulerState{};
   // After a stop order the worker needs time to end the task, and the lists that the coordinator
   // has are up to two report intervals old.
@@ -431,7 +432,16 @@
 void
 Coordinator::placeTasks()
 {
-  if (!isWorking() || !mElection.mayAct() || !mEvacuated) {
+  if (!isWorking() || !mElection.mayAct()) {
+    return;
+  }
+  if (!mEvacuated) {
+    if (!std::exchange(mLoggedUnknownEvacuations, true)) {
+      Log(Level::Warning,
+          "coordinator",
+          "tasks wait until the evacuated data centres are read",
+          { { "term", std::to_string(mTerm.value()) } });
+    }
     return;
   }
   mState.mSoleUntil = mElection.leaseValidUntil();
--- a/Source/Core/Node/Coordinator.h
+++ b/Source/Core/Node/Coordinator.h
@@ -268,6 +268,8 @@
   /// Evacuated data centres without workers that were logged.
   Scheduling::EvacuatedDataCentres mLoggedWithoutWorkers;
   bool mLoggedAllEvacuated = false;
+  /// This term has logged that nothing is placed because mEvacuated is empty.
+  bool mLoggedUnknownEvacuations = false;
   LinkShare mOrderShare;
   boost::asio::steady_timer mPlacementTimer;
   boost::asio::steady_timer mTickTimer;
