Random schedules of the scheduler evacuate data centres

Cause: evacuations were tested one at a time, and not together with takeovers, restarted agents, repeated and late orders.

Change: the simulation's operator evacuates its two data centres at random. Agents learn of it after 2 s, and every second coordinator only after 7 s, past the bound of 5 s. A start that is sent after the bound is a violation. The planted fault is agents that do not refuse. Changes are drawn from a generator of their own.

--- a/Source/UnitTests/Scheduling/ScheduleTests.cpp
+++ b/Source/UnitTests/Scheduling/ScheduleTests.cpp
@@ -26,8 +26,9 @@
   // Faults: stopped coordinators and ones that stay active after their replacement, disconnected
   // agents, agents that are killed and restart, workers that restart under their old id, orders
   // carried out late or never, outdated lists, cancelled jobs, failing tasks, lost writes, tasks
-  // that crash the workers that start them, capacities that shrink and grow. On every second seed
-  // the workers start whatever they are told.
+  // that crash the workers that start them, capacities that shrink and grow, evacuated data centres
+  // of which half of the coordinators learn too late. On every second seed the workers start
+  // whatever they are told.
   REQUIRE(FirstViolation(PlantedFault::None, ScheduleCount(200)) == "");
 }
 
@@ -39,7 +40,8 @@
                               PlantedFault::AcknowledgeEarly,
                               PlantedFault::ForgetRepeats,
                               PlantedFault::HideSuspects,
-                              PlantedFault::IgnoreShrinking);
+                              PlantedFault::IgnoreShrinking,
+                              PlantedFault::IgnoreEvacuations);
   CAPTURE(static_cast<int>(fault));
   REQUIRE(FirstViolation(fault, 200) != "");
 }
--- a/Source/UnitTests/Scheduling/Simulation.cpp
+++ b/Source/UnitTests/Scheduling/Simulation.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Scheduling/Evacuation.h"
+
 namespace SchedulingSimulation {
 
 namespace {
@@ -26,6 +28,15 @@
 /// Time after which a smaller capacity counts for starts.
 constexpr milliseconds kCapacityNoticeTime{ 1'500 };
 
+/// An evacuation begins or ends once in this many ticks on average.
+constexpr std::uint32_t kEvacuationInterval = 80;
+/// No start may be sent this long after the operator's write.
+constexpr milliseconds kEvacuationBound{ 5'000 };
+/// How much later than the operator's write each process knows of it.
+constexpr milliseconds kAgentLag{ 2'000 };
+constexpr milliseconds kCoordinatorLag{ 500 };
+constexpr milliseconds kCutOffLag{ 7'000 };
+
 Duration
 WithDrift(Duration aTime)
 {
@@ -36,6 +47,8 @@
 
 Simulation::Simulation(std::uint32_t aSeed, PlantedFault aFault)
   : mRandom(aSeed)
+  , mEvacuationRandom(~aSeed)
+  , mEvacuations{ { Timestamp{}, {} } }
   , mFault(aFault)
   , mWorkersCheckCapacity(aSeed % 2 == 0)
 {
@@ -57,6 +70,47 @@
   }
 }
 
+Common::DataCentreId
+Simulation::dataCentreOf(std::size_t aWorker)
+{
+  return Common::DataCentreId(aWorker % 2 == 0 ? "even" : "odd");
+}
+
+void
+Simulation::evacuate()
+{
+  if (mEvacuationRandom() % kEvacuationInterval != 0) {
+    return;
+  }
+  EvacuatedDataCentres dataCentres = mEvacuations.back().mDataCentres;
+  const Common::DataCentreId changed = dataCentreOf(mEvacuationRandom() % 2);
+  if (dataCentres.erase(changed) == 0) {
+    dataCentres.insert(changed);
+  }
+  mEvacuations.push_back({ mTime, dataCentres });
+}
+
+const EvacuatedDataCentres&
+Simulation::evacuatedAsOf(Timestamp aTime) const
+{
+  auto found = mEvacuations.rbegin();
+  while (found->mSince > aTime) {
+    ++found;
+  }
+  return found->mDataCentres;
+}
+
+bool
+Simulation::isEvacuatedFor(std::size_t aWorker) const
+{
+  const Common::DataCentreId dataCentre = dataCentreOf(aWorker);
+  return evacuatedAsOf(mTime - kEvacuationBound).contains(dataCentre) &&
+         std::all_of(mEvacuations.begin(), mEvacuations.end(), [&](const Evacuation& aEvacuation) {
+           return aEvacuation.mSince <= mTime - kEvacuationBound ||
+                  aEvacuation.mDataCentres.contains(dataCentre);
+         });
+}
+
 Simulation::CoordinatorModel*
 Simulation::currentCoordinator()
 {
@@ -122,6 +176,7 @@
       WorkerView view;
       view.mLifetime = lifetime;
       view.mPool = Common::PoolId("pool");
+      view.mDataCentre = dataCentreOf(worker);
       view.mAddress = lifetime.mWorker.str();
       AddRecordedWorker(state,
                         view,
@@ -377,6 +432,13 @@
   if (start && agent.mLeaseGrantedUntil <= mTime + milliseconds(300)) {
     return OrderResult::NotSent;
   }
+  if (start && mFault != PlantedFault::IgnoreEvacuations &&
+      evacuatedAsOf(mTime - kAgentLag).contains(dataCentreOf(aWorker))) {
+    return OrderResult::NotSent;
+  }
+  if (start && isEvacuatedFor(aWorker)) {
+    reportViolation("a start was sent in an evacuated data centre");
+  }
   if (start) {
     std::erase_if(agent.mSentStarts, [this](const SentStart& aStart) {
       return mTime - aStart.mSentAt > kMaxLateness;
@@ -497,6 +559,7 @@
       agent.mView.mLifetime = worker.mLifetime;
     }
     agent.mView.mPool = Common::PoolId("pool");
+    agent.mView.mDataCentre = dataCentreOf(i);
     agent.mView.mAddress = worker.mLifetime.mWorker.str();
     agent.mView.mCapacity.mCores =
       Common::MilliCores{ mFault == PlantedFault::IgnoreShrinking ? kFullCapacity
@@ -573,7 +636,10 @@
       auto results = std::move(agent.mResults);
       agent.mResults.clear();
       for (const auto& [number, result] : results) {
-        ApplyOrderResult(state, number, result, now());
+        const bool evacuated = result == OrderResult::NotSent &&
+                               evacuatedAsOf(mTime - kAgentLag).contains(dataCentreOf(i));
+        evacuated ? ApplyEvacuationRefusal(state, number, result, now())
+                  : ApplyOrderResult(state, number, result, now());
       }
       if (coordinator.mConnectedAgents.insert(i).second) {
         repeatOrders(i, coordinator);
@@ -593,6 +659,9 @@
     }
     CheckTimeouts(state, now());
     ThrottleTasks(state, now());
+    // Every second coordinator learns of evacuations only after the bound, as if cut off.
+    const bool isCutOff = coordinator.mNumber % 2 == 0;
+    SetEvacuated(state, evacuatedAsOf(mTime - (isCutOff ? kCutOffLag : kCoordinatorLag)));
     PlaceTasks(state, now());
     const auto orders = std::move(state.mOrders);
     state.mOrders.clear();
@@ -617,6 +686,7 @@
   if (!mFaultsEnabled) {
     return;
   }
+  evacuate();
   AgentModel& agent = mAgents[static_cast<std::size_t>(random(kWorkerCount))];
   if (random(60) == 0) {
     agent.mDisconnected = true;
@@ -686,6 +756,7 @@
   for (; mTime < end && mViolation.empty(); mTime += kTick) {
     if (mFaultsEnabled && mTime >= faultPhaseEnd) {
       mFaultsEnabled = false;
+      mEvacuations.push_back({ mTime, {} });
       for (AgentModel& agent : mAgents) {
         agent.mDisconnected = false;
       }
--- a/Source/UnitTests/Scheduling/Simulation.h
+++ b/Source/UnitTests/Scheduling/Simulation.h
@@ -34,6 +34,8 @@
   HideSuspects,
   /// A smaller capacity that a worker reports is not noticed.
   IgnoreShrinking,
+  /// Agents start tasks although their data centre is evacuated.
+  IgnoreEvacuations,
 };
 
 class Simulation
@@ -117,6 +119,13 @@
     Timestamp mSentAt;
   };
 
+  /// The data centres that are evacuated from mSince on.
+  struct Evacuation
+  {
+    Timestamp mSince;
+    EvacuatedDataCentres mDataCentres;
+  };
+
   CurrentTime now() const
   {
     return { mTime, Common::UnixMillis{ mTime.time_since_epoch().count() / 1000 } };
@@ -125,6 +134,11 @@
   void submit();
   void newCoordinator();
   void recover(CoordinatorModel& aCoordinator);
+  /// Changes the operator's evacuations at random.
+  void evacuate();
+  const EvacuatedDataCentres& evacuatedAsOf(Timestamp aTime) const;
+  bool isEvacuatedFor(std::size_t aWorker) const;
+  static Common::DataCentreId dataCentreOf(std::size_t aWorker);
   void tickWorkers();
   void tickAgents();
   void tickCoordinators();
@@ -157,6 +171,10 @@
   bool hasCauseToFail(const Common::JobId& aJob) const;
 
   std::mt19937 mRandom;
+  /// Apart, so that a seed gives the same other faults with and without evacuations.
+  std::mt19937 mEvacuationRandom;
+  /// The operator's evacuations, oldest first.
+  std::vector<Evacuation> mEvacuations;
   PlantedFault mFault;
   /// Workers reject starts that exceed their capacity; otherwise they carry them out.
   bool mWorkersCheckCapacity;
