--- a/Source/UnitTests/Platform/FormatTests.cpp
+++ b/Source/UnitTests/Platform/FormatTests.cpp
@@ -325,6 +325,10 @@
     REQUIRE_FALSE(Platform::ParseClientObject(nested(100'000)));
     // Values of the platform's services that are too deep are dropped, as before.
     REQUIRE(Platform::ParseObject(nested(100'000)));
+    // Brackets in strings are no depth.
+    const Platform::Json text = { { "a", "\\\"" + std::string(100, '[') + "\"" } };
+    REQUIRE(Platform::ParseObject(text.dump()) == text);
+    REQUIRE(Platform::ParseClientObject(text.dump()) == text);
   }
 
   SECTION("and only objects are taken")
