Learn run times near the data and the speed of workers

Cause: a run away from its data taught its longer time as the normal one, so nothing could be said about what a place near the data is worth, and a slow worker got as many tasks as the others.

Change: a remote run counts divided by the remote factor (bounds.remote_factor of the settings; 1 if not stated). Each worker lifetime keeps the last five ratios of actual to expected run time; their median counts from three on. A worker over 1.5 is the last choice for short tasks with reserved cores, apart from one such task each 5 s.

--- a/Source/Core/Node/Coordinator.cpp
+++ b/Source/Core/Node/Coordinator.cpp
@@ -76,6 +76,7 @@
                                    mContext.mTiming.mReportInterval * 2 +
                                    mContext.mTiming.mMaxMessageDelay;
   mState.mPolicy.mTrialTime = mContext.mTiming.mCrashTrialTime;
+  mState.mPolicy.mRemoteFactor = mContext.mSettings.mRemoteFactor;
   mState.mRunBase = Scheduling::RunNumber{ (aTerm.value() - 1) * kRunsPerTerm };
   if (mTables) {
     setTables(*mTables);
@@ -585,6 +586,11 @@
   counters.counter("ibis_term_trials").set(static_cast<std::int64_t>(counts.mTrials));
   counters.counter("ibis_term_jobs_failed_for_crashes")
     .set(static_cast<std::int64_t>(counts.mJobsFailedForCrashes));
+  counters.counter("ibis_term_place_waits").set(static_cast<std::int64_t>(counts.mPlaceWaits));
+  counters.counter("ibis_term_place_wait_ms")
+    .set(std::chrono::duration_cast<std::chrono::milliseconds>(counts.mPlaceWaitTime).count());
+  counters.counter("ibis_term_near_starts").set(static_cast<std::int64_t>(counts.mNearStarts));
+  counters.counter("ibis_term_remote_starts").set(static_cast<std::int64_t>(counts.mRemoteStarts));
   counters.counter("ibis_term_moves").set(static_cast<std::int64_t>(counts.mBestEffortMoves));
 }
 
--- a/Source/Core/Node/Settings.h
+++ b/Source/Core/Node/Settings.h
@@ -52,6 +52,8 @@
   Duration mShutdownGrace{ std::chrono::seconds(6) };
   /// Shortest time for which the state of an ended job can be queried.
   Duration mEndedJobRetention{ std::chrono::seconds(120) };
+  /// Multiple of its run time that a task takes away from its data; 1 if the settings state none.
+  double mRemoteFactor = 1.0;
 };
 
 /// Intervals, delays and timeouts of the processes. The scheduling code receives the ones it needs
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -46,7 +46,7 @@
                             CanHostAsLastResort(aState, worker, aReady, aQueue, aNow);
     isNeeded = isNeeded || canHostNow;
     candidates.emplace_back(
-      !canHostNow, PlacementCost(aState, {}, worker, aReady, task, number), number);
+      !canHostNow, PlacementCost(aState, {}, worker, aReady, task, number, aNow), number);
   }
   if (!isNeeded) {
     return;
@@ -146,7 +146,7 @@
     const double cost =
       (lastResort ? kQuarantineWeight : 0.0) +
       (isTrial ? TrialCost(aState, worker, task, aNow)
-               : PlacementCost(aState, labelCapacities, worker, aReady, task, number));
+               : PlacementCost(aState, labelCapacities, worker, aReady, task, number, aNow));
     if (best == kNoWorker || cost < bestCost) {
       best = number;
       bestCost = cost;
@@ -170,7 +170,11 @@
   Task& task = OwnTaskAt(aRef);
   task.mRun = aRun;
   task.mPhaseSince = aNow.mMonotonic;
-  aState.mWorkers[task.mWorker].mHealth.mLastStart = aNow.mMonotonic;
+  Worker& worker = aState.mWorkers[task.mWorker];
+  worker.mHealth.mLastStart = aNow.mMonotonic;
+  if (!StepSpecOf(aRef).mBestEffort && !StepSpecOf(aRef).mLongRunning) {
+    worker.mLastShortStart = aNow.mMonotonic;
+  }
   Order order;
   order.mIsTrial = NeedsTrial(aRef);
   if (order.mIsTrial) {
--- a/Source/Core/Scheduling/Placement.h
+++ b/Source/Core/Scheduling/Placement.h
@@ -120,7 +120,8 @@
               const Worker& aWorker,
               const ReadyStep& aReady,
               const Task& aTask,
-              WorkerNumber aNumber);
+              WorkerNumber aNumber,
+              const CurrentTime& aNow);
 
 /// The worker with the lowest cost that can run the task now, in the rack if one is given;
 /// kNoWorker if there is none.
--- a/Source/Core/Scheduling/PlacementCost.cpp
+++ b/Source/Core/Scheduling/PlacementCost.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "Scheduling/ExpectedTime.h"
 #include "Scheduling/Placement.h"
 
 namespace Scheduling {
@@ -27,6 +28,18 @@
 /// workers have capacity.
 constexpr double kFreeLabelShare = 0.2;
 
+/// Weight of a worker away from the data of the step. It is higher than the weights above, which
+/// spread the load.
+constexpr double kAwayFromDataWeight = 10.0;
+/// Weight of a slow worker for a short task. It is higher than that of the distance to the data, so
+/// that it is the last choice.
+constexpr double kSlowWeight = 20.0;
+/// Weight of a rack that other tasks want for its data. It is lower than that of the step's own
+/// data and higher than those that spread the load.
+constexpr double kWantedRackWeight = 5.0;
+/// Weight of the worker of the last failed run of the task.
+constexpr double kAvoidedWeight = 100.0;
+
 /// True if the task would use up the free share of cores of a label that the step does not require.
 /// Tasks that require the label could then not start for as long as the task runs.
 bool
@@ -47,6 +60,36 @@
     });
 }
 
+/// Cost of the longer run time on a slow worker.
+double
+SlownessCost(const SchedulerState& aState,
+             const Worker& aWorker,
+             const StepSpec& aStep,
+             const CurrentTime& aNow)
+{
+  if (aStep.mLongRunning || aStep.mBestEffort || !IsSlow(aWorker) ||
+      AllowsSpeedTrial(aState, aWorker, aNow)) {
+    return 0.0;
+  }
+  const double remoteFactor = aState.mPolicy.mRemoteFactor;
+  if (aStep.mDataRack.empty() || IsAwayFromData(aStep, aWorker) || remoteFactor <= 1.0) {
+    return kSlowWeight;
+  }
+  // A slow worker near the data is preferred to others only where the task ends earlier there.
+  return std::min(kSlowWeight, kAwayFromDataWeight * SpeedRatio(aWorker) / remoteFactor);
+}
+
+/// Cost of the worker's rack: it is away from the data of the step, or others want it for theirs.
+double
+RackCost(const SchedulerState& aState, const Worker& aWorker, const StepSpec& aStep)
+{
+  double cost = IsAwayFromData(aStep, aWorker) ? kAwayFromDataWeight : 0.0;
+  if (aStep.mDataRack != aWorker.mRack.str() && aState.mWantedRacks.contains(aWorker.mRack)) {
+    cost += kWantedRackWeight;
+  }
+  return cost;
+}
+
 } // namespace
 
 std::map<std::string, LabelCapacity>
@@ -73,15 +116,14 @@
               const Worker& aWorker,
               const ReadyStep& aReady,
               const Task& aTask,
-              WorkerNumber aNumber)
+              WorkerNumber aNumber,
+              const CurrentTime& aNow)
 {
   const StepSpec& step = aReady.mJob->mSpec.mSteps[aReady.mStep];
   const auto capacity =
     static_cast<double>(std::max<std::int64_t>(aWorker.mCapacity.mCores.value(), 1));
-  double cost = aTask.mAvoidedWorker == aNumber ? 100.0 : 0.0;
-  if (!step.mDataRack.empty() && step.mDataRack != aWorker.mRack.str()) {
-    cost += 10.0;
-  }
+  double cost = aTask.mAvoidedWorker == aNumber ? kAvoidedWeight : 0.0;
+  cost += RackCost(aState, aWorker, step) + SlownessCost(aState, aWorker, step, aNow);
   const double usedCores = static_cast<double>(aWorker.mUsed.mCores.value()) / capacity;
   if (step.mLongRunning) {
     // A worker without long-running tasks can run best-effort tasks of any image, so long-running
--- a/Source/Core/Scheduling/Reports.cpp
+++ b/Source/Core/Scheduling/Reports.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "Scheduling/Schedule.h"
+#include "Scheduling/ExpectedTime.h"
 
 namespace Scheduling {
 
@@ -152,12 +152,12 @@
        !aState.mRunTimes.contains({ aRef.mJob->mSpec.mQueue, step.mImage }))) {
     return;
   }
+  const Duration actual = aNow.mMonotonic - task.mPhaseSince;
+  LearnSpeed(aState, aRef, actual);
   RunTimeEstimate& estimate = aState.mRunTimes[{ aRef.mJob->mSpec.mQueue, step.mImage }];
+  const auto nearTime = static_cast<double>(actual.count()) / LocalityFactorOfRun(aState, aRef);
   const double ratio =
-    std::clamp(static_cast<double>((aNow.mMonotonic - task.mPhaseSince).count()) /
-                 static_cast<double>(step.mEstimatedRunTime.count()),
-               0.2,
-               5.0);
+    std::clamp(nearTime / static_cast<double>(step.mEstimatedRunTime.count()), 0.2, 5.0);
   // The mean of the first samples, later an average over about the last twenty.
   constexpr std::uint32_t kMaxSamples = 20;
   estimate.mSamples = std::min(estimate.mSamples + 1, kMaxSamples);
--- a/Source/Core/Scheduling/State.h
+++ b/Source/Core/Scheduling/State.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -38,6 +39,10 @@
   bool mAdviceRequested = false;
   /// Time of the last log entry that says that its tasks wait for quarantined workers.
   Timestamp mQuarantineLoggedAt;
+  /// Time at which its tasks first waited for a place near their data although others were free.
+  Timestamp mPlaceWaitSince;
+  /// Time of the last log entry that says so.
+  Timestamp mPlaceWaitLoggedAt;
 };
 
 /// One repetition of the steps of a job.
@@ -131,6 +136,14 @@
   bool mIsOverTarget = false;
 };
 
+/// Ratios of actual to expected run time of the last runs on one worker lifetime.
+struct SpeedSamples
+{
+  /// The last ones, in any order; odd, so that one outlier does not move the median far.
+  std::array<float, 5> mRatios{};
+  std::uint32_t mCount = 0;
+};
+
 struct Worker
 {
   WorkerLifetime mLifetime;
@@ -181,6 +194,9 @@
   /// In the order of their numbers.
   std::deque<UnrecordedEnd> mUnrecordedEnds;
   WorkerHealth mHealth;
+  SpeedSamples mSpeedSamples;
+  /// Last start of a short task with reserved cores.
+  Timestamp mLastShortStart;
   /// The worker gets no starts before this time, because it did not accept one.
   Timestamp mNoStartsUntil;
   /// Last time that the scheduler ordered other speeds for best-effort tasks on the worker.
@@ -299,6 +315,18 @@
   Duration mTicketMargin{ std::chrono::milliseconds(250) };
   /// Least time between two log entries on a step whose tasks wait for quarantined workers.
   Duration mQuarantineLogInterval{ std::chrono::seconds(5) };
+  /// Multiple of its run time that a task takes away from its data, or a gang with mSameRack on
+  /// several racks. At 1 placement only prefers the rack and never waits for it.
+  double mRemoteFactor = 1.0;
+  /// Time for which other work avoids a rack after a task could not start there near its data. It
+  /// spans a few placement rounds, which may skip a waiting step for lack of link capacity.
+  Duration mRackWantedTime{ std::chrono::milliseconds(500) };
+  /// Least time between two log entries on a step whose tasks wait for a place near their data.
+  Duration mPlaceWaitLogInterval{ std::chrono::seconds(5) };
+  /// A slow worker gets one short task this long after its last one although others are free, to
+  /// show whether it is still slow. One task a worker costs little in this time, and the worker is
+  /// in use again after three such tasks.
+  Duration mSlowTrialInterval{ std::chrono::seconds(5) };
 };
 
 /// Counts of events in this term.
@@ -317,6 +345,13 @@
   std::uint64_t mCrashes = 0;
   std::uint64_t mTrials = 0;
   std::uint64_t mJobsFailedForCrashes = 0;
+  /// Steps of which a task waited for a place near its data, and the time that their tasks waited
+  /// until they started.
+  std::uint64_t mPlaceWaits = 0;
+  Duration mPlaceWaitTime{ 0 };
+  /// Starts of tasks that name a rack, and of gangs with mSameRack, by place.
+  std::uint64_t mNearStarts = 0;
+  std::uint64_t mRemoteStarts = 0;
 };
 
 /// Event of the scheduler that the caller writes to the log.
@@ -373,6 +408,8 @@
   std::map<Common::InstanceId, Timestamp> mAdvicePausedUntil;
   /// Learned share of granted workers among those named in requests.
   double mGrantedShare = 0.5;
+  /// Racks that tasks could not start on near their data, and until when other work avoids them.
+  std::map<Common::RackId, Timestamp> mWantedRacks;
   TermCounters mCounts;
   TailInterferenceModel mTailInterference;
 };
--- a/Source/UnitTests/Platform/FormatTests.cpp
+++ b/Source/UnitTests/Platform/FormatTests.cpp
@@ -18,7 +18,7 @@
   "ip": "10.1.0.13", "zone": "north", "region": "land",
   "listen": {"frontend": "10.1.0.13:8161", "readiness": "10.1.0.13:8167"},
   "internal_ports": [7720, 7735], "unknown": {"a": 1},
-  "bounds": {"hold_max_ms": 6000, "grace_s": 6.5, "status_s": 120, "stop_ms": 400},
+  "bounds": {"hold_max_ms": 6000, "grace_s": 6.5, "status_s": 120, "stop_ms": 400, "remote_factor": 3},
   "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "link_mbps": 1000.0},
   "platform": {"address": "10.200.1.7:8169", "ttl_min_ms": 1500}
 })";
@@ -86,6 +86,20 @@
     REQUIRE(settings->mMinStoreLease == std::chrono::milliseconds(1500));
     REQUIRE(settings->mProcessorShare == Approx(0.25));
     REQUIRE(settings->mLinkSpeed == Approx(1000.0));
+    REQUIRE(settings->mRemoteFactor == Approx(3.0));
+  }
+
+  SECTION("tasks never count as faster away from their data")
+  {
+    const auto parsedWith = [](const std::string& aFactor) {
+      std::string text = kSettings;
+      const std::string field = R"(, "remote_factor": 3)";
+      text.replace(text.find(field), field.size(), aFactor);
+      return ParseSettings(text, "file");
+    };
+    REQUIRE(parsedWith("")->mRemoteFactor == Approx(1.0));
+    REQUIRE(parsedWith(R"(, "remote_factor": 0.5)")->mRemoteFactor == Approx(1.0));
+    REQUIRE(parsedWith(R"(, "remote_factor": "3")")->mRemoteFactor == Approx(1.0));
   }
 
   SECTION("all missing and invalid fields are reported together")
--- a/Source/UnitTests/Scheduling/Fixture.h
+++ b/Source/UnitTests/Scheduling/Fixture.h
@@ -73,6 +73,11 @@
     mStep.mLabel = std::move(aLabel);
     return *this;
   }
+  StepBuilder dataRack(std::string aRack)
+  {
+    mStep.mDataRack = std::move(aRack);
+    return *this;
+  }
   StepBuilder maxPerWorker(std::uint32_t aMax)
   {
     mStep.mMaxPerWorker = aMax;
@@ -171,8 +176,13 @@
   /// Adds a worker whose record is in the store.
   void addWorker(const std::string& aName, std::int64_t aMilliCores = 16'000)
   {
-    report(view(aName, aMilliCores));
-    worker(aName).mRecorded = true;
+    addWorker(view(aName, aMilliCores));
+  }
+
+  void addWorker(const WorkerView& aView)
+  {
+    report(aView);
+    worker(aView.mLifetime.mWorker.str()).mRecorded = true;
   }
 
   Worker& worker(const std::string& aName, std::int64_t aStart = 1)
