Let tasks wait for a place near their data while it pays off

Cause: a task whose rack was full started elsewhere at once and took remote_factor times as long, even if a place near its data came free soon.

Change: in each placement round the expected ends of the runs on the rack and the tasks ahead in the order give the time of the next place. A task waits if that time is below half of what it gains, and not longer than the gain in all; tasks of wide steps are decided one by one, gangs as a whole. Other work avoids a rack that tasks wait for. Only with bounds.remote_factor above 1.

SchedulingTests: 81 test cases passed. NodeTests: 70 passed.

--- a/Source/Core/Scheduling/Gangs.cpp
+++ b/Source/Core/Scheduling/Gangs.cpp
@@ -1,12 +1,13 @@
 #include <algorithm>
 #include <set>
 
-#include "Scheduling/Placement.h"
+#include "Scheduling/NearPlaces.h"
 
 namespace Scheduling {
 
 bool
 PlaceGang(SchedulerState& aState,
+          NearPlaces& aPlaces,
           const ReadyStep& aReady,
           const QueueSpec& aQueue,
           StartBudget* aBudget,
@@ -30,6 +31,11 @@
   if (rackChoices.empty() || !rackChoices.front().empty()) {
     rackChoices.emplace_back();
   }
+  // Near the data first.
+  const std::string& dataRack = aReady.mJob->mSpec.mSteps[aReady.mStep].mDataRack;
+  std::stable_partition(rackChoices.begin(), rackChoices.end(), [&](const std::string& aRack) {
+    return !aRack.empty() && aRack == dataRack;
+  });
   RunNumber run = aState.mRunBase;
   // The checkpoint of any task is valid for the whole gang, and all tasks must start from the same
   // one.
@@ -42,6 +48,9 @@
   }
   run = run + RunNumber{ 1 };
   for (const std::string& rack : rackChoices) {
+    if (rack.empty() && GangWaits(aState, aPlaces, aReady, aQueue, aNow)) {
+      return true;
+    }
     std::uint32_t placed = 0;
     for (; placed < step.mTasks.size(); ++placed) {
       const WorkerNumber worker = BestWorker(aState, aReady, aQueue, placed, rack, aNow);
@@ -59,6 +68,7 @@
         const TaskRef ref{ aReady.mJob, aReady.mOccurrence, aReady.mStep, i };
         step.mTasks[i].mCheckpoint = checkpoint;
         ChargeStart(aState, ref, aBudget);
+        NoteStart(aState, aPlaces, ref, aNow);
         OrderStart(aState, ref, run, aNow);
       }
       return true;
--- a/Source/Core/Scheduling/Place.cpp
+++ b/Source/Core/Scheduling/Place.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <set>
 
-#include "Scheduling/Placement.h"
+#include "Scheduling/NearPlaces.h"
 
 namespace Scheduling {
 
@@ -198,6 +198,7 @@
 PlaceTasks(SchedulerState& aState, const CurrentTime& aNow, StartBudget* aBudget)
 {
   ExpireAdviceRequests(aState, aNow);
+  NearPlaces places = BeginNearPlaces(aState, aNow);
   std::vector<ReadyStep> steps = ReadySteps(aState, aNow);
   std::uint32_t requestedAhead = 0;
   std::set<std::pair<const Job*, std::uint32_t>> withoutRoom;
@@ -215,7 +216,7 @@
       }
     };
     if (ready.mJob->mSpec.mSteps[ready.mStep].mGang) {
-      if (!PlaceGang(aState, ready, queue, aBudget, aNow)) {
+      if (!PlaceGang(aState, places, ready, queue, aBudget, aNow)) {
         noteNoRoom();
       }
       RequestTickets(
@@ -224,12 +225,18 @@
     }
     Step& step = StepAt(FirstTask(ready));
     std::string placed;
+    StepWait wait(aState, places, ready, queue, aNow);
+    // The place that the last task did not take, because it waits for one near its data.
+    WorkerNumber leftPlace = kNoWorker;
     for (std::uint32_t i = step.mTasks.nextWaiting(0); i < step.mTasks.size();
          i = step.mTasks.nextWaiting(i + 1)) {
       if (IsUsedUp(aBudget)) {
         break;
       }
       const TaskRef ref{ ready.mJob, ready.mOccurrence, ready.mStep, i };
+      if (leftPlace != kNoWorker && wait.waits(i, leftPlace)) {
+        continue;
+      }
       const WorkerNumber worker = BestWorker(aState, ready, queue, i, "", aNow);
       if (worker == kNoWorker) {
         if (NeedsTrial(ref) || step.mTasks.at(i).mCrashChange > ready.mJob->mDurableChange) {
@@ -240,18 +247,25 @@
         noteNoRoom();
         break;
       }
+      leftPlace = kNoWorker;
+      if (wait.waits(i, worker)) {
+        leftPlace = worker;
+        continue;
+      }
       const RunNumber run = NextRun(aState, step.mTasks.at(i));
       const StepSpec& spec = ready.mJob->mSpec.mSteps[ready.mStep];
       if (spec.mBestEffort && !BestEffortFits(aState, aState.mWorkers[worker], spec)) {
         aState.mWorkers[worker].mForcedPlacementAt = aNow.mMonotonic;
       }
       AssignToWorker(aState, ref, worker, TaskPhase::Starting, aNow);
+      NoteStart(aState, places, ref, aNow);
       ChargeStart(aState, ref, aBudget);
       OrderStart(aState, ref, run, aNow);
       ready.mJobIsIdle = false;
       placed += (placed.empty() ? "" : " ") + std::to_string(i) + ':' +
                 std::to_string(run.value()) + '@' + aState.mWorkers[worker].mLifetime.mWorker.str();
     }
+    wait.finish();
     if (queue.mAdvice && step.mWaitingTasks > 0) {
       RequestTickets(
         aState, ready, queue, requestedAhead++ < aState.mPolicy.mStepsRequestedAhead, aNow);
--- a/Source/Core/Scheduling/Placement.h
+++ b/Source/Core/Scheduling/Placement.h
@@ -10,6 +10,8 @@
 /// Parts of a placement round, shared by the source files of this library.
 namespace Scheduling {
 
+struct NearPlaces;
+
 struct ReadyStep
 {
   Job* mJob = nullptr;
@@ -141,9 +143,11 @@
 void
 OrderStart(SchedulerState& aState, const TaskRef& aRef, RunNumber aRun, const CurrentTime& aNow);
 
-/// Starts all tasks of a gang or none. Returns false if there is no room for them.
+/// Starts all tasks of a gang or none. Returns false if there is no room for them; a gang that
+/// waits for one rack has room.
 bool
 PlaceGang(SchedulerState& aState,
+          NearPlaces& aPlaces,
           const ReadyStep& aReady,
           const QueueSpec& aQueue,
           StartBudget* aBudget,
