--- a/Source/Core/Scheduling/SpeedPlan.cpp
+++ b/Source/Core/Scheduling/SpeedPlan.cpp
@@ -58,8 +58,7 @@
       continue;
     }
     const double ratio = pressure / std::max(aTasks[i].mCores, 0.001);
-    if (worst == kNone || ratio > worstRatio ||
-        (ratio == worstRatio && aTasks[i].mValue < aTasks[worst].mValue)) {
+    if (worst == kNone || ratio > worstRatio) {
       worst = i;
       worstRatio = ratio;
     }
--- a/Source/Core/Scheduling/SpeedPlan.h
+++ b/Source/Core/Scheduling/SpeedPlan.h
@@ -19,10 +19,6 @@
   std::vector<double> mPressures;
   /// Cores that it needs at full speed.
   double mCores = 0;
-  /// The tasks with the lowest figure are throttled first if they add the same pressure.
-  double mValue = 0;
-  /// Speed that holds now.
-  Percent mSpeed{ 100 };
 };
 
 /// Lowest speed; below it a task achieves so little that it is paused instead.
--- a/Source/Core/Scheduling/Throttle.cpp
+++ b/Source/Core/Scheduling/Throttle.cpp
@@ -181,7 +181,6 @@
     const StepSpec& step = StepSpecOf(ref);
     ThrottledTask task;
     task.mCores = FullCores(step);
-    task.mSpeed = TaskAt(ref).mSpeed;
     for (const TaskRef& other : serving) {
       task.mPressures.push_back(task.mCores * PairPressure(aState.mTailInterference,
                                                            step.mImage,
