--- a/Source/UnitTests/Node/ClusterTests.cpp
+++ b/Source/UnitTests/Node/ClusterTests.cpp
@@ -64,7 +64,7 @@
 
 } // namespace
 
-TEST_CASE("A job runs to completion and its end is stored", "[Node]")
+TEST_CASE("A job runs to completion and its end is stored", "[Node][Cluster]")
 {
   TestCluster cluster;
   cluster.addEntry("e1");
@@ -80,7 +80,7 @@
   }
 }
 
-TEST_CASE("Ends are acknowledged while more jobs change than one write holds", "[Node]")
+TEST_CASE("Ends are acknowledged while more jobs change than one write holds", "[Node][Cluster]")
 {
   // Ends waited for a write that held all changed jobs, which does not come while many jobs are at
   // work. Their workers reached the limit of their lists.
@@ -115,7 +115,7 @@
   REQUIRE(longestWait < kMaxWait);
 }
 
-TEST_CASE("The payload of a job is sent to an agent once", "[Node]")
+TEST_CASE("The payload of a job is sent to an agent once", "[Node][Cluster]")
 {
   // Each start carried the payload. On entries with 2 Mbit/s the orders alone filled the link, and
   // no coordinator kept its key (seen with the small twin of korouhev-sdileny-large quiet-1).
@@ -159,7 +159,7 @@
 }
 
 TEST_CASE("The orders after a takeover leave room on the link for the coordinator's lease",
-          "[Node]")
+          "[Node][Cluster]")
 {
   // The starts of all recovered jobs filled a link of 2 Mbit/s for seconds. The lease was not
   // renewed, and each next coordinator lost it in the same way.
@@ -199,7 +199,7 @@
   }
 }
 
-TEST_CASE("Reports without news cause no placement round", "[Node]")
+TEST_CASE("Reports without news cause no placement round", "[Node][Cluster]")
 {
   // 240 agents report 600 times a second, and each report caused a round over all waiting steps and
   // all workers: rounds of 20 to 190 ms on half a core (seen with korouhev-sdileny-large quiet-1).
@@ -225,7 +225,7 @@
   REQUIRE(rounds.snapshot().count() - before <= 22);
 }
 
-TEST_CASE("The reports of an agent stay within a node's share of the network", "[Node]")
+TEST_CASE("The reports of an agent stay within a node's share of the network", "[Node][Cluster]")
 {
   // 240 agents reported 0.8 MB a second to a coordinator whose link may have 20 Mbit/s (seen with
   // korouhev-sdileny-large quiet-1).
@@ -251,7 +251,7 @@
   REQUIRE(reports.value() - before < kMaxBytesPerSecond * kSpan.count());
 }
 
-TEST_CASE("Another entry takes over when the coordinator dies", "[Node]")
+TEST_CASE("Another entry takes over when the coordinator dies", "[Node][Cluster]")
 {
   TestCluster cluster;
   cluster.addEntry("e1");
@@ -271,7 +271,7 @@
   REQUIRE(worker.mDuplicateStarts == 0);
 }
 
-TEST_CASE("A machine that can bear it becomes coordinator", "[Node]")
+TEST_CASE("A machine that can bear it becomes coordinator", "[Node][Cluster]")
 {
   // Entries with 0.12 of a core and 10 or 20 Mbit/s took the duty over while larger ones were free,
   // and recovered 1.3 s late or lost the key under load.
@@ -305,7 +305,7 @@
   }
 }
 
-TEST_CASE("A stopping coordinator hands over to another entry", "[Node]")
+TEST_CASE("A stopping coordinator hands over to another entry", "[Node][Cluster]")
 {
   TestCluster cluster;
   auto& first = cluster.addEntry("e1");
@@ -355,7 +355,7 @@
   }
 }
 
-TEST_CASE("A stopping coordinator gives its key back before its process ends", "[Node]")
+TEST_CASE("A stopping coordinator gives its key back before its process ends", "[Node][Cluster]")
 {
   // The process ended between the decision to resign and the call to the store, and there was no
   // coordinator until the key expired (seen with korouhev-sdileny-grown, trouble-2 --seed
@@ -375,7 +375,8 @@
   REQUIRE_FALSE(hasKey);
 }
 
-TEST_CASE("A restarted instance erases the coordinator's key of its earlier process", "[Node]")
+TEST_CASE("A restarted instance erases the coordinator's key of its earlier process",
+          "[Node][Cluster]")
 {
   // After a power failure of all processes, no coordinator could be elected until the lease of the
   // old key expired. The restarted owner of the key therefore erases it.
@@ -401,7 +402,7 @@
     1500ms));
 }
 
-TEST_CASE("Tasks continue while the store is unavailable", "[Node]")
+TEST_CASE("Tasks continue while the store is unavailable", "[Node][Cluster]")
 {
   TestCluster cluster;
   cluster.addEntry("e1");
@@ -417,7 +418,8 @@
   REQUIRE(worker.mExpiredRuns == 0);
 }
 
-TEST_CASE("The coordinator tolerates a dropped watch history and unreadable entries", "[Node]")
+TEST_CASE("The coordinator tolerates a dropped watch history and unreadable entries",
+          "[Node][Cluster]")
 {
   TestCluster cluster;
   cluster.mStore.put("ibis/job/strange", "bytes");
@@ -431,7 +433,8 @@
   REQUIRE(worker.mStarts == 2);
 }
 
-TEST_CASE("Tasks of an unresponsive worker are restarted only after their leases end", "[Node]")
+TEST_CASE("Tasks of an unresponsive worker are restarted only after their leases end",
+          "[Node][Cluster]")
 {
   TestCluster cluster;
   cluster.addEntry("e1");
@@ -448,7 +451,7 @@
   REQUIRE(first.mRunning.empty());
 }
 
-TEST_CASE("A task is not started twice after its agent was killed and restarted", "[Node]")
+TEST_CASE("A task is not started twice after its agent was killed and restarted", "[Node][Cluster]")
 {
   // The agent's new process answered a repeated start order with "not sent", although its
   // predecessor had started the run (docs/incidents/korouhev-grown-inc1.md).
@@ -475,7 +478,7 @@
 }
 
 TEST_CASE("A start repeated to a restarted agent does not outlive the coordinator's decision",
-          "[Node]")
+          "[Node][Cluster]")
 {
   // The agent keeps a repeated start while its worker is silent. The coordinator gave the run up
   // when the lease ended and started the tasks elsewhere, without a stop to withdraw the start.
@@ -519,7 +522,7 @@
 }
 
 TEST_CASE("A start repeated to a restarted agent is withdrawn before its lease is extended",
-          "[Node]")
+          "[Node][Cluster]")
 {
   // When the agent connects again, it is granted a lease first and gets the stops of the meantime
   // after it, so that it sends the start that it kept.
@@ -551,7 +554,8 @@
   REQUIRE(worker.mStarts == 2);
 }
 
-TEST_CASE("Results of orders that arrive while the coordinator is paused are not lost", "[Node]")
+TEST_CASE("Results of orders that arrive while the coordinator is paused are not lost",
+          "[Node][Cluster]")
 {
   // The coordinator dropped the report, the agent did not repeat it, and the connection stayed, so
   // that the orders had no result for the rest of the term.
@@ -576,7 +580,7 @@
 }
 
 TEST_CASE("The record of a worker that ends while it is written does not stay in the store",
-          "[Node]")
+          "[Node][Cluster]")
 {
   // The write took effect without an answer. The coordinator took the worker for one without a
   // record, so it never erased it, and each later coordinator held its jobs back for that worker.
@@ -603,7 +607,7 @@
   REQUIRE(cluster.runUntil([&] { return !cluster.mStore.contains(key); }, 5s));
 }
 
-TEST_CASE("A delayed write does not replace a newer record", "[Node]")
+TEST_CASE("A delayed write does not replace a newer record", "[Node][Cluster]")
 {
   // An unanswered write took effect seconds after the next one and replaced its records, so the
   // next coordinator restarted tasks whose ends the workers had already dropped (seen with
@@ -622,7 +626,7 @@
   REQUIRE(HasCompleted(cluster, "a"));
 }
 
-TEST_CASE("An entry that the store rejects relays submissions and cancellations", "[Node]")
+TEST_CASE("An entry that the store rejects relays submissions and cancellations", "[Node][Cluster]")
 {
   TestCluster cluster;
   cluster.addEntry("e1");
@@ -694,7 +698,7 @@
   }
 }
 
-TEST_CASE("A new coordinator waits for the workers on every page of the records", "[Node]")
+TEST_CASE("A new coordinator waits for the workers on every page of the records", "[Node][Cluster]")
 {
   // Workers beyond the first page of the records were unknown to a new coordinator, which started
   // their tasks elsewhere at once (soak seed 23).
@@ -724,7 +728,7 @@
 }
 
 TEST_CASE("A new coordinator does not wait for a worker whose lease ended before its term",
-          "[Node]")
+          "[Node][Cluster]")
 {
   // The record of a lost worker stayed in the store for 30 s, and each coordinator of that time
   // held all recovered jobs back for it (docs/incidents/grown-lasting-task-lost.md).
@@ -786,7 +790,8 @@
   }
 }
 
-TEST_CASE("The wait for a worker that does not report is shorter after a handover", "[Node]")
+TEST_CASE("The wait for a worker that does not report is shorter after a handover",
+          "[Node][Cluster]")
 {
   // After each handover the next coordinator waited as long as after a crash, in which the earlier
   // one may go on without the store (docs/incidents/grown-lasting-task-lost.md).
@@ -829,7 +834,8 @@
   }
 }
 
-TEST_CASE("A start that a worker's next lifetime carried out is not repeated elsewhere", "[Node]")
+TEST_CASE("A start that a worker's next lifetime carried out is not repeated elsewhere",
+          "[Node][Cluster]")
 {
   // A start call that got no answer was carried out by a new lifetime under the same id. When the
   // agent learned of that lifetime, the coordinator took the run for lost (soak seed 5).
@@ -858,7 +864,7 @@
   REQUIRE_FALSE(cluster.runUntil([&] { return !cluster.tasksRunningTwice().empty(); }, 3s));
 }
 
-TEST_CASE("A worker that restarts gets no start before its own heartbeat", "[Node]")
+TEST_CASE("A worker that restarts gets no start before its own heartbeat", "[Node][Cluster]")
 {
   // A poll found the new lifetime, and starts went out by the capacity and the labels of the
   // earlier one.
@@ -882,7 +888,7 @@
   }
 }
 
-TEST_CASE("A changed capacity is reported at once", "[Node]")
+TEST_CASE("A changed capacity is reported at once", "[Node][Cluster]")
 {
   TestCluster cluster;
   cluster.mTiming.mReportInterval = 3s;
@@ -899,7 +905,7 @@
   REQUIRE(cluster.runUntil([&] { return worker.mStarts == 2; }, 700ms));
 }
 
-TEST_CASE("A coordinator without a valid lease does not start new jobs", "[Node]")
+TEST_CASE("A coordinator without a valid lease does not start new jobs", "[Node][Cluster]")
 {
   // When the store answered again after an outage, a coordinator in its grace time saw a new job
   // before it saw that it had been replaced, and both coordinators started the job's tasks (soak
@@ -925,7 +931,8 @@
   REQUIRE(second.mRunning.size() == 2);
 }
 
-TEST_CASE("A job whose task crashes each worker that starts it fails after few crashes", "[Node]")
+TEST_CASE("A job whose task crashes each worker that starts it fails after few crashes",
+          "[Node][Cluster]")
 {
   // One such task took down one worker after the other for as long as its job was open.
   TestCluster cluster;
--- a/Source/UnitTests/Node/EvacuationTests.cpp
+++ b/Source/UnitTests/Node/EvacuationTests.cpp
@@ -64,7 +64,7 @@
 
 } // namespace
 
-TEST_CASE("A driver starts nothing in an evacuated data centre", "[Node]")
+TEST_CASE("A driver starts nothing in an evacuated data centre", "[Node][Evacuation]")
 {
   DriverFixture fixture;
 
@@ -104,7 +104,7 @@
   }
 }
 
-TEST_CASE("A driver counts down how long its worker is cold", "[Node]")
+TEST_CASE("A driver counts down how long its worker is cold", "[Node][Evacuation]")
 {
   DriverFixture fixture;
   Scheduling::WorkerView view = fixture.mDriver->view();
@@ -116,7 +116,7 @@
   REQUIRE(fixture.mDriver->viewWithLease().mColdRemaining == 0ms);
 }
 
-TEST_CASE("Tasks start outside of evacuated data centres", "[Node]")
+TEST_CASE("Tasks start outside of evacuated data centres", "[Node][Evacuation]")
 {
   EvacuatedCluster cluster;
   REQUIRE(cluster.startEntry("e1"));
@@ -137,7 +137,8 @@
   }
 }
 
-TEST_CASE("An agent refuses starts that its coordinator orders by old information", "[Node]")
+TEST_CASE("An agent refuses starts that its coordinator orders by old information",
+          "[Node][Evacuation]")
 {
   // The coordinator's watch is behind, so that its orders are late ones.
   EvacuatedCluster cluster;
@@ -167,7 +168,7 @@
   }
 }
 
-TEST_CASE("An agent whose own watch is behind follows its coordinator", "[Node]")
+TEST_CASE("An agent whose own watch is behind follows its coordinator", "[Node][Evacuation]")
 {
   EvacuatedCluster cluster;
   REQUIRE(cluster.startEntry("e1"));
@@ -184,7 +185,8 @@
   REQUIRE(cluster.refusedStarts() == 0);
 }
 
-TEST_CASE("A start that is in flight when its data centre is evacuated is not sent again", "[Node]")
+TEST_CASE("A start that is in flight when its data centre is evacuated is not sent again",
+          "[Node][Evacuation]")
 {
   // Agents send a start without an answer up to three times, for two seconds in all.
   EvacuatedCluster cluster;
@@ -210,7 +212,8 @@
   REQUIRE(cluster.tasksRunningTwice().empty());
 }
 
-TEST_CASE("A coordinator that takes over starts nothing in an evacuated data centre", "[Node]")
+TEST_CASE("A coordinator that takes over starts nothing in an evacuated data centre",
+          "[Node][Evacuation]")
 {
   EvacuatedCluster cluster;
   REQUIRE(cluster.startEntry("e1"));
@@ -248,7 +251,8 @@
   }
 }
 
-TEST_CASE("The last known evacuations stay in force while the store does not answer", "[Node]")
+TEST_CASE("The last known evacuations stay in force while the store does not answer",
+          "[Node][Evacuation]")
 {
   EvacuatedCluster cluster;
   REQUIRE(cluster.startEntry("e1"));
@@ -289,7 +293,8 @@
   }
 }
 
-TEST_CASE("A restarted agent that cannot read the store follows its coordinator", "[Node]")
+TEST_CASE("A restarted agent that cannot read the store follows its coordinator",
+          "[Node][Evacuation]")
 {
   EvacuatedCluster cluster;
   REQUIRE(cluster.startEntry("e1"));
@@ -315,7 +320,7 @@
   REQUIRE(cluster.runUntil([&] { return first.mStarts == 2; }, 8s));
 }
 
-TEST_CASE("The keys alone decide which data centres are evacuated", "[Node]")
+TEST_CASE("The keys alone decide which data centres are evacuated", "[Node][Evacuation]")
 {
   EvacuatedCluster cluster;
   cluster.mStore.put(kPrefix, "{}");
@@ -361,7 +366,7 @@
   }
 }
 
-TEST_CASE("A report carries how long a worker is cold", "[Node]")
+TEST_CASE("A report carries how long a worker is cold", "[Node][Evacuation]")
 {
   Scheduling::WorkerView view;
   view.mColdRemaining = 1'250ms;
--- a/Source/UnitTests/Node/JobApiTests.cpp
+++ b/Source/UnitTests/Node/JobApiTests.cpp
@@ -58,7 +58,7 @@
 
 } // namespace
 
-TEST_CASE("A submission is accepted once it is stored", "[Node]")
+TEST_CASE("A submission is accepted once it is stored", "[Node][Submissions]")
 {
   JobApiFixture fixture;
   REQUIRE(fixture.call(RequestKind::Submit, "/q/a")->mKind == ResponseKind::Accepted);
@@ -79,7 +79,7 @@
   }
 }
 
-TEST_CASE("The record of a submission contains its queue", "[Node]")
+TEST_CASE("The record of a submission contains its queue", "[Node][Submissions]")
 {
   JobApiFixture fixture;
   QueueTables tables = *fixture.mFormats.mParseTables("1");
@@ -113,7 +113,7 @@
   }
 }
 
-TEST_CASE("A cancellation that arrives before its submission rejects it", "[Node]")
+TEST_CASE("A cancellation that arrives before its submission rejects it", "[Node][Submissions]")
 {
   JobApiFixture fixture;
   REQUIRE(fixture.call(RequestKind::Cancel, "/q/a")->mKind == ResponseKind::UnknownJob);
@@ -121,7 +121,8 @@
   REQUIRE_FALSE(fixture.mStore.contains(SubmissionKey(Common::JobId("a"))));
 }
 
-TEST_CASE("Unknown routes, invalid ids and unknown jobs get different answers", "[Node]")
+TEST_CASE("Unknown routes, invalid ids and unknown jobs get different answers",
+          "[Node][Submissions]")
 {
   JobApiFixture fixture;
   REQUIRE(fixture.call(RequestKind::Submit, "/other/a")->mKind == ResponseKind::NoRoute);
@@ -132,7 +133,7 @@
   REQUIRE(fixture.call(RequestKind::Submit, "/q/a")->mKind == ResponseKind::Unavailable);
 }
 
-TEST_CASE("A submission is rejected only if the job will not run", "[Node]")
+TEST_CASE("A submission is rejected only if the job will not run", "[Node][Submissions]")
 {
   JobApiFixture fixture;
 
@@ -173,7 +174,7 @@
   }
 }
 
-TEST_CASE("No job is reported as unknown while the store is unavailable", "[Node]")
+TEST_CASE("No job is reported as unknown while the store is unavailable", "[Node][Submissions]")
 {
   JobApiFixture fixture;
   fixture.mStore.mMode = FakeStore::Mode::Rejecting;
@@ -181,7 +182,7 @@
   REQUIRE(fixture.call(RequestKind::Cancel, "/q/a")->mKind == ResponseKind::Unavailable);
 }
 
-TEST_CASE("A stopping process answers its open requests", "[Node]")
+TEST_CASE("A stopping process answers its open requests", "[Node][Submissions]")
 {
   JobApiFixture fixture;
   const auto stop = [&] {
--- a/Source/UnitTests/Node/SettledRefusalTests.cpp
+++ b/Source/UnitTests/Node/SettledRefusalTests.cpp
@@ -84,7 +84,7 @@
 } // namespace
 
 TEST_CASE("A submission without an answer is refused only when its writes can't be applied late",
-          "[Node]")
+          "[Node][Submissions]")
 {
   // Callers got 504 in an outage of 4 s for submissions that had reached no worker, and could not
   // retry them.
@@ -168,7 +168,7 @@
   }
 }
 
-TEST_CASE("A cancellation after a settled refusal keeps the job out", "[Node]")
+TEST_CASE("A cancellation after a settled refusal keeps the job out", "[Node][Submissions]")
 {
   EntriesFixture fixture(1);
   fixture.mStore.put(FenceKey(Common::JobId("a")), "e1");
@@ -180,7 +180,7 @@
   REQUIRE_FALSE(fixture.isStored("a"));
 }
 
-TEST_CASE("Two entries with the same submission agree on what becomes of it", "[Node]")
+TEST_CASE("Two entries with the same submission agree on what becomes of it", "[Node][Submissions]")
 {
   EntriesFixture fixture(2);
   fixture.mStore.mMode = FakeStore::Mode::DelayingWrites;
@@ -217,7 +217,7 @@
   }
 }
 
-TEST_CASE("New submissions are not written to a store that has gone silent", "[Node]")
+TEST_CASE("New submissions are not written to a store that has gone silent", "[Node][Submissions]")
 {
   EntriesFixture fixture(1);
   fixture.mStore.mMode = FakeStore::Mode::DelayingWrites;
@@ -276,7 +276,7 @@
 }
 
 TEST_CASE("A silence of the store leaves only the submissions of its first moments undecided",
-          "[Node]")
+          "[Node][Submissions]")
 {
   // Each entry wrote all that arrived before its watch noticed the silence, and answered 504 to
   // those whose deadlines came before its end.
@@ -322,7 +322,7 @@
   }
 }
 
-TEST_CASE("A lost answer keeps no later submission out", "[Node]")
+TEST_CASE("A lost answer keeps no later submission out", "[Node][Submissions]")
 {
   // With a short deadline no call is open any more that could tell whether the store answers.
   EntriesFixture fixture(1);
@@ -338,7 +338,7 @@
   REQUIRE(next->mResponse->mKind == ResponseKind::Accepted);
 }
 
-TEST_CASE("A slow store refuses no submission and costs few calls", "[Node]")
+TEST_CASE("A slow store refuses no submission and costs few calls", "[Node][Submissions]")
 {
   EntriesFixture fixture(1);
   fixture.mStore.mAnswerDelay = 500ms;
@@ -355,7 +355,7 @@
   REQUIRE(fixture.mStore.mCalls == calls.size());
 }
 
-TEST_CASE("A submission costs one call of the store", "[Node]")
+TEST_CASE("A submission costs one call of the store", "[Node][Submissions]")
 {
   EntriesFixture fixture(1);
   const auto call = fixture.submit(0, "a");
@@ -364,7 +364,7 @@
   REQUIRE(fixture.mStore.mCalls == 1);
 }
 
-TEST_CASE("An entry whose writes get lost submits through the coordinator", "[Node]")
+TEST_CASE("An entry whose writes get lost submits through the coordinator", "[Node][Submissions]")
 {
   TestCluster cluster;
   cluster.addEntry("e1");
@@ -397,7 +397,7 @@
   }
 }
 
-TEST_CASE("The coordinator erases the fences of refused submissions", "[Node]")
+TEST_CASE("The coordinator erases the fences of refused submissions", "[Node][Submissions]")
 {
   TestCluster cluster;
   cluster.mTiming.mFenceRetention = 700ms;
