--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -10,11 +10,17 @@
 PlayWideJob(World& aWorld, bool aTrouble);
 int
 PlayLongTasks(World& aWorld, bool aTrouble);
+int
+PlayOpenStarts(World& aWorld, bool aTrouble);
+int
+PlayBacklog(World& aWorld, bool aTrouble);
 
 inline const std::pair<const char*, int (*)(World&, bool)> kCases[] = {
   { "wide-timetable", &PlayWideTimetable },
   { "wide-job", &PlayWideJob },
   { "long-tasks", &PlayLongTasks },
+  { "open-starts", &PlayOpenStarts },
+  { "backlog", &PlayBacklog },
 };
 
 /// Starts aEntries entries, and aAgents agents with a worker each; false if they do not get ready.
--- a/review/standin-3/World.h
+++ b/review/standin-3/World.h
@@ -498,6 +498,8 @@
     std::function<void(Worker&, const std::string& aTask, std::int64_t aRun)> mStarted;
     std::function<void(Worker&, const std::string& aTask, std::int64_t aRun, const char* aHow)> mEnded;
     std::function<void(Worker&, const std::string& aTask, std::int64_t aRun, const char* aReason)> mRefused;
+    /// True if a start gets no answer. It is not carried out.
+    std::function<bool(Worker&, const std::string& aTask, std::int64_t aRun)> mLeavesUnanswered;
   };
 
   Worker(boost::asio::io_context& aIo, Options aOptions, Hooks aHooks)
@@ -537,7 +539,10 @@
     mTimer.cancel();
     mServer.reset();
     mPolls.clear();
+    mUnanswered.clear();
     mRunning.clear();
+    mUsedCpu = 0;
+    mUsedMemory = 0;
   }
   bool isUp() const { return mUp; }
   const std::string& id() const { return mOptions.mId; }
@@ -674,6 +679,10 @@
   {
     const std::string task = aRequest.value("task", "");
     const std::int64_t run = aRequest.value("run", std::int64_t{ 0 });
+    if (mHooks.mLeavesUnanswered && mHooks.mLeavesUnanswered(*this, task, run)) {
+      mUnanswered.push_back(aRespond);
+      return;
+    }
     const auto present = mRunning.find(task);
     if (present != mRunning.end() && present->second.mRun == run) {
       takeLease(aRequest);
@@ -833,6 +842,7 @@
   Clock::time_point mLeaseEnd;
   Clock::time_point mNextReport;
   std::vector<Poll> mPolls;
+  std::vector<Net::Responder> mUnanswered;
 };
 
 /// A small deployment: the programs under test with the commands of the deploy file, one store, and
@@ -1035,6 +1045,9 @@
     return ready.value_or(false);
   }
 
+  /// To be set before the entries are launched.
+  void setEntryMemory(int aMegabytes) { mEntryMemoryMb = aMegabytes; }
+
   boost::asio::io_context& io() { return mIo; }
   Store& store() { return mStore; }
   Record& record() { return mRecord; }
@@ -1086,7 +1099,7 @@
       { "limits",
         { { "cpu_share", aProcess.mIsEntry ? 0.25 : 0.15 },
           { "cores", 1 },
-          { "memory_mb", aProcess.mIsEntry ? 260 : 128 },
+          { "memory_mb", aProcess.mIsEntry ? mEntryMemoryMb : 128 },
           { "max_fds", 4'100 },
           { "link_mbps", 1'000.0 },
           { "disk_mb", 0 } } },
@@ -1127,6 +1140,7 @@
 
   std::string mRoot;
   std::string mFolder;
+  int mEntryMemoryMb = 260;
   int mBase = 0;
   boost::asio::io_context mIo{ 1 };
   Store mStore;
